--- /dev/null
+++ b/Libraries/LibCore/Reason.cpp
@@ -0,0 +1,77 @@
+#include <LibCore/Reason.h>
+#include <LibCore/Verify.h>
+
+namespace Core {
+
+namespace {
+
+constexpr std::array<std::string_view, reason_count> reason_names {
+    "none",
+    "admitted",
+    "queued",
+    "placed-in-tier-order",
+    "placed-by-floor",
+    "placed-by-baseline",
+    "answer-complete",
+    "answer-replayed",
+    "backlog-too-long",
+    "target-out-of-reach",
+    "patience-expired",
+    "no-endpoint",
+    "draining",
+    "retry-connection-refused",
+    "retry-attempt-failed",
+    "retry-budget-spent",
+    "retry-not-allowed",
+    "preempted-for-urgent",
+    "answer-cut-short",
+    "endpoint-error",
+    "caller-gone",
+    "key-missing",
+    "key-malformed",
+    "key-from-future",
+    "key-too-old",
+    "key-history-not-read",
+    "key-reused-for-other-request",
+    "key-voided",
+    "claim-not-read-back",
+    "claim-held-by-other",
+    "claimant-ended",
+    "malformed-body",
+    "body-too-large",
+    "not-utf8",
+    "duplicate-header",
+    "unknown-model",
+    "unknown-path",
+    "class-not-allowed",
+    "unknown-class",
+    "credential-missing",
+    "credential-wrong",
+    "settings-not-loaded",
+};
+
+}
+
+std::string_view to_string(Reason reason)
+{
+    auto const index = static_cast<std::size_t>(reason);
+    VERIFY(index < reason_names.size() && !reason_names[index].empty());
+    return reason_names[index];
+}
+
+std::string_view to_string(Outcome outcome)
+{
+    switch (outcome) {
+    case Outcome::Completed:
+        return "completed";
+    case Outcome::NotRun:
+        return "not-run";
+    case Outcome::Undecided:
+        return "undecided";
+    case Outcome::Unknown:
+        return "unknown";
+    }
+    VERIFY(false);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCore/Reason.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace Core {
+
+/// What a caller is told of its request. See docs/OUTCOMES.md for the exact meaning of each.
+enum class Outcome {
+    Completed,
+    NotRun,
+    Undecided,
+    Unknown,
+};
+
+/// Why a decision fell as it did. Closed: each has a counter, and each refusal and retry names one.
+enum class Reason {
+    None,
+    // Decisions that let work go on.
+    Admitted,
+    Queued,
+    PlacedInTierOrder,
+    PlacedByFloor,
+    PlacedByBaseline,
+    AnswerComplete,
+    AnswerReplayed,
+    // Refusals under load.
+    BacklogTooLong,
+    TargetOutOfReach,
+    PatienceExpired,
+    NoEndpoint,
+    Draining,
+    // Retries and preemptions.
+    RetryConnectionRefused,
+    RetryAttemptFailed,
+    RetryBudgetSpent,
+    RetryNotAllowed,
+    PreemptedForUrgent,
+    // Ends of attempts.
+    AnswerCutShort,
+    EndpointError,
+    CallerGone,
+    // Not-repeatable requests.
+    KeyMissing,
+    KeyMalformed,
+    KeyFromFuture,
+    KeyTooOld,
+    KeyHistoryNotRead,
+    KeyReusedForOtherRequest,
+    KeyVoided,
+    ClaimNotReadBack,
+    ClaimHeldByOther,
+    ClaimantEnded,
+    // Bad input.
+    MalformedBody,
+    BodyTooLarge,
+    NotUtf8,
+    DuplicateHeader,
+    UnknownModel,
+    UnknownPath,
+    ClassNotAllowed,
+    UnknownClass,
+    CredentialMissing,
+    CredentialWrong,
+    SettingsNotLoaded,
+    Count,
+};
+
+inline constexpr std::size_t reason_count = static_cast<std::size_t>(Reason::Count);
+
+/// The kebab-case name used in answers, counters, logs and decision records.
+[[nodiscard]] std::string_view to_string(Reason reason);
+[[nodiscard]] std::string_view to_string(Outcome outcome);
+
+}
--- /dev/null
+++ b/Libraries/LibCore/Time.cpp
@@ -0,0 +1,67 @@
+#include <LibCore/Time.h>
+
+#include <array>
+#include <charconv>
+
+namespace Core {
+
+Instant monotonic_now()
+{
+    auto const since_epoch = std::chrono::steady_clock::now().time_since_epoch();
+    return Instant { std::chrono::duration_cast<Duration>(since_epoch) };
+}
+
+std::int64_t wall_clock_milliseconds()
+{
+    auto const since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+}
+
+namespace {
+
+struct Unit {
+    std::string_view suffix;
+    double microseconds;
+};
+
+// NOTE: "ms" stands before "s" and "m", so that the longest suffix is tried first.
+constexpr std::array<Unit, 4> units { { { "ms", 1e3 }, { "s", 1e6 }, { "m", 6e7 }, { "h", 3.6e9 } } };
+constexpr double longest_duration_microseconds = 366.0 * 24 * 3.6e9;
+
+}
+
+std::optional<Duration> parse_duration(std::string_view text)
+{
+    for (auto const& unit : units) {
+        if (!text.ends_with(unit.suffix))
+            continue;
+        auto const digits = text.substr(0, text.size() - unit.suffix.size());
+        double number = 0;
+        auto const result
+            = std::from_chars(digits.data(), digits.data() + digits.size(), number, std::chars_format::fixed);
+        if (result.ec != std::errc {} || result.ptr != digits.data() + digits.size())
+            return {};
+        auto const microseconds = number * unit.microseconds;
+        if (!(microseconds >= 0 && microseconds <= longest_duration_microseconds))
+            return {};
+        return Duration { static_cast<Duration::rep>(microseconds) };
+    }
+    return {};
+}
+
+double to_milliseconds(Duration duration)
+{
+    return static_cast<double>(duration.count()) / 1e3;
+}
+
+double to_seconds(Duration duration)
+{
+    return static_cast<double>(duration.count()) / 1e6;
+}
+
+Duration from_seconds(double seconds)
+{
+    return Duration { static_cast<Duration::rep>(seconds * 1e6) };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCore/Time.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Core {
+
+/// Time is passed into the decision libraries, so they run the same in virtual time and in a process.
+struct VirtualClock {
+    using duration = std::chrono::microseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<VirtualClock>;
+    static constexpr bool is_steady = true;
+};
+
+using Duration = VirtualClock::duration;
+using Instant = VirtualClock::time_point;
+
+/// Monotonic time of this process, for the shell only.
+[[nodiscard]] Instant monotonic_now();
+
+/// Milliseconds since 1970 by this box's wall clock, for idempotency keys only.
+[[nodiscard]] std::int64_t wall_clock_milliseconds();
+
+/// Reads "250ms", "1.5s", "10m" or "2h"; nothing for any other text, negative or not finite.
+[[nodiscard]] std::optional<Duration> parse_duration(std::string_view text);
+
+[[nodiscard]] double to_milliseconds(Duration duration);
+[[nodiscard]] double to_seconds(Duration duration);
+[[nodiscard]] Duration from_seconds(double seconds);
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/LogClient.cpp
@@ -0,0 +1,90 @@
+#include <LibPlatform/Base64.h>
+#include <LibPlatform/LogClient.h>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace Platform {
+
+namespace {
+
+constexpr auto connect_timeout = std::chrono::milliseconds(500);
+constexpr auto read_grace = std::chrono::seconds(2);
+constexpr int most_records_per_read = 1000;
+constexpr int status_ok = 200;
+constexpr int status_created = 201;
+
+std::string path_of(std::string const& stream)
+{
+    return "/streams/" + stream + "/records";
+}
+
+std::optional<LogPage> parse_page(std::string const& body)
+{
+    // NOTE: The JSON library reports a field of the wrong type by throwing; here that is just a bad answer.
+    try {
+        auto const json = nlohmann::json::parse(body);
+        LogPage page;
+        page.earliest = Core::Offset { json.at("earliest").get<std::uint64_t>() };
+        page.next = Core::Offset { json.at("next").get<std::uint64_t>() };
+        for (auto const& record : json.at("records")) {
+            auto payload = from_base64(record.at("data").get<std::string>());
+            if (!payload)
+                return {};
+            page.records.push_back({ Core::Offset { record.at("offset").get<std::uint64_t>() }, std::move(*payload) });
+        }
+        return page;
+    } catch (nlohmann::json::exception const&) {
+        return {};
+    }
+}
+
+}
+
+AppendResult LogClient::append(std::string const& stream, std::string const& payload, Core::Duration timeout) const
+{
+    httplib::Client client(this->address.host, this->address.port);
+    client.set_tcp_nodelay(true);
+    client.set_connection_timeout(connect_timeout);
+    client.set_read_timeout(timeout);
+    auto const result = client.Post(path_of(stream), payload, "application/octet-stream");
+    if (!result) {
+        auto const reason = httplib::to_string(result.error());
+        if (result.error() == httplib::Error::Connection)
+            return AppendRefused { reason };
+        return AppendUnknown { reason };
+    }
+    if (result->status != status_created)
+        return AppendRefused { "status " + std::to_string(result->status) };
+    auto const json = nlohmann::json::parse(result->body, nullptr, false);
+    if (!json.is_object() || !json.contains("offset") || !json["offset"].is_number_unsigned())
+        return AppendUnknown { "answer without an offset" };
+    return Appended { Core::Offset { json["offset"].get<std::uint64_t>() } };
+}
+
+std::optional<LogPage> LogClient::read(
+    std::string const& stream, Core::Offset from, Core::Duration wait, Core::LastReason& last_reason) const
+{
+    httplib::Client client(this->address.host, this->address.port);
+    client.set_tcp_nodelay(true);
+    client.set_connection_timeout(connect_timeout);
+    client.set_read_timeout(wait + read_grace);
+    auto const wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    auto const path = path_of(stream) + "?from=" + std::to_string(from.value())
+        + "&max=" + std::to_string(most_records_per_read) + "&wait_ms=" + std::to_string(wait_ms);
+    auto const result = client.Get(path);
+    if (!result) {
+        last_reason.text = httplib::to_string(result.error());
+        return {};
+    }
+    if (result->status != status_ok) {
+        last_reason.text = "status " + std::to_string(result->status);
+        return {};
+    }
+    auto page = parse_page(result->body);
+    if (!page)
+        last_reason.text = "answer is not a page of records";
+    return page;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRecord/DecisionRing.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibCore/Reason.h>
+#include <LibTraffic/TrafficTypes.h>
+
+#include <deque>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Record {
+
+enum class DecisionKind {
+    Arrived,
+    Waits,
+    Placed,
+    Refused,
+    Preempted,
+    TriedAgain,
+    Claimed,
+    Ended,
+};
+
+[[nodiscard]] std::string_view to_string(DecisionKind kind);
+
+/// One decision on one request, with the figures it was taken on.
+struct DecisionRecord {
+    Core::RequestId request;
+    /// Milliseconds since 1970 on the box's wall clock.
+    std::int64_t at_milliseconds { 0 };
+    DecisionKind kind { DecisionKind::Arrived };
+    Core::Reason reason { Core::Reason::None };
+    std::string request_class;
+    std::string account;
+    std::string pool;
+    /// The endpoint concerned, if any.
+    std::string endpoint;
+    Core::Offset settings_version;
+    Traffic::DecisionFigures figures;
+
+    bool operator==(DecisionRecord const&) const = default;
+    /// One line that a person can read.
+    [[nodiscard]] std::string to_sentence() const;
+};
+
+/// The latest decisions of a box, in a ring of bounded size. Safe to use from several threads.
+class DecisionRing {
+public:
+    explicit DecisionRing(std::size_t capacity)
+        : capacity(capacity)
+    {
+    }
+
+    void add(DecisionRecord record);
+    [[nodiscard]] std::vector<DecisionRecord> find(Core::RequestId request) const;
+    /// Records overwritten so far.
+    [[nodiscard]] std::uint64_t dropped() const;
+
+private:
+    std::size_t capacity;
+    mutable std::mutex mutex;
+    std::deque<DecisionRecord> records;
+    std::uint64_t first_number { 0 };
+    std::unordered_map<Core::RequestId, std::vector<std::uint64_t>> numbers_of_request;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibServer/Box.cpp
@@ -0,0 +1,90 @@
+#include <LibServer/Box.h>
+
+#include <LibServer/EventLog.h>
+#include <cstdio>
+#include <fstream>
+
+namespace Server {
+
+namespace {
+
+constexpr std::size_t kept_records = 200'000;
+constexpr auto tick_interval = std::chrono::milliseconds(5);
+
+/// Sends without a claim.
+// FIXME: Not-repeatable requests are not yet claimed in the log, so a retry through another box may run them again.
+class UnclaimedAttempts final : public KeyedAttempts {
+public:
+    [[nodiscard]] AttemptReport run(RequestFlow&, Send const& send) override { return send(); }
+};
+
+}
+
+Box::Box(BoxSettings const& settings, std::uint64_t seed)
+    : records(kept_records)
+    , threads(std::make_unique<httplib::ThreadPool>(static_cast<std::size_t>(settings.threads)))
+    , keyed_attempts(std::make_unique<UnclaimedAttempts>())
+    , box_state(settings, { this->upstream, this->metrics, this->records, *this->threads, *this->keyed_attempts }, seed)
+{
+}
+
+std::unique_ptr<Box> Box::try_create(BoxSettings const& settings, std::uint64_t seed, Core::LastReason& last_reason)
+{
+    std::unique_ptr<Box> box(new Box(settings, seed));
+    box->callers = CallerServer::try_create(box->box_state, seed, last_reason);
+    if (!box->callers)
+        return {};
+    box->operators = OperatorServer::try_create(box->box_state, last_reason);
+    if (!box->operators || !box->write_ports_file(last_reason))
+        return {};
+    box->settings_follower = std::make_unique<SettingsFollower>(box->box_state);
+    box->load_poller = std::make_unique<LoadPoller>(box->box_state);
+    box->ticker = std::thread([self = box.get()] {
+        while (!self->is_stopping) {
+            for (auto const& shard : self->box_state.shards())
+                shard->tick();
+            std::this_thread::sleep_for(tick_interval);
+        }
+    });
+    EventLine("box_started").with("port", box->callers->port()).with("operator_port", box->operators->port()).info();
+    return box;
+}
+
+Box::~Box()
+{
+    if (this->callers)
+        this->callers->stop();
+    this->is_stopping = true;
+    if (this->ticker.joinable())
+        this->ticker.join();
+    this->load_poller.reset();
+    this->settings_follower.reset();
+    if (this->operators)
+        this->operators->stop();
+    this->threads->shutdown();
+}
+
+bool Box::write_ports_file(Core::LastReason& last_reason) const
+{
+    auto const& path = this->box_state.settings().ports_file;
+    if (path.empty())
+        return true;
+    // NOTE: Written aside and renamed, so that a reader never sees half of it.
+    auto const draft = path + ".draft";
+    std::ofstream(draft) << this->callers->port() << " " << this->operators->port() << "\n";
+    if (std::rename(draft.c_str(), path.c_str()) == 0)
+        return true;
+    last_reason.text = "can't write the ports file " + path;
+    return false;
+}
+
+void Box::drain(Core::Duration balancer_lag)
+{
+    EventLine("drain_started").info();
+    this->box_state.begin_drain();
+    std::this_thread::sleep_for(balancer_lag);
+    this->callers->stop();
+    EventLine("drain_finished").info();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibServer/PoolShard.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <LibRecord/DecisionRing.h>
+#include <LibServer/Metrics.h>
+#include <LibServer/RequestFlow.h>
+#include <LibServer/UpstreamCaller.h>
+#include <LibTraffic/TrafficEngine.h>
+
+#include <functional>
+#include <oneapi/tbb/concurrent_hash_map.h>
+
+namespace httplib {
+class ThreadPool;
+}
+
+namespace Server {
+
+/// Runs one attempt of a not-repeatable request: claims its key, sends it, settles the key.
+class KeyedAttempts {
+public:
+    using Send = std::function<AttemptReport()>;
+    KeyedAttempts() = default;
+    KeyedAttempts(KeyedAttempts const&) = delete;
+    KeyedAttempts& operator=(KeyedAttempts const&) = delete;
+    virtual ~KeyedAttempts() = default;
+    [[nodiscard]] virtual AttemptReport run(RequestFlow& flow, Send const& send) = 0;
+};
+
+/// What the shards of a box share.
+struct ShardServices {
+    UpstreamCaller& upstream;
+    Metrics& metrics;
+    Record::DecisionRing& records;
+    httplib::ThreadPool& threads;
+    KeyedAttempts& keyed_attempts;
+};
+
+/// One pool's traffic engine under its own lock, and the carrying out of what it decides.
+class PoolShard {
+public:
+    PoolShard(std::string pool, Traffic::PoolPolicy policy, Core::Offset settings_version, std::uint64_t seed,
+        ShardServices services);
+
+    void reconfigure(Traffic::PoolPolicy policy, Core::Offset settings_version);
+    void submit(std::shared_ptr<RequestFlow> const& flow);
+    void abandon(RequestFlow& flow);
+    void take_report(Core::EndpointId endpoint, Traffic::LoadReport const& report);
+    void tick();
+    void publish_status();
+
+    [[nodiscard]] bool is_idle();
+    [[nodiscard]] Traffic::PoolStatus status();
+    [[nodiscard]] std::map<Core::EndpointId, Settings::EndpointSettings> endpoints();
+    [[nodiscard]] std::string const& name() const { return this->pool; }
+
+private:
+    using FlowPointer = std::shared_ptr<RequestFlow>;
+    using FlowTable = oneapi::tbb::concurrent_hash_map<std::uint64_t, FlowPointer>;
+
+    void execute(Traffic::Actions const& actions);
+    void carry_out(Traffic::Wait const& action);
+    void carry_out(Traffic::Dispatch const& action);
+    void carry_out(Traffic::Refuse const& action);
+    void carry_out(Traffic::Preempt const& action);
+    void carry_out(Traffic::Retry const& action);
+    void carry_out(Traffic::Conclude const& action);
+    void run_attempt(
+        FlowPointer const& flow, Traffic::Dispatch const& action, Settings::EndpointSettings const& endpoint);
+    [[nodiscard]] End end_of(RequestFlow& flow, Traffic::Conclude const& action) const;
+    [[nodiscard]] FlowPointer find(Core::RequestId request);
+    [[nodiscard]] FlowPointer take(Core::RequestId request);
+    void record(RequestFlow const& flow, Record::DecisionKind kind, Core::Reason reason, std::string const& endpoint,
+        Traffic::DecisionFigures const& figures);
+
+    std::string pool;
+    ShardServices services;
+    std::atomic<std::uint64_t> settings_version;
+    std::mutex mutex;
+    Traffic::PoolPolicy policy;
+    Traffic::TrafficEngine engine;
+    FlowTable flows;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibServer/RequestFlow.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <LibTraffic/TrafficTypes.h>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <oneapi/tbb/concurrent_queue.h>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace httplib {
+class Client;
+}
+
+namespace Server {
+
+/// The answer begins.
+struct Head {
+    int status { 200 };
+    std::string content_type;
+};
+/// A piece of the answer, as it came.
+struct Chunk {
+    std::string bytes;
+};
+/// The request is over. Nothing follows.
+struct End {
+    Core::Outcome outcome { Core::Outcome::Completed };
+    Core::Reason reason { Core::Reason::None };
+    Core::Duration retry_after { 0 };
+};
+using FlowEvent = std::variant<Head, Chunk, End>;
+
+/// What is sent to an endpoint.
+struct UpstreamRequest {
+    std::string path;
+    std::string content_type;
+    std::string body;
+    /// Empty for none.
+    std::string idempotency_key;
+
+    bool operator==(UpstreamRequest const&) const = default;
+};
+
+/// One request on its way: the caller's thread takes events out, the endpoint's thread puts them in.
+class RequestFlow {
+public:
+    RequestFlow(Traffic::RequestFacts facts, std::string class_name, std::string account_name,
+        Settings::ClassSettings const& class_settings, UpstreamRequest upstream)
+        : facts(facts)
+        , class_name(std::move(class_name))
+        , account_name(std::move(account_name))
+        , class_settings(class_settings)
+        , upstream(std::move(upstream))
+    {
+    }
+
+    Traffic::RequestFacts const facts;
+    std::string const class_name;
+    std::string const account_name;
+    Settings::ClassSettings const class_settings;
+    UpstreamRequest const upstream;
+
+    void push(FlowEvent event) { this->events.push(std::move(event)); }
+    [[nodiscard]] FlowEvent pop();
+
+    /// The caller has gone. Stops the running attempt when the class is repeatable.
+    void caller_has_gone();
+    /// Stops the running attempt, which will be placed again.
+    void preempt();
+    [[nodiscard]] bool is_caller_gone() const { return this->caller_gone; }
+    [[nodiscard]] bool is_preempted() const { return this->preempted; }
+    [[nodiscard]] bool must_stop() const
+    {
+        return this->preempted || (this->caller_gone && this->class_settings.repeatable);
+    }
+
+    /// Makes `client` the one that a stop closes; returns false when the attempt must stop already.
+    [[nodiscard]] bool begin_attempt(httplib::Client& client);
+    void end_attempt();
+
+    /// Set once any attempt may have run at an endpoint without its whole answer having come back.
+    void set_may_have_run() { this->may_have_run = true; }
+    [[nodiscard]] bool has_perhaps_run() const { return this->may_have_run; }
+
+    /// What the key's fate says, where it says more than the attempt's end.
+    void set_fate_end(End end);
+    [[nodiscard]] std::optional<End> fate_end();
+
+private:
+    void stop_client();
+
+    oneapi::tbb::concurrent_bounded_queue<FlowEvent> events;
+    std::atomic<bool> caller_gone { false };
+    std::atomic<bool> preempted { false };
+    std::atomic<bool> may_have_run { false };
+    std::mutex mutex;
+    httplib::Client* active_client { nullptr };
+    std::optional<End> end_by_fate;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibServer/UpstreamCaller.cpp
@@ -0,0 +1,153 @@
+#include <LibServer/UpstreamCaller.h>
+
+#include <httplib.h>
+
+namespace Server {
+
+namespace {
+
+constexpr auto connect_timeout = std::chrono::milliseconds(1000);
+constexpr auto patience_grace = std::chrono::seconds(1);
+constexpr std::size_t most_idle_clients = 64;
+constexpr int first_failure_status = 500;
+constexpr int status_too_many = 429;
+constexpr int status_unavailable = 503;
+constexpr std::string_view end_of_stream = "data: [DONE]";
+
+/// Notices whether a stream of server-sent events ended with its closing event.
+class StreamEndWatcher {
+public:
+    void take(std::string_view bytes)
+    {
+        this->tail.append(bytes);
+        if (this->tail.size() > longest_tail)
+            this->tail.erase(0, this->tail.size() - longest_tail);
+    }
+    [[nodiscard]] bool is_whole() const { return this->tail.find(end_of_stream) != std::string::npos; }
+
+private:
+    static constexpr std::size_t longest_tail = 64;
+    std::string tail;
+};
+
+Traffic::AttemptResult result_of_error(httplib::Error error, RequestFlow const& flow, bool any_delivered)
+{
+    using Traffic::AttemptResult;
+    if (flow.is_preempted())
+        return AttemptResult::Preempted;
+    if (flow.must_stop())
+        return AttemptResult::CallerGone;
+    if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout)
+        return AttemptResult::ConnectionRefused;
+    return any_delivered ? AttemptResult::BrokenAfterDelivery : AttemptResult::Failed;
+}
+
+Traffic::AttemptResult result_of_status(int status)
+{
+    if (status == status_too_many || status == status_unavailable)
+        return Traffic::AttemptResult::EndpointBusy;
+    return status >= first_failure_status ? Traffic::AttemptResult::Failed : Traffic::AttemptResult::Completed;
+}
+
+httplib::Headers headers_for(RequestFlow const& flow, Core::TierId tier)
+{
+    httplib::Headers headers {
+        { "Content-Type", flow.upstream.content_type },
+        { "X-Request-Id", std::to_string(flow.facts.id.value()) },
+        { "X-Request-Priority", std::to_string(tier.value()) },
+    };
+    if (!flow.upstream.idempotency_key.empty())
+        headers.emplace("Idempotency-Key", flow.upstream.idempotency_key);
+    return headers;
+}
+
+}
+
+UpstreamCaller::UpstreamCaller() = default;
+UpstreamCaller::~UpstreamCaller() = default;
+
+AttemptReport UpstreamCaller::call(RequestFlow& flow, Settings::EndpointSettings const& endpoint, Core::TierId tier,
+    OnFirstPiece const& on_first_piece)
+{
+    AttemptReport report;
+    auto client = this->take_client(endpoint, flow.class_settings.repeatable);
+    client->set_read_timeout(flow.class_settings.patience + patience_grace);
+    if (!flow.begin_attempt(*client)) {
+        report.result = flow.is_preempted() ? Traffic::AttemptResult::Preempted : Traffic::AttemptResult::CallerGone;
+        flow.end_attempt();
+        return report;
+    }
+    httplib::Request request;
+    request.method = "POST";
+    request.path = flow.upstream.path;
+    request.headers = headers_for(flow, tier);
+    request.body = flow.upstream.body;
+    StreamEndWatcher stream_end;
+    bool is_streamed = false;
+    bool any_piece = false;
+    request.response_handler = [&](httplib::Response const& head) {
+        report.status = head.status;
+        report.content_type = head.get_header_value("Content-Type");
+        is_streamed = flow.facts.streaming && report.content_type.starts_with("text/event-stream");
+        return true;
+    };
+    request.content_receiver = [&](char const* data, std::size_t length, std::uint64_t, std::uint64_t) {
+        if (flow.must_stop())
+            return false;
+        if (!any_piece)
+            on_first_piece();
+        if (!is_streamed) {
+            report.body.append(data, length);
+        } else {
+            if (!any_piece)
+                flow.push(Head { report.status, report.content_type });
+            stream_end.take({ data, length });
+            flow.push(Chunk { std::string(data, length) });
+        }
+        any_piece = true;
+        return true;
+    };
+    httplib::Response response;
+    auto error = httplib::Error::Success;
+    auto const is_answered = client->send(request, response, error);
+    if (is_answered) {
+        report.result = result_of_status(report.status);
+        if (is_streamed && any_piece && !stream_end.is_whole())
+            report.result = Traffic::AttemptResult::BrokenAfterDelivery;
+    } else {
+        report.result = result_of_error(error, flow, is_streamed && any_piece);
+        report.error = httplib::to_string(error);
+    }
+    flow.end_attempt();
+    if (is_answered && flow.class_settings.repeatable)
+        this->give_back(endpoint, std::move(client));
+    return report;
+}
+
+UpstreamCaller::ClientPointer UpstreamCaller::take_client(Settings::EndpointSettings const& endpoint, bool may_reuse)
+{
+    if (may_reuse) {
+        std::scoped_lock const lock(this->mutex);
+        auto& idle = this->idle_clients[{ endpoint.host, endpoint.port }];
+        if (!idle.empty()) {
+            auto client = std::move(idle.back());
+            idle.pop_back();
+            return client;
+        }
+    }
+    auto client = std::make_unique<httplib::Client>(endpoint.host, endpoint.port);
+    client->set_tcp_nodelay(true);
+    client->set_keep_alive(may_reuse);
+    client->set_connection_timeout(connect_timeout);
+    return client;
+}
+
+void UpstreamCaller::give_back(Settings::EndpointSettings const& endpoint, ClientPointer client)
+{
+    std::scoped_lock const lock(this->mutex);
+    auto& idle = this->idle_clients[{ endpoint.host, endpoint.port }];
+    if (idle.size() < most_idle_clients)
+        idle.push_back(std::move(client));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/ClassEstimates.cpp
@@ -0,0 +1,71 @@
+#include <LibTraffic/ClassEstimates.h>
+
+#include <algorithm>
+
+namespace Traffic {
+
+namespace {
+
+namespace statistics = boost::accumulators;
+
+// NOTE: Starting at a fifth of the target lets the first requests through; real samples replace the guess soon.
+constexpr int first_guess_divisor = 5;
+constexpr double high_probability = 0.9;
+
+}
+
+QuantileEstimate::QuantileEstimate(double probability_to_track, Core::Duration first_guess)
+    : probability(probability_to_track)
+    , older(statistics::quantile_probability = probability_to_track)
+    , newer(statistics::quantile_probability = probability_to_track)
+    , current_value(first_guess)
+{
+}
+
+void QuantileEstimate::add(Core::Duration observed)
+{
+    auto const sample = static_cast<double>(observed.count());
+    this->newer(sample);
+    this->older(sample);
+    ++this->newer_samples;
+    if (this->newer_samples >= samples_per_turn) {
+        this->older = this->newer;
+        this->newer = Accumulator(statistics::quantile_probability = this->probability);
+        this->newer_samples = 0;
+        this->has_older = true;
+    }
+    if (this->has_older || this->newer_samples >= samples_before_trust)
+        this->current_value
+            = Core::Duration { static_cast<Core::Duration::rep>(statistics::p_square_quantile(this->older)) };
+}
+
+ClassEstimates::ClassEstimates(Settings::ClassSettings const& settings)
+    : target_kind(settings.target_kind)
+    , first_token_high(high_probability, settings.target / first_guess_divisor)
+    , whole_high(high_probability, settings.target / first_guess_divisor)
+    , whole_median(0.5, settings.target / first_guess_divisor)
+    , first_token_mean(Core::to_seconds(settings.target / first_guess_divisor))
+    , whole_mean(Core::to_seconds(settings.target / first_guess_divisor))
+{
+}
+
+void ClassEstimates::observe_first_token(Core::Duration after_dispatch)
+{
+    this->first_token_high.add(after_dispatch);
+    this->first_token_mean.add(Core::to_seconds(after_dispatch));
+}
+
+void ClassEstimates::observe_whole(Core::Duration after_dispatch)
+{
+    this->whole_high.add(after_dispatch);
+    this->whole_median.add(after_dispatch);
+    this->whole_mean.add(Core::to_seconds(after_dispatch));
+}
+
+Core::Duration ClassEstimates::time_to_target() const
+{
+    return this->target_kind == Settings::TargetKind::FirstToken ? this->first_token_high.value()
+                                                                 : this->whole_high.value();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/EndpointView.cpp
@@ -0,0 +1,138 @@
+#include <LibTraffic/EndpointView.h>
+
+#include <LibCore/Verify.h>
+#include <algorithm>
+
+namespace Traffic {
+
+EndpointView::EndpointView(Settings::EndpointSettings const& settings, int box_count)
+    : endpoint_settings(settings)
+    , boxes(box_count)
+    , reported_slots(settings.slots)
+    , learnt_window(settings.slots)
+{
+}
+
+void EndpointView::set_settings(Settings::EndpointSettings const& settings, int box_count)
+{
+    this->boxes = box_count;
+    if (settings.slots != this->endpoint_settings.slots) {
+        this->reported_slots = settings.slots;
+        this->learnt_window = settings.slots;
+    }
+    this->endpoint_settings = settings;
+}
+
+void EndpointView::started(Instant now)
+{
+    ++this->running_here;
+    this->changes.push_back({ now, this->running_here });
+    this->forget_changes_before(now - report_lifetime);
+}
+
+void EndpointView::ended(Instant now)
+{
+    VERIFY(this->running_here > 0);
+    --this->running_here;
+    this->changes.push_back({ now, this->running_here });
+}
+
+void EndpointView::take_report(LoadReport const& report, Instant now)
+{
+    if (this->has_report && report.measured_at < this->last_report.measured_at)
+        return;
+    this->last_report = report;
+    this->has_report = true;
+    this->is_leaving = report.leaving;
+    if (report.slots != this->reported_slots) {
+        this->reported_slots = report.slots;
+        this->learnt_window = report.slots;
+    }
+    this->forget_changes_before(std::max(report.measured_at, now - report_lifetime));
+}
+
+void EndpointView::observe_first_token(double ratio)
+{
+    this->first_token_ratio.add(ratio);
+    if (ratio > congested_ratio)
+        this->learnt_window = std::max(1.0, this->learnt_window * window_decrease);
+    else
+        this->learnt_window
+            = std::min(static_cast<double>(this->reported_slots), this->learnt_window + window_increase);
+}
+
+void EndpointView::succeeded()
+{
+    this->consecutive_failures = 0;
+    this->ejection = Duration { 0 };
+    this->ejected_until = Instant {};
+}
+
+void EndpointView::failed(Instant now)
+{
+    ++this->consecutive_failures;
+    if (this->consecutive_failures < failures_before_ejection)
+        return;
+    this->ejection = std::clamp(this->ejection * 2, first_ejection, longest_ejection);
+    this->ejected_until = now + this->ejection;
+}
+
+void EndpointView::remember_prefix(std::uint64_t prefix_hash)
+{
+    if (prefix_hash == 0)
+        return;
+    if (auto const found = this->prefixes.find(prefix_hash); found != this->prefixes.end()) {
+        this->prefix_order.splice(this->prefix_order.begin(), this->prefix_order, found->second);
+        return;
+    }
+    this->prefix_order.push_front(prefix_hash);
+    this->prefixes.emplace(prefix_hash, this->prefix_order.begin());
+    if (this->prefixes.size() <= most_prefixes)
+        return;
+    this->prefixes.erase(this->prefix_order.back());
+    this->prefix_order.pop_back();
+}
+
+bool EndpointView::takes_work(Instant now) const
+{
+    if (this->is_leaving || this->ejected_until > now)
+        return false;
+    bool const is_probing = this->consecutive_failures >= failures_before_ejection;
+    return !is_probing || this->running_here == 0;
+}
+
+int EndpointView::own_running_at(Instant at) const
+{
+    auto const after = std::ranges::upper_bound(this->changes, at, {}, &OwnChange::at);
+    if (after == this->changes.begin())
+        return this->changes.empty() ? this->running_here : 0;
+    return std::prev(after)->running_after;
+}
+
+void EndpointView::forget_changes_before(Instant at)
+{
+    // NOTE: The last change before `at` stays, because it tells what was running at `at`.
+    while (this->changes.size() > 1 && this->changes[1].at <= at)
+        this->changes.pop_front();
+}
+
+double EndpointView::estimated_running(Instant now) const
+{
+    bool const report_is_usable = this->has_report && now - this->last_report.measured_at <= report_lifetime;
+    if (!report_is_usable)
+        return static_cast<double>(this->running_here) * this->boxes;
+    auto const own_then = this->own_running_at(this->last_report.measured_at);
+    auto const reported = this->last_report.running + this->last_report.queued;
+    auto const peers_then = std::max(0, reported - own_then);
+    auto const own_growth = std::max(0, this->running_here - own_then);
+    auto const peers_growth = own_growth * (this->boxes - 1);
+    return peers_then + peers_growth + this->running_here;
+}
+
+bool EndpointView::has_room(double share, Instant now) const
+{
+    // NOTE: At least one request fits, else a small endpoint would never serve the lower tiers.
+    return this->estimated_running(now) + 1 <= std::max(1.0, this->learnt_window * share);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/EndpointView.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <LibTraffic/ClassEstimates.h>
+#include <LibTraffic/TrafficTypes.h>
+
+#include <deque>
+#include <list>
+#include <unordered_map>
+
+namespace Traffic {
+
+/// What this box believes of one endpoint: its load, its window, its health.
+///
+/// Reports are late. A report is corrected by what this box started and finished there since it was true, and the
+/// peers, who see the same report, are assumed to have started work in proportion.
+class EndpointView {
+public:
+    EndpointView(Settings::EndpointSettings const& settings, int boxes);
+
+    void set_settings(Settings::EndpointSettings const& settings, int boxes);
+    void started(Instant now);
+    void ended(Instant now);
+    void take_report(LoadReport const& report, Instant now);
+    void set_leaving(bool leaving) { this->is_leaving = leaving; }
+    /// `ratio` is the observed time to the first token over the typical one of its class.
+    void observe_first_token(double ratio);
+    void succeeded();
+    void failed(Instant now);
+    void remember_prefix(std::uint64_t prefix_hash);
+
+    /// Whether new work may be placed here at all: not leaving and not ejected, or due for a probe.
+    [[nodiscard]] bool takes_work(Instant now) const;
+    /// Requests believed to be running or queued there, by all boxes together.
+    [[nodiscard]] double estimated_running(Instant now) const;
+    /// Whether one more request fits under `share` of the window.
+    [[nodiscard]] bool has_room(double share, Instant now) const;
+    [[nodiscard]] double window() const { return this->learnt_window; }
+    [[nodiscard]] int own_running() const { return this->running_here; }
+    [[nodiscard]] double slowness() const { return this->first_token_ratio.value(); }
+    [[nodiscard]] bool has_prefix(std::uint64_t prefix_hash) const { return this->prefixes.contains(prefix_hash); }
+    [[nodiscard]] bool leaving() const { return this->is_leaving; }
+    [[nodiscard]] bool ejected(Instant now) const { return this->ejected_until > now; }
+    [[nodiscard]] Settings::EndpointSettings const& settings() const { return this->endpoint_settings; }
+
+private:
+    struct OwnChange {
+        Instant at;
+        int running_after { 0 };
+    };
+
+    [[nodiscard]] int own_running_at(Instant at) const;
+    void forget_changes_before(Instant at);
+
+    static constexpr int failures_before_ejection = 3;
+    static constexpr Duration first_ejection { std::chrono::milliseconds(250) };
+    static constexpr Duration longest_ejection { std::chrono::seconds(8) };
+    /// A report older than this says nothing any more.
+    static constexpr Duration report_lifetime { std::chrono::seconds(15) };
+    static constexpr std::size_t most_prefixes = 64;
+    static constexpr double congested_ratio = 3.0;
+    static constexpr double window_decrease = 0.95;
+    static constexpr double window_increase = 0.05;
+
+    Settings::EndpointSettings endpoint_settings;
+    int boxes { 1 };
+    int reported_slots { 1 };
+    double learnt_window { 1 };
+    int running_here { 0 };
+    std::deque<OwnChange> changes;
+    LoadReport last_report;
+    bool has_report { false };
+    bool is_leaving { false };
+    int consecutive_failures { 0 };
+    Duration ejection { 0 };
+    Instant ejected_until;
+    MovingMean first_token_ratio { 1.0 };
+    std::list<std::uint64_t> prefix_order;
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> prefixes;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/Order.cpp
@@ -0,0 +1,125 @@
+#include <LibTraffic/Order.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace Traffic {
+
+namespace {
+
+constexpr std::array<double, 3> tier_window_shares { 1.0, 0.9, 0.8 };
+
+std::optional<OrderChoice> first_come(RequestQueue const& queue, std::vector<TierId> const& tiers)
+{
+    QueuedRequest const* first = nullptr;
+    for (auto const tier : tiers) {
+        queue.for_each_flow(tier, [&](Flow const& flow) {
+            auto const& head = flow.requests.front();
+            if (first == nullptr || head.sequence < first->sequence)
+                first = &head;
+        });
+    }
+    if (first == nullptr)
+        return {};
+    return OrderChoice { first->facts.id, 1, Reason::PlacedByBaseline };
+}
+
+std::vector<OrderChoice> at_most_one(std::optional<OrderChoice> const& choice)
+{
+    return choice ? std::vector { *choice } : std::vector<OrderChoice> {};
+}
+
+}
+
+double window_share_of(TierId tier)
+{
+    return tier_window_shares[std::min<std::size_t>(tier.value(), tier_window_shares.size() - 1)];
+}
+
+Duration slack_of(
+    QueuedRequest const& request, Settings::ClassSettings const& settings, ClassEstimates const& estimates, Instant now)
+{
+    return request.facts.arrived + settings.target - estimates.time_to_target() - now;
+}
+
+std::vector<OrderChoice> FifoOrder::next(OrderQuery const& query) const
+{
+    return at_most_one(first_come(query.queue, query.queue.tiers()));
+}
+
+std::vector<OrderChoice> StrictOrder::next(OrderQuery const& query) const
+{
+    auto tiers = query.queue.tiers();
+    if (tiers.empty())
+        return {};
+    tiers.resize(1);
+    return at_most_one(first_come(query.queue, tiers));
+}
+
+std::vector<OrderChoice> DeadlineOrder::next(OrderQuery const& query) const
+{
+    std::vector<OrderChoice> choices;
+    if (auto const choice = this->next_by_floor(query))
+        choices.push_back(*choice);
+    for (auto const tier : query.queue.tiers()) {
+        auto const choice = this->next_of_tier(query, tier);
+        if (!choice)
+            continue;
+        choices.push_back(*choice);
+        // NOTE: Where this one finds no room, no lower tier does, since it may fill less of a window.
+        break;
+    }
+    return choices;
+}
+
+std::optional<OrderChoice> DeadlineOrder::next_by_floor(OrderQuery const& query) const
+{
+    for (auto const& entry : query.queue.class_sizes()) {
+        auto const request_class = entry.first;
+        auto const size = entry.second;
+        auto const& settings = query.policy.classes.at(request_class);
+        if (size == 0 || settings.floor == 0
+            || !query.floors.is_due(request_class, Core::to_seconds(query.estimates.at(request_class).mean_whole())))
+            continue;
+        QueuedRequest const* first = nullptr;
+        query.queue.for_each_flow(settings.tier, [&](Flow const& flow) {
+            if (flow.request_class != request_class)
+                return;
+            if (first == nullptr || flow.requests.front().sequence < first->sequence)
+                first = &flow.requests.front();
+        });
+        if (first != nullptr)
+            return OrderChoice { first->facts.id, 1, Reason::PlacedByFloor };
+    }
+    return {};
+}
+
+std::optional<OrderChoice> DeadlineOrder::next_of_tier(OrderQuery const& query, TierId tier) const
+{
+    auto least_served = std::numeric_limits<double>::infinity();
+    query.queue.for_each_flow(tier,
+        [&](Flow const& flow) { least_served = std::min(least_served, query.shares.served(tier, flow.account)); });
+    QueuedRequest const* in_time = nullptr;
+    QueuedRequest const* late = nullptr;
+    auto least_slack = Duration::max();
+    query.queue.for_each_flow(tier, [&](Flow const& flow) {
+        auto const& estimates = query.estimates.at(flow.request_class);
+        auto const quantum = quantum_requests * Core::to_seconds(estimates.mean_whole());
+        if (query.shares.served(tier, flow.account) > least_served + quantum)
+            return;
+        auto const& head = flow.requests.front();
+        auto const slack = slack_of(head, query.policy.classes.at(flow.request_class), estimates, query.now);
+        if (slack.count() >= 0 && slack < least_slack) {
+            least_slack = slack;
+            in_time = &head;
+        }
+        if (slack.count() < 0 && (late == nullptr || head.patience_end < late->patience_end))
+            late = &head;
+    });
+    auto const* chosen = in_time != nullptr ? in_time : late;
+    if (chosen == nullptr)
+        return {};
+    return OrderChoice { chosen->facts.id, window_share_of(tier), Reason::PlacedInTierOrder };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/RequestQueue.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <LibTraffic/TrafficTypes.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace Traffic {
+
+/// A request that waits, as the order policies see it.
+struct QueuedRequest {
+    RequestFacts facts;
+    TierId tier;
+    /// Counts arrivals, so that first come, first served is exact.
+    std::uint64_t sequence { 0 };
+    Instant patience_end;
+
+    bool operator==(QueuedRequest const&) const = default;
+};
+
+/// The requests of one class and one account, in the order they came.
+struct Flow {
+    ClassId request_class;
+    AccountId account;
+    TierId tier;
+    std::deque<QueuedRequest> requests;
+};
+
+/// All waiting requests of a pool, in flows, with the work that each tier waits for.
+class RequestQueue {
+public:
+    void push_back(QueuedRequest const& request);
+    /// Puts a request that had been dispatched before back at the head of its flow.
+    void push_front(QueuedRequest const& request);
+    [[nodiscard]] std::optional<QueuedRequest> remove(RequestId request);
+    /// Removes and returns all requests whose patience ends at or before `now`.
+    [[nodiscard]] std::vector<QueuedRequest> remove_expired(Instant now);
+
+    [[nodiscard]] QueuedRequest const* find(RequestId request) const;
+    [[nodiscard]] std::size_t size() const { return this->flow_of_request.size(); }
+    [[nodiscard]] bool has_class(ClassId request_class) const { return this->size_of_class(request_class) > 0; }
+    [[nodiscard]] std::size_t size_of_class(ClassId request_class) const;
+    [[nodiscard]] std::map<ClassId, std::size_t> const& class_sizes() const { return this->sizes; }
+    [[nodiscard]] std::size_t size_of_tier(TierId tier) const;
+    /// Calls back for each flow of the tier that has a request waiting.
+    void for_each_flow(TierId tier, std::function<void(Flow const&)> const& callback) const;
+    [[nodiscard]] std::vector<TierId> tiers() const;
+    /// The youngest request of the lowest tier below `tier`, if any: what is shed to make room.
+    [[nodiscard]] std::optional<RequestId> youngest_below(TierId tier) const;
+
+private:
+    struct FlowKey {
+        TierId tier;
+        ClassId request_class;
+        AccountId account;
+        auto operator<=>(FlowKey const&) const = default;
+    };
+
+    Flow& flow_for(QueuedRequest const& request);
+    void count_in(QueuedRequest const& request);
+
+    std::map<FlowKey, Flow> flows;
+    std::unordered_map<RequestId, FlowKey> flow_of_request;
+    std::map<ClassId, std::size_t> sizes;
+    std::map<TierId, std::size_t> tier_sizes;
+    std::set<std::pair<Instant, RequestId>> expiries;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/TrafficEngine.cpp
@@ -0,0 +1,497 @@
+#include <LibTraffic/TrafficEngine.h>
+
+#include <LibCore/Verify.h>
+#include <algorithm>
+#include <cmath>
+
+namespace Traffic {
+
+namespace {
+
+constexpr std::uint32_t most_attempts = 3;
+/// A waiting urgent request may preempt once it has this share of its target left before its latest start.
+constexpr int preemption_margin_divisor = 3;
+/// Preempting work further along than this share of its usual length wastes more than it wins.
+constexpr double furthest_preempted_progress = 0.5;
+constexpr Duration shortest_retry_after { std::chrono::seconds(1) };
+constexpr Duration longest_retry_after { std::chrono::minutes(5) };
+
+}
+
+TrafficEngine::TrafficEngine(PoolPolicy pool_policy, std::uint64_t seed)
+    : policy(std::move(pool_policy))
+    , random(seed)
+{
+    this->choose_policies();
+    this->add_estimates();
+    this->endpoints.reconfigure(this->policy);
+}
+
+void TrafficEngine::reconfigure(PoolPolicy pool_policy, Instant)
+{
+    // NOTE: A class that is gone stays known here, because requests of it may still wait or run.
+    for (auto const& [id, settings] : this->policy.classes)
+        pool_policy.classes.emplace(id, settings);
+    auto const policy_changed = pool_policy.routing.policy != this->policy.routing.policy;
+    this->policy = std::move(pool_policy);
+    if (policy_changed)
+        this->choose_policies();
+    this->add_estimates();
+    this->endpoints.reconfigure(this->policy);
+}
+
+void TrafficEngine::choose_policies()
+{
+    this->is_baseline = this->policy.routing.policy != Settings::PolicyName::Cleatbeam;
+    switch (this->policy.routing.policy) {
+    case Settings::PolicyName::Cleatbeam:
+        this->order = DeadlineOrder {};
+        this->placement = SampledPlacement {};
+        this->admission = PredictiveAdmission {};
+        return;
+    case Settings::PolicyName::RoundRobinFifo:
+        this->order = FifoOrder {};
+        this->placement = RoundRobinPlacement {};
+        break;
+    case Settings::PolicyName::LeastOutstandingFifo:
+        this->order = FifoOrder {};
+        this->placement = LeastOutstandingPlacement {};
+        break;
+    case Settings::PolicyName::LeastOutstandingStrict:
+        this->order = StrictOrder {};
+        this->placement = LeastOutstandingPlacement {};
+        break;
+    }
+    this->admission = BoundedAdmission {};
+}
+
+void TrafficEngine::add_estimates()
+{
+    for (auto const& [id, settings] : this->policy.classes)
+        this->estimates.try_emplace(id, settings);
+}
+
+OrderQuery TrafficEngine::order_query(Instant now) const
+{
+    return { this->queue, this->estimates, this->policy, this->shares, this->floors, now };
+}
+
+Actions TrafficEngine::submit(RequestFacts const& facts, Instant now)
+{
+    Actions actions;
+    auto const& settings = this->class_of(facts);
+    QueuedRequest const request { facts, settings.tier, this->next_sequence++, facts.arrived + settings.patience };
+    this->retry_budget.request_arrived(this->policy.routing.retry_share);
+    auto const figures = this->figures_for(request, now);
+    AdmissionQuery const query { request, settings, this->estimates_of(facts), this->queue.size(),
+        figures.predicted_wait, now };
+    auto refusal = std::visit([&](auto const& chosen) { return chosen.refusal(query); }, this->admission);
+    if (!this->endpoints.any_takes_work(now) && this->policy.endpoints.empty())
+        refusal = Reason::NoEndpoint;
+    if (refusal == Reason::BacklogTooLong && this->queue.size() >= longest_queue && !this->is_baseline
+        && this->queue.youngest_below(settings.tier)) {
+        this->make_room_in_queue(settings.tier, actions, now);
+        refusal.reset();
+    }
+    // NOTE: An urgent request waits rather than being refused while lower work could still make way for it.
+    if (refusal && !this->is_baseline && *refusal != Reason::NoEndpoint && this->queue.size() < longest_queue
+        && this->preemption_victim(settings.tier))
+        refusal.reset();
+    if (refusal) {
+        this->refuse(request, *refusal, actions, now);
+        return actions;
+    }
+    this->enqueue(request, false);
+    this->pump(actions, now);
+    if (this->queue.find(facts.id) != nullptr)
+        actions.emplace_back(Wait { facts.id, figures });
+    return actions;
+}
+
+void TrafficEngine::first_token(RequestId request, Instant now)
+{
+    auto const found = this->running.find(request);
+    if (found == this->running.end() || found->second.first_token_seen)
+        return;
+    auto& attempt = found->second;
+    attempt.first_token_seen = true;
+    attempt.seen_by_caller = attempt.request.facts.streaming;
+    auto& class_estimates = this->estimates.at(attempt.request.facts.request_class);
+    auto const taken = now - attempt.dispatched_at;
+    auto const typical = class_estimates.typical_first_token();
+    if (auto* view = this->endpoints.find(attempt.endpoint); view != nullptr && typical.count() > 0)
+        view->observe_first_token(Core::to_seconds(taken) / Core::to_seconds(typical));
+    class_estimates.observe_first_token(taken);
+}
+
+Actions TrafficEngine::finish(RequestId request, AttemptEnd const& end, Instant now)
+{
+    Actions actions;
+    auto const found = this->running.find(request);
+    if (found == this->running.end())
+        return actions;
+    auto const ended = found->second;
+    this->running.erase(found);
+    this->observe_end(ended, end.result, now);
+
+    bool is_tried_again = false;
+    auto const reason = this->retry_reason(ended, end.result, now, is_tried_again);
+    if (is_tried_again) {
+        auto& state = this->retries[request];
+        state.attempts = ended.attempt;
+        if (end.result != AttemptResult::Preempted) {
+            state.avoid = ended.endpoint;
+            actions.emplace_back(Retry { request, reason });
+        }
+        this->enqueue(ended.request, true);
+    } else {
+        this->retries.erase(request);
+        actions.emplace_back(Conclude { request, end.result, reason });
+    }
+    this->pump(actions, now, ended.endpoint);
+    return actions;
+}
+
+Reason TrafficEngine::retry_reason(Running const& ended, AttemptResult result, Instant now, bool& allowed)
+{
+    allowed = false;
+    auto const& settings = this->class_of(ended.request.facts);
+    auto const is_in_patience = now < ended.request.patience_end;
+    switch (result) {
+    case AttemptResult::Completed:
+        return Reason::AnswerComplete;
+    case AttemptResult::CallerGone:
+        return Reason::CallerGone;
+    case AttemptResult::BrokenAfterDelivery:
+        return Reason::AnswerCutShort;
+    case AttemptResult::NotSent:
+        return Reason::ClaimNotReadBack;
+    case AttemptResult::Preempted:
+        allowed = is_in_patience;
+        return allowed ? Reason::PreemptedForUrgent : Reason::PatienceExpired;
+    case AttemptResult::Failed:
+        if (!settings.repeatable || ended.seen_by_caller)
+            return Reason::RetryNotAllowed;
+        break;
+    case AttemptResult::ConnectionRefused:
+    case AttemptResult::EndpointBusy:
+        // NOTE: A key claimed by this box is settled by this attempt, so a not-repeatable one is not placed again.
+        if (!settings.repeatable)
+            return Reason::RetryNotAllowed;
+        break;
+    }
+    if (ended.attempt >= most_attempts || !is_in_patience)
+        return Reason::EndpointError;
+    if (!this->retry_budget.try_spend())
+        return Reason::RetryBudgetSpent;
+    allowed = true;
+    return result == AttemptResult::ConnectionRefused ? Reason::RetryConnectionRefused : Reason::RetryAttemptFailed;
+}
+
+void TrafficEngine::observe_end(Running const& ended, AttemptResult result, Instant now)
+{
+    auto* view = this->endpoints.find(ended.endpoint);
+    if (view != nullptr) {
+        if (!ended.preempted)
+            view->ended(now);
+        if (result == AttemptResult::Completed)
+            view->succeeded();
+        else if (result == AttemptResult::ConnectionRefused || result == AttemptResult::Failed
+            || result == AttemptResult::BrokenAfterDelivery)
+            view->failed(now);
+    }
+    if (result != AttemptResult::Completed)
+        return;
+    auto& class_estimates = this->estimates.at(ended.request.facts.request_class);
+    auto const taken = now - ended.dispatched_at;
+    // NOTE: The account is charged for the true length once it is known, not for the estimate.
+    auto const correction = Core::to_seconds(taken) - Core::to_seconds(class_estimates.mean_whole());
+    auto const weight = this->policy.account_weights.find(ended.request.facts.account);
+    this->shares.charge(ended.request.tier, ended.request.facts.account, correction,
+        weight == this->policy.account_weights.end() ? 1 : weight->second);
+    class_estimates.observe_whole(taken);
+}
+
+Actions TrafficEngine::abandon(RequestId request, Instant now)
+{
+    Actions actions;
+    if (!this->queue.remove(request))
+        return actions;
+    this->retries.erase(request);
+    actions.emplace_back(Conclude { request, AttemptResult::CallerGone, Reason::CallerGone });
+    this->pump(actions, now);
+    return actions;
+}
+
+Actions TrafficEngine::take_report(EndpointId endpoint, LoadReport const& report, Instant now)
+{
+    Actions actions;
+    auto* view = this->endpoints.find(endpoint);
+    if (view == nullptr)
+        return actions;
+    view->take_report(report, now);
+    this->pump(actions, now, endpoint);
+    return actions;
+}
+
+Actions TrafficEngine::tick(Instant now)
+{
+    Actions actions;
+    for (auto const& expired : this->queue.remove_expired(now))
+        this->refuse(expired, Reason::PatienceExpired, actions, now);
+    if (!this->is_baseline)
+        this->give_up_hopeless(actions, now);
+    this->pump(actions, now);
+    if (!this->is_baseline && this->policy.routing.preemption)
+        this->preempt_for_urgent(actions, now);
+    return actions;
+}
+
+void TrafficEngine::enqueue(QueuedRequest const& request, bool at_front)
+{
+    auto least_served = std::numeric_limits<double>::infinity();
+    bool is_waiting_already = false;
+    this->queue.for_each_flow(request.tier, [&](Flow const& flow) {
+        least_served = std::min(least_served, this->shares.served(request.tier, flow.account));
+        is_waiting_already |= flow.account == request.facts.account;
+    });
+    if (!is_waiting_already && std::isfinite(least_served))
+        this->shares.became_backlogged(request.tier, request.facts.account, least_served);
+    if (at_front)
+        this->queue.push_front(request);
+    else
+        this->queue.push_back(request);
+}
+
+void TrafficEngine::make_room_in_queue(TierId tier, Actions& actions, Instant now)
+{
+    auto const victim = this->queue.youngest_below(tier);
+    VERIFY(victim.has_value());
+    auto const removed = this->queue.remove(*victim);
+    VERIFY(removed.has_value());
+    this->refuse(*removed, Reason::BacklogTooLong, actions, now);
+}
+
+void TrafficEngine::pump(Actions& actions, Instant now, std::optional<EndpointId> hint)
+{
+    while (this->queue.size() > 0) {
+        auto const choices
+            = std::visit([&](auto const& chosen) { return chosen.next(this->order_query(now)); }, this->order);
+        auto const placed = std::ranges::any_of(
+            choices, [&](OrderChoice const& choice) { return this->place(choice, actions, now, hint); });
+        if (!placed)
+            return;
+    }
+}
+
+bool TrafficEngine::place(OrderChoice const& choice, Actions& actions, Instant now, std::optional<EndpointId> hint)
+{
+    auto const* request = this->queue.find(choice.request);
+    VERIFY(request != nullptr);
+    auto const retry = this->retries.find(choice.request);
+    PlacementQuery const query { this->endpoints, request->facts, choice.window_share,
+        retry == this->retries.end() ? std::nullopt : retry->second.avoid, hint, this->policy.failure_domain,
+        this->estimates_of(request->facts).typical_first_token(), now };
+    auto const endpoint = std::visit([&](auto& chosen) { return chosen.place(query, this->random); }, this->placement);
+    if (!endpoint)
+        return false;
+    auto const removed = this->queue.remove(choice.request);
+    VERIFY(removed.has_value());
+    this->dispatch(*removed, *endpoint, choice.reason, actions, now);
+    return true;
+}
+
+void TrafficEngine::dispatch(
+    QueuedRequest const& request, PlacementChoice const& place, Reason reason, Actions& actions, Instant now)
+{
+    auto* view = this->endpoints.find(place.endpoint);
+    VERIFY(view != nullptr && view->takes_work(now));
+    view->started(now);
+    view->remember_prefix(request.facts.prefix_hash);
+    auto const retry = this->retries.find(request.facts.id);
+    auto const attempt = retry == this->retries.end() ? 1 : retry->second.attempts + 1;
+    DecisionFigures figures;
+    figures.queued = static_cast<std::uint32_t>(this->queue.size());
+    figures.running = static_cast<std::uint32_t>(this->running.size());
+    figures.slack = slack_of(request, this->class_of(request.facts), this->estimates_of(request.facts), now);
+    figures.candidates = place.candidates;
+    figures.candidate_count = place.candidate_count;
+    this->charge(request, reason);
+    this->running.emplace(request.facts.id,
+        Running { request, place.endpoint, now, attempt, reason == Reason::PlacedByFloor, false, false, false });
+    actions.emplace_back(Dispatch { request.facts.id, place.endpoint, request.tier, reason, attempt, figures });
+}
+
+void TrafficEngine::charge(QueuedRequest const& request, Reason reason)
+{
+    auto const seconds = Core::to_seconds(this->estimates_of(request.facts).mean_whole());
+    auto const weight = this->policy.account_weights.find(request.facts.account);
+    this->shares.charge(request.tier, request.facts.account, seconds,
+        weight == this->policy.account_weights.end() ? 1 : weight->second);
+    if (reason == Reason::PlacedByFloor)
+        this->floors.spend(request.facts.request_class, seconds);
+    for (auto const& [request_class, size] : this->queue.class_sizes()) {
+        auto const floor = this->policy.classes.at(request_class).floor;
+        if (size > 0 && floor > 0)
+            this->floors.work_dispatched(
+                request_class, floor, seconds, Core::to_seconds(this->estimates.at(request_class).mean_whole()));
+    }
+}
+
+std::optional<RequestId> TrafficEngine::preemption_victim(TierId below) const
+{
+    if (!this->policy.routing.preemption)
+        return {};
+    Running const* victim = nullptr;
+    for (auto const& [id, attempt] : this->running) {
+        auto const may_be_taken = attempt.request.tier > below && !attempt.by_floor && !attempt.seen_by_caller
+            && !attempt.preempted && this->class_of(attempt.request.facts).repeatable;
+        if (!may_be_taken)
+            continue;
+        // NOTE: The sequence breaks ties, so that the choice does not hang on the order of a hash table.
+        auto const rank
+            = [](Running const& of) { return std::tuple(of.request.tier, of.dispatched_at, of.request.sequence); };
+        if (victim == nullptr || rank(attempt) > rank(*victim))
+            victim = &attempt;
+    }
+    if (victim == nullptr)
+        return {};
+    return victim->request.facts.id;
+}
+
+void TrafficEngine::preempt_for_urgent(Actions& actions, Instant now)
+{
+    while (true) {
+        auto const tiers = this->queue.tiers();
+        if (tiers.empty() || tiers.front().value() != 0)
+            return;
+        QueuedRequest const* urgent = nullptr;
+        auto least_slack = Duration::max();
+        this->queue.for_each_flow(tiers.front(), [&](Flow const& flow) {
+            auto const& head = flow.requests.front();
+            auto const slack = slack_of(head, this->class_of(head.facts), this->estimates_of(head.facts), now);
+            if (slack.count() >= 0 && slack < least_slack) {
+                least_slack = slack;
+                urgent = &head;
+            }
+        });
+        if (urgent == nullptr || least_slack > this->class_of(urgent->facts).target / preemption_margin_divisor)
+            return;
+        auto const victim = this->preemption_victim(urgent->tier);
+        if (!victim)
+            return;
+        auto& taken = this->running.at(*victim);
+        auto const usual = this->estimates_of(taken.request.facts).mean_whole();
+        if (Core::to_seconds(now - taken.dispatched_at) > furthest_preempted_progress * Core::to_seconds(usual))
+            return;
+        auto* view = this->endpoints.find(taken.endpoint);
+        VERIFY(view != nullptr);
+        if (!view->takes_work(now))
+            return;
+        taken.preempted = true;
+        view->ended(now);
+        actions.emplace_back(Preempt { *victim, taken.endpoint, Reason::PreemptedForUrgent });
+        auto const request = this->queue.remove(urgent->facts.id);
+        VERIFY(request.has_value());
+        PlacementChoice place { taken.endpoint, {}, 1 };
+        place.candidates[0] = { taken.endpoint, 0 };
+        this->dispatch(*request, place, Reason::PreemptedForUrgent, actions, now);
+    }
+}
+
+void TrafficEngine::give_up_hopeless(Actions& actions, Instant now)
+{
+    std::vector<std::pair<RequestId, Reason>> hopeless;
+    for (auto const tier : this->queue.tiers()) {
+        this->queue.for_each_flow(tier, [&](Flow const& flow) {
+            auto const& settings = this->policy.classes.at(flow.request_class);
+            auto const& class_estimates = this->estimates.at(flow.request_class);
+            for (auto const& request : flow.requests) {
+                auto const is_too_late
+                    = !settings.late_answer_useful && slack_of(request, settings, class_estimates, now).count() < 0;
+                auto const outlasts_patience = now + class_estimates.median_whole() > request.patience_end;
+                // NOTE: Requests of a flow stand in order of arrival, so those behind have more time left.
+                if (!is_too_late && !outlasts_patience)
+                    break;
+                hopeless.emplace_back(
+                    request.facts.id, is_too_late ? Reason::TargetOutOfReach : Reason::PatienceExpired);
+            }
+        });
+    }
+    for (auto const& [id, reason] : hopeless) {
+        auto const removed = this->queue.remove(id);
+        VERIFY(removed.has_value());
+        this->refuse(*removed, reason, actions, now);
+    }
+}
+
+void TrafficEngine::refuse(QueuedRequest const& request, Reason reason, Actions& actions, Instant now)
+{
+    auto figures = this->figures_for(request, now);
+    auto const retry_after = std::clamp(figures.predicted_wait, shortest_retry_after, longest_retry_after);
+    this->count_urgent_refusal(request);
+    this->retries.erase(request.facts.id);
+    actions.emplace_back(Refuse { request.facts.id, reason, retry_after, figures });
+}
+
+void TrafficEngine::count_urgent_refusal(QueuedRequest const& request)
+{
+    if (request.tier.value() != 0)
+        return;
+    bool any_lower = false;
+    bool any_beyond_floor = false;
+    for (auto const& [id, attempt] : this->running) {
+        any_lower |= attempt.request.tier > request.tier;
+        any_beyond_floor |= attempt.request.tier > request.tier && !attempt.by_floor;
+    }
+    this->urgent_refusals_beside_lower_work += any_lower ? 1 : 0;
+    this->lower_tier_sheds += any_beyond_floor ? 1 : 0;
+}
+
+Duration TrafficEngine::predicted_wait(QueuedRequest const& request, Instant now) const
+{
+    auto const own_share = this->endpoints.total_window(now) / this->policy.routing.boxes;
+    auto const slots = std::max({ 1.0, own_share, static_cast<double>(this->running.size()) });
+    if (this->queue.size() == 0 && static_cast<double>(this->running.size()) < own_share)
+        return Duration { 0 };
+    double seconds_ahead = 0;
+    std::map<AccountId, double> seconds_of_account;
+    for (auto const tier : this->queue.tiers()) {
+        if (tier > request.tier)
+            break;
+        this->queue.for_each_flow(tier, [&](Flow const& flow) {
+            auto const seconds = static_cast<double>(flow.requests.size())
+                * Core::to_seconds(this->estimates.at(flow.request_class).mean_whole());
+            if (tier < request.tier)
+                seconds_ahead += seconds;
+            else
+                seconds_of_account[flow.account] += seconds;
+        });
+    }
+    auto const own_seconds
+        = seconds_of_account[request.facts.account] + Core::to_seconds(this->estimates_of(request.facts).mean_whole());
+    // NOTE: By the time this request is served, fair shares let no other account run more than this one's own work.
+    for (auto const& [account, seconds] : seconds_of_account)
+        seconds_ahead += std::min(seconds, own_seconds);
+    if (seconds_ahead == 0)
+        return Duration { 0 };
+    return Core::from_seconds(seconds_ahead / slots);
+}
+
+DecisionFigures TrafficEngine::figures_for(QueuedRequest const& request, Instant now) const
+{
+    DecisionFigures figures;
+    figures.queued = static_cast<std::uint32_t>(this->queue.size());
+    figures.running = static_cast<std::uint32_t>(this->running.size());
+    figures.predicted_wait = this->predicted_wait(request, now);
+    figures.slack = slack_of(request, this->class_of(request.facts), this->estimates_of(request.facts), now);
+    return figures;
+}
+
+PoolStatus TrafficEngine::status() const
+{
+    return { this->queue.size(), this->running.size(), this->queue.class_sizes(), this->lower_tier_sheds,
+        this->urgent_refusals_beside_lower_work };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibTraffic/TrafficEngine.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <LibTraffic/Admission.h>
+#include <LibTraffic/Order.h>
+#include <LibTraffic/Placement.h>
+
+namespace Traffic {
+
+/// Figures of a pool for operators.
+struct PoolStatus {
+    std::size_t queued { 0 };
+    std::size_t running { 0 };
+    std::map<ClassId, std::size_t> queued_by_class;
+    std::uint64_t lower_tier_sheds { 0 };
+    std::uint64_t urgent_refusals_beside_lower_work { 0 };
+};
+
+/// Decides for all requests of one pool on one box: admit, queue, place, retry, preempt, give up.
+///
+/// Pure: an event and the time go in, actions come out. The caller carries the actions out and reports what became of
+/// them. Each submitted request ends in exactly one Refuse or Conclude.
+class TrafficEngine {
+public:
+    TrafficEngine(PoolPolicy policy, std::uint64_t seed);
+
+    /// Takes over new settings; waiting and running requests stay.
+    void reconfigure(PoolPolicy policy, Instant now);
+
+    [[nodiscard]] Actions submit(RequestFacts const& facts, Instant now);
+    /// The first piece of an answer has come.
+    void first_token(RequestId request, Instant now);
+    /// An attempt ended.
+    [[nodiscard]] Actions finish(RequestId request, AttemptEnd const& end, Instant now);
+    /// The caller of a waiting request has gone. A running one ends through finish().
+    [[nodiscard]] Actions abandon(RequestId request, Instant now);
+    [[nodiscard]] Actions take_report(EndpointId endpoint, LoadReport const& report, Instant now);
+    /// Gives up on what waited too long and places what can be placed. Call every few milliseconds.
+    [[nodiscard]] Actions tick(Instant now);
+
+    [[nodiscard]] PoolStatus status() const;
+    [[nodiscard]] bool is_idle() const { return this->queue.size() == 0 && this->running.empty(); }
+    [[nodiscard]] EndpointTable const& endpoint_table() const { return this->endpoints; }
+
+private:
+    struct Running {
+        QueuedRequest request;
+        EndpointId endpoint;
+        Instant dispatched_at;
+        std::uint32_t attempt { 1 };
+        bool by_floor { false };
+        bool seen_by_caller { false };
+        bool first_token_seen { false };
+        bool preempted { false };
+    };
+    struct RetryState {
+        std::uint32_t attempts { 0 };
+        std::optional<EndpointId> avoid;
+    };
+
+    [[nodiscard]] Settings::ClassSettings const& class_of(RequestFacts const& facts) const
+    {
+        return this->policy.classes.at(facts.request_class);
+    }
+    [[nodiscard]] ClassEstimates const& estimates_of(RequestFacts const& facts) const
+    {
+        return this->estimates.at(facts.request_class);
+    }
+    [[nodiscard]] OrderQuery order_query(Instant now) const;
+    [[nodiscard]] Duration predicted_wait(QueuedRequest const& request, Instant now) const;
+    [[nodiscard]] DecisionFigures figures_for(QueuedRequest const& request, Instant now) const;
+
+    void choose_policies();
+    void add_estimates();
+    void enqueue(QueuedRequest const& request, bool at_front);
+    void make_room_in_queue(TierId tier, Actions& actions, Instant now);
+    void pump(Actions& actions, Instant now, std::optional<EndpointId> hint = {});
+    [[nodiscard]] bool place(OrderChoice const& choice, Actions& actions, Instant now, std::optional<EndpointId> hint);
+    void dispatch(
+        QueuedRequest const& request, PlacementChoice const& place, Reason reason, Actions& actions, Instant now);
+    void charge(QueuedRequest const& request, Reason reason);
+    void preempt_for_urgent(Actions& actions, Instant now);
+    [[nodiscard]] std::optional<RequestId> preemption_victim(TierId below) const;
+    void give_up_hopeless(Actions& actions, Instant now);
+    void refuse(QueuedRequest const& request, Reason reason, Actions& actions, Instant now);
+    void count_urgent_refusal(QueuedRequest const& request);
+    [[nodiscard]] Reason retry_reason(Running const& running, AttemptResult result, Instant now, bool& allowed);
+    void observe_end(Running const& running, AttemptResult result, Instant now);
+
+    PoolPolicy policy;
+    pcg32 random;
+    EndpointTable endpoints;
+    RequestQueue queue;
+    std::unordered_map<RequestId, Running> running;
+    std::unordered_map<RequestId, RetryState> retries;
+    std::map<ClassId, ClassEstimates> estimates;
+    FairShares shares;
+    FloorLedger floors;
+    RetryBudget retry_budget;
+    OrderPolicy order;
+    PlacementPolicy placement;
+    AdmissionPolicy admission;
+    bool is_baseline { false };
+    std::uint64_t next_sequence { 0 };
+    std::uint64_t lower_tier_sheds { 0 };
+    std::uint64_t urgent_refusals_beside_lower_work { 0 };
+};
+
+}
--- /dev/null
+++ b/Programs/cleatbeam/FileText.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include <LibCore/LastReason.h>
+
+#include <optional>
+#include <string>
+
+/// All of a file; nothing when it can't be read.
+[[nodiscard]] std::optional<std::string> read_file(std::string const& path, Core::LastReason& last_reason);
--- /dev/null
+++ b/Programs/standin/LoadPlan.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "Scenario.h"
+
+#include <cstdint>
+
+/// One request that falls due at a set time.
+struct PlannedRequest {
+    double due_seconds { 0 };
+    std::size_t class_index { 0 };
+    std::size_t account { 0 };
+    int tokens { 0 };
+    std::string token;
+    std::string key;
+    bool urgent_fits { true };
+};
+
+/// Draws all arrivals of a run before it starts, so that every policy gets the same ones.
+[[nodiscard]] std::vector<PlannedRequest> plan_load(Scenario const& scenario, double seconds, std::uint64_t seed,
+    double token_ms, double batch_slope, double prefill_token_ms);
--- /dev/null
+++ b/Programs/standin/Standin.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+/// The stand-ins: small processes that take the place of what cleatbeam serves and uses. Not shipped.
+int run_platform();
+int run_endpoint();
+int run_load();
+int run_print_settings();
+
+/// Writes "PORT\n" to a file, aside and renamed. Does nothing for an empty path.
+void write_port_file(std::string const& path, int port);
+/// Blocks until SIGTERM or SIGINT, which must be blocked in all threads.
+void block_end_signals();
+void wait_for_end_signal();
+[[nodiscard]] std::vector<std::string> split(std::string const& text, char separator);
