--- a/Libraries/LibServer/Box.h
+++ b/Libraries/LibServer/Box.h
@@ -11,7 +11,7 @@
 class Box {
 public:
     [[nodiscard]] static std::unique_ptr<Box> try_create(
-        BoxSettings settings, std::uint64_t seed, Core::LastReason& last_reason);
+        BoxSettings const& settings, std::uint64_t seed, Core::LastReason& last_reason);
     ~Box();
     Box(Box const&) = delete;
     Box& operator=(Box const&) = delete;
