--- a/Libraries/LibTraffic/EndpointTable.cpp
+++ b/Libraries/LibTraffic/EndpointTable.cpp
@@ -53,6 +53,14 @@
     return total;
 }
 
+double EndpointTable::total_estimated_running(Instant now) const
+{
+    double total = 0;
+    for (auto const& view : this->views)
+        total += view.takes_work(now) ? view.estimated_running(now) : 0;
+    return total;
+}
+
 bool EndpointTable::any_takes_work(Instant now) const
 {
     return std::ranges::any_of(this->views, [&](EndpointView const& view) { return view.takes_work(now); });
--- a/Libraries/LibTraffic/EndpointTable.h
+++ b/Libraries/LibTraffic/EndpointTable.h
@@ -20,6 +20,8 @@
     [[nodiscard]] EndpointView const& view_at(std::size_t index) const { return this->views[index]; }
     /// Sum of the windows of endpoints that take work: requests that the pool runs at once for all boxes.
     [[nodiscard]] double total_window(Instant now) const;
+    /// Requests believed to be at the endpoints that take work, of all boxes.
+    [[nodiscard]] double total_estimated_running(Instant now) const;
     [[nodiscard]] bool any_takes_work(Instant now) const;
 
 private:
--- a/Libraries/LibTraffic/EndpointView.cpp
+++ b/Libraries/LibTraffic/EndpointView.cpp
@@ -2,9 +2,16 @@
 
 #include <LibCore/Verify.h>
 #include <algorithm>
+#include <cmath>
 
 namespace Traffic {
 
+namespace {
+
+constexpr double shortest_hold_seconds = 0.001;
+
+}
+
 EndpointView::EndpointView(Settings::EndpointSettings const& settings, int box_count)
     : endpoint_settings(settings)
     , boxes(box_count)
@@ -48,6 +55,7 @@
         this->reported_slots = report.slots;
         this->learnt_window = report.slots;
     }
+    this->peers_running.add(this->peers_at_report());
     this->forget_changes_before(std::max(report.measured_at, now - report_lifetime));
 }
 
@@ -116,23 +124,34 @@
         this->changes.pop_front();
 }
 
-double EndpointView::estimated_running(Instant now) const
+double EndpointView::peers_at_report() const
+{
+    auto const reported = this->last_report.running + this->last_report.queued;
+    return std::max(0, reported - this->own_running_at(this->last_report.measured_at));
+}
+
+double EndpointView::estimated_running(Instant now, bool assumes_peers_grow) const
 {
     bool const report_is_usable = this->has_report && now - this->last_report.measured_at <= report_lifetime;
     if (!report_is_usable)
         return static_cast<double>(this->running_here) * this->boxes;
     auto const own_then = this->own_running_at(this->last_report.measured_at);
-    auto const reported = this->last_report.running + this->last_report.queued;
-    auto const peers_then = std::max(0, reported - own_then);
+    auto const age = Core::to_seconds(now - this->last_report.measured_at);
+    auto const fading = std::exp(-age / std::max(shortest_hold_seconds, this->hold_seconds.value()));
+    auto const usual = this->peers_running.value();
+    auto const peers_now = usual + (this->peers_at_report() - usual) * fading;
     auto const own_growth = std::max(0, this->running_here - own_then);
-    auto const peers_growth = own_growth * (this->boxes - 1);
-    return peers_then + peers_growth + this->running_here;
+    auto const peers_growth = assumes_peers_grow ? own_growth * (this->boxes - 1) : 0;
+    return peers_now + peers_growth + this->running_here;
 }
 
-bool EndpointView::has_room(double share, Instant now) const
+bool EndpointView::has_room(WindowLimit const& limit, Instant now) const
 {
+    if (limit.share <= 0)
+        return false;
     // NOTE: At least one request fits, else a small endpoint would never serve the lower tiers.
-    return this->estimated_running(now) + 1 <= std::max(1.0, this->learnt_window * share);
+    auto const most = std::max(1.0, this->learnt_window * limit.share) + limit.extra;
+    return this->estimated_running(now, limit.assumes_peers_grow) + 1 <= most;
 }
 
 }
--- a/Libraries/LibTraffic/EndpointView.h
+++ b/Libraries/LibTraffic/EndpointView.h
@@ -9,10 +9,24 @@
 
 namespace Traffic {
 
+/// How far a request may fill an endpoint's window.
+struct WindowLimit {
+    /// Share of the window.
+    double share { 1 };
+    /// Requests beyond the share that may wait at the endpoint, so that its next free slot is taken at once.
+    double extra { 0 };
+    /// Whether to assume that each peer has started as much as this box since the report. Careful, so for work that
+    /// must leave room; it would leave slots empty if urgent work did it too.
+    bool assumes_peers_grow { false };
+
+    bool operator==(WindowLimit const&) const = default;
+};
+
 /// What this box believes of one endpoint: its load, its window, its health.
 ///
-/// Reports are late. A report is corrected by what this box started and finished there since it was true, and the
-/// peers, who see the same report, are assumed to have started work in proportion.
+/// Reports are late. A report is corrected by what this box started and finished there since it was true. What it says
+/// of the peers fades towards their usual number as the report grows older than a request lasts, else all boxes would
+/// send to the endpoint that was empty a while ago.
 class EndpointView {
 public:
     EndpointView(Settings::EndpointSettings const& settings, int boxes);
@@ -24,6 +38,8 @@
     void set_leaving(bool leaving) { this->is_leaving = leaving; }
     /// `ratio` is the observed time to the first token over the typical one of its class.
     void observe_first_token(double ratio);
+    /// How long a whole request held its slot.
+    void observe_hold(Duration held) { this->hold_seconds.add(Core::to_seconds(held)); }
     void succeeded();
     void failed(Instant now);
     void remember_prefix(std::uint64_t prefix_hash);
@@ -31,9 +47,8 @@
     /// Whether new work may be placed here at all: not leaving and not ejected, or due for a probe.
     [[nodiscard]] bool takes_work(Instant now) const;
     /// Requests believed to be running or queued there, by all boxes together.
-    [[nodiscard]] double estimated_running(Instant now) const;
-    /// Whether one more request fits under `share` of the window.
-    [[nodiscard]] bool has_room(double share, Instant now) const;
+    [[nodiscard]] double estimated_running(Instant now, bool assumes_peers_grow = false) const;
+    [[nodiscard]] bool has_room(WindowLimit const& limit, Instant now) const;
     [[nodiscard]] double window() const { return this->learnt_window; }
     [[nodiscard]] int own_running() const { return this->running_here; }
     [[nodiscard]] double slowness() const { return this->first_token_ratio.value(); }
@@ -48,6 +63,7 @@
         int running_after { 0 };
     };
 
+    [[nodiscard]] double peers_at_report() const;
     [[nodiscard]] int own_running_at(Instant at) const;
     void forget_changes_before(Instant at);
 
@@ -57,6 +73,7 @@
     /// A report older than this says nothing any more.
     static constexpr Duration report_lifetime { std::chrono::seconds(15) };
     static constexpr std::size_t most_prefixes = 64;
+    static constexpr double first_hold_seconds = 1.0;
     static constexpr double congested_ratio = 3.0;
     static constexpr double window_decrease = 0.95;
     static constexpr double window_increase = 0.05;
@@ -74,6 +91,8 @@
     Duration ejection { 0 };
     Instant ejected_until;
     MovingMean first_token_ratio { 1.0 };
+    MovingMean hold_seconds { first_hold_seconds };
+    MovingMean peers_running { 0 };
     std::list<std::uint64_t> prefix_order;
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> prefixes;
 };
--- a/Libraries/LibTraffic/Order.cpp
+++ b/Libraries/LibTraffic/Order.cpp
@@ -1,13 +1,14 @@
 #include <LibTraffic/Order.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace Traffic {
 
 namespace {
 
-constexpr std::array<double, 3> tier_window_shares { 1.0, 0.9, 0.8 };
+constexpr WindowLimit whole_window { 1, 1, false };
 
 std::optional<OrderChoice> first_come(RequestQueue const& queue, std::vector<TierId> const& tiers)
 {
@@ -21,19 +22,28 @@
     }
     if (first == nullptr)
         return {};
-    return OrderChoice { first->facts.id, 1, Reason::PlacedByBaseline };
+    return OrderChoice { first->facts.id, whole_window, Reason::PlacedByBaseline };
 }
 
-std::vector<OrderChoice> at_most_one(std::optional<OrderChoice> const& choice)
+/// How many requests may wait at one endpoint so that the last of them still meets its target. The endpoint's own
+/// queue is the only one that all boxes share, so an urgent request waits there rather than here.
+double queue_depth_in_time(OrderQuery const& query, ClassId request_class)
 {
-    return choice ? std::vector { *choice } : std::vector<OrderChoice> {};
+    constexpr double share_of_slack = 0.5;
+    constexpr double deepest = 4;
+    auto const& estimates = query.estimates.at(request_class);
+    auto const slack = Core::to_seconds(query.policy.classes.at(request_class).target - estimates.time_to_target());
+    auto const seconds_per_place = Core::to_seconds(estimates.mean_whole()) / std::max(1.0, query.mean_window);
+    if (seconds_per_place <= 0)
+        return 1;
+    return std::clamp(std::floor(share_of_slack * slack / seconds_per_place), 1.0, deepest);
 }
 
+std::vector<OrderChoice> at_most_one(std::optional<OrderChoice> const& choice)
+{
+    return choice ? std::vector { *choice } : std::vector<OrderChoice> {};
 }
 
-double window_share_of(TierId tier)
-{
-    return tier_window_shares[std::min<std::size_t>(tier.value(), tier_window_shares.size() - 1)];
 }
 
 Duration slack_of(
@@ -89,7 +99,7 @@
                 first = &flow.requests.front();
         });
         if (first != nullptr)
-            return OrderChoice { first->facts.id, 1, Reason::PlacedByFloor };
+            return OrderChoice { first->facts.id, whole_window, Reason::PlacedByFloor };
     }
     return {};
 }
@@ -108,18 +118,24 @@
         if (query.shares.served(tier, flow.account) > least_served + quantum)
             return;
         auto const& head = flow.requests.front();
+        if (flow.is_late) {
+            if (late == nullptr || head.patience_end < late->patience_end)
+                late = &head;
+            return;
+        }
         auto const slack = slack_of(head, query.policy.classes.at(flow.request_class), estimates, query.now);
-        if (slack.count() >= 0 && slack < least_slack) {
+        if (in_time == nullptr || slack < least_slack) {
             least_slack = slack;
             in_time = &head;
         }
-        if (slack.count() < 0 && (late == nullptr || head.patience_end < late->patience_end))
-            late = &head;
     });
     auto const* chosen = in_time != nullptr ? in_time : late;
     if (chosen == nullptr)
         return {};
-    return OrderChoice { chosen->facts.id, window_share_of(tier), Reason::PlacedInTierOrder };
+    auto limit = query.limits[std::min<std::size_t>(tier.value(), tier_count - 1)];
+    if (tier.value() == 0)
+        limit.extra = queue_depth_in_time(query, chosen->facts.request_class);
+    return OrderChoice { chosen->facts.id, limit, Reason::PlacedInTierOrder };
 }
 
 }
--- a/Libraries/LibTraffic/Order.h
+++ b/Libraries/LibTraffic/Order.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibTraffic/ClassEstimates.h>
+#include <LibTraffic/DemandMeter.h>
 #include <LibTraffic/FairShares.h>
 #include <LibTraffic/RequestQueue.h>
 
@@ -15,13 +16,16 @@
     PoolPolicy const& policy;
     FairShares const& shares;
     FloorLedger const& floors;
+    TierLimits const& limits;
+    /// Mean window of the endpoints.
+    double mean_window { 1 };
     Instant now;
 };
 
 /// Which request goes next, and how far it may fill an endpoint's window.
 struct OrderChoice {
     RequestId request;
-    double window_share { 1 };
+    WindowLimit limit;
     Reason reason { Reason::PlacedInTierOrder };
 };
 
@@ -58,7 +62,4 @@
 
 using OrderPolicy = std::variant<FifoOrder, StrictOrder, DeadlineOrder>;
 
-/// Share of a window that a tier may fill. What is left stays free for the tiers above it.
-[[nodiscard]] double window_share_of(TierId tier);
-
 }
--- a/Libraries/LibTraffic/Placement.cpp
+++ b/Libraries/LibTraffic/Placement.cpp
@@ -10,7 +10,7 @@
 bool may_take(PlacementQuery const& query, std::size_t index)
 {
     auto const& view = query.endpoints.view_at(index);
-    return view.takes_work(query.now) && view.has_room(query.window_share, query.now);
+    return view.takes_work(query.now) && view.has_room(query.limit, query.now);
 }
 
 PlacementChoice choice_of(EndpointId endpoint)
@@ -87,7 +87,7 @@
             consider(random(static_cast<std::uint32_t>(size)));
         if (candidates.empty() && query.hint) {
             auto const* view = query.endpoints.find(*query.hint);
-            if (view != nullptr && view->takes_work(query.now) && view->has_room(query.window_share, query.now))
+            if (view != nullptr && view->takes_work(query.now) && view->has_room(query.limit, query.now))
                 return choice_of(*query.hint);
         }
         auto const first = random(static_cast<std::uint32_t>(size));
@@ -96,7 +96,7 @@
     }
     if (candidates.empty()) {
         auto const* avoided = query.avoid ? query.endpoints.find(*query.avoid) : nullptr;
-        if (avoided != nullptr && avoided->takes_work(query.now) && avoided->has_room(query.window_share, query.now))
+        if (avoided != nullptr && avoided->takes_work(query.now) && avoided->has_room(query.limit, query.now))
             return choice_of(*query.avoid);
         return {};
     }
--- a/Libraries/LibTraffic/Placement.h
+++ b/Libraries/LibTraffic/Placement.h
@@ -10,8 +10,7 @@
 struct PlacementQuery {
     EndpointTable const& endpoints;
     RequestFacts const& facts;
-    /// Share of an endpoint's window that this request may fill.
-    double window_share { 1 };
+    WindowLimit limit;
     /// An endpoint that failed this request before; taken only when there is no other.
     std::optional<EndpointId> avoid;
     /// An endpoint where a slot has just come free; the whole pool is scanned only without it.
--- a/Libraries/LibTraffic/RequestQueue.cpp
+++ b/Libraries/LibTraffic/RequestQueue.cpp
@@ -5,18 +5,23 @@
 
 namespace Traffic {
 
+RequestQueue::FlowKey RequestQueue::key_of(QueuedRequest const& request)
+{
+    return { request.tier, request.is_late, request.facts.request_class, request.facts.account };
+}
+
 Flow& RequestQueue::flow_for(QueuedRequest const& request)
 {
-    FlowKey const key { request.tier, request.facts.request_class, request.facts.account };
+    auto const key = key_of(request);
     auto [at, inserted] = this->flows.try_emplace(key);
     if (inserted)
-        at->second = Flow { key.request_class, key.account, key.tier, {} };
+        at->second = Flow { key.request_class, key.account, key.tier, key.is_late, {} };
     return at->second;
 }
 
 void RequestQueue::count_in(QueuedRequest const& request)
 {
-    FlowKey const key { request.tier, request.facts.request_class, request.facts.account };
+    auto const key = key_of(request);
     auto const inserted = this->flow_of_request.emplace(request.facts.id, key).second;
     VERIFY(inserted);
     ++this->sizes[key.request_class];
@@ -58,6 +63,14 @@
     return removed;
 }
 
+void RequestQueue::mark_late(RequestId request)
+{
+    auto removed = this->remove(request);
+    VERIFY(removed.has_value() && !removed->is_late);
+    removed->is_late = true;
+    this->push_back(*removed);
+}
+
 std::vector<QueuedRequest> RequestQueue::remove_expired(Instant now)
 {
     std::vector<QueuedRequest> expired;
@@ -94,7 +107,7 @@
 
 void RequestQueue::for_each_flow(TierId tier, std::function<void(Flow const&)> const& callback) const
 {
-    auto const first = this->flows.lower_bound(FlowKey { tier, ClassId {}, AccountId {} });
+    auto const first = this->flows.lower_bound(FlowKey { tier, false, ClassId {}, AccountId {} });
     for (auto at = first; at != this->flows.end() && at->first.tier == tier; ++at)
         callback(at->second);
 }
--- a/Libraries/LibTraffic/RequestQueue.h
+++ b/Libraries/LibTraffic/RequestQueue.h
@@ -18,15 +18,18 @@
     /// Counts arrivals, so that first come, first served is exact.
     std::uint64_t sequence { 0 };
     Instant patience_end;
+    /// Whether it can no longer meet its target; it then waits behind those that can.
+    bool is_late { false };
 
     bool operator==(QueuedRequest const&) const = default;
 };
 
-/// The requests of one class and one account, in the order they came.
+/// The requests of one class and one account, in the order they came; the late ones apart.
 struct Flow {
     ClassId request_class;
     AccountId account;
     TierId tier;
+    bool is_late { false };
     std::deque<QueuedRequest> requests;
 };
 
@@ -37,6 +40,8 @@
     /// Puts a request that had been dispatched before back at the head of its flow.
     void push_front(QueuedRequest const& request);
     [[nodiscard]] std::optional<QueuedRequest> remove(RequestId request);
+    /// Moves a request to the late ones of its class and account.
+    void mark_late(RequestId request);
     /// Removes and returns all requests whose patience ends at or before `now`.
     [[nodiscard]] std::vector<QueuedRequest> remove_expired(Instant now);
 
@@ -55,11 +60,13 @@
 private:
     struct FlowKey {
         TierId tier;
+        bool is_late { false };
         ClassId request_class;
         AccountId account;
         auto operator<=>(FlowKey const&) const = default;
     };
 
+    [[nodiscard]] static FlowKey key_of(QueuedRequest const& request);
     Flow& flow_for(QueuedRequest const& request);
     void count_in(QueuedRequest const& request);
 
--- a/Libraries/LibTraffic/TrafficEngine.cpp
+++ b/Libraries/LibTraffic/TrafficEngine.cpp
@@ -25,6 +25,7 @@
     this->choose_policies();
     this->add_estimates();
     this->endpoints.reconfigure(this->policy);
+    this->renew_pool_load(Instant {});
 }
 
 void TrafficEngine::reconfigure(PoolPolicy pool_policy, Instant)
@@ -65,6 +66,22 @@
     this->admission = BoundedAdmission {};
 }
 
+void TrafficEngine::renew_pool_load(Instant now)
+{
+    this->load = { this->endpoints.total_window(now), this->endpoints.total_estimated_running(now) };
+    this->limits = limits_for_demand(this->demand, this->load.window, this->policy.routing.boxes, now);
+}
+
+bool TrafficEngine::is_within_own_share(WindowLimit const& limit) const
+{
+    // NOTE: When all boxes are pressed alike, each keeping to its share keeps the endpoints' queues short, however old
+    // the reports are. A box that is pressed alone borrows what the reports show to be free.
+    auto const boxes = static_cast<double>(this->policy.routing.boxes);
+    auto const places = this->load.window * limit.share + limit.extra * static_cast<double>(this->endpoints.size());
+    auto const is_idle_enough = this->load.estimated_running + boxes <= this->load.window * limit.share;
+    return is_idle_enough || static_cast<double>(this->running.size()) + 1 <= std::max(1.0, places / boxes);
+}
+
 void TrafficEngine::add_estimates()
 {
     for (auto const& [id, settings] : this->policy.classes)
@@ -73,7 +90,8 @@
 
 OrderQuery TrafficEngine::order_query(Instant now) const
 {
-    return { this->queue, this->estimates, this->policy, this->shares, this->floors, now };
+    return { this->queue, this->estimates, this->policy, this->shares, this->floors, this->limits,
+        this->load.window / std::max(1.0, static_cast<double>(this->endpoints.size())), now };
 }
 
 Actions TrafficEngine::submit(RequestFacts const& facts, Instant now)
@@ -82,6 +100,7 @@
     auto const& settings = this->class_of(facts);
     QueuedRequest const request { facts, settings.tier, this->next_sequence++, facts.arrived + settings.patience };
     this->retry_budget.request_arrived(this->policy.routing.retry_share);
+    this->demand.arrived(settings.tier, Core::to_seconds(this->estimates_of(facts).mean_whole()), now);
     auto const figures = this->figures_for(request, now);
     AdmissionQuery const query { request, settings, this->estimates_of(facts), this->queue.size(),
         figures.predicted_wait, now };
@@ -204,6 +223,8 @@
         return;
     auto& class_estimates = this->estimates.at(ended.request.facts.request_class);
     auto const taken = now - ended.dispatched_at;
+    if (view != nullptr)
+        view->observe_hold(taken);
     // NOTE: The account is charged for the true length once it is known, not for the estimate.
     auto const correction = Core::to_seconds(taken) - Core::to_seconds(class_estimates.mean_whole());
     auto const weight = this->policy.account_weights.find(ended.request.facts.account);
@@ -237,10 +258,11 @@
 Actions TrafficEngine::tick(Instant now)
 {
     Actions actions;
+    this->renew_pool_load(now);
     for (auto const& expired : this->queue.remove_expired(now))
         this->refuse(expired, Reason::PatienceExpired, actions, now);
     if (!this->is_baseline)
-        this->give_up_hopeless(actions, now);
+        this->sort_out_late(actions, now);
     this->pump(actions, now);
     if (!this->is_baseline && this->policy.routing.preemption)
         this->preempt_for_urgent(actions, now);
@@ -288,8 +310,10 @@
 {
     auto const* request = this->queue.find(choice.request);
     VERIFY(request != nullptr);
+    if (!this->is_baseline && !this->is_within_own_share(choice.limit))
+        return false;
     auto const retry = this->retries.find(choice.request);
-    PlacementQuery const query { this->endpoints, request->facts, choice.window_share,
+    PlacementQuery const query { this->endpoints, request->facts, choice.limit,
         retry == this->retries.end() ? std::nullopt : retry->second.avoid, hint, this->policy.failure_domain,
         this->estimates_of(request->facts).typical_first_token(), now };
     auto const endpoint = std::visit([&](auto& chosen) { return chosen.place(query, this->random); }, this->placement);
@@ -399,25 +423,33 @@
     }
 }
 
-void TrafficEngine::give_up_hopeless(Actions& actions, Instant now)
+void TrafficEngine::sort_out_late(Actions& actions, Instant now)
 {
+    std::vector<RequestId> late;
     std::vector<std::pair<RequestId, Reason>> hopeless;
     for (auto const tier : this->queue.tiers()) {
         this->queue.for_each_flow(tier, [&](Flow const& flow) {
             auto const& settings = this->policy.classes.at(flow.request_class);
             auto const& class_estimates = this->estimates.at(flow.request_class);
             for (auto const& request : flow.requests) {
-                auto const is_too_late
-                    = !settings.late_answer_useful && slack_of(request, settings, class_estimates, now).count() < 0;
+                auto const is_late = slack_of(request, settings, class_estimates, now).count() < 0;
                 auto const outlasts_patience = now + class_estimates.median_whole() > request.patience_end;
                 // NOTE: Requests of a flow stand in order of arrival, so those behind have more time left.
-                if (!is_too_late && !outlasts_patience)
+                if (!is_late && !outlasts_patience)
+                    break;
+                if (is_late && !settings.late_answer_useful)
+                    hopeless.emplace_back(request.facts.id, Reason::TargetOutOfReach);
+                else if (outlasts_patience)
+                    hopeless.emplace_back(request.facts.id, Reason::PatienceExpired);
+                else if (!flow.is_late)
+                    late.push_back(request.facts.id);
+                else
                     break;
-                hopeless.emplace_back(
-                    request.facts.id, is_too_late ? Reason::TargetOutOfReach : Reason::PatienceExpired);
             }
         });
     }
+    for (auto const request : late)
+        this->queue.mark_late(request);
     for (auto const& [id, reason] : hopeless) {
         auto const removed = this->queue.remove(id);
         VERIFY(removed.has_value());
@@ -460,6 +492,9 @@
         if (tier > request.tier)
             break;
         this->queue.for_each_flow(tier, [&](Flow const& flow) {
+            // NOTE: Late requests wait behind those that can still be in time, as this one can.
+            if (tier == request.tier && flow.is_late && !request.is_late)
+                return;
             auto const seconds = static_cast<double>(flow.requests.size())
                 * Core::to_seconds(this->estimates.at(flow.request_class).mean_whole());
             if (tier < request.tier)
--- a/Libraries/LibTraffic/TrafficEngine.h
+++ b/Libraries/LibTraffic/TrafficEngine.h
@@ -52,6 +52,11 @@
         bool first_token_seen { false };
         bool preempted { false };
     };
+    /// Sums over the endpoints, renewed with every tick because they cost a pass over all of them.
+    struct PoolLoad {
+        double window { 0 };
+        double estimated_running { 0 };
+    };
     struct RetryState {
         std::uint32_t attempts { 0 };
         std::optional<EndpointId> avoid;
@@ -70,6 +75,8 @@
     [[nodiscard]] DecisionFigures figures_for(QueuedRequest const& request, Instant now) const;
 
     void choose_policies();
+    void renew_pool_load(Instant now);
+    [[nodiscard]] bool is_within_own_share(WindowLimit const& limit) const;
     void add_estimates();
     void enqueue(QueuedRequest const& request, bool at_front);
     void make_room_in_queue(TierId tier, Actions& actions, Instant now);
@@ -80,7 +87,7 @@
     void charge(QueuedRequest const& request, Reason reason);
     void preempt_for_urgent(Actions& actions, Instant now);
     [[nodiscard]] std::optional<RequestId> preemption_victim(TierId below) const;
-    void give_up_hopeless(Actions& actions, Instant now);
+    void sort_out_late(Actions& actions, Instant now);
     void refuse(QueuedRequest const& request, Reason reason, Actions& actions, Instant now);
     void count_urgent_refusal(QueuedRequest const& request);
     [[nodiscard]] Reason retry_reason(Running const& running, AttemptResult result, Instant now, bool& allowed);
@@ -96,6 +103,9 @@
     FairShares shares;
     FloorLedger floors;
     RetryBudget retry_budget;
+    DemandMeter demand;
+    TierLimits limits {};
+    PoolLoad load;
     OrderPolicy order;
     PlacementPolicy placement;
     AdmissionPolicy admission;
--- a/Programs/standin/LoadPlan.cpp
+++ b/Programs/standin/LoadPlan.cpp
@@ -50,7 +50,8 @@
             while (due < phase_end) {
                 auto const tokens
                     = std::clamp(static_cast<int>(length(random)), 1, static_cast<int>(load.mean_tokens * 8));
-                plan.push_back({ due, class_index, pick_account(random), tokens, "", "", phase.urgent_fits });
+                plan.push_back({ due, class_index, pick_account(random), tokens, "", "",
+                    static_cast<std::size_t>(&phase - scenario.phases.data()), phase.urgent_fits });
                 due += gap(random);
             }
             phase_start = phase_end;
--- a/Programs/standin/LoadPlan.h
+++ b/Programs/standin/LoadPlan.h
@@ -12,6 +12,7 @@
     int tokens { 0 };
     std::string token;
     std::string key;
+    std::size_t phase { 0 };
     bool urgent_fits { true };
 };
 
--- a/Programs/standin/LoadReport.cpp
+++ b/Programs/standin/LoadReport.cpp
@@ -41,12 +41,16 @@
     int offered_while_fit = 0;
     int in_time_while_fit = 0;
     std::vector<double> latencies;
+    std::vector<int> offered_in_phase(scenario.phases.size());
+    std::vector<int> in_time_in_phase(scenario.phases.size());
     for (std::size_t index = 0; index < plan.size(); ++index) {
         if (plan[index].class_index != class_index)
             continue;
         auto const& result = results[index];
         auto const attained = is_in_time(load, result);
         ++offered;
+        ++offered_in_phase[plan[index].phase];
+        in_time_in_phase[plan[index].phase] += attained ? 1 : 0;
         in_time += attained ? 1 : 0;
         offered_while_fit += plan[index].urgent_fits ? 1 : 0;
         in_time_while_fit += plan[index].urgent_fits && attained ? 1 : 0;
@@ -55,11 +59,16 @@
         if (result.outcome == SeenOutcome::Completed)
             latencies.push_back(result.target_ms);
     }
-    std::cout << fmt::format("scenario={} policy={} class={} tier={} offered={} attained={:.4f} "
-                             "attained_while_fit={:.4f} p50_ms={:.0f} p99_ms={:.0f} completed={} refused={}\n",
+    std::string by_phase;
+    for (std::size_t phase = 0; phase < offered_in_phase.size(); ++phase)
+        by_phase
+            += fmt::format("{}{:.3f}", phase == 0 ? "" : "/", ratio(in_time_in_phase[phase], offered_in_phase[phase]));
+    std::cout << fmt::format(
+        "scenario={} policy={} class={} tier={} offered={} attained={:.4f} "
+        "attained_while_fit={:.4f} p50_ms={:.0f} p99_ms={:.0f} completed={} refused={} attained_by_phase={}\n",
         scenario.name, policy, load.name, load.tier, offered, ratio(in_time, offered),
         ratio(in_time_while_fit, offered_while_fit), percentile(latencies, 0.5), percentile(latencies, 0.99), completed,
-        refused);
+        refused, by_phase);
 }
 
 }
