LibFate: Let the log's order decide whether a key runs

Cause: a not-repeatable request was tried once by the box that had it, but nothing kept a retry through another box from running it again. Now the first Claim or Void of a key in the log is its fate; a claim is sent only once read back as the first, and one given up on is settled not-run by the only process that could run it. Ends are replayed.

--- a/Libraries/LibCore/Reason.h
+++ b/Libraries/LibCore/Reason.h
@@ -25,6 +25,7 @@
     PlacedByBaseline,
     AnswerComplete,
     AnswerReplayed,
+    AnswerNotKept,
     // Refusals under load.
     BacklogTooLong,
     TargetOutOfReach,
@@ -32,6 +33,7 @@
     NoEndpoint,
     Draining,
     // Retries and preemptions.
+    ConnectionRefused,
     RetryConnectionRefused,
     RetryAttemptFailed,
     RetryBudgetSpent,
@@ -52,6 +54,7 @@
     ClaimNotReadBack,
     ClaimHeldByOther,
     ClaimantEnded,
+    LogUnreachable,
     // Bad input.
     MalformedBody,
     BodyTooLarge,
--- a/Libraries/LibServer/Box.cpp
+++ b/Libraries/LibServer/Box.cpp
@@ -1,6 +1,7 @@
 #include <LibServer/Box.h>
 
 #include <LibServer/EventLog.h>
+#include <LibServer/FateService.h>
 #include <cstdio>
 #include <fstream>
 
@@ -9,21 +10,23 @@
 namespace {
 
 constexpr std::size_t kept_records = 200'000;
+/// Share of the log's rate that the fates of all boxes together may use, in appends a second.
+constexpr double appends_for_fates = 200;
 constexpr auto tick_interval = std::chrono::milliseconds(5);
 
-/// Sends without a claim.
-// FIXME: Not-repeatable requests are not yet claimed in the log, so a retry through another box may run them again.
-class UnclaimedAttempts final : public KeyedAttempts {
-public:
-    [[nodiscard]] AttemptReport run(RequestFlow&, Send const& send) override { return send(); }
-};
+/// Drawn anew by each process, so that no process takes another's claims for its own.
+Fate::Incarnation new_incarnation(std::uint64_t seed)
+{
+    return Fate::Incarnation { pcg64(seed, 1)() };
+}
 
 }
 
 Box::Box(BoxSettings const& settings, std::uint64_t seed)
     : records(kept_records)
     , threads(std::make_unique<httplib::ThreadPool>(static_cast<std::size_t>(settings.threads)))
-    , keyed_attempts(std::make_unique<UnclaimedAttempts>())
+    , keyed_attempts(std::make_unique<FateService>(
+          FateServiceSettings { settings.platform, {}, appends_for_fates, 1 }, new_incarnation(seed), this->metrics))
     , box_state(settings, { this->upstream, this->metrics, this->records, *this->threads, *this->keyed_attempts }, seed)
 {
 }
--- a/Libraries/LibServer/BoxState.cpp
+++ b/Libraries/LibServer/BoxState.cpp
@@ -34,6 +34,8 @@
         empty.routing = table->pools().empty() ? Settings::RoutingSettings {} : table->pools().begin()->second.routing;
         shard->reconfigure(std::move(empty), table->version());
     }
+    if (!table->pools().empty())
+        this->shard_services.keyed_attempts.set_boxes(table->pools().begin()->second.routing.boxes);
     this->current_table = table;
     this->shard_services.metrics.set_settings_version(table->version().value());
 }
--- a/Libraries/LibServer/CallerServer.cpp
+++ b/Libraries/LibServer/CallerServer.cpp
@@ -134,7 +134,7 @@
         routed.streaming };
     auto const flow = std::make_shared<RequestFlow>(facts, routed.request_class->settings.name, routed.account->name,
         routed.request_class->settings, routed.upstream);
-    shard->submit(flow);
+    shard->submit(flow, table->pool_checks_keys(routed.pool));
     this->answer(flow, shard, response);
 }
 
--- a/Libraries/LibServer/Metrics.cpp
+++ b/Libraries/LibServer/Metrics.cpp
@@ -48,6 +48,8 @@
           "Urgent requests refused while any lower work was running, by pool."))
     , settings_version(
           gauge(*this->registry, "cleatbeam_settings_version", "Version of the settings in force.").Add({}))
+    , appends(
+          counter(*this->registry, "cleatbeam_log_appends_total", "Appends of fates to the platform's log, by result."))
     , records_dropped(counter(
           *this->registry, "cleatbeam_records_dropped_total", "Decision records overwritten before anyone read them.")
                           .Add({}))
@@ -106,6 +108,12 @@
     this->settings_version.Set(static_cast<double>(version));
 }
 
+void Metrics::count_append(Platform::AppendResult const& result)
+{
+    constexpr std::array<char const*, 3> names { "appended", "refused", "unknown" };
+    this->appends.Add({ { "result", names[result.index()] } }).Increment();
+}
+
 void Metrics::count_records_dropped(std::uint64_t records)
 {
     this->records_dropped.Increment(static_cast<double>(records));
--- a/Libraries/LibServer/Metrics.h
+++ b/Libraries/LibServer/Metrics.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Reason.h>
 #include <LibCore/Time.h>
+#include <LibPlatform/LogClient.h>
 
 #include <memory>
 #include <prometheus/counter.h>
@@ -27,6 +28,7 @@
     void set_pool(std::string const& pool, std::size_t queued, std::size_t running, std::uint64_t lower_tier_sheds,
         std::uint64_t urgent_refusals_beside_lower_work);
     void set_settings_version(std::uint64_t version);
+    void count_append(Platform::AppendResult const& result);
     void count_records_dropped(std::uint64_t records);
 
     /// The text form that scrapers read.
@@ -45,6 +47,7 @@
     prometheus::Family<prometheus::Gauge>& lower_tier_sheds;
     prometheus::Family<prometheus::Gauge>& urgent_beside_lower;
     prometheus::Gauge& settings_version;
+    prometheus::Family<prometheus::Counter>& appends;
     prometheus::Counter& records_dropped;
 };
 
--- a/Libraries/LibServer/PoolShard.cpp
+++ b/Libraries/LibServer/PoolShard.cpp
@@ -23,8 +23,11 @@
     this->engine.reconfigure(std::move(new_policy), Core::monotonic_now());
 }
 
-void PoolShard::submit(FlowPointer const& flow)
+void PoolShard::submit(FlowPointer const& flow, bool checks_keys)
 {
+    auto const needs_claim = !flow->class_settings.repeatable && !checks_keys;
+    if (needs_claim && this->is_decided_already(*flow))
+        return;
     this->flows.emplace(flow->facts.id.value(), flow);
     this->record(*flow, Record::DecisionKind::Arrived, Core::Reason::Admitted, "", {});
     Traffic::Actions actions;
@@ -35,6 +38,22 @@
     this->execute(actions);
 }
 
+bool PoolShard::is_decided_already(RequestFlow& flow)
+{
+    auto const decided = this->services.keyed_attempts.decide_before_queueing(flow);
+    if (!decided)
+        return false;
+    if (decided->end.outcome == Core::Outcome::Completed) {
+        flow.push(Head { decided->report.status, decided->report.content_type });
+        flow.push(Chunk { decided->report.body });
+    } else {
+        this->services.metrics.count_refusal(decided->end.reason);
+    }
+    this->record(flow, Record::DecisionKind::Ended, decided->end.reason, "", {});
+    flow.push(decided->end);
+    return true;
+}
+
 void PoolShard::abandon(RequestFlow& flow)
 {
     flow.caller_has_gone();
@@ -136,7 +155,7 @@
         || report.result == Traffic::AttemptResult::NotSent || report.result == Traffic::AttemptResult::EndpointBusy;
     if (!has_ended_clean)
         flow->set_may_have_run();
-    if (report.result == Traffic::AttemptResult::Completed && !report.body.empty()) {
+    if (report.result == Traffic::AttemptResult::Completed && !report.was_passed_on) {
         flow->push(Head { report.status, report.content_type });
         flow->push(Chunk { report.body });
     }
--- a/Libraries/LibServer/PoolShard.h
+++ b/Libraries/LibServer/PoolShard.h
@@ -15,6 +15,12 @@
 
 namespace Server {
 
+/// What became of a keyed request without an endpoint having been asked.
+struct KeyedEnd {
+    AttemptReport report;
+    End end;
+};
+
 /// Runs one attempt of a not-repeatable request: claims its key, sends it, settles the key.
 class KeyedAttempts {
 public:
@@ -23,7 +29,11 @@
     KeyedAttempts(KeyedAttempts const&) = delete;
     KeyedAttempts& operator=(KeyedAttempts const&) = delete;
     virtual ~KeyedAttempts() = default;
+    /// The end of a request whose key is decided already, so that it need not queue. May wait for another's run.
+    [[nodiscard]] virtual std::optional<KeyedEnd> decide_before_queueing(RequestFlow const& flow) = 0;
     [[nodiscard]] virtual AttemptReport run(RequestFlow& flow, Send const& send) = 0;
+    /// How many boxes share the log's rate.
+    virtual void set_boxes(int boxes) = 0;
 };
 
 /// What the shards of a box share.
@@ -42,7 +52,8 @@
         ShardServices services);
 
     void reconfigure(Traffic::PoolPolicy policy, Core::Offset settings_version);
-    void submit(std::shared_ptr<RequestFlow> const& flow);
+    /// `checks_keys` says that the pool's endpoints run a key at most once by themselves.
+    void submit(std::shared_ptr<RequestFlow> const& flow, bool checks_keys);
     void abandon(RequestFlow& flow);
     void take_report(Core::EndpointId endpoint, Traffic::LoadReport const& report);
     void tick();
@@ -57,6 +68,7 @@
     using FlowPointer = std::shared_ptr<RequestFlow>;
     using FlowTable = oneapi::tbb::concurrent_hash_map<std::uint64_t, FlowPointer>;
 
+    [[nodiscard]] bool is_decided_already(RequestFlow& flow);
     void execute(Traffic::Actions const& actions);
     void carry_out(Traffic::Wait const& action);
     void carry_out(Traffic::Dispatch const& action);
--- a/Libraries/LibServer/RequestReader.cpp
+++ b/Libraries/LibServer/RequestReader.cpp
@@ -1,5 +1,6 @@
 #include <LibServer/RequestReader.h>
 
+#include <LibFate/FateTypes.h>
 #include <LibServer/Credentials.h>
 #include <algorithm>
 #include <array>
@@ -136,7 +137,7 @@
     return {};
 }
 
-std::optional<InputError> read_key(RawRequest const& request, RoutedRequest& routed)
+std::optional<InputError> read_key(RawRequest const& request, RoutingTable const& table, RoutedRequest& routed)
 {
     auto const key = header(request, "idempotency-key");
     auto const is_printable
@@ -147,6 +148,10 @@
     if (key.empty() && !routed.request_class->settings.repeatable)
         return InputError { status_bad_request, Reason::KeyMissing, "idempotency-key",
             "this class is not repeatable and needs a key" };
+    auto const needs_time = !routed.request_class->settings.repeatable && !table.pool_checks_keys(routed.pool);
+    if (needs_time && !Fate::creation_time_of(key))
+        return InputError { status_bad_request, Reason::KeyMalformed, "idempotency-key",
+            "must be a UUIDv7 (RFC 9562)" };
     routed.upstream.idempotency_key = key;
     return {};
 }
@@ -164,7 +169,7 @@
         return *error;
     if (auto error = find_class(request, table, routed))
         return *error;
-    if (auto error = read_key(request, routed))
+    if (auto error = read_key(request, table, routed))
         return *error;
     auto const content_type = header(request, "content-type");
     routed.upstream.path = request.path;
--- a/Libraries/LibServer/UpstreamCaller.cpp
+++ b/Libraries/LibServer/UpstreamCaller.cpp
@@ -99,6 +99,7 @@
         if (!is_streamed) {
             report.body.append(data, length);
         } else {
+            report.was_passed_on = true;
             if (!any_piece)
                 flow.push(Head { report.status, report.content_type });
             stream_end.take({ data, length });
--- a/Libraries/LibServer/UpstreamCaller.h
+++ b/Libraries/LibServer/UpstreamCaller.h
@@ -16,6 +16,8 @@
     std::string content_type;
     /// The answer; empty for one that was passed on as it came.
     std::string body;
+    /// Whether the answer went to the caller piece by piece.
+    bool was_passed_on { false };
     /// Why it failed, for logs.
     std::string error;
 };
--- /dev/null
+++ b/Models/KeyFate-broken-send-before-read-back.pml
@@ -0,0 +1,3 @@
+/* The checker must find the fault of this variant. */
+#define BROKEN_SEND_BEFORE_READ_BACK
+#include "KeyFate.pml"
--- a/Programs/standin/Platform.cpp
+++ b/Programs/standin/Platform.cpp
@@ -27,6 +27,9 @@
 /// Faults that a test switches on with POST /faults.
 struct Faults {
     std::atomic<bool> outage { false };
+    std::atomic<bool> refuse_appends { false };
+    /// Reads answer as if nothing had been appended since.
+    std::atomic<bool> hold_reads { false };
     /// The next so many appends take effect, but their answers are lost.
     std::atomic<int> lost_answers { 0 };
     /// The next so many appends lose their answers and take effect only after `late_ms`.
@@ -77,6 +80,12 @@
         return page;
     }
 
+    std::uint64_t count(std::string const& name)
+    {
+        std::scoped_lock const lock(this->mutex);
+        return this->streams[name].next();
+    }
+
     std::uint64_t append_count()
     {
         std::scoped_lock const lock(this->mutex);
@@ -122,7 +131,7 @@
 
 void handle_append(Log& log, Faults& faults, httplib::Request const& request, httplib::Response& response)
 {
-    if (faults.outage) {
+    if (faults.outage || faults.refuse_appends) {
         response.status = status_unavailable;
         return;
     }
@@ -157,8 +166,12 @@
     }
     auto const number
         = [&](char const* name) { return std::strtoull(request.get_param_value(name).c_str(), nullptr, 10); };
-    auto const page = log.read(
+    auto page = log.read(
         request.matches[1].str(), number("from"), number("max"), std::chrono::milliseconds(number("wait_ms")));
+    if (faults.hold_reads) {
+        page["records"] = nlohmann::json::array();
+        page["next"] = std::max(number("from"), page["earliest"].get<unsigned long long>());
+    }
     response.set_content(page.dump(), "application/json");
 }
 
@@ -166,6 +179,8 @@
 {
     auto const json = nlohmann::json::parse(request.body, nullptr, false);
     faults.outage = json.value("outage", faults.outage.load());
+    faults.refuse_appends = json.value("refuse_appends", faults.refuse_appends.load());
+    faults.hold_reads = json.value("hold_reads", faults.hold_reads.load());
     faults.lost_answers = json.value("lost_answers", faults.lost_answers.load());
     faults.late_ms = json.value("late_ms", faults.late_ms.load());
     faults.late_appends = json.value("late_appends", faults.late_appends.load());
@@ -188,6 +203,10 @@
     server.Get("/streams/([a-z0-9-]+)/records",
         [&](auto const& request, auto& response) { handle_read(log, faults, request, response); });
     server.Post("/faults", [&](auto const& request, auto& response) { handle_faults(faults, request, response); });
+    // For the checker; no fault applies to it.
+    server.Get("/streams/([a-z0-9-]+)/count", [&](auto const& request, auto& response) {
+        response.set_content(std::to_string(log.count(request.matches[1].str())), "text/plain");
+    });
     server.Get("/appends",
         [&](auto const&, auto& response) { response.set_content(std::to_string(log.append_count()), "text/plain"); });
     auto const port = server.bind_to_any_port("127.0.0.1");
--- /dev/null
+++ b/Tests/Harness/Cluster.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Process.h"
+
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+namespace Harness {
+
+/// What a caller got.
+struct Reply {
+    /// 0 when the connection broke without an answer.
+    int status { 0 };
+    std::string body;
+    std::string outcome;
+    std::string reason;
+    std::string request_id;
+    std::string retry_after;
+};
+
+/// Waits until the condition holds. Ends the test as failed when it never does.
+void wait_until(std::string const& what, std::function<bool()> const& condition);
+
+/// Real processes on loopback, on ports that the kernel chose, for one test.
+class Cluster {
+public:
+    Cluster();
+    ~Cluster();
+    Cluster(Cluster const&) = delete;
+    Cluster& operator=(Cluster const&) = delete;
+
+    /// Starts a stand-in of the role under a name of the test's choice.
+    void start_standin(std::string const& name, std::string const& role, std::vector<std::string> const& flags = {});
+    void start_box(std::string const& name);
+    /// Publishes a settings document and waits until all boxes are ready.
+    void publish(std::string const& document);
+    void wait_ready(std::string const& box);
+
+    [[nodiscard]] Process& process(std::string const& name) { return *this->processes.at(name); }
+    [[nodiscard]] int port(std::string const& name) const { return this->ports.at(name); }
+    [[nodiscard]] int operator_port(std::string const& box) const { return this->operator_ports.at(box); }
+
+    [[nodiscard]] Reply post(std::string const& box, std::string const& path, std::string const& body,
+        std::map<std::string, std::string> const& headers) const;
+    [[nodiscard]] std::string get(int port, std::string const& path) const;
+    void set_faults(std::string const& name, nlohmann::json const& faults) const;
+    [[nodiscard]] nlohmann::json journal(std::string const& endpoint) const;
+    [[nodiscard]] std::string log_of(std::string const& name) const;
+    [[nodiscard]] std::string path_of(std::string const& file) const { return (this->folder / file).string(); }
+
+private:
+    std::filesystem::path folder;
+    std::filesystem::path build;
+    std::map<std::string, std::unique_ptr<Process>> processes;
+    std::map<std::string, int> ports;
+    std::map<std::string, int> operator_ports;
+};
+
+}
--- a/Tests/LibServer/TestRequestReader.cpp
+++ b/Tests/LibServer/TestRequestReader.cpp
@@ -102,4 +102,7 @@
     check_refused(request, Reason::KeyMissing, 400, "idempotency-key");
     request.headers.emplace("idempotency-key", std::string(256, 'k'));
     check_refused(request, Reason::KeyMalformed, 400, "idempotency-key");
+    request.headers.erase("idempotency-key");
+    request.headers.emplace("idempotency-key", "not-a-uuid");
+    check_refused(request, Reason::KeyMalformed, 400, "idempotency-key");
 }
--- /dev/null
+++ b/Tests/LibTraffic/TestTrafficEngine.cpp
@@ -0,0 +1,191 @@
+#include <TestMain.h>
+
+#include "VirtualPool.h"
+#include <cmath>
+
+namespace {
+
+using Settings::PolicyName;
+
+/// A random history of arrivals, failures and ends; returns the pool after it has drained.
+VirtualPool random_history(PolicyName policy, std::uint64_t seed)
+{
+    VirtualPool pool({ 4, 4, policy, 0.05, seed });
+    for (int step = 0; step < 3000; ++step) {
+        auto const arrivals = pool.random(step % 1000 < 300 ? 4 : 2);
+        for (std::uint32_t arrival = 0; arrival < arrivals; ++arrival)
+            pool.submit(pool.random(4), pool.random(5), pool.random(2) == 0);
+        pool.run_for(0.01);
+    }
+    pool.run_for(120);
+    return pool;
+}
+
+double share_completed(VirtualPool const& pool, std::uint32_t account)
+{
+    int offered = 0;
+    int completed = 0;
+    for (auto const& [id, request] : pool.seen) {
+        if (request.facts.account != Core::AccountId { account })
+            continue;
+        ++offered;
+        completed += request.concluded.has_value() ? 1 : 0;
+    }
+    return static_cast<double>(completed) / offered;
+}
+
+}
+
+TEST_CASE("each request ends exactly once, whatever the policy")
+{
+    for (auto const policy : { PolicyName::Cleatbeam, PolicyName::RoundRobinFifo, PolicyName::LeastOutstandingFifo,
+             PolicyName::LeastOutstandingStrict }) {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            auto const pool = random_history(policy, seed);
+            for (auto const& [id, request] : pool.seen)
+                REQUIRE(request.ends == 1);
+            CHECK(pool.engine.is_idle());
+        }
+    }
+}
+
+TEST_CASE("only lower, repeatable work that no caller has seen is preempted")
+{
+    int preemptions = 0;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        auto const pool = random_history(PolicyName::Cleatbeam, seed);
+        for (auto const id : pool.preempted) {
+            auto const& facts = pool.seen.at(id).facts;
+            auto const& settings = VirtualPool::policy_for({}).classes.at(facts.request_class);
+            CHECK(settings.tier.value() > 0);
+            CHECK(settings.repeatable);
+            ++preemptions;
+        }
+    }
+    CHECK(preemptions > 0);
+}
+
+TEST_CASE("a not-repeatable request is sent to an endpoint at most once")
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        auto const pool = random_history(PolicyName::Cleatbeam, seed);
+        for (auto const& [id, request] : pool.seen) {
+            if (request.facts.request_class == Core::ClassId { 1 })
+                REQUIRE(request.dispatches <= 1);
+        }
+    }
+}
+
+TEST_CASE("a background request completes under an endless stream of urgent work")
+{
+    VirtualPool pool({ 2, 4, PolicyName::Cleatbeam, 0, 7 });
+    pool.run_for(0.01);
+    for (int step = 0; step < 4000; ++step) {
+        pool.submit(0, step % 3);
+        if (step == 1000)
+            pool.submit(3, 9);
+        pool.run_for(0.01);
+    }
+    auto const& background = std::ranges::find_if(pool.seen, [](auto const& entry) {
+        return entry.second.facts.request_class == Core::ClassId { 3 };
+    })->second;
+    REQUIRE(background.concluded.has_value());
+    CHECK(background.concluded->result == Traffic::AttemptResult::Completed);
+}
+
+TEST_CASE("a burst of one account queues behind itself")
+{
+    VirtualPool pool({ 2, 4, PolicyName::Cleatbeam, 0, 3 });
+    for (int step = 0; step < 1000; ++step) {
+        // Capacity is 8 slots over 0.2 s, so 40 a second; the first account alone asks for 75.
+        if (step % 4 != 0)
+            pool.submit(2, 0);
+        if (step % 20 == 0)
+            pool.submit(2, 1);
+        pool.run_for(0.01);
+    }
+    pool.run_for(30);
+    CHECK(share_completed(pool, 1) == doctest::Approx(1.0));
+    CHECK(share_completed(pool, 0) < 0.9);
+}
+
+TEST_CASE("late requests do not stand in the way of those that can be in time")
+{
+    VirtualPool pool({ 1, 2, PolicyName::Cleatbeam, 0, 3 });
+    for (int request = 0; request < 60; ++request)
+        pool.submit(1, 0);
+    pool.run_for(0.6);
+    pool.submit(1, 0);
+    auto const last = pool.seen.rbegin()->first;
+    pool.run_for(0.5);
+    REQUIRE(pool.seen.at(last).dispatches == 1);
+    auto const waiting
+        = std::ranges::count_if(pool.seen, [](auto const& entry) { return entry.second.dispatches == 0; });
+    CHECK(waiting > 10);
+}
+
+TEST_CASE("a full queue sheds the youngest of the lowest tier, never upwards")
+{
+    constexpr int endpoints = 64;
+    constexpr int slots = 64;
+    VirtualPool pool({ endpoints, slots, PolicyName::Cleatbeam, 0, 3 });
+    auto const queued = [&] { return pool.engine.status().queued; };
+    while (queued() < 100)
+        pool.submit(1, 0);
+    while (queued() < Traffic::longest_queue)
+        pool.submit(3, 1);
+    pool.submit(1, 1);
+    auto const& urgent = pool.seen.rbegin()->second;
+    CHECK_FALSE(urgent.refused.has_value());
+    CHECK(queued() == Traffic::longest_queue);
+    int shed = 0;
+    for (auto const& [id, request] : pool.seen) {
+        if (!request.refused)
+            continue;
+        ++shed;
+        CHECK(request.facts.request_class == Core::ClassId { 3 });
+        CHECK(request.refused->reason == Core::Reason::BacklogTooLong);
+    }
+    CHECK(shed == 1);
+}
+
+TEST_CASE("a refusal says when to come back, from the backlog")
+{
+    VirtualPool pool({ 1, 2, PolicyName::Cleatbeam, 0, 3 });
+    for (int request = 0; request < 400; ++request)
+        pool.submit(1, 0);
+    auto const& last = pool.seen.rbegin()->second;
+    REQUIRE(last.refused.has_value());
+    CHECK(last.refused->reason == Core::Reason::BacklogTooLong);
+    CHECK(last.refused->retry_after > std::chrono::seconds(2));
+    CHECK(last.refused->figures.queued > 10);
+}
+
+TEST_CASE("an endpoint that reports that it leaves gets nothing new")
+{
+    VirtualPool pool({ 2, 4, PolicyName::Cleatbeam, 0, 3 });
+    Traffic::LoadReport report { 0, 0, 4, pool.now, true };
+    CHECK(pool.engine.take_report(Core::EndpointId { 0 }, report, pool.now).empty());
+    for (int request = 0; request < 50; ++request) {
+        pool.submit(2, 0);
+        pool.run_for(0.1);
+    }
+    CHECK(pool.placed_at[Core::EndpointId { 0 }] == 0);
+    CHECK(pool.placed_at[Core::EndpointId { 1 }] == 50);
+}
+
+TEST_CASE("retries stay inside their budget when every attempt fails")
+{
+    VirtualPool pool({ 4, 8, PolicyName::Cleatbeam, 1.0, 3 });
+    int requests = 0;
+    for (int step = 0; step < 2000; ++step) {
+        pool.submit(2, 0);
+        ++requests;
+        pool.run_for(0.01);
+    }
+    pool.run_for(30);
+    int dispatches = 0;
+    for (auto const& [id, request] : pool.seen)
+        dispatches += request.dispatches;
+    CHECK(dispatches <= requests * 1.1 + 10);
+}
