LibTraffic: Let a box use its own share whatever a late report says

Cause: `cleatbeam explain` of late sightings shows boxes with 4 to 14 requests waiting and none running: a service request lasts 60 ms, a report is 300 ms old, and the depth allowed beyond the window was smaller than what a report still showed, so boxes stood still before idle services. Inside its share of the places a box now places urgent work whatever the reports say; beyond it, only where they show room.

--- a/Libraries/LibTraffic/TrafficEngine.cpp
+++ b/Libraries/LibTraffic/TrafficEngine.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::uint32_t most_attempts = 3;
+/// More requests than ever wait at one endpoint.
+constexpr double any_depth = 1e6;
 /// A waiting urgent request may preempt once it has this share of its target left before its latest start.
 constexpr int preemption_margin_divisor = 3;
 /// Preempting work further along than this share of its usual length wastes more than it wins.
@@ -72,14 +74,18 @@
     this->limits = limits_for_demand(this->demand, this->load.window, this->policy.routing.boxes, now);
 }
 
-bool TrafficEngine::is_within_own_share(WindowLimit const& limit) const
+std::optional<WindowLimit> TrafficEngine::limit_in_own_share(WindowLimit const& limit) const
 {
     // NOTE: When all boxes are pressed alike, each keeping to its share keeps the endpoints' queues short, however old
-    // the reports are. A box that is pressed alone borrows what the reports show to be free.
+    // the reports are, so inside the share a report can't forbid a placement. Rounded up, because seven boxes that each
+    // round 1.7 places down to 1 leave a small pool idle.
     auto const boxes = static_cast<double>(this->policy.routing.boxes);
     auto const places = this->load.window * limit.share + limit.extra * static_cast<double>(this->endpoints.size());
+    if (static_cast<double>(this->running.size()) + 1 <= std::ceil(places / boxes))
+        return WindowLimit { 1, any_depth, false };
+    // A box that is pressed alone borrows what the reports show to be free.
     auto const is_idle_enough = this->load.estimated_running + boxes <= this->load.window * limit.share;
-    return is_idle_enough || static_cast<double>(this->running.size()) + 1 <= std::max(1.0, places / boxes);
+    return is_idle_enough ? std::optional { limit } : std::nullopt;
 }
 
 void TrafficEngine::add_estimates()
@@ -310,10 +316,16 @@
 {
     auto const* request = this->queue.find(choice.request);
     VERIFY(request != nullptr);
-    if (!this->is_baseline && !this->is_within_own_share(choice.limit))
+    auto limit = std::optional { choice.limit };
+    if (!this->is_baseline)
+        limit = this->limit_in_own_share(choice.limit);
+    if (!limit)
         return false;
+    // NOTE: Lower tiers keep to the reports even inside the share, since the room they leave is meant for others.
+    if (request->tier.value() > 0 && choice.reason != Reason::PlacedByFloor)
+        limit = choice.limit;
     auto const retry = this->retries.find(choice.request);
-    PlacementQuery const query { this->endpoints, request->facts, choice.limit,
+    PlacementQuery const query { this->endpoints, request->facts, *limit,
         retry == this->retries.end() ? std::nullopt : retry->second.avoid, hint, this->policy.failure_domain,
         this->estimates_of(request->facts).typical_first_token(), now };
     auto const endpoint = std::visit([&](auto& chosen) { return chosen.place(query, this->random); }, this->placement);
--- a/Libraries/LibTraffic/TrafficEngine.h
+++ b/Libraries/LibTraffic/TrafficEngine.h
@@ -76,7 +76,8 @@
 
     void choose_policies();
     void renew_pool_load(Instant now);
-    [[nodiscard]] bool is_within_own_share(WindowLimit const& limit) const;
+    /// The limit for work that no report may keep from running while this box is inside its share of the pool.
+    [[nodiscard]] std::optional<WindowLimit> limit_in_own_share(WindowLimit const& limit) const;
     void add_estimates();
     void enqueue(QueuedRequest const& request, bool at_front);
     void make_room_in_queue(TierId tier, Actions& actions, Instant now);
