LibTraffic: Forget who was served most when nothing waits

Cause: service was summed up for ever, so an account that asks for more than others was ahead of its share at every moment, also when nobody had had to wait, and its requests were held back until they were late.

--- a/Libraries/LibTraffic/FairShares.cpp
+++ b/Libraries/LibTraffic/FairShares.cpp
@@ -10,6 +10,11 @@
     served = std::max(served, least_served);
 }
 
+void FairShares::forget(TierId tier)
+{
+    std::erase_if(this->served_seconds, [&](auto const& entry) { return entry.first.first == tier; });
+}
+
 void FairShares::charge(TierId tier, AccountId account, double seconds, double weight)
 {
     this->served_seconds[{ tier, account }] += seconds / weight;
--- a/Libraries/LibTraffic/FairShares.h
+++ b/Libraries/LibTraffic/FairShares.h
@@ -12,6 +12,8 @@
 public:
     /// An account that had nothing waiting starts level with the least served one, not with a credit saved up.
     void became_backlogged(TierId tier, AccountId account, double least_served);
+    /// Nothing of the tier waits: who was served more in the past owes nothing to who comes next.
+    void forget(TierId tier);
     void charge(TierId tier, AccountId account, double seconds, double weight);
     [[nodiscard]] double served(TierId tier, AccountId account) const;
 
--- a/Libraries/LibTraffic/TrafficEngine.cpp
+++ b/Libraries/LibTraffic/TrafficEngine.cpp
@@ -277,6 +277,8 @@
 
 void TrafficEngine::enqueue(QueuedRequest const& request, bool at_front)
 {
+    if (this->queue.size_of_tier(request.tier) == 0)
+        this->shares.forget(request.tier);
     auto least_served = std::numeric_limits<double>::infinity();
     bool is_waiting_already = false;
     this->queue.for_each_flow(request.tier, [&](Flow const& flow) {
--- a/Tests/LibTraffic/TestTrafficEngine.cpp
+++ b/Tests/LibTraffic/TestTrafficEngine.cpp
@@ -109,6 +109,26 @@
     CHECK(share_completed(pool, 0) < 0.9);
 }
 
+TEST_CASE("an account that was served much while nobody waited owes nothing later")
+{
+    VirtualPool pool({ 1, 2, PolicyName::Cleatbeam, 0, 3 });
+    for (int request = 0; request < 50; ++request) {
+        pool.submit(1, 0);
+        pool.run_for(2);
+    }
+    for (int request = 0; request < 6; ++request)
+        pool.submit(1, 1);
+    pool.submit(1, 0);
+    auto const first = pool.seen.rbegin()->first;
+    for (int request = 0; request < 6; ++request)
+        pool.submit(1, 2);
+    pool.run_for(60);
+    int ended_before = 0;
+    for (auto const& [id, request] : pool.seen)
+        ended_before += id > first && request.ended_at < pool.seen.at(first).ended_at ? 1 : 0;
+    CHECK(ended_before < 4);
+}
+
 TEST_CASE("late requests do not stand in the way of those that can be in time")
 {
     VirtualPool pool({ 1, 2, PolicyName::Cleatbeam, 0, 3 });
