LibServer: Cut no stream when a box is stopped on purpose

Cause: the HTTP library's stop() ends every answer that is being streamed. A test with four open streams and SIGTERM failed: 4 of 4 cut. The listening socket is shut down instead, which ends the accept loop and lets it wait for what is in flight. Ruled out: the drain's order (the streams were cut after the balancer's lag, at stop).

--- a/Libraries/LibServer/CallerServer.cpp
+++ b/Libraries/LibServer/CallerServer.cpp
@@ -142,6 +142,9 @@
     std::shared_ptr<RequestFlow> const& flow, std::shared_ptr<PoolShard> const& shard, httplib::Response& response)
 {
     response.set_header("X-Cleatbeam-Request-Id", hex(flow->facts.id));
+    // NOTE: A kept connection would bring new requests after the listener is closed.
+    if (this->state.is_draining())
+        response.set_header("Connection", "close");
     auto first = flow->pop();
     if (auto const* end = std::get_if<End>(&first)) {
         this->answer_end(*flow, *end, response);
--- a/Libraries/LibServer/HttpListener.cpp
+++ b/Libraries/LibServer/HttpListener.cpp
@@ -19,9 +19,10 @@
     server.set_keep_alive_max_count(limits.requests_per_connection);
     server.set_payload_max_length(limits.largest_body_bytes);
     // NOTE: Without SO_REUSEPORT, which is the library's default, two boxes on one port fail loudly.
-    server.set_socket_options([](socket_t socket) {
+    server.set_socket_options([self = listener.get()](socket_t socket) {
         int const yes = 1;
         setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+        self->listening_socket = socket;
     });
     add_handlers(server);
     if (address.port == 0) {
@@ -49,7 +50,9 @@
 {
     if (!this->thread.joinable())
         return;
-    this->server.stop();
+    // NOTE: The library's own stop() cuts every answer that is being streamed. Shutting the listening socket down makes
+    // its accept loop end instead, after which it waits for the requests in flight.
+    shutdown(this->listening_socket, SHUT_RDWR);
     this->thread.join();
 }
 
--- a/Libraries/LibServer/HttpListener.h
+++ b/Libraries/LibServer/HttpListener.h
@@ -39,6 +39,7 @@
     httplib::Server server;
     std::thread thread;
     int bound_port { 0 };
+    int listening_socket { -1 };
 };
 
 }
--- a/Libraries/LibServer/OperatorServer.cpp
+++ b/Libraries/LibServer/OperatorServer.cpp
@@ -76,9 +76,9 @@
         { "settings_version", table ? table->version().value() : 0 }, { "pools", nlohmann::json::object() } };
     for (auto const& shard : this->state.shards()) {
         auto const pool = shard->status();
-        status["pools"][shard->name()]
-            = { { "queued", pool.queued }, { "running", pool.running }, { "lower_tier_sheds", pool.lower_tier_sheds },
-                  { "urgent_refusals_beside_lower_work", pool.urgent_refusals_beside_lower_work } };
+        status["pools"][shard->name()] = { { "queued", pool.queued }, { "running", pool.running },
+            { "leaving", pool.leaving }, { "lower_tier_sheds", pool.lower_tier_sheds },
+            { "urgent_refusals_beside_lower_work", pool.urgent_refusals_beside_lower_work } };
     }
     return status.dump(2) + "\n";
 }
--- a/Libraries/LibTraffic/TrafficEngine.cpp
+++ b/Libraries/LibTraffic/TrafficEngine.cpp
@@ -539,7 +539,10 @@
 
 PoolStatus TrafficEngine::status() const
 {
-    return { this->queue.size(), this->running.size(), this->queue.class_sizes(), this->lower_tier_sheds,
+    std::size_t leaving = 0;
+    for (std::size_t index = 0; index < this->endpoints.size(); ++index)
+        leaving += this->endpoints.view_at(index).leaving() ? 1 : 0;
+    return { this->queue.size(), this->running.size(), leaving, this->queue.class_sizes(), this->lower_tier_sheds,
         this->urgent_refusals_beside_lower_work };
 }
 
--- a/Libraries/LibTraffic/TrafficEngine.h
+++ b/Libraries/LibTraffic/TrafficEngine.h
@@ -10,6 +10,8 @@
 struct PoolStatus {
     std::size_t queued { 0 };
     std::size_t running { 0 };
+    /// Endpoints that take no new work because they leave.
+    std::size_t leaving { 0 };
     std::map<ClassId, std::size_t> queued_by_class;
     std::uint64_t lower_tier_sheds { 0 };
     std::uint64_t urgent_refusals_beside_lower_work { 0 };
--- /dev/null
+++ b/Meta/check_command_line.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Checks exit codes and messages of the command line, and that the worked settings are good.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+cleatbeam=${CLEATBEAM_BUILD:-Build}/cleatbeam
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+failures=0
+expect() {
+    local wanted=$1 pattern=$2
+    shift 2
+    "$cleatbeam" "$@" >"$folder/out" 2>&1
+    local code=$?
+    if [ "$code" != "$wanted" ] || ! grep -qe "$pattern" "$folder/out"; then
+        echo "cleatbeam $*: exit code $code, wanted $wanted with '$pattern'; said:"
+        cat "$folder/out"
+        failures=$((failures + 1))
+    fi
+}
+expect 2 'usage: cleatbeam'
+expect 0 'usage: cleatbeam' --help
+expect 2 "unknown subcommand 'fly'" fly
+for subcommand in serve check publish show status explain; do
+    expect 0 "usage: cleatbeam $subcommand" "$subcommand" --help
+    expect 2 'unknown flag --colour' "$subcommand" --colour=red
+done
+expect 2 'takes 1 argument' check
+expect 2 'needs a value' serve --box
+expect 2 "bad value 'soon'" serve --balancer_lag_ms=soon
+expect 1 "can't read" check "$folder/none.yaml"
+expect 2 "can't read" serve --box="$folder/none.yaml"
+for example in censo-aves pharmalien; do expect 0 '^ok classes=' check "Examples/$example.yaml"; done
+expect 0 'patience: 20s   # from classes/field/sighting' show Examples/censo-aves.yaml --class=sighting
+expect 0 'tier: urgent   # from classes/field ' show Examples/censo-aves.yaml --class=sighting
+expect 1 "no leaf is called 'nobody'" show Examples/censo-aves.yaml --account=nobody
+sed 's/patience: 6s/patience: 6/' Examples/censo-aves.yaml >"$folder/bad.yaml"
+expect 1 'path=classes/field/patience line=8 value="6" reason=' check "$folder/bad.yaml"
+printf 'name: x\nlisten: nowhere\n' >"$folder/box.yaml"
+expect 1 'path=listen line=2 value="nowhere"' serve --box="$folder/box.yaml"
+expect 1 "does not answer" publish Examples/censo-aves.yaml --platform=127.0.0.1:1
+expect 2 'must be an IP number' publish Examples/censo-aves.yaml --platform=nowhere
+[ "$failures" -eq 0 ] && echo "command line: as it should be"
+exit "$failures"
--- a/Programs/standin/Endpoint.cpp
+++ b/Programs/standin/Endpoint.cpp
@@ -45,6 +45,8 @@
     std::string token;
     std::string key;
     int tokens { 0 };
+    /// Whether it still holds its slot.
+    bool open { true };
     bool finished { false };
 };
 
@@ -54,7 +56,7 @@
     std::size_t open(Job const& job)
     {
         std::scoped_lock const lock(this->mutex);
-        this->entries.push_back({ job.token, job.key, 0, false });
+        this->entries.push_back({ job.token, job.key, 0, true, false });
         return this->entries.size() - 1;
     }
     void add_tokens(std::size_t entry, int tokens)
@@ -62,10 +64,11 @@
         std::scoped_lock const lock(this->mutex);
         this->entries[entry].tokens += tokens;
     }
-    void finish(std::size_t entry)
+    void close(std::size_t entry, bool finished)
     {
         std::scoped_lock const lock(this->mutex);
-        this->entries[entry].finished = true;
+        this->entries[entry].open = false;
+        this->entries[entry].finished = finished;
     }
     nlohmann::json to_json()
     {
@@ -73,7 +76,7 @@
         auto list = nlohmann::json::array();
         for (auto const& entry : this->entries)
             list.push_back({ { "token", entry.token }, { "key", entry.key }, { "tokens", entry.tokens },
-                { "finished", entry.finished } });
+                { "open", entry.open }, { "finished", entry.finished } });
         return list;
     }
 
@@ -178,9 +181,9 @@
         auto const entry = this->journal.open(job);
         auto const is_whole = this->generate_tokens(job, entry, sink);
         this->slots.release();
+        this->journal.close(entry, is_whole);
         if (!is_whole)
             return false;
-        this->journal.finish(entry);
         sink.done();
         return true;
     }
@@ -240,7 +243,7 @@
         auto const entry = this->journal.open(job);
         std::this_thread::sleep_for(Milliseconds(job.work_ms * this->slow_factor));
         this->journal.add_tokens(entry, 1);
-        this->journal.finish(entry);
+        this->journal.close(entry, true);
         this->slots.release();
         while (this->freeze_before_answer && !this->is_stopping)
             std::this_thread::sleep_for(std::chrono::milliseconds(5));
--- a/Programs/standin/Standin.h
+++ b/Programs/standin/Standin.h
@@ -7,6 +7,7 @@
 int run_platform();
 int run_endpoint();
 int run_load();
+int run_probe();
 int run_print_settings();
 
 /// Writes "PORT\n" to a file, aside and renamed. Does nothing for an empty path.
--- a/Programs/standin/main.cpp
+++ b/Programs/standin/main.cpp
@@ -56,10 +56,10 @@
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage("standin platform|endpoint|load|settings [flags]");
+    gflags::SetUsageMessage("standin platform|endpoint|load|probe|settings [flags]");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::map<std::string, int (*)()> const roles { { "platform", run_platform }, { "endpoint", run_endpoint },
-        { "load", run_load }, { "settings", run_print_settings } };
+        { "load", run_load }, { "probe", run_probe }, { "settings", run_print_settings } };
     auto const role = argc == 2 ? roles.find(argv[1]) : roles.end();
     if (role == roles.end()) {
         std::cerr << gflags::ProgramUsage() << "\n";
--- a/Tests/Harness/Cluster.cpp
+++ b/Tests/Harness/Cluster.cpp
@@ -60,14 +60,14 @@
     this->ports[name] = std::stoi(text_of(port_file));
 }
 
-void Cluster::start_box(std::string const& name)
+void Cluster::start_box(std::string const& name, int threads)
 {
     auto const ports_file = this->folder / (name + ".ports");
     std::filesystem::remove(ports_file);
     std::ofstream(this->folder / (name + ".yaml"))
         << "name: " << name
         << "\nfailure_domain: hall-1\nlisten: 127.0.0.1:0\noperator_listen: 127.0.0.1:0\nplatform: 127.0.0.1:"
-        << this->ports.at("platform") << "\nthreads: 64\nports_file: " << ports_file.string() << "\n";
+        << this->ports.at("platform") << "\nthreads: " << threads << "\nports_file: " << ports_file.string() << "\n";
     this->processes[name] = std::make_unique<Process>((this->build / "cleatbeam").string(),
         std::vector<std::string> { "serve", "--box=" + this->path_of(name + ".yaml"), "--balancer_lag_ms=100" },
         this->path_of(name + ".log"));
--- a/Tests/Harness/Cluster.h
+++ b/Tests/Harness/Cluster.h
@@ -36,7 +36,7 @@
 
     /// Starts a stand-in of the role under a name of the test's choice.
     void start_standin(std::string const& name, std::string const& role, std::vector<std::string> const& flags = {});
-    void start_box(std::string const& name);
+    void start_box(std::string const& name, int threads = 64);
     /// Publishes a settings document and waits until all boxes are ready.
     void publish(std::string const& document);
     void wait_ready(std::string const& box);
