LibSettings: Refuse a document without its trees in place of throwing

Cause: a fuzz target fed a document without `classes`; the YAML library throws when asked for the kind of a node that is not there, and nothing caught it, so `check` and a box would have ended. Missing trees are now a fault of their own, and whatever else the library throws is one too.

Also found by running tests against altered copies of the engine: the retry budget's test did not notice a budget without bound (all endpoints were ejected first), and no class was lower and not repeatable, so preempting such work went unnoticed; both tests are now stricter. The ledger erased kept answers from the front of a vector, a pass over all of them for each answer; it is a deque now.

--- a/Libraries/LibFate/FateLedger.cpp
+++ b/Libraries/LibFate/FateLedger.cpp
@@ -138,9 +138,9 @@
 
 void FateLedger::keep_bodies_bounded()
 {
-    std::size_t dropped = 0;
-    while (this->kept_bytes > this->limits.most_kept_bytes && dropped < this->kept_bodies.size()) {
-        auto const found = this->fates.find(this->kept_bodies[dropped++]);
+    while (this->kept_bytes > this->limits.most_kept_bytes && !this->kept_bodies.empty()) {
+        auto const found = this->fates.find(this->kept_bodies.front());
+        this->kept_bodies.pop_front();
         if (found == this->fates.end() || !found->second.settled)
             continue;
         auto& settled = *found->second.settled;
@@ -149,8 +149,6 @@
         settled.body.shrink_to_fit();
         settled.body_kept = false;
     }
-    this->kept_bodies.erase(
-        this->kept_bodies.begin(), this->kept_bodies.begin() + static_cast<std::ptrdiff_t>(dropped));
 }
 
 bool FateLedger::has_won(Claim const& claim) const
--- a/Libraries/LibFate/FateLedger.h
+++ b/Libraries/LibFate/FateLedger.h
@@ -2,6 +2,7 @@
 
 #include <LibFate/FateTypes.h>
 
+#include <deque>
 #include <map>
 #include <unordered_map>
 
@@ -144,7 +145,7 @@
     std::unordered_map<Key, Claim> claims_under_way;
     /// Settlements that were read before the claim they belong to.
     std::unordered_map<Key, std::vector<EarlySettlement>> early_settlements;
-    std::vector<Key> kept_bodies;
+    std::deque<Key> kept_bodies;
     std::size_t kept_bytes { 0 };
 };
 
--- a/Libraries/LibServer/BoxSettings.cpp
+++ b/Libraries/LibServer/BoxSettings.cpp
@@ -82,7 +82,7 @@
     }
     BoxSettings settings;
     for (auto const& entry : root) {
-        auto const key = entry.first.Scalar();
+        auto const key = entry.first.IsScalar() ? entry.first.Scalar() : "";
         auto const line = entry.second.Mark().line + 1;
         auto const field = fields().find(key);
         if (field == fields().end()) {
--- a/Libraries/LibSettings/SettingsReader.cpp
+++ b/Libraries/LibSettings/SettingsReader.cpp
@@ -357,15 +357,9 @@
             { "classes", 0, std::to_string(sum), "the floors of all classes together must not exceed 0.5" });
 }
 
-}
-
-std::optional<ReadSettings> read_settings(std::string const& text, std::vector<SettingsFault>& faults)
+std::optional<ReadSettings> read_loaded(YAML::Node const& root, std::vector<SettingsFault>& faults)
 {
     auto const faults_before = faults.size();
-    check_document_text(text, faults);
-    if (faults.size() != faults_before)
-        return {};
-    auto const root = YAML::Load(text);
     if (!root.IsMap()) {
         faults.push_back({ "", 0, "", "a document is a map with tiers, classes, accounts, endpoints and routing" });
         return {};
@@ -394,3 +388,20 @@
 }
 
 }
+
+std::optional<ReadSettings> read_settings(std::string const& text, std::vector<SettingsFault>& faults)
+{
+    auto const faults_before = faults.size();
+    check_document_text(text, faults);
+    if (faults.size() != faults_before)
+        return {};
+    // NOTE: The YAML library throws on some nodes that are not there or of another kind; that is a bad document.
+    try {
+        return read_loaded(YAML::Load(text), faults);
+    } catch (YAML::Exception const& exception) {
+        faults.push_back({ "", exception.mark.line + 1, "", exception.msg });
+        return {};
+    }
+}
+
+}
--- a/Libraries/LibSettings/SettingsTree.cpp
+++ b/Libraries/LibSettings/SettingsTree.cpp
@@ -48,6 +48,10 @@
 SettingsTree SettingsTree::create(YAML::Node const& node, std::string const& name, std::vector<SettingsFault>& faults)
 {
     SettingsTree tree;
+    if (!node.IsDefined()) {
+        faults.push_back({ name, 0, "", "missing" });
+        return tree;
+    }
     tree.read_branch(node, name, {}, 0, faults);
     return tree;
 }
--- a/Tests/LibSettings/TestSettingsReader.cpp
+++ b/Tests/LibSettings/TestSettingsReader.cpp
@@ -81,6 +81,9 @@
     CHECK(is_refused_at(with("[urgent, session, background]", "[urgent, session]"), "tiers", "3 different"));
     CHECK(is_refused_at("", "", "empty"));
     CHECK(is_refused_at("[1, 2]", "", "map"));
+    CHECK(is_refused_at("tiers: [a, b, c]\n", "classes", "missing"));
+    CHECK(is_refused_at("classes: ~\naccounts: 5\nendpoints: []\n", "accounts", "map"));
+    CHECK(is_refused_at("? {a: b}\n: c\n", "", ""));
     CHECK(is_refused_at("tiers: [", "", ""));
     CHECK(is_refused_at(std::string(Settings::largest_document_bytes + 1, ' '), "", "larger"));
 }
--- a/Tests/LibTraffic/TestTrafficEngine.cpp
+++ b/Tests/LibTraffic/TestTrafficEngine.cpp
@@ -14,7 +14,7 @@
     for (int step = 0; step < 3000; ++step) {
         auto const arrivals = pool.random(step % 1000 < 300 ? 4 : 2);
         for (std::uint32_t arrival = 0; arrival < arrivals; ++arrival)
-            pool.submit(pool.random(4), pool.random(5), pool.random(2) == 0);
+            pool.submit(pool.random(5), pool.random(5), pool.random(2) == 0);
         pool.run_for(0.01);
     }
     pool.run_for(120);
@@ -70,7 +70,8 @@
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         auto const pool = random_history(PolicyName::Cleatbeam, seed);
         for (auto const& [id, request] : pool.seen) {
-            if (request.facts.request_class == Core::ClassId { 1 })
+            if (request.facts.request_class == Core::ClassId { 1 }
+                || request.facts.request_class == Core::ClassId { 4 })
                 REQUIRE(request.dispatches <= 1);
         }
     }
@@ -194,9 +195,9 @@
     CHECK(pool.placed_at[Core::EndpointId { 1 }] == 50);
 }
 
-TEST_CASE("retries stay inside their budget when every attempt fails")
+TEST_CASE("retries stay inside their budget when many attempts fail")
 {
-    VirtualPool pool({ 4, 8, PolicyName::Cleatbeam, 1.0, 3 });
+    VirtualPool pool({ 4, 8, PolicyName::Cleatbeam, 0.4, 3 });
     int requests = 0;
     for (int step = 0; step < 2000; ++step) {
         pool.submit(2, 0);
@@ -207,5 +208,6 @@
     int dispatches = 0;
     for (auto const& [id, request] : pool.seen)
         dispatches += request.dispatches;
+    CHECK(dispatches > requests);
     CHECK(dispatches <= requests * 1.1 + 10);
 }
--- a/Tests/LibTraffic/VirtualPool.h
+++ b/Tests/LibTraffic/VirtualPool.h
@@ -46,7 +46,7 @@
         return settings;
     }
 
-    /// Class 0 urgent, 1 urgent and not repeatable, 2 session, 3 background with a floor.
+    /// Class 0 urgent, 1 urgent and not repeatable, 2 session, 3 background with a floor, 4 session and not repeatable.
     static Traffic::PoolPolicy policy_for(Options const& options)
     {
         Traffic::PoolPolicy policy;
@@ -54,6 +54,7 @@
         policy.classes.emplace(Core::ClassId { 1 }, request_class(0, 0.5, 4, false, 0, true));
         policy.classes.emplace(Core::ClassId { 2 }, request_class(1, 2, 10, true, 0, true));
         policy.classes.emplace(Core::ClassId { 3 }, request_class(2, 20, 60, true, 0.05, true));
+        policy.classes.emplace(Core::ClassId { 4 }, request_class(1, 2, 10, false, 0, true));
         for (int index = 0; index < options.endpoints; ++index) {
             Settings::EndpointSettings endpoint;
             endpoint.slots = options.slots;
