Tests: Notice when work that may not be repeated is preempted

Cause: of 11 altered copies of the engine, the one that preempts such work was not noticed: in the random histories a repeatable victim of a lower tier was always nearer. The new test has the two kinds in the same place.

--- a/Tests/LibTraffic/TestTrafficEngine.cpp
+++ b/Tests/LibTraffic/TestTrafficEngine.cpp
@@ -65,6 +65,24 @@
     CHECK(preemptions > 0);
 }
 
+TEST_CASE("work that may not be repeated is not preempted, where repeatable work in its place is")
+{
+    for (auto const lower : { 2U, 4U }) {
+        VirtualPool pool({ 1, 2, PolicyName::Cleatbeam, 0, 3 });
+        pool.mean_seconds = 5;
+        for (int request = 0; request < 10; ++request) {
+            pool.submit(lower, 0);
+            pool.run_for(40);
+        }
+        pool.mean_seconds = 1000;
+        pool.submit(lower, 0);
+        for (int request = 0; request < 20; ++request)
+            pool.submit(0, 1);
+        pool.run_for(0.45);
+        CHECK(pool.preempted.empty() == (lower == 4));
+    }
+}
+
 TEST_CASE("a not-repeatable request is sent to an endpoint at most once")
 {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
