Tests: Keep the policy that a property test looks at

Cause: the test held a reference into a temporary; the address sanitizer ends it (9 of 10 tests passed there). The value is copied now.

--- a/Tests/LibTraffic/TestTrafficEngine.cpp
+++ b/Tests/LibTraffic/TestTrafficEngine.cpp
@@ -56,7 +56,7 @@
         auto const pool = random_history(PolicyName::Cleatbeam, seed);
         for (auto const id : pool.preempted) {
             auto const& facts = pool.seen.at(id).facts;
-            auto const& settings = VirtualPool::policy_for({}).classes.at(facts.request_class);
+            auto const settings = VirtualPool::policy_for({}).classes.at(facts.request_class);
             CHECK(settings.tier.value() > 0);
             CHECK(settings.repeatable);
             ++preemptions;
