--- a/Libraries/LibCore/Reason.cpp
+++ b/Libraries/LibCore/Reason.cpp
@@ -51,6 +51,19 @@
     "credential-missing",
     "credential-wrong",
     "settings-not-loaded",
+    "route-unknown",
+    "key-unknown",
+    "configuration-missing",
+    "configuration-expired",
+    "header-too-large",
+    "malformed-request",
+    "deadline-passed",
+    "route-timeout-passed",
+    "endpoint-full",
+    "endpoint-replaced",
+    "endpoint-failed",
+    "attempts-spent",
+    "memory-limit",
 };
 
 }
--- a/Libraries/LibCore/Reason.h
+++ b/Libraries/LibCore/Reason.h
@@ -67,6 +67,20 @@
     CredentialMissing,
     CredentialWrong,
     SettingsNotLoaded,
+    // The platform front: what configuration and endpoints say of a request.
+    RouteUnknown,
+    KeyUnknown,
+    ConfigurationMissing,
+    ConfigurationExpired,
+    HeaderTooLarge,
+    MalformedRequest,
+    DeadlinePassed,
+    RouteTimeoutPassed,
+    EndpointFull,
+    EndpointReplaced,
+    EndpointFailed,
+    AttemptsSpent,
+    MemoryLimit,
     Count,
 };
 
--- /dev/null
+++ b/Libraries/LibGateway/Asio.cpp
@@ -0,0 +1,61 @@
+#include <LibGateway/Asio.h>
+
+#include <array>
+
+namespace Gateway {
+
+std::optional<tcp::endpoint> to_socket_address(Routing::SocketAddress const& address)
+{
+    error_code error;
+    auto const numeric = asio::ip::make_address(address.host, error);
+    if (error)
+        return {};
+    return tcp::endpoint(numeric, address.port);
+}
+
+std::optional<tcp::acceptor> listen_on(
+    asio::io_context& context, Routing::SocketAddress const& address, Core::LastReason& last_reason)
+{
+    auto const place = to_socket_address(address);
+    if (!place) {
+        last_reason.text = "not a numeric address: " + address.host;
+        return {};
+    }
+    tcp::acceptor acceptor(context);
+    error_code error;
+    acceptor.open(place->protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(*place, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (!error)
+        return acceptor;
+    last_reason.text = "can't listen on " + address.host + ":" + std::to_string(address.port) + ": " + error.message();
+    return {};
+}
+
+Task<void> close_after_answer(std::shared_ptr<tcp::socket> socket)
+{
+    // Longer than a round trip to clients; a client that goes on sending is cut off then.
+    constexpr auto longest_wait = std::chrono::milliseconds(500);
+    error_code ignored;
+    socket->shutdown(tcp::socket::shutdown_send, ignored);
+    asio::steady_timer timer(socket->get_executor(), longest_wait);
+    timer.async_wait([socket](error_code cancelled) {
+        error_code ignored;
+        if (!cancelled)
+            socket->close(ignored);
+    });
+    std::array<char, 4096> discarded {};
+    bool is_open = true;
+    while (is_open) {
+        auto const [error, bytes] = co_await socket->async_read_some(asio::buffer(discarded), as_value);
+        is_open = !error;
+    }
+    timer.cancel();
+    socket->close(ignored);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -0,0 +1,211 @@
+#include <LibGateway/CallerConnection.h>
+
+#include <LibLog/EventLog.h>
+
+namespace Gateway {
+
+using Core::Reason;
+
+namespace {
+
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_request_timeout = 408;
+constexpr unsigned status_payload_too_large = 413;
+constexpr unsigned status_header_too_large = 431;
+constexpr unsigned status_unavailable = 503;
+
+struct BadRequest {
+    unsigned status;
+    Reason reason;
+};
+
+BadRequest bad_request_for(error_code error)
+{
+    if (error == http::error::header_limit)
+        return { status_header_too_large, Reason::HeaderTooLarge };
+    if (error == http::error::body_limit)
+        return { status_payload_too_large, Reason::BodyTooLarge };
+    return { status_bad_request, Reason::MalformedRequest };
+}
+
+bool is_parse_error(error_code error)
+{
+    return error.category() == http::make_error_code(http::error::bad_method).category()
+        && error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+/// A request line and a few short headers; anything longer gets more room as it comes.
+constexpr std::size_t usual_head_bytes = 1024;
+
+}
+
+CallerConnection::CallerConnection(GatewayState& state, tcp::socket socket)
+    : state(state)
+    , socket(std::move(socket))
+    , guard(state.context)
+{
+    ++this->state.clients;
+}
+
+CallerConnection::~CallerConnection()
+{
+    --this->state.clients;
+}
+
+Task<void> CallerConnection::run()
+{
+    auto const self = this->shared_from_this();
+    bool is_open = true;
+    while (is_open) {
+        if (!co_await this->wait_for_request())
+            break;
+        Parser parser;
+        auto const current_limits = this->limits();
+        parser.header_limit(current_limits.max_header_bytes);
+        parser.body_limit(current_limits.max_body_bytes);
+        if (!co_await this->read_request(parser))
+            break;
+        is_open = co_await this->serve_request(parser);
+    }
+    this->guard.cancel();
+    error_code ignored;
+    this->socket.close(ignored);
+}
+
+Task<bool> CallerConnection::wait_for_request()
+{
+    if (this->buffer.size() > 0)
+        co_return true;
+    // NOTE: An idle connection holds no memory for reading.
+    this->buffer.shrink_to_fit();
+    this->arm_guard(this->limits().idle_timeout);
+    auto const [error] = co_await this->socket.async_wait(tcp::socket::wait_read, as_value);
+    co_return !error && !this->guard_fired;
+}
+
+Task<bool> CallerConnection::read_request(Parser& parser)
+{
+    auto const error = co_await this->read_head_and_body(parser);
+    this->guard.cancel();
+    if (!error)
+        co_return true;
+    if (this->guard_fired) {
+        co_await this->answer_bad_request(status_request_timeout, Reason::DeadlinePassed, "the request took too long");
+        co_return false;
+    }
+    if (is_parse_error(error)) {
+        auto const [status, reason] = bad_request_for(error);
+        co_await this->answer_bad_request(status, reason, error.message());
+    }
+    co_return false;
+}
+
+Task<error_code> CallerConnection::read_head_and_body(Parser& parser)
+{
+    this->arm_guard(this->limits().header_timeout);
+    this->buffer.reserve(usual_head_bytes);
+    auto const [head_error, head_bytes]
+        = co_await http::async_read_header(this->socket, this->buffer, parser, as_value);
+    if (head_error)
+        co_return head_error;
+    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        auto const [error, bytes] = co_await asio::async_write(this->socket, asio::buffer(go_on), as_value);
+        if (error)
+            co_return error;
+    }
+    // NOTE: A body may take as long as a connection may be idle: the limits name no other time for it.
+    this->arm_guard(this->limits().idle_timeout);
+    auto const [error, bytes] = co_await http::async_read(this->socket, this->buffer, parser, as_value);
+    co_return error;
+}
+
+Task<bool> CallerConnection::serve_request(Parser& parser)
+{
+    auto request = parser.release();
+    auto const body_bytes = request.body().size();
+    bool const keeps_connection = request.keep_alive();
+    if (this->state.body_bytes + body_bytes > this->state.most_body_bytes) {
+        co_await this->answer_bad_request(status_unavailable, Reason::MemoryLimit, "too many bodies held");
+        co_return false;
+    }
+    this->state.body_bytes += body_bytes;
+    ++this->state.requests;
+    ++this->turn;
+    this->exchange = std::make_shared<RequestExchange>(
+        this->state, std::move(request), ClientSide { this->shared_socket(), keeps_connection });
+    this->watch_for_close();
+    bool const is_open = co_await this->exchange->run();
+    this->exchange = nullptr;
+    ++this->turn;
+    --this->state.requests;
+    this->state.body_bytes -= body_bytes;
+    co_return is_open;
+}
+
+Task<void> CallerConnection::answer_bad_request(unsigned status, Reason reason, std::string_view detail)
+{
+    this->state.metrics.count_refusal(reason);
+    Log::EventLine("request_unreadable")
+        .with("status", status)
+        .with("reason", Core::to_string(reason))
+        .with("detail", detail)
+        .info();
+    auto const bytes = Adapter::encode_own_answer({ status, "", reason, {}, false, false });
+    auto const [error, written] = co_await asio::async_write(this->socket, asio::buffer(bytes), as_value);
+    if (!error)
+        co_await close_after_answer(this->shared_socket());
+}
+
+void CallerConnection::watch_for_close()
+{
+    this->socket.async_wait(
+        tcp::socket::wait_read, [weak = this->weak_from_this(), watched = this->turn](error_code error) {
+            auto const self = weak.lock();
+            if (error || !self || self->turn != watched || !self->exchange)
+                return;
+            error_code ignored;
+            // NOTE: Readable without bytes is the end of the connection; bytes are the client's next request.
+            if (self->socket.available(ignored) == 0)
+                self->exchange->client_left();
+        });
+}
+
+void CallerConnection::arm_guard(Core::Duration timeout)
+{
+    this->guard_fired = false;
+    this->guard.expires_after(timeout);
+    this->guard.async_wait([weak = this->weak_from_this()](error_code cancelled) {
+        auto const self = weak.lock();
+        // NOTE: The timer may have been set anew after this handler was queued.
+        if (cancelled || !self || self->guard.expiry() > asio::steady_timer::clock_type::now())
+            return;
+        self->guard_fired = true;
+        error_code ignored;
+        self->socket.cancel(ignored);
+    });
+}
+
+void CallerConnection::close_if_idle()
+{
+    if (this->exchange || this->buffer.size() > 0)
+        return;
+    error_code error;
+    // NOTE: Bytes that wait are a request, which is served first.
+    if (this->socket.available(error) > 0 && !error)
+        return;
+    this->socket.close(error);
+}
+
+std::shared_ptr<tcp::socket> CallerConnection::shared_socket()
+{
+    return { this->shared_from_this(), &this->socket };
+}
+
+Routing::ClientLimits CallerConnection::limits() const
+{
+    auto const configuration = this->state.router.configuration();
+    return configuration ? configuration->configuration().limits : Routing::ClientLimits {};
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <LibGateway/RequestExchange.h>
+
+namespace Gateway {
+
+/// One client's connection: reads requests one after the other and has each served.
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
+public:
+    CallerConnection(GatewayState& state, tcp::socket socket);
+    ~CallerConnection();
+    CallerConnection(CallerConnection const&) = delete;
+    CallerConnection& operator=(CallerConnection const&) = delete;
+
+    /// Serves the connection until it ends.
+    [[nodiscard]] Task<void> run();
+    /// Closes it if no request is under way.
+    void close_if_idle();
+
+private:
+    using Parser = http::request_parser<http::string_body>;
+
+    [[nodiscard]] Task<bool> wait_for_request();
+    /// Reads one request; false if the connection is over.
+    [[nodiscard]] Task<bool> read_request(Parser& parser);
+    [[nodiscard]] Task<error_code> read_head_and_body(Parser& parser);
+    [[nodiscard]] Task<bool> serve_request(Parser& parser);
+    [[nodiscard]] Task<void> answer_bad_request(unsigned status, Core::Reason reason, std::string_view detail);
+    void watch_for_close();
+    void arm_guard(Core::Duration timeout);
+    [[nodiscard]] std::shared_ptr<tcp::socket> shared_socket();
+    [[nodiscard]] Routing::ClientLimits limits() const;
+
+    GatewayState& state;
+    tcp::socket socket;
+    flat_buffer buffer;
+    asio::steady_timer guard;
+    bool guard_fired { false };
+    std::shared_ptr<RequestExchange> exchange;
+    /// Counts requests, so that a watch set for an earlier one knows that it is over.
+    std::uint64_t turn { 0 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/EndpointConnections.cpp
@@ -0,0 +1,135 @@
+#include <LibGateway/EndpointConnections.h>
+
+#include <algorithm>
+#include <netinet/tcp.h>
+
+namespace Gateway {
+
+void EndpointConnection::abort()
+{
+    error_code ignored;
+    this->socket.close(ignored);
+}
+
+SharedConnection EndpointConnections::take_idle(EndpointId endpoint, Core::Instant now)
+{
+    auto const found = this->idle.find(endpoint);
+    if (found == this->idle.end())
+        return nullptr;
+    auto& kept = found->second;
+    while (!kept.empty()) {
+        auto connection = std::move(kept.back());
+        kept.pop_back();
+        ++connection->turn;
+        error_code error;
+        // NOTE: The watch may not have run yet; bytes on an idle connection belong to no request.
+        bool const is_silent = connection->socket.available(error) == 0 && !error;
+        if (is_silent && is_fresh(*connection, now)) {
+            error_code ignored;
+            connection->socket.cancel(ignored);
+            connection->is_reused = true;
+            return connection;
+        }
+        connection->abort();
+    }
+    return nullptr;
+}
+
+Task<SharedConnection> EndpointConnections::connect(
+    EndpointId endpoint, Routing::SocketAddress address, error_code& error)
+{
+    auto connection = std::make_shared<EndpointConnection>(this->context);
+    connection->endpoint = endpoint;
+    auto const place = to_socket_address(address);
+    if (!place) {
+        error = asio::error::invalid_argument;
+        co_return nullptr;
+    }
+    asio::steady_timer timer(this->context, connect_timeout);
+    timer.async_wait([connection](error_code cancelled) {
+        if (!cancelled)
+            connection->abort();
+    });
+    auto const [failure] = co_await connection->socket.async_connect(*place, as_value);
+    bool const has_timed_out = timer.cancel() == 0;
+    error = has_timed_out && !failure ? error_code(asio::error::timed_out) : failure;
+    if (error)
+        co_return nullptr;
+    this->set_options(connection->socket);
+    co_return connection;
+}
+
+void EndpointConnections::put_back(SharedConnection connection, Core::Instant now)
+{
+    auto& kept = this->idle[connection->endpoint];
+    if (kept.size() >= most_idle_per_endpoint) {
+        connection->abort();
+        return;
+    }
+    connection->idle_since = now;
+    ++connection->turn;
+    this->watch(connection);
+    kept.push_back(std::move(connection));
+}
+
+void EndpointConnections::forget(EndpointId endpoint)
+{
+    auto const found = this->idle.find(endpoint);
+    if (found == this->idle.end())
+        return;
+    for (auto const& connection : found->second)
+        connection->abort();
+    this->idle.erase(found);
+}
+
+void EndpointConnections::close_old(Core::Instant now)
+{
+    for (auto& [endpoint, kept] : this->idle) {
+        // NOTE: The oldest stand in front, since the newest are used first.
+        while (!kept.empty() && !is_fresh(*kept.front(), now)) {
+            kept.front()->abort();
+            kept.pop_front();
+        }
+    }
+}
+
+bool EndpointConnections::is_fresh(EndpointConnection const& connection, Core::Instant now)
+{
+    auto const allowed = connection.told_idle_time
+        ? std::max(Core::Duration { 0 }, *connection.told_idle_time - idle_margin)
+        : usual_idle_time;
+    return now - connection.idle_since < allowed;
+}
+
+void EndpointConnections::set_options(tcp::socket& socket) const
+{
+    using Probing = asio::socket_base::keep_alive;
+    using ProbeAfter = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using ProbeInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using ProbeCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    // NOTE: An option that can't be set only makes a dead endpoint be noticed later, by the request's own deadline.
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(Probing(true), ignored);
+    socket.set_option(ProbeAfter(probe_after_seconds), ignored);
+    socket.set_option(ProbeInterval(probe_interval_seconds), ignored);
+    socket.set_option(ProbeCount(probe_count), ignored);
+    socket.set_option(UserTimeout(unacknowledged_milliseconds), ignored);
+}
+
+void EndpointConnections::watch(SharedConnection const& connection)
+{
+    connection->socket.async_wait(
+        tcp::socket::wait_read, [this, watched = std::weak_ptr(connection), turn = connection->turn](error_code error) {
+            auto const connection = watched.lock();
+            if (error || !connection || connection->turn != turn)
+                return;
+            connection->abort();
+            auto const found = this->idle.find(connection->endpoint);
+            if (found != this->idle.end())
+                std::erase(found->second, connection);
+        });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -0,0 +1,230 @@
+#include <LibGateway/Gateway.h>
+
+#include <LibLog/EventLog.h>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+namespace Gateway {
+
+using Core::monotonic_now;
+using Routing::ConfigurationTrust;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
+
+Routing::RouterSettings router_settings(Adapter::BoxEnvironment const& environment)
+{
+    return { environment.failure_domain, environment.lease, environment.retry, {} };
+}
+
+std::optional<std::int64_t> change_time(std::string const& path)
+{
+    std::error_code error;
+    auto const time = std::filesystem::last_write_time(path, error);
+    return error ? std::nullopt : std::optional<std::int64_t>(time.time_since_epoch().count());
+}
+
+}
+
+Gateway::Gateway(Adapter::BoxEnvironment environment, GatewayOptions options)
+    : environment(std::move(environment))
+    , options(std::move(options))
+    , state(this->context, router_settings(this->environment), this->options.seed)
+    , operator_follower(this->state, this->environment.store, Adapter::Topic::Operator, operator_pace)
+    , endpoints_follower(this->state, this->environment.store, Adapter::Topic::Endpoints, endpoints_pace)
+    , signals(this->context, SIGTERM, SIGINT, SIGHUP)
+    , settings_changed_at(change_time(this->options.settings_path))
+{
+    this->state.most_body_bytes
+        = static_cast<std::size_t>(static_cast<double>(this->environment.memory_bytes) * share_of_memory_for_bodies);
+    this->state.most_clients
+        = static_cast<std::size_t>(static_cast<double>(this->environment.most_sockets) * share_of_sockets_for_clients);
+}
+
+std::unique_ptr<Gateway> Gateway::try_create(
+    Adapter::BoxEnvironment environment, GatewayOptions options, Core::LastReason& last_reason)
+{
+    std::unique_ptr<Gateway> gateway(new Gateway(std::move(environment), std::move(options)));
+    if (!gateway->open_listeners(last_reason))
+        return nullptr;
+    return gateway;
+}
+
+bool Gateway::open_listeners(Core::LastReason& last_reason)
+{
+    this->clients_acceptor = listen_on(this->context, this->environment.front, last_reason);
+    auto readiness_acceptor = listen_on(this->context, this->environment.readiness, last_reason);
+    if (!this->clients_acceptor || !readiness_acceptor)
+        return false;
+    this->readiness.emplace(
+        std::move(*readiness_acceptor), [this](std::string_view path) { return this->answer_readiness(path); });
+    if (this->options.metrics_port == 0)
+        return true;
+    auto metrics_acceptor = listen_on(this->context, { "0.0.0.0", this->options.metrics_port }, last_reason);
+    if (!metrics_acceptor)
+        return false;
+    this->metrics_listener.emplace(
+        std::move(*metrics_acceptor), [this](std::string_view path) { return this->answer_metrics(path); });
+    return true;
+}
+
+void Gateway::run()
+{
+    Log::EventLine("gateway_started")
+        .with("front", this->environment.front.host + ":" + std::to_string(this->environment.front.port))
+        .with("store", this->environment.store.host + ":" + std::to_string(this->environment.store.port))
+        .with("failure_domain", this->environment.failure_domain)
+        .info();
+    asio::co_spawn(this->context, this->operator_follower.run(), asio::detached);
+    asio::co_spawn(this->context, this->endpoints_follower.run(), asio::detached);
+    asio::co_spawn(this->context, this->readiness->run(), asio::detached);
+    if (this->metrics_listener)
+        asio::co_spawn(this->context, this->metrics_listener->run(), asio::detached);
+    asio::co_spawn(this->context, this->accept_clients(), asio::detached);
+    asio::co_spawn(this->context, this->keep_house(), asio::detached);
+    asio::co_spawn(this->context, this->wait_for_signals(), asio::detached);
+    this->context.run();
+    Log::EventLine("gateway_stopped").with("requests_open", this->state.requests).info();
+    spdlog::default_logger()->flush();
+}
+
+Task<void> Gateway::accept_clients()
+{
+    while (this->clients_acceptor->is_open()) {
+        auto [error, socket] = co_await this->clients_acceptor->async_accept(as_value);
+        if (error) {
+            if (this->clients_acceptor->is_open())
+                Log::EventLine("accept_failed").with("reason", error.message()).warning();
+            co_await sleep_for(std::chrono::milliseconds(10));
+            continue;
+        }
+        if (this->state.clients >= this->state.most_clients) {
+            Log::EventLine("client_turned_away").with("clients", this->state.clients).warning();
+            continue;
+        }
+        error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto const client = std::make_shared<CallerConnection>(this->state, std::move(socket));
+        this->clients.push_back(client);
+        asio::co_spawn(this->context, client->run(), asio::detached);
+    }
+}
+
+Task<void> Gateway::keep_house()
+{
+    for (;;) {
+        co_await sleep_for(housekeeping_interval);
+        auto const now = monotonic_now();
+        for (auto const endpoint : this->state.router.expire_endpoints(now))
+            this->state.connections.forget(endpoint);
+        this->state.connections.close_old(now);
+        this->forget_closed_clients();
+        this->log_readiness_change();
+        if (auto const changed_at = change_time(this->options.settings_path); changed_at != this->settings_changed_at)
+            this->reload_settings();
+        spdlog::default_logger()->flush();
+    }
+}
+
+Task<void> Gateway::wait_for_signals()
+{
+    for (;;) {
+        auto const [error, signal] = co_await this->signals.async_wait(as_value);
+        if (error)
+            co_return;
+        if (signal != SIGHUP)
+            break;
+        this->reload_settings();
+    }
+    co_await this->stop();
+}
+
+Task<void> Gateway::stop()
+{
+    auto const told_at = monotonic_now();
+    auto const ends_at = told_at + this->environment.stop_grace - stop_margin;
+    this->state.is_stopping = true;
+    Log::EventLine("stop_begun").with("requests_open", this->state.requests).info();
+    // NOTE: The balancer sends new clients until it has asked twice, so they are served until then.
+    co_await sleep_for(std::min(balancer_lag, ends_at - told_at));
+    error_code ignored;
+    this->clients_acceptor->close(ignored);
+    while (monotonic_now() < ends_at) {
+        for (auto const& weak : this->clients) {
+            if (auto const client = weak.lock())
+                client->close_if_idle();
+        }
+        this->forget_closed_clients();
+        if (this->clients.empty())
+            break;
+        co_await sleep_for(std::chrono::milliseconds(50));
+    }
+    this->context.stop();
+}
+
+bool Gateway::takes_clients() const
+{
+    auto const trust = this->state.router.trust(monotonic_now());
+    bool const knows_configuration = trust == ConfigurationTrust::Fresh || trust == ConfigurationTrust::Aging;
+    return !this->state.is_stopping && knows_configuration && this->endpoints_follower.is_primed();
+}
+
+ProbeAnswer Gateway::answer_readiness(std::string_view path)
+{
+    if (!Adapter::is_readiness_path(path))
+        return { status_not_found, "" };
+    return this->takes_clients() ? ProbeAnswer { status_ok, "ready\n" } : ProbeAnswer { status_unavailable, "no\n" };
+}
+
+ProbeAnswer Gateway::answer_metrics(std::string_view path)
+{
+    if (path != "/metrics")
+        return { status_not_found, "" };
+    auto const configuration = this->state.router.configuration();
+    this->state.metrics.set_configuration(
+        configuration ? configuration->version() : 0, this->state.router.configuration_age(monotonic_now()));
+    return { status_ok, this->state.metrics.to_text() };
+}
+
+void Gateway::reload_settings()
+{
+    this->settings_changed_at = change_time(this->options.settings_path);
+    std::ifstream file(this->options.settings_path);
+    std::string const text { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+    Core::LastReason reason;
+    auto changed = Adapter::decode_environment(text, reason);
+    if (!changed) {
+        Log::EventLine("settings_rejected").with("reason", reason.text).error();
+        return;
+    }
+    this->environment = std::move(*changed);
+    this->state.router.set_settings(router_settings(this->environment));
+    this->operator_follower.set_address(this->environment.store);
+    this->endpoints_follower.set_address(this->environment.store);
+    Log::EventLine("settings_reloaded").info();
+}
+
+void Gateway::forget_closed_clients()
+{
+    this->clients.remove_if([](auto const& client) { return client.expired(); });
+}
+
+void Gateway::log_readiness_change()
+{
+    bool const is_ready = this->takes_clients();
+    if (is_ready == this->was_ready)
+        return;
+    this->was_ready = is_ready;
+    Log::EventLine(is_ready ? "ready" : "not_ready")
+        .with("configuration_age_ms", Core::to_milliseconds(this->state.router.configuration_age(monotonic_now())))
+        .with("endpoints", this->state.router.endpoint_count())
+        .with("stopping", this->state.is_stopping ? "yes" : "no")
+        .info();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <LibGateway/CallerConnection.h>
+#include <LibGateway/ProbeListener.h>
+#include <LibGateway/StoreFollower.h>
+#include <platform/BoxEnvironment.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <list>
+
+namespace Gateway {
+
+struct GatewayOptions {
+    std::string settings_path;
+    /// Where metrics are served, on all addresses of the box; 0 for nowhere.
+    std::uint16_t metrics_port { 0 };
+    std::uint64_t seed { 0 };
+};
+
+/// The platform front of a box: listeners, the followers of the store, and the stop.
+class Gateway {
+public:
+    /// Nothing, with a reason, where an address can't be listened on.
+    [[nodiscard]] static std::unique_ptr<Gateway> try_create(
+        Adapter::BoxEnvironment environment, GatewayOptions options, Core::LastReason& last_reason);
+
+    /// Serves until the process is told to stop and its requests are finished.
+    void run();
+
+private:
+    Gateway(Adapter::BoxEnvironment environment, GatewayOptions options);
+
+    [[nodiscard]] bool open_listeners(Core::LastReason& last_reason);
+    [[nodiscard]] Task<void> accept_clients();
+    [[nodiscard]] Task<void> keep_house();
+    [[nodiscard]] Task<void> wait_for_signals();
+    [[nodiscard]] Task<void> stop();
+    [[nodiscard]] bool takes_clients() const;
+    [[nodiscard]] ProbeAnswer answer_readiness(std::string_view path);
+    [[nodiscard]] ProbeAnswer answer_metrics(std::string_view path);
+    void reload_settings();
+    void forget_closed_clients();
+    void log_readiness_change();
+
+    /// How often idle connections, lapsed endpoints and the log's buffer are looked after. Well below the 2 s in which
+    /// an endpoint that leaves has to be left alone.
+    static constexpr Core::Duration housekeeping_interval { std::chrono::milliseconds(250) };
+    /// A read that waits renews the configuration's lease this often; three of them fit into the shortest revocation
+    /// bound of the first sites with a second to spare.
+    static constexpr StoreFollower::Pace operator_pace { std::chrono::milliseconds(1200),
+        std::chrono::milliseconds(0) };
+    /// Endpoints write about every second each, so waiting would make a call of each write. One read a second leaves
+    /// half of the 2 s in which an endpoint that drains must be left alone.
+    static constexpr StoreFollower::Pace endpoints_pace { std::chrono::milliseconds(0),
+        std::chrono::milliseconds(900) };
+    /// After the signal to stop: the balancer asks each second and lets go after two refusals.
+    static constexpr Core::Duration balancer_lag { std::chrono::milliseconds(2300) };
+    /// Kept back from the grace, so that the process ends by itself.
+    static constexpr Core::Duration stop_margin { std::chrono::milliseconds(500) };
+    /// Part of the memory limit that request bodies may take; the rest is for connections and answers.
+    static constexpr double share_of_memory_for_bodies = 0.3;
+    /// Part of the sockets that clients may take; the rest is for endpoints and the store.
+    static constexpr double share_of_sockets_for_clients = 0.6;
+
+    asio::io_context context { 1 };
+    Adapter::BoxEnvironment environment;
+    GatewayOptions options;
+    GatewayState state;
+    StoreFollower operator_follower;
+    StoreFollower endpoints_follower;
+    std::optional<tcp::acceptor> clients_acceptor;
+    std::optional<ProbeListener> readiness;
+    std::optional<ProbeListener> metrics_listener;
+    std::list<std::weak_ptr<CallerConnection>> clients;
+    asio::signal_set signals;
+    std::optional<std::int64_t> settings_changed_at;
+    bool was_ready { false };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -0,0 +1,112 @@
+#include <LibGateway/GatewayMetrics.h>
+
+#include <prometheus/text_serializer.h>
+
+namespace Gateway {
+
+namespace {
+
+prometheus::Histogram::BucketBoundaries const latency_buckets { 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2,
+    2, 4, 8, 16 };
+
+prometheus::Family<prometheus::Counter>& counters(prometheus::Registry& registry, char const* name, char const* help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Histogram>& histograms(
+    prometheus::Registry& registry, char const* name, char const* help)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Gauge& gauge(prometheus::Registry& registry, char const* name, char const* help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+}
+
+GatewayMetrics::GatewayMetrics()
+    : registry(std::make_shared<prometheus::Registry>())
+    , requests(counters(*this->registry, "cleatbeam_requests_total", "Requests by route and final status"))
+    , refusals(counters(*this->registry, "cleatbeam_refusals_total", "Own refusals by reason"))
+    , retries(counters(*this->registry, "cleatbeam_retries_total", "Sends to one more endpoint by reason"))
+    , attempts(counters(*this->registry, "cleatbeam_attempts_total", "Sends to endpoints by result"))
+    , endpoint_connections(
+          counters(*this->registry, "cleatbeam_endpoint_connections_total", "New connections to endpoints").Add({}))
+    , store_calls(counters(*this->registry, "cleatbeam_store_calls_total", "Calls to the platform's store"))
+    , bad_records(counters(*this->registry, "cleatbeam_bad_records_total", "Records that could not be read"))
+    , first_byte_seconds(
+          histograms(*this->registry, "cleatbeam_first_byte_seconds", "From a request's arrival to its first byte"))
+    , answer_seconds(histograms(*this->registry, "cleatbeam_answer_seconds", "From a request's arrival to its end"))
+    , configuration_version(
+          gauge(*this->registry, "cleatbeam_configuration_version", "Version of the configuration in force"))
+    , configuration_age_seconds(gauge(*this->registry, "cleatbeam_configuration_age_seconds",
+          "Time since the store confirmed that no newer configuration exists"))
+    , endpoints(gauge(*this->registry, "cleatbeam_endpoints", "Endpoints that the store lists"))
+{
+}
+
+void GatewayMetrics::count_request(std::string const& route, unsigned status)
+{
+    this->requests.Add({ { "route", route }, { "status", std::to_string(status) } }).Increment();
+}
+
+void GatewayMetrics::count_refusal(Core::Reason reason)
+{
+    this->refusals.Add({ { "reason", std::string(Core::to_string(reason)) } }).Increment();
+}
+
+void GatewayMetrics::count_retry(Core::Reason reason)
+{
+    this->retries.Add({ { "reason", std::string(Core::to_string(reason)) } }).Increment();
+}
+
+void GatewayMetrics::count_attempt(std::string_view result)
+{
+    this->attempts.Add({ { "result", std::string(result) } }).Increment();
+}
+
+void GatewayMetrics::count_endpoint_connection()
+{
+    this->endpoint_connections.Increment();
+}
+
+void GatewayMetrics::count_store_call(std::string_view outcome)
+{
+    this->store_calls.Add({ { "outcome", std::string(outcome) } }).Increment();
+}
+
+void GatewayMetrics::count_bad_record(std::string_view kind)
+{
+    this->bad_records.Add({ { "kind", std::string(kind) } }).Increment();
+}
+
+void GatewayMetrics::observe_first_byte(std::string const& route, Core::Duration taken)
+{
+    this->first_byte_seconds.Add({ { "route", route } }, latency_buckets).Observe(Core::to_seconds(taken));
+}
+
+void GatewayMetrics::observe_answer(std::string const& route, Core::Duration taken)
+{
+    this->answer_seconds.Add({ { "route", route } }, latency_buckets).Observe(Core::to_seconds(taken));
+}
+
+void GatewayMetrics::set_configuration(std::uint64_t version, Core::Duration age)
+{
+    this->configuration_version.Set(static_cast<double>(version));
+    this->configuration_age_seconds.Set(Core::to_seconds(age));
+}
+
+void GatewayMetrics::set_endpoints(std::size_t count)
+{
+    this->endpoints.Set(static_cast<double>(count));
+}
+
+std::string GatewayMetrics::to_text() const
+{
+    return prometheus::TextSerializer().Serialize(this->registry->Collect());
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <LibCore/Reason.h>
+#include <LibCore/Time.h>
+
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+
+namespace Gateway {
+
+/// Counters, gauges and histograms of the platform front. Safe to use from several threads.
+class GatewayMetrics {
+public:
+    GatewayMetrics();
+
+    /// A request got its last answer. `status` is 0 where the client left or the connection broke.
+    void count_request(std::string const& route, unsigned status);
+    void count_refusal(Core::Reason reason);
+    void count_retry(Core::Reason reason);
+    void count_attempt(std::string_view result);
+    void count_endpoint_connection();
+    void count_store_call(std::string_view outcome);
+    void count_bad_record(std::string_view kind);
+    void observe_first_byte(std::string const& route, Core::Duration taken);
+    void observe_answer(std::string const& route, Core::Duration taken);
+    void set_configuration(std::uint64_t version, Core::Duration age);
+    void set_endpoints(std::size_t count);
+
+    /// The text form that scrapers read.
+    [[nodiscard]] std::string to_text() const;
+
+private:
+    std::shared_ptr<prometheus::Registry> registry;
+    prometheus::Family<prometheus::Counter>& requests;
+    prometheus::Family<prometheus::Counter>& refusals;
+    prometheus::Family<prometheus::Counter>& retries;
+    prometheus::Family<prometheus::Counter>& attempts;
+    prometheus::Counter& endpoint_connections;
+    prometheus::Family<prometheus::Counter>& store_calls;
+    prometheus::Family<prometheus::Counter>& bad_records;
+    prometheus::Family<prometheus::Histogram>& first_byte_seconds;
+    prometheus::Family<prometheus::Histogram>& answer_seconds;
+    prometheus::Gauge& configuration_version;
+    prometheus::Gauge& configuration_age_seconds;
+    prometheus::Gauge& endpoints;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayState.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <LibGateway/EndpointConnections.h>
+#include <LibGateway/GatewayMetrics.h>
+#include <LibRouting/RequestRouter.h>
+
+namespace Gateway {
+
+/// What the parts of the front share. Used by the event loop's thread only, but for the router and the metrics, which
+/// have locks of their own.
+struct GatewayState {
+    GatewayState(asio::io_context& context, Routing::RouterSettings settings, std::uint64_t seed)
+        : context(context)
+        , router(std::move(settings), seed)
+        , connections(context)
+    {
+    }
+
+    asio::io_context& context;
+    Routing::RequestRouter router;
+    EndpointConnections connections;
+    GatewayMetrics metrics;
+    /// Set once the process has been told to stop.
+    bool is_stopping { false };
+    /// Requests being served.
+    std::size_t requests { 0 };
+    /// Bytes of request bodies held, and the most that may be.
+    std::size_t body_bytes { 0 };
+    std::size_t most_body_bytes { 0 };
+    /// Open connections of clients, and the most that may be.
+    std::size_t clients { 0 };
+    std::size_t most_clients { 0 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <LibGateway/GatewayState.h>
+#include <platform/RequestCodec.h>
+
+namespace Gateway {
+
+using Request = http::request<http::string_body>;
+
+/// The client's side of a request, as far as the exchange needs it.
+struct ClientSide {
+    std::shared_ptr<tcp::socket> socket;
+    /// Whether the client wants the connection kept.
+    bool keeps_connection { true };
+};
+
+/// One request, from its admission to the last byte of its answer: sends it to endpoints in turn until one answers,
+/// passes the answer on as it comes, and gives up when its time is over or the client has left.
+class RequestExchange : public std::enable_shared_from_this<RequestExchange> {
+public:
+    RequestExchange(GatewayState& state, Request request, ClientSide client);
+
+    /// Serves the request; true if the client's connection may carry another one.
+    [[nodiscard]] Task<bool> run();
+    /// The client closed its connection. Work that may not be repeated is left to finish; all else is cancelled.
+    void client_left();
+
+private:
+    /// How one send to an endpoint ended, as far as the next step depends on it.
+    enum class AttemptEnd {
+        /// The whole answer went to the client, or was discarded because it had left.
+        Delivered,
+        /// The answer broke after a part of it went to the client.
+        BrokenAfterDelivery,
+        /// No byte of the request reached the endpoint.
+        NotSent,
+        /// The endpoint told that it did not run the request.
+        NotRun,
+        /// It may have run.
+        Unknown,
+        /// It ran, and the endpoint answered with a failure of its own that was not passed on.
+        EndpointError,
+    };
+    struct Attempt {
+        Routing::Placed placed;
+        Core::Instant started;
+        unsigned status { 0 };
+        bool reused_connection { false };
+        std::string detail;
+    };
+    using AnswerParser = http::response_parser<http::buffer_body>;
+
+    [[nodiscard]] Task<void> serve();
+    [[nodiscard]] Task<AttemptEnd> try_endpoint(Attempt& attempt);
+    void send_request(Attempt const& attempt);
+    [[nodiscard]] Task<AttemptEnd> converse(Attempt& attempt);
+    [[nodiscard]] Task<bool> read_answer_head(Attempt& attempt, Adapter::AnswerFacts& facts);
+    [[nodiscard]] Task<bool> discard_answer_body();
+    [[nodiscard]] Task<AttemptEnd> pass_answer(Attempt& attempt);
+    /// Appends what the endpoint sent next.
+    [[nodiscard]] Task<error_code> read_piece(std::string& piece);
+    void note_first_piece(Attempt const& attempt);
+    /// False if the client can't be reached any more and the work is not worth going on with.
+    [[nodiscard]] Task<bool> send_to_client(std::string const& bytes);
+    [[nodiscard]] Task<void> answer(unsigned status, Core::Reason reason, std::optional<Core::Duration> retry_after);
+    [[nodiscard]] Task<void> refuse(Routing::Rejected const& rejected);
+    [[nodiscard]] Task<void> give_up(AttemptEnd last, Core::Reason why);
+
+    void arm_expiry();
+    void cancel_attempt();
+    [[nodiscard]] bool is_cancelled() const { return this->has_expired || this->has_left; }
+    [[nodiscard]] bool may_try_again(AttemptEnd end);
+    /// Whether an endpoint's own failure is retried in place of passing it on. Spends from the retry budget.
+    [[nodiscard]] bool failure_may_be_withheld();
+    [[nodiscard]] Core::Reason reason_for_giving_up() const;
+    [[nodiscard]] static Core::Reason retry_reason(AttemptEnd end);
+    [[nodiscard]] static std::string_view to_string(AttemptEnd end);
+    [[nodiscard]] Routing::AttemptResult result_of(Attempt const& attempt, AttemptEnd end) const;
+    void release_connection(Core::Instant now);
+    void record_attempt(Attempt const& attempt, AttemptEnd end, Core::Instant now);
+    void log_placement(Attempt const& attempt) const;
+    void log_end(unsigned status, Core::Reason reason) const;
+
+    /// Sends that failed before any byte left are tried elsewhere this often at the most.
+    static constexpr unsigned most_unsent_attempts = 3;
+    /// Answers up to this size are read whole before they are passed on, so that a broken one can be retried.
+    static constexpr std::uint64_t largest_held_answer = 64 * 1024;
+    static constexpr std::size_t piece_bytes = 8 * 1024;
+    static constexpr std::uint32_t largest_answer_head = 64 * 1024;
+    /// When a client may come back after an endpoint refused its request: a few service times.
+    static constexpr Core::Duration come_back_after_refusal { std::chrono::milliseconds(150) };
+
+    GatewayState& state;
+    Request request;
+    ClientSide client;
+    std::string attempt_id;
+    Routing::Workload workload;
+    std::optional<Routing::Admitted> admitted;
+    Core::Instant arrived;
+    asio::steady_timer expiry;
+    SharedConnection connection;
+    std::unique_ptr<AnswerParser> parser;
+    /// Whether the endpoint has taken all of the request.
+    bool request_is_written { false };
+    std::vector<Core::EndpointId> tried;
+    unsigned sent_attempts { 0 };
+    AttemptEnd last_end { AttemptEnd::NotSent };
+    bool has_expired { false };
+    bool has_left { false };
+    bool client_is_broken { false };
+    bool answer_begun { false };
+    bool keeps_client { true };
+    bool is_finished { false };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/StoreConnection.cpp
@@ -0,0 +1,81 @@
+#include <LibGateway/StoreConnection.h>
+
+#include <fmt/format.h>
+
+namespace Gateway {
+
+Task<std::optional<StoreAnswer>> StoreConnection::get(
+    std::string const& target, Core::Duration patience, Core::LastReason& last_reason)
+{
+    bool has_timed_out = false;
+    asio::steady_timer timer(this->context, patience);
+    // NOTE: Lives on its own, since the handler may still be queued when this call is over.
+    auto const is_over = std::make_shared<bool>(false);
+    timer.async_wait([this, is_over, &has_timed_out](error_code cancelled) {
+        if (cancelled || *is_over)
+            return;
+        has_timed_out = true;
+        this->abort();
+    });
+    StoreAnswer answer;
+    auto const error = co_await this->call(target, answer);
+    *is_over = true;
+    timer.cancel();
+    if (!error)
+        co_return answer;
+    // NOTE: Nothing more is said on a connection that lost an answer.
+    this->abort();
+    last_reason.text = has_timed_out ? "no answer in time" : error.message();
+    co_return std::nullopt;
+}
+
+void StoreConnection::abort()
+{
+    if (!this->socket)
+        return;
+    error_code ignored;
+    this->socket->close(ignored);
+}
+
+Task<error_code> StoreConnection::connect()
+{
+    this->socket = std::make_shared<tcp::socket>(this->context);
+    this->buffer.clear();
+    auto const place = to_socket_address(this->address);
+    if (!place)
+        co_return asio::error::invalid_argument;
+    auto const kept = this->socket;
+    auto const [error] = co_await kept->async_connect(*place, as_value);
+    if (error)
+        co_return error;
+    error_code ignored;
+    kept->set_option(tcp::no_delay(true), ignored);
+    co_return error_code {};
+}
+
+Task<error_code> StoreConnection::call(std::string const& target, StoreAnswer& answer)
+{
+    if (!this->socket || !this->socket->is_open()) {
+        if (auto const error = co_await this->connect())
+            co_return error;
+    }
+    auto const kept = this->socket;
+    auto const head
+        = fmt::format("GET {} HTTP/1.1\r\nHost: {}:{}\r\n\r\n", target, this->address.host, this->address.port);
+    auto const [write_error, written] = co_await asio::async_write(*kept, asio::buffer(head), as_value);
+    if (write_error)
+        co_return write_error;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(largest_answer);
+    auto const [read_error, read] = co_await http::async_read(*kept, this->buffer, parser, as_value);
+    if (read_error)
+        co_return read_error;
+    answer.status = parser.get().result_int();
+    bool const keeps_connection = parser.get().keep_alive() && this->buffer.size() == 0;
+    answer.body = std::move(parser.get().body());
+    if (!keeps_connection)
+        this->abort();
+    co_return error_code {};
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/StoreConnection.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <LibGateway/Asio.h>
+
+namespace Gateway {
+
+struct StoreAnswer {
+    unsigned status { 0 };
+    std::string body;
+
+    bool operator==(StoreAnswer const&) const = default;
+};
+
+/// Reads from the platform's store over one kept connection, one call at a time.
+class StoreConnection {
+public:
+    StoreConnection(asio::io_context& context, Routing::SocketAddress address)
+        : context(context)
+        , address(std::move(address))
+    {
+    }
+
+    /// Any answer, or nothing with the reason. `patience` bounds the whole call.
+    [[nodiscard]] Task<std::optional<StoreAnswer>> get(
+        std::string const& target, Core::Duration patience, Core::LastReason& last_reason);
+    /// Ends the call under way and closes the connection.
+    void abort();
+    void set_address(Routing::SocketAddress changed) { this->address = std::move(changed); }
+
+private:
+    [[nodiscard]] Task<error_code> connect();
+    [[nodiscard]] Task<error_code> call(std::string const& target, StoreAnswer& answer);
+
+    /// A configuration with thousands of routes takes about half a megabyte.
+    static constexpr std::uint64_t largest_answer = 16 * 1024 * 1024;
+
+    asio::io_context& context;
+    Routing::SocketAddress address;
+    std::shared_ptr<tcp::socket> socket;
+    flat_buffer buffer;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibLog/BoundedSink.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <spdlog/sinks/base_sink.h>
+
+#include <chrono>
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+namespace Log {
+
+/// Writes lines to a file descriptor without ever blocking. Lines wait in a bounded buffer while the reader is slow,
+/// and no more than a fixed number is taken in a second; what does not fit is counted, and the count is logged.
+class BoundedSink final : public spdlog::sinks::base_sink<std::mutex> {
+public:
+    explicit BoundedSink(int descriptor)
+        : descriptor(descriptor)
+    {
+    }
+
+    [[nodiscard]] std::uint64_t dropped_lines() const { return this->dropped; }
+
+    /// Lines of one box in a second: six lines for each request at ten times the first sites' load.
+    static constexpr unsigned most_lines_per_second = 600;
+    /// Waits for a slow reader for about half a second at that rate.
+    static constexpr std::size_t most_waiting_bytes = 64 * 1024;
+
+protected:
+    void sink_it_(spdlog::details::log_msg const& message) override;
+    void flush_() override;
+
+private:
+    [[nodiscard]] bool takes_line(spdlog::details::log_msg const& message, std::size_t size);
+    void tell_of_dropped_lines();
+
+    int descriptor;
+    std::string waiting;
+    std::chrono::system_clock::time_point second_began;
+    unsigned lines_this_second { 0 };
+    std::uint64_t dropped { 0 };
+    std::uint64_t dropped_told { 0 };
+};
+
+}
--- a/Libraries/LibServer/EventLog.cpp
+++ b/Libraries/LibLog/EventLog.cpp
@@ -1,8 +1,10 @@
-#include <LibServer/EventLog.h>
+#include <LibLog/BoundedSink.h>
+#include <LibLog/EventLog.h>
 
 #include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
-namespace Server {
+namespace Log {
 
 EventLine& EventLine::with(std::string_view key, std::string_view value)
 {
@@ -28,11 +30,24 @@
     return this->with(key, std::string_view(fmt::format("{:.3f}", value)));
 }
 
-void set_up_logging(std::string const& box_name)
+namespace {
+
+void install(std::shared_ptr<spdlog::logger> logger, std::string const& box_name)
 {
-    auto logger = spdlog::stderr_logger_mt("cleatbeam");
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e%z level=%l box=" + box_name + " %v");
     spdlog::set_default_logger(std::move(logger));
 }
 
 }
+
+void set_up_logging(std::string const& box_name)
+{
+    install(spdlog::stderr_logger_mt("cleatbeam"), box_name);
+}
+
+void set_up_bounded_logging(std::string const& box_name)
+{
+    install(std::make_shared<spdlog::logger>("cleatbeam", std::make_shared<BoundedSink>(STDOUT_FILENO)), box_name);
+}
+
+}
--- a/Libraries/LibServer/EventLog.h
+++ b/Libraries/LibLog/EventLog.h
@@ -6,7 +6,8 @@
 #include <string>
 #include <string_view>
 
-namespace Server {
+/// Structured logs: one line of key=value pairs for each event.
+namespace Log {
 
 /// One log line of key=value pairs for one event.
 class EventLine {
@@ -35,5 +36,7 @@
 
 /// Sets the form of all log lines: time, level, box, then the event's own pairs; to standard error.
 void set_up_logging(std::string const& box_name);
+/// The same form to standard output, through a bounded buffer that never blocks; see BoundedSink.
+void set_up_bounded_logging(std::string const& box_name);
 
 }
--- /dev/null
+++ b/Libraries/LibRouting/ConfigurationLease.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <LibRouting/ConfigurationSnapshot.h>
+
+namespace Routing {
+
+/// How far the configuration in force can be relied on.
+enum class ConfigurationTrust {
+    /// None was read yet.
+    Missing,
+    /// Confirmed a short while ago: what it does not allow may be refused for good.
+    Fresh,
+    /// A newer one may exist: what it allows is served, what it does not allow may be allowed by now.
+    Aging,
+    /// A key may have been taken away for longer than the operator accepts: requests with a key are not served.
+    Expired,
+};
+
+struct LeaseBounds {
+    /// A configuration must be in force this long after the store acknowledged it.
+    Duration apply_within { std::chrono::seconds(2) };
+    /// A key must be refused this long after the store acknowledged that it is gone; nothing for no such bound.
+    std::optional<Duration> revoke_within;
+
+    bool operator==(LeaseBounds const&) const = default;
+};
+
+/// The configuration in force on this box, held on a lease that the store renews by confirming that nothing newer
+/// exists. Versions only rise.
+class ConfigurationLease {
+public:
+    explicit ConfigurationLease(LeaseBounds bounds)
+        : bounds(bounds)
+    {
+    }
+
+    /// Takes the configuration if it is newer than the one in force. `asked_at` is when the read that brought it was
+    /// sent: nothing that was acknowledged before can be newer.
+    bool offer(SharedConfiguration offered, Instant asked_at);
+    /// The store said to a read sent at `asked_at` that nothing newer exists.
+    void confirm(Instant asked_at);
+    void set_bounds(LeaseBounds changed) { this->bounds = changed; }
+
+    [[nodiscard]] ConfigurationTrust trust(Instant now) const;
+    [[nodiscard]] Duration age(Instant now) const { return now - this->confirmed_at; }
+    /// The configuration in force; null before the first.
+    [[nodiscard]] SharedConfiguration const& current() const { return this->in_force; }
+
+private:
+    /// Part of the revocation bound after which keys are no longer trusted. The rest covers the way from the check to
+    /// the endpoint and clocks that run unevenly.
+    static constexpr double share_of_revoke_bound = 0.9;
+
+    LeaseBounds bounds;
+    SharedConfiguration in_force;
+    Instant confirmed_at;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/EndpointDirectory.cpp
@@ -0,0 +1,107 @@
+#include <LibRouting/EndpointDirectory.h>
+
+#include <set>
+#include <utility>
+
+namespace Routing {
+
+bool EndpointDirectory::put(EndpointRecord const& record)
+{
+    auto const [position, is_new] = this->endpoints.try_emplace(record.incarnation);
+    auto& endpoint = position->second;
+    if (is_new) {
+        endpoint.id = EndpointId { this->next_id++ };
+        this->incarnations.emplace(endpoint.id, record.incarnation);
+    }
+    endpoint.missing_since.reset();
+    bool const has_changed = is_new || endpoint.record != record;
+    endpoint.record = record;
+    return has_changed;
+}
+
+void EndpointDirectory::remove(std::string const& incarnation, Instant now)
+{
+    auto const position = this->endpoints.find(incarnation);
+    if (position == this->endpoints.end())
+        return;
+    if (!this->returned_at || now - *this->returned_at > return_grace) {
+        this->erase(position);
+        return;
+    }
+    if (!position->second.missing_since)
+        position->second.missing_since = now;
+}
+
+void EndpointDirectory::replace_all(std::vector<EndpointRecord> const& records, Instant now)
+{
+    std::set<std::string> listed;
+    for (auto const& record : records) {
+        listed.insert(record.incarnation);
+        this->put(record);
+    }
+    std::vector<std::string> missing;
+    for (auto const& [incarnation, endpoint] : this->endpoints) {
+        if (!listed.contains(incarnation))
+            missing.push_back(incarnation);
+    }
+    for (auto const& incarnation : missing)
+        this->remove(incarnation, now);
+}
+
+void EndpointDirectory::mark_replaced(EndpointId id)
+{
+    auto const found = this->incarnations.find(id);
+    if (found != this->incarnations.end())
+        this->endpoints.at(found->second).is_replaced = true;
+}
+
+void EndpointDirectory::expire(Instant now)
+{
+    for (auto position = this->endpoints.begin(); position != this->endpoints.end();) {
+        auto const current = position++;
+        if (current->second.missing_since && this->returned_at && now - *this->returned_at > return_grace)
+            this->erase(current);
+    }
+}
+
+KnownEndpoint const* EndpointDirectory::find(EndpointId id) const
+{
+    auto const found = this->incarnations.find(id);
+    return found == this->incarnations.end() ? nullptr : &this->endpoints.at(found->second);
+}
+
+std::vector<EndpointId> EndpointDirectory::usable(std::string_view service, Instant now) const
+{
+    std::vector<EndpointId> ids;
+    for (auto const& [incarnation, endpoint] : this->endpoints) {
+        if (endpoint.record.service != service || endpoint.record.draining || endpoint.is_replaced)
+            continue;
+        bool const grace_is_over
+            = endpoint.missing_since && this->returned_at && now - *this->returned_at > return_grace;
+        if (!grace_is_over)
+            ids.push_back(endpoint.id);
+    }
+    return ids;
+}
+
+std::size_t EndpointDirectory::count(std::string_view service) const
+{
+    std::size_t listed = 0;
+    for (auto const& [incarnation, endpoint] : this->endpoints)
+        listed += endpoint.record.service == service ? 1 : 0;
+    return listed;
+}
+
+std::vector<EndpointId> EndpointDirectory::take_removed()
+{
+    return std::exchange(this->removed, {});
+}
+
+void EndpointDirectory::erase(Endpoints::iterator position)
+{
+    this->removed.push_back(position->second.id);
+    this->incarnations.erase(position->second.id);
+    this->endpoints.erase(position);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/EndpointDirectory.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibRouting/Configuration.h>
+
+#include <map>
+#include <unordered_map>
+
+namespace Routing {
+
+using Core::EndpointId;
+
+struct SocketAddress {
+    std::string host;
+    std::uint16_t port { 0 };
+
+    auto operator<=>(SocketAddress const&) const = default;
+};
+
+/// What an endpoint says of itself.
+struct EndpointRecord {
+    /// New with every start of the endpoint.
+    std::string incarnation;
+    std::string service;
+    SocketAddress address;
+    std::string failure_domain;
+    unsigned slots { 1 };
+    bool draining { false };
+
+    bool operator==(EndpointRecord const&) const = default;
+};
+
+/// An endpoint as this box knows it. The id is never used again for another one.
+struct KnownEndpoint {
+    EndpointId id;
+    EndpointRecord record;
+    /// When its entry vanished just after a gap in what the store told; nothing while it is listed.
+    std::optional<Instant> missing_since;
+    /// An answer told that another endpoint has this address now.
+    bool is_replaced { false };
+
+    bool operator==(KnownEndpoint const&) const = default;
+};
+
+/// The endpoints that keep themselves in the platform's store.
+///
+/// An entry may lapse while the store is away though its endpoint lives, and is back soon after the store is. So an
+/// entry that vanishes just after such a gap is kept for a short time; at any other time it goes at once.
+class EndpointDirectory {
+public:
+    /// True if the endpoint is new or its record changed.
+    bool put(EndpointRecord const& record);
+    void remove(std::string const& incarnation, Instant now);
+    /// Takes a whole list in place of what was known.
+    void replace_all(std::vector<EndpointRecord> const& records, Instant now);
+    /// The store answered again after it could not be reached.
+    void store_returned(Instant now) { this->returned_at = now; }
+    void mark_replaced(EndpointId id);
+    /// Forgets entries whose time has run out.
+    void expire(Instant now);
+
+    [[nodiscard]] KnownEndpoint const* find(EndpointId id) const;
+    /// Ids of the endpoints of a service that may get new work, in the order of their incarnations.
+    [[nodiscard]] std::vector<EndpointId> usable(std::string_view service, Instant now) const;
+    /// How many endpoints of a service are listed, usable or not.
+    [[nodiscard]] std::size_t count(std::string_view service) const;
+    [[nodiscard]] std::size_t size() const { return this->endpoints.size(); }
+    /// Ids that are gone since the last call, so that connections to them can be closed once they are idle.
+    [[nodiscard]] std::vector<EndpointId> take_removed();
+
+private:
+    /// How long after the store's return an entry that is missing may still come back. The platform's pages say two
+    /// seconds.
+    static constexpr Duration return_grace { std::chrono::seconds(2) };
+
+    using Endpoints = std::map<std::string, KnownEndpoint>;
+    void erase(Endpoints::iterator position);
+
+    Endpoints endpoints;
+    std::unordered_map<EndpointId, std::string> incarnations;
+    std::vector<EndpointId> removed;
+    std::optional<Instant> returned_at;
+    std::uint32_t next_id { 1 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/EndpointLoad.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibRouting/PromptMemory.h>
+#include <LibTraffic/EndpointHealth.h>
+
+#include <map>
+
+namespace Routing {
+
+using Core::RequestId;
+
+/// What a request asks of an endpoint. Without a prompt it is a call of a plain service.
+struct Workload {
+    std::vector<PromptPart> prompt;
+    std::uint32_t prompt_tokens { 0 };
+    /// The most tokens that the answer may have.
+    std::uint32_t answer_tokens { 0 };
+
+    bool operator==(Workload const&) const = default;
+};
+
+/// Load that an endpoint tells in its answers.
+struct ToldLoad {
+    int running { 0 };
+    int waiting { 0 };
+    int slots { 1 };
+
+    bool operator==(ToldLoad const&) const = default;
+};
+
+/// What this box believes of an endpoint's load and health: what it sent there itself, corrected by what the endpoint
+/// tells and by how late its first tokens come, which shows what other boxes sent.
+class EndpointLoad {
+public:
+    /// `prefill` is how long the engine is expected to read the prompt.
+    void started(RequestId request, Workload const& workload, Duration prefill, Instant now);
+    /// The first piece of the answer came; `lateness` is how much later than predicted.
+    void answered(RequestId request, Duration lateness, Instant now);
+    void ended(RequestId request);
+    void succeeded();
+    void failed(Instant now);
+    /// The endpoint said that it had no room.
+    void shed(Instant now);
+    void take_told(ToldLoad const& told, Instant now);
+
+    [[nodiscard]] bool takes_work(Instant now) const;
+    /// How long a new prompt waits until the engine begins to read it.
+    [[nodiscard]] Duration prefill_backlog(Instant now) const;
+    /// Requests believed to be there, of all boxes.
+    [[nodiscard]] double running(Instant now) const;
+    /// Requests of this box whose answer has begun, or is about to.
+    [[nodiscard]] std::size_t own_running() const { return this->own.size(); }
+    /// Part of the recent requests that failed.
+    [[nodiscard]] double failure_share(Instant now) const;
+    [[nodiscard]] PromptMemory const& memory() const { return this->prompts; }
+
+private:
+    struct OwnRequest {
+        Duration prefill { 0 };
+        bool answer_begun { false };
+    };
+    /// A value that counts for less and less: halved with every half-life.
+    struct Fading {
+        double value { 0 };
+        Instant at;
+
+        [[nodiscard]] double now(Instant now, Duration half_life) const;
+    };
+
+    /// How long what one answer told of an endpoint stays of use: engines run a request for one or two seconds.
+    static constexpr Duration told_half_life { std::chrono::seconds(1) };
+    /// How long the lateness of one first token says something of the next: about as long as a backlog lasts.
+    static constexpr Duration lateness_half_life { std::chrono::milliseconds(400) };
+    static constexpr Duration failure_half_life { std::chrono::seconds(4) };
+    /// An endpoint that was full is left alone this long: a few requests' service times.
+    static constexpr Duration pause_when_full { std::chrono::milliseconds(60) };
+
+    std::map<RequestId, OwnRequest> own;
+    Fading lateness_seconds;
+    Fading peers_running;
+    Fading failures;
+    Fading attempts;
+    Instant full_until;
+    Traffic::EndpointHealth health;
+    PromptMemory prompts;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -0,0 +1,260 @@
+#include <LibRouting/RequestRouter.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Routing {
+
+RequestRouter::RequestRouter(RouterSettings settings, std::uint64_t seed)
+    : settings(std::move(settings))
+    , lease(this->settings.lease)
+    , random(seed)
+{
+}
+
+void RequestRouter::set_settings(RouterSettings changed)
+{
+    std::scoped_lock const guard(this->configuration_lock, this->endpoints_lock);
+    this->settings = std::move(changed);
+    this->lease.set_bounds(this->settings.lease);
+}
+
+bool RequestRouter::offer_configuration(SharedConfiguration offered, Instant asked_at)
+{
+    std::scoped_lock const guard(this->configuration_lock);
+    return this->lease.offer(std::move(offered), asked_at);
+}
+
+void RequestRouter::confirm_configuration(Instant asked_at)
+{
+    std::scoped_lock const guard(this->configuration_lock);
+    this->lease.confirm(asked_at);
+}
+
+SharedConfiguration RequestRouter::configuration() const
+{
+    std::scoped_lock const guard(this->configuration_lock);
+    return this->lease.current();
+}
+
+ConfigurationTrust RequestRouter::trust(Instant now) const
+{
+    std::scoped_lock const guard(this->configuration_lock);
+    return this->lease.trust(now);
+}
+
+Duration RequestRouter::configuration_age(Instant now) const
+{
+    std::scoped_lock const guard(this->configuration_lock);
+    return this->lease.age(now);
+}
+
+bool RequestRouter::put_endpoint(EndpointRecord const& record)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    return this->directory.put(record);
+}
+
+void RequestRouter::remove_endpoint(std::string const& incarnation, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    this->directory.remove(incarnation, now);
+}
+
+void RequestRouter::replace_endpoints(std::vector<EndpointRecord> const& records, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    this->directory.replace_all(records, now);
+}
+
+void RequestRouter::store_returned(Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    this->directory.store_returned(now);
+}
+
+std::vector<EndpointId> RequestRouter::expire_endpoints(Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    this->directory.expire(now);
+    auto removed = this->directory.take_removed();
+    for (auto const id : removed)
+        this->loads.erase(id);
+    return removed;
+}
+
+std::size_t RequestRouter::endpoint_count() const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    return this->directory.size();
+}
+
+std::variant<Admitted, Rejected> RequestRouter::admit(RequestHead const& head, Instant now)
+{
+    auto configuration = this->configuration();
+    if (!configuration)
+        return Rejected { Reason::ConfigurationMissing, come_back_after_gap };
+    auto const* const route = configuration->find_route(head.host, head.target);
+    if (auto const refusal = this->refuse_by_lease(route, now))
+        return *refusal;
+    if (!route)
+        return this->refuse_unknown(Reason::RouteUnknown, now);
+    Admitted admitted;
+    admitted.priority = route->priority;
+    if (configuration->needs_keys() && !route->is_public) {
+        auto const* const account = configuration->find_account(head.api_key);
+        if (!account)
+            return this->refuse_unknown(Reason::KeyUnknown, now);
+        admitted.account = account->name;
+        admitted.priority = account->priority.value_or(route->priority);
+    }
+    admitted.route = route;
+    admitted.arrived = now;
+    bool const timeout_is_first
+        = !head.patience || (route->timeout > Duration { 0 } && route->timeout < *head.patience);
+    admitted.expires = now + (timeout_is_first ? route->timeout : *head.patience);
+    admitted.expiry = timeout_is_first ? Reason::RouteTimeoutPassed : Reason::DeadlinePassed;
+    std::scoped_lock const guard(this->endpoints_lock);
+    admitted.id = RequestId { this->next_request++ };
+    admitted.service = this->draw_service(*route);
+    auto const* const service = configuration->find_service(admitted.service);
+    admitted.is_engine = service != nullptr && service->engine.has_value();
+    this->allowance_of(admitted.service).request_sent(now);
+    admitted.configuration = std::move(configuration);
+    return admitted;
+}
+
+std::variant<Placed, Rejected> RequestRouter::place(
+    Admitted const& request, Workload const& workload, std::vector<EndpointId> const& tried, Instant now)
+{
+    if (auto const refusal = this->refuse_by_lease(request.route, now))
+        return *refusal;
+    if (now >= request.expires)
+        return Rejected { request.expiry, {} };
+    std::scoped_lock const guard(this->endpoints_lock);
+    std::vector<KnownEndpoint const*> candidates;
+    std::vector<KnownEndpoint const*> distrusted;
+    for (auto const id : this->directory.usable(request.service, now)) {
+        if (std::ranges::find(tried, id) != tried.end())
+            continue;
+        auto const found = this->loads.find(id);
+        bool const is_trusted = found == this->loads.end() || found->second.takes_work(now);
+        (is_trusted ? candidates : distrusted).push_back(this->directory.find(id));
+    }
+    // NOTE: When no endpoint is trusted the belief may be wrong, and trying one costs less than refusing.
+    auto const& usable = candidates.empty() ? distrusted : candidates;
+    PlacementQuery const query { workload, request.is_engine, this->settings.failure_domain, now };
+    auto const choice = choose_endpoint(usable, this->loads, query, this->settings.placement);
+    if (!choice)
+        return Rejected { Reason::NoEndpoint, tried.empty() ? come_back_after_gap : come_back_when_full };
+    return Placed { *choice, this->directory.find(choice->endpoint)->record };
+}
+
+bool RequestRouter::may_repeat(Admitted const& request, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    return this->allowance_of(request.service).try_spend(now);
+}
+
+void RequestRouter::attempt_started(
+    Admitted const& request, Workload const& workload, PlacementChoice const& choice, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    if (auto* const load = this->load_of(choice.endpoint))
+        load->started(request.id, workload, choice.prefill, now);
+}
+
+void RequestRouter::attempt_answered(
+    Admitted const& request, PlacementChoice const& choice, Duration taken, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    if (auto* const load = this->load_of(choice.endpoint); load != nullptr && request.is_engine)
+        load->answered(request.id, taken - choice.first_piece, now);
+}
+
+void RequestRouter::attempt_ended(RequestId request, EndpointId endpoint, AttemptResult result, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    auto* const load = this->load_of(endpoint);
+    if (load == nullptr)
+        return;
+    load->ended(request);
+    switch (result) {
+    case AttemptResult::Completed:
+        return load->succeeded();
+    case AttemptResult::EndpointBusy:
+        return load->shed(now);
+    case AttemptResult::ConnectionRefused:
+    case AttemptResult::Failed:
+    case AttemptResult::BrokenAfterDelivery:
+        return load->failed(now);
+    case AttemptResult::NotSent:
+    case AttemptResult::CallerGone:
+    case AttemptResult::Preempted:
+        return;
+    }
+}
+
+void RequestRouter::endpoint_replaced(EndpointId endpoint)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    this->directory.mark_replaced(endpoint);
+}
+
+void RequestRouter::take_told_load(EndpointId endpoint, ToldLoad const& told, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    if (auto* const load = this->load_of(endpoint))
+        load->take_told(told, now);
+}
+
+std::optional<Rejected> RequestRouter::refuse_by_lease(Route const* route, Instant now) const
+{
+    std::scoped_lock const guard(this->configuration_lock);
+    if (this->lease.trust(now) != ConfigurationTrust::Expired)
+        return {};
+    bool const needs_key = this->lease.current()->needs_keys() && !(route != nullptr && route->is_public);
+    if (!needs_key)
+        return {};
+    return Rejected { Reason::ConfigurationExpired, come_back_after_gap };
+}
+
+Rejected RequestRouter::refuse_unknown(Reason reason, Instant now) const
+{
+    std::scoped_lock const guard(this->configuration_lock);
+    // NOTE: A newer configuration may know the route or the key, so a final answer needs a fresh one.
+    if (this->lease.trust(now) == ConfigurationTrust::Fresh)
+        return { reason, {} };
+    return { Reason::ConfigurationExpired, come_back_after_gap };
+}
+
+std::string const& RequestRouter::draw_service(Route const& route)
+{
+    static std::string const none;
+    if (route.services.empty())
+        return none;
+    double total = 0;
+    for (auto const& share : route.services)
+        total += share.weight;
+    auto const drawn = std::ldexp(static_cast<double>(this->random()), -32) * total;
+    double passed = 0;
+    for (auto const& share : route.services) {
+        passed += share.weight;
+        if (drawn < passed)
+            return share.service;
+    }
+    return route.services.back().service;
+}
+
+EndpointLoad* RequestRouter::load_of(EndpointId endpoint)
+{
+    // NOTE: Attempts may end after their endpoint was forgotten; its load must not come back to life.
+    return this->directory.find(endpoint) == nullptr ? nullptr : &this->loads[endpoint];
+}
+
+RetryAllowance& RequestRouter::allowance_of(std::string const& service)
+{
+    return this->allowances.try_emplace(service, this->settings.retry).first->second;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <LibCore/Reason.h>
+#include <LibRouting/ConfigurationLease.h>
+#include <LibRouting/Placement.h>
+#include <LibRouting/RetryAllowance.h>
+#include <LibTraffic/TrafficTypes.h>
+
+#include <memory>
+#include <mutex>
+#include <pcg_random.hpp>
+#include <variant>
+
+namespace Routing {
+
+using Core::Reason;
+using Traffic::AttemptResult;
+
+/// What a client asks for.
+struct RequestHead {
+    /// The client's own id of this attempt.
+    std::string attempt;
+    std::string host;
+    /// Path and query.
+    std::string target;
+    std::string api_key;
+    /// How long the client waits, from the moment the request was read.
+    std::optional<Duration> patience;
+    Workload workload;
+
+    bool operator==(RequestHead const&) const = default;
+};
+
+/// A request that the configuration allows.
+struct Admitted {
+    RequestId id;
+    SharedConfiguration configuration;
+    /// Points into `configuration`.
+    Route const* route { nullptr };
+    std::string service;
+    /// Name of the client account; empty on a public route.
+    std::string account;
+    unsigned priority { 0 };
+    bool is_engine { false };
+    Instant arrived;
+    /// When the client's patience or the route's timeout ends, whichever comes first.
+    Instant expires;
+    /// Which of the two ends first.
+    Reason expiry { Reason::DeadlinePassed };
+
+    bool operator==(Admitted const&) const = default;
+};
+
+/// A request that this box will not send to any endpoint, now or later.
+struct Rejected {
+    Reason reason { Reason::None };
+    /// When the client may come back; nothing where that would not help.
+    std::optional<Duration> retry_after;
+
+    bool operator==(Rejected const&) const = default;
+};
+
+/// Send the request to this endpoint.
+struct Placed {
+    PlacementChoice choice;
+    EndpointRecord endpoint;
+
+    bool operator==(Placed const&) const = default;
+};
+
+struct RouterSettings {
+    std::string failure_domain;
+    LeaseBounds lease;
+    RetryBounds retry;
+    PlacementModel placement;
+
+    bool operator==(RouterSettings const&) const = default;
+};
+
+/// Decides for every request of a box: whether the configuration allows it, where it goes, whether it may go to a
+/// second endpoint. Pure: no I/O, and the time is passed in.
+///
+/// Endpoints, loads and budgets stand under one lock, the configuration under another.
+class RequestRouter {
+public:
+    RequestRouter(RouterSettings settings, std::uint64_t seed);
+
+    void set_settings(RouterSettings changed);
+    bool offer_configuration(SharedConfiguration offered, Instant asked_at);
+    void confirm_configuration(Instant asked_at);
+    [[nodiscard]] SharedConfiguration configuration() const;
+    [[nodiscard]] ConfigurationTrust trust(Instant now) const;
+    [[nodiscard]] Duration configuration_age(Instant now) const;
+
+    /// True if the endpoint is new or its record changed.
+    bool put_endpoint(EndpointRecord const& record);
+    void remove_endpoint(std::string const& incarnation, Instant now);
+    void replace_endpoints(std::vector<EndpointRecord> const& records, Instant now);
+    void store_returned(Instant now);
+    /// Ids of endpoints that are gone since the last call.
+    [[nodiscard]] std::vector<EndpointId> expire_endpoints(Instant now);
+    [[nodiscard]] std::size_t endpoint_count() const;
+
+    [[nodiscard]] std::variant<Admitted, Rejected> admit(RequestHead const& head, Instant now);
+    /// Chooses an endpoint that is not in `tried`. Checks anew that the request may still run.
+    [[nodiscard]] std::variant<Placed, Rejected> place(
+        Admitted const& request, Workload const& workload, std::vector<EndpointId> const& tried, Instant now);
+    /// Whether one more endpoint may get the request, by the budget of its service.
+    [[nodiscard]] bool may_repeat(Admitted const& request, Instant now);
+
+    void attempt_started(Admitted const& request, Workload const& workload, PlacementChoice const& choice, Instant now);
+    /// The first piece of an answer came, `taken` after the attempt started.
+    void attempt_answered(Admitted const& request, PlacementChoice const& choice, Duration taken, Instant now);
+    void attempt_ended(RequestId request, EndpointId endpoint, AttemptResult result, Instant now);
+    void endpoint_replaced(EndpointId endpoint);
+    void take_told_load(EndpointId endpoint, ToldLoad const& told, Instant now);
+
+private:
+    /// When a client may come back after a refusal for want of an endpoint or a configuration: about the time in which
+    /// the store tells of a new one.
+    static constexpr Duration come_back_after_gap { std::chrono::milliseconds(500) };
+    /// When a client may come back to a service whose endpoints are full: a few service times.
+    static constexpr Duration come_back_when_full { std::chrono::milliseconds(150) };
+
+    [[nodiscard]] std::optional<Rejected> refuse_by_lease(Route const* route, Instant now) const;
+    [[nodiscard]] Rejected refuse_unknown(Reason reason, Instant now) const;
+    [[nodiscard]] std::string const& draw_service(Route const& route);
+    /// The load of an endpoint that is still known; null for one that is gone.
+    [[nodiscard]] EndpointLoad* load_of(EndpointId endpoint);
+    [[nodiscard]] RetryAllowance& allowance_of(std::string const& service);
+
+    RouterSettings settings;
+    mutable std::mutex configuration_lock;
+    ConfigurationLease lease;
+    mutable std::mutex endpoints_lock;
+    EndpointDirectory directory;
+    LoadTable loads;
+    std::unordered_map<std::string, RetryAllowance> allowances;
+    pcg32 random;
+    std::uint64_t next_request { 1 };
+};
+
+}
--- a/Libraries/LibServer/Box.cpp
+++ b/Libraries/LibServer/Box.cpp
@@ -1,6 +1,6 @@
 #include <LibServer/Box.h>
 
-#include <LibServer/EventLog.h>
+#include <LibLog/EventLog.h>
 #include <LibServer/FateService.h>
 #include <cstdio>
 #include <fstream>
@@ -49,7 +49,10 @@
             std::this_thread::sleep_for(tick_interval);
         }
     });
-    EventLine("box_started").with("port", box->callers->port()).with("operator_port", box->operators->port()).info();
+    Log::EventLine("box_started")
+        .with("port", box->callers->port())
+        .with("operator_port", box->operators->port())
+        .info();
     return box;
 }
 
@@ -83,11 +86,11 @@
 
 void Box::drain(Core::Duration balancer_lag)
 {
-    EventLine("drain_started").info();
+    Log::EventLine("drain_started").info();
     this->box_state.begin_drain();
     std::this_thread::sleep_for(balancer_lag);
     this->callers->stop();
-    EventLine("drain_finished").info();
+    Log::EventLine("drain_finished").info();
 }
 
 }
--- a/Libraries/LibServer/CallerServer.cpp
+++ b/Libraries/LibServer/CallerServer.cpp
@@ -1,6 +1,6 @@
 #include <LibServer/CallerServer.h>
 
-#include <LibServer/EventLog.h>
+#include <LibLog/EventLog.h>
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -211,7 +211,7 @@
 {
     constexpr int first_server_error = 500;
     this->state.services().metrics.count_refusal(error.reason);
-    EventLine("request_refused")
+    Log::EventLine("request_refused")
         .with("request", hex(id))
         .with("reason", Core::to_string(error.reason))
         .with("field", error.field)
@@ -233,7 +233,7 @@
     metrics.count_outcome(flow.class_name, end.outcome);
     if (end.outcome == Outcome::Completed)
         metrics.observe_answer(flow.class_name, taken);
-    EventLine("request_finished")
+    Log::EventLine("request_finished")
         .with("request", hex(flow.facts.id))
         .with("class", flow.class_name)
         .with("account", flow.account_name)
--- a/Libraries/LibServer/FateService.cpp
+++ b/Libraries/LibServer/FateService.cpp
@@ -1,7 +1,7 @@
 #include <LibServer/FateService.h>
 
 #include <LibCore/Verify.h>
-#include <LibServer/EventLog.h>
+#include <LibLog/EventLog.h>
 #include <xxhash.h>
 
 namespace Server {
@@ -292,7 +292,7 @@
     this->next_to_read = std::max(this->next_to_read, Core::Offset { record.offset.value() + 1 });
     auto const batch = Fate::Batch::try_decode(record.payload);
     if (!batch) {
-        EventLine("fate_record_unreadable").with("offset", record.offset.value()).error();
+        Log::EventLine("fate_record_unreadable").with("offset", record.offset.value()).error();
         return;
     }
     for (auto const& one : batch->records) {
--- a/Libraries/LibServer/PoolShard.cpp
+++ b/Libraries/LibServer/PoolShard.cpp
@@ -1,6 +1,6 @@
 #include <LibServer/PoolShard.h>
 
-#include <LibServer/EventLog.h>
+#include <LibLog/EventLog.h>
 #include <httplib.h>
 
 namespace Server {
@@ -160,7 +160,7 @@
         flow->push(Chunk { report.body });
     }
     if (!report.error.empty())
-        EventLine("attempt_failed")
+        Log::EventLine("attempt_failed")
             .with("request", fmt::format("{:016x}", action.request.value()))
             .with("endpoint", endpoint.name)
             .with("attempt", action.attempt)
--- a/Libraries/LibServer/SettingsFollower.cpp
+++ b/Libraries/LibServer/SettingsFollower.cpp
@@ -1,6 +1,6 @@
 #include <LibServer/SettingsFollower.h>
 
-#include <LibServer/EventLog.h>
+#include <LibLog/EventLog.h>
 
 namespace Server {
 
@@ -31,7 +31,7 @@
         Core::LastReason last_reason;
         auto const page = this->log.read(settings_stream, this->next, longest_wait, last_reason);
         if (page.has_value() != was_reachable)
-            EventLine(page ? "settings_log_reachable" : "settings_log_unreachable")
+            Log::EventLine(page ? "settings_log_reachable" : "settings_log_unreachable")
                 .with("reason", last_reason.text)
                 .warning();
         was_reachable = page.has_value();
@@ -55,10 +55,10 @@
         auto const table = RoutingTable::create(this->history.version(), this->history.current()->document,
             this->state.settings().failure_domain, this->state.names());
         this->state.take_settings(table);
-        EventLine("settings_in_force").with("version", this->history.version().value()).info();
+        Log::EventLine("settings_in_force").with("version", this->history.version().value()).info();
         return;
     }
-    EventLine("settings_rejected")
+    Log::EventLine("settings_rejected")
         .with("offset", record.offset.value())
         .with("verdict", verdict == Settings::PublicationVerdict::StaleBase ? "stale-base" : "faulty")
         .with("first_fault", faults.empty() ? "" : faults.front().to_string())
--- a/Libraries/LibTraffic/EndpointView.cpp
+++ b/Libraries/LibTraffic/EndpointView.cpp
@@ -69,22 +69,6 @@
             = std::min(static_cast<double>(this->reported_slots), this->learnt_window + window_increase);
 }
 
-void EndpointView::succeeded()
-{
-    this->consecutive_failures = 0;
-    this->ejection = Duration { 0 };
-    this->ejected_until = Instant {};
-}
-
-void EndpointView::failed(Instant now)
-{
-    ++this->consecutive_failures;
-    if (this->consecutive_failures < failures_before_ejection)
-        return;
-    this->ejection = std::clamp(this->ejection * 2, first_ejection, longest_ejection);
-    this->ejected_until = now + this->ejection;
-}
-
 void EndpointView::remember_prefix(std::uint64_t prefix_hash)
 {
     if (prefix_hash == 0)
@@ -103,10 +87,7 @@
 
 bool EndpointView::takes_work(Instant now) const
 {
-    if (this->is_leaving || this->ejected_until > now)
-        return false;
-    bool const is_probing = this->consecutive_failures >= failures_before_ejection;
-    return !is_probing || this->running_here == 0;
+    return !this->is_leaving && this->health.takes_work(now, this->running_here);
 }
 
 int EndpointView::own_running_at(Instant at) const
--- a/Libraries/LibTraffic/EndpointView.h
+++ b/Libraries/LibTraffic/EndpointView.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibTraffic/ClassEstimates.h>
+#include <LibTraffic/EndpointHealth.h>
 #include <LibTraffic/TrafficTypes.h>
 
 #include <deque>
@@ -40,8 +41,8 @@
     void observe_first_token(double ratio);
     /// How long a whole request held its slot.
     void observe_hold(Duration held) { this->hold_seconds.add(Core::to_seconds(held)); }
-    void succeeded();
-    void failed(Instant now);
+    void succeeded() { this->health.succeeded(); }
+    void failed(Instant now) { this->health.failed(now); }
     void remember_prefix(std::uint64_t prefix_hash);
 
     /// Whether new work may be placed here at all: not leaving and not ejected, or due for a probe.
@@ -54,7 +55,7 @@
     [[nodiscard]] double slowness() const { return this->first_token_ratio.value(); }
     [[nodiscard]] bool has_prefix(std::uint64_t prefix_hash) const { return this->prefixes.contains(prefix_hash); }
     [[nodiscard]] bool leaving() const { return this->is_leaving; }
-    [[nodiscard]] bool ejected(Instant now) const { return this->ejected_until > now; }
+    [[nodiscard]] bool ejected(Instant now) const { return this->health.ejected(now); }
     [[nodiscard]] Settings::EndpointSettings const& settings() const { return this->endpoint_settings; }
 
 private:
@@ -67,9 +68,6 @@
     [[nodiscard]] int own_running_at(Instant at) const;
     void forget_changes_before(Instant at);
 
-    static constexpr int failures_before_ejection = 3;
-    static constexpr Duration first_ejection { std::chrono::milliseconds(250) };
-    static constexpr Duration longest_ejection { std::chrono::seconds(8) };
     /// A report older than this says nothing any more.
     static constexpr Duration report_lifetime { std::chrono::seconds(15) };
     static constexpr std::size_t most_prefixes = 64;
@@ -87,9 +85,7 @@
     LoadReport last_report;
     bool has_report { false };
     bool is_leaving { false };
-    int consecutive_failures { 0 };
-    Duration ejection { 0 };
-    Instant ejected_until;
+    EndpointHealth health;
     MovingMean first_token_ratio { 1.0 };
     MovingMean hold_seconds { first_hold_seconds };
     MovingMean peers_running { 0 };
--- a/Meta/install.sh
+++ b/Meta/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(build-essential cmake ninja-build pkg-config libtbb-dev libzmq3-dev cppzmq-dev protobuf-compiler libprotobuf-dev
     prometheus-cpp-dev libyaml-cpp-dev libcpp-httplib-dev libgflags-dev libspdlog-dev doctest-dev libxxhash-dev
-    libpcg-cpp-dev nlohmann-json3-dev libssl-dev libbenchmark-dev libboost-dev spin gnuplot-nox clang clang-format clang-tidy curl)
+    libpcg-cpp-dev nlohmann-json3-dev libssl-dev libbenchmark-dev libboost1.81-dev spin gnuplot-nox clang clang-format clang-tidy curl)
 missing=()
 for package in "${packages[@]}"; do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
--- a/Programs/cleatbeam/CommandLine.h
+++ b/Programs/cleatbeam/CommandLine.h
@@ -22,6 +22,7 @@
 };
 
 int run_serve(std::vector<std::string> const& positional);
+int run_route(std::vector<std::string> const& positional);
 int run_check(std::vector<std::string> const& positional);
 int run_publish(std::vector<std::string> const& positional);
 int run_show(std::vector<std::string> const& positional);
--- a/Programs/cleatbeam/Serve.cpp
+++ b/Programs/cleatbeam/Serve.cpp
@@ -1,8 +1,8 @@
 #include "CommandLine.h"
 #include "FileText.h"
 
+#include <LibLog/EventLog.h>
 #include <LibServer/Box.h>
-#include <LibServer/EventLog.h>
 #include <csignal>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -51,11 +51,11 @@
     auto const signals = block_end_signals();
     // NOTE: A peer that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
-    Server::set_up_logging(settings->name);
+    Log::set_up_logging(settings->name);
     spdlog::set_level(spdlog::level::from_str(FLAGS_log_level));
     auto const box = Server::Box::try_create(*settings, random_seed(), last_reason);
     if (!box) {
-        Server::EventLine("box_not_started").with("reason", last_reason.text).error();
+        Log::EventLine("box_not_started").with("reason", last_reason.text).error();
         return exit_failure;
     }
     int signal = 0;
