LibRouting: Keep long prompts off the engines of long answers

Ruled out: processor (0.004 cores a box), memory (3 MB), connections. Change: a fifth of a service's engines is meant for long answers; a shared part has one home among the others, chosen alike by all boxes; reading a shared part elsewhere costs four times its reading time.

--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -22,12 +22,17 @@
     /// Cost of an endpoint that fails all its requests: what a retry takes.
     double failure_milliseconds { 400 };
     /// Part of a shared prompt part that the part's usual endpoint is believed to keep though this box did not send it.
-    double kept_at_home { 0.5 };
-    /// Part of a service's engines that answers with many tokens go to first, so that long prompts do not stretch the
-    /// pauses between their events.
-    double share_for_long_answers { 0.34 };
+    double kept_at_home { 0.8 };
+    /// How many times its reading time a shared part costs where it is read again: it holds up others, and the users
+    /// price it at about the worth of a request for 7,000 tokens.
+    double read_again_factor { 4 };
+    /// Part of a service's engines that long answers go to first, so that long prompts do not stretch the pauses
+    /// between their events. An engine bears far more long answers than one box in five gets.
+    double share_for_long_answers { 0.2 };
+    /// An answer is long if making it takes this many times as long as reading its prompt.
+    double long_answer_ratio { 6 };
     /// Cost of placing a request on an engine that is meant for the other kind.
-    double wrong_side_milliseconds { 120 };
+    double wrong_side_milliseconds { 400 };
 
     bool operator==(PlacementModel const&) const = default;
 };
