LibGateway: Close no connection that is reading a request

The request went on to an endpoint while its client got nothing. Ruled out: the balancer lag (the request came before it ran out), the grace (8 s), the acceptor's close. Test: 'a connection that has read a part of a request is not idle' failed before, passes now.

--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -59,6 +59,7 @@
     while (is_open) {
         if (!co_await this->wait_for_request())
             break;
+        this->is_busy = true;
         Parser parser;
         auto const current_limits = this->limits();
         parser.header_limit(current_limits.max_header_bytes);
@@ -66,6 +67,7 @@
         if (!co_await this->read_request(parser))
             break;
         is_open = co_await this->serve_request(parser);
+        this->is_busy = false;
     }
     this->guard.cancel();
     error_code ignored;
@@ -188,7 +190,7 @@
 
 void CallerConnection::close_if_idle()
 {
-    if (this->exchange || this->buffer.size() > 0)
+    if (this->is_busy || this->buffer.size() > 0)
         return;
     error_code error;
     // NOTE: Bytes that wait are a request, which is served first.
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -36,6 +36,8 @@
     flat_buffer buffer;
     asio::steady_timer guard;
     bool guard_fired { false };
+    /// From the first byte of a request until its answer is sent.
+    bool is_busy { false };
     std::shared_ptr<RequestExchange> exchange;
     /// Counts requests, so that a watch set for an earlier one knows that it is over.
     std::uint64_t turn { 0 };
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -111,7 +111,9 @@
         socket.set_option(tcp::no_delay(true), ignored);
         auto const client = std::make_shared<CallerConnection>(this->state, std::move(socket));
         this->clients.push_back(client);
-        asio::co_spawn(this->context, client->run(), asio::detached);
+        // NOTE: The task must hold the connection before it first runs, so it is made inside one that does.
+        asio::co_spawn(
+            this->context, [client] { return client->run(); }, asio::detached);
     }
 }
 
