LibRouting: Divide a service's engines by the demand that is seen

Change: each box divides the engines by the work that it has lately seen of each kind, and an engine costs more the fuller it is.

--- a/Libraries/LibRouting/EndpointLoad.cpp
+++ b/Libraries/LibRouting/EndpointLoad.cpp
@@ -1,20 +1,14 @@
 #include <LibRouting/EndpointLoad.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace Routing {
 
-double EndpointLoad::Fading::now(Instant now, Duration half_life) const
-{
-    return this->value * std::exp2(-Core::to_seconds(now - this->at) / Core::to_seconds(half_life));
-}
-
 void EndpointLoad::started(RequestId request, Workload const& workload, Duration prefill, Instant now)
 {
     this->own[request] = { prefill, false };
     this->prompts.remember(workload.prompt, now);
-    this->attempts = { this->attempts.now(now, failure_half_life) + 1, now };
+    this->attempts.add(1, now);
 }
 
 void EndpointLoad::answered(RequestId request, Duration lateness, Instant now)
@@ -24,7 +18,7 @@
         return;
     found->second.answer_begun = true;
     auto const late = std::max(0.0, Core::to_seconds(lateness));
-    this->lateness_seconds = { std::max(late, this->lateness_seconds.now(now, lateness_half_life) / 2), now };
+    this->lateness_seconds.set(std::max(late, this->lateness_seconds.value(now) / 2), now);
 }
 
 void EndpointLoad::ended(RequestId request)
@@ -40,7 +34,7 @@
 void EndpointLoad::failed(Instant now)
 {
     this->health.failed(now);
-    this->failures = { this->failures.now(now, failure_half_life) + 1, now };
+    this->failures.add(1, now);
 }
 
 void EndpointLoad::shed(Instant now)
@@ -51,7 +45,7 @@
 void EndpointLoad::take_told(ToldLoad const& told, Instant now)
 {
     auto const peers = told.running + told.waiting - static_cast<int>(this->own.size());
-    this->peers_running = { static_cast<double>(std::max(0, peers)), now };
+    this->peers_running.set(std::max(0, peers), now);
 }
 
 bool EndpointLoad::takes_work(Instant now) const
@@ -66,18 +60,18 @@
         if (!request.answer_begun)
             backlog += request.prefill;
     }
-    return backlog + Core::from_seconds(this->lateness_seconds.now(now, lateness_half_life));
+    return backlog + Core::from_seconds(this->lateness_seconds.value(now));
 }
 
 double EndpointLoad::running(Instant now) const
 {
-    return static_cast<double>(this->own.size()) + this->peers_running.now(now, told_half_life);
+    return static_cast<double>(this->own.size()) + this->peers_running.value(now);
 }
 
 double EndpointLoad::failure_share(Instant now) const
 {
     // NOTE: One attempt more in the divisor, so that a single failure is not taken for a habit.
-    return this->failures.now(now, failure_half_life) / (this->attempts.now(now, failure_half_life) + 1);
+    return this->failures.value(now) / (this->attempts.value(now) + 1);
 }
 
 }
--- a/Libraries/LibRouting/EndpointLoad.h
+++ b/Libraries/LibRouting/EndpointLoad.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Ids.h>
+#include <LibRouting/FadingSum.h>
 #include <LibRouting/PromptMemory.h>
 #include <LibTraffic/EndpointHealth.h>
 
@@ -60,14 +61,6 @@
         Duration prefill { 0 };
         bool answer_begun { false };
     };
-    /// A value that counts for less and less: halved with every half-life.
-    struct Fading {
-        double value { 0 };
-        Instant at;
-
-        [[nodiscard]] double now(Instant now, Duration half_life) const;
-    };
-
     /// How long what one answer told of an endpoint stays of use: engines run a request for one or two seconds.
     static constexpr Duration told_half_life { std::chrono::seconds(1) };
     /// How long the lateness of one first token says something of the next: about as long as a backlog lasts.
@@ -77,10 +70,10 @@
     static constexpr Duration pause_when_full { std::chrono::milliseconds(60) };
 
     std::map<RequestId, OwnRequest> own;
-    Fading lateness_seconds;
-    Fading peers_running;
-    Fading failures;
-    Fading attempts;
+    FadingSum lateness_seconds { lateness_half_life };
+    FadingSum peers_running { told_half_life };
+    FadingSum failures { failure_half_life };
+    FadingSum attempts { failure_half_life };
     Instant full_until;
     Traffic::EndpointHealth health;
     PromptMemory prompts;
--- /dev/null
+++ b/Libraries/LibRouting/EngineDemand.cpp
@@ -0,0 +1,34 @@
+#include <LibRouting/EngineDemand.h>
+
+#include <algorithm>
+
+namespace Routing {
+
+WorkKind work_kind(Workload const& workload, EngineSpeed const& speed)
+{
+    /// An answer is long if making it takes this many times as long as reading its prompt: summaries of a long text
+    /// take about as long to write as to read, digests seventy times as long.
+    constexpr double long_answer_ratio = 6;
+    return speed.writing_milliseconds(workload) > speed.reading_milliseconds(workload) * long_answer_ratio
+        ? WorkKind::LongAnswer
+        : WorkKind::LongPrompt;
+}
+
+void EngineDemand::add(Workload const& workload, EngineSpeed const& speed, Core::Instant now)
+{
+    if (work_kind(workload, speed) == WorkKind::LongAnswer)
+        this->answers.add(speed.writing_milliseconds(workload) / answers_side_by_side, now);
+    else
+        this->prompts.add(speed.reading_milliseconds(workload) * unkept_share, now);
+}
+
+double EngineDemand::share_of_answers(Core::Instant now) const
+{
+    auto const for_answers = this->answers.value(now);
+    auto const for_prompts = this->prompts.value(now);
+    if (for_answers + for_prompts <= 0)
+        return least_share;
+    return std::clamp(for_answers / (for_answers + for_prompts), least_share, most_share);
+}
+
+}
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -25,7 +25,7 @@
 
 /// Which engines of a service are meant for a request: the first ones for long answers, the others for long prompts.
 std::vector<KnownEndpoint const*> preferred_side(
-    std::vector<KnownEndpoint const*> const& candidates, bool long_answer, PlacementModel const& model)
+    std::vector<KnownEndpoint const*> const& candidates, PlacementQuery const& query, PlacementModel const& model)
 {
     constexpr std::size_t fewest_to_divide = 3;
     if (candidates.size() < fewest_to_divide)
@@ -34,7 +34,8 @@
     for (auto const* endpoint : candidates)
         order.emplace_back(rendezvous_weight(0, endpoint->record.incarnation), endpoint);
     std::ranges::sort(order);
-    auto const share = static_cast<double>(order.size()) * model.share_for_long_answers;
+    bool const long_answer = work_kind(query.workload, model.engine) == WorkKind::LongAnswer;
+    auto const share = static_cast<double>(order.size()) * query.share_for_answers;
     auto const for_answers = static_cast<std::size_t>(std::max(1L, std::lround(share)));
     std::vector<KnownEndpoint const*> side;
     for (std::size_t index = long_answer ? 0 : for_answers; index < (long_answer ? for_answers : order.size()); ++index)
@@ -85,15 +86,17 @@
     PlacementQuery const& query, PlacementModel const& model)
 {
     auto const to_read = tokens_to_read(query.workload, load, is_home, query, model);
-    auto const prefill = to_read.all / model.prefill_tokens_per_millisecond;
+    auto const prefill = to_read.all / model.engine.prefill_tokens_per_millisecond;
     auto const backlog = Core::to_milliseconds(load.prefill_backlog(query.now));
     auto const running = load.running(query.now);
-    auto const step = model.step_milliseconds + model.step_milliseconds_per_request * running;
+    auto const step = model.engine.step_milliseconds + model.engine.step_milliseconds_per_request * running;
     auto const first_piece = backlog + prefill + step;
-    auto const read_again = to_read.shared / model.prefill_tokens_per_millisecond * model.read_again_factor;
+    auto const read_again = to_read.shared / model.engine.prefill_tokens_per_millisecond * model.read_again_factor;
+    auto const occupancy = running / std::max(1U, endpoint.record.slots);
+    auto const congestion = std::max(0.0, 2 * occupancy - 1) * model.full_engine_milliseconds;
     return { { endpoint.id, Core::from_seconds(prefill / 1000), Core::from_seconds(first_piece / 1000),
                  { first_piece, backlog, static_cast<std::uint32_t>(to_read.all), running, 0 } },
-        first_piece + read_again };
+        first_piece + read_again + congestion };
 }
 
 Candidate predict_plain(
@@ -117,10 +120,7 @@
     if (candidates.empty())
         return {};
     static EndpointLoad const unknown_load;
-    auto const reading = query.workload.prompt_tokens / model.prefill_tokens_per_millisecond;
-    auto const writing = query.workload.answer_tokens * model.step_milliseconds;
-    auto const side
-        = query.is_engine ? preferred_side(candidates, writing > reading * model.long_answer_ratio, model) : candidates;
+    auto const side = query.is_engine ? preferred_side(candidates, query, model) : candidates;
     auto const subject = query.is_engine ? shared_subject(query.workload) : std::nullopt;
     auto const* const home = subject ? home_of(side, *subject) : nullptr;
     std::optional<Candidate> best;
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -1,20 +1,15 @@
 #pragma once
 
 #include <LibRouting/EndpointDirectory.h>
-#include <LibRouting/EndpointLoad.h>
+#include <LibRouting/EngineDemand.h>
 
 #include <unordered_map>
 
 namespace Routing {
 
-/// Speeds and penalties that placement reckons with. The speeds come from the users' sheets of their engines.
+/// Speeds and penalties that placement reckons with.
 struct PlacementModel {
-    /// Prompt tokens that an engine reads in a millisecond.
-    double prefill_tokens_per_millisecond { 56.9 };
-    /// A step of an engine without other requests.
-    double step_milliseconds { 3.09 };
-    /// What each running request adds to a step.
-    double step_milliseconds_per_request { 0.102 };
+    EngineSpeed engine;
     /// What a call of a plain service takes, where nothing was measured yet.
     double plain_call_milliseconds { 20 };
     /// Cost of leaving the failure domain: the way there and back, and the price of the bytes.
@@ -26,13 +21,10 @@
     /// How many times its reading time a shared part costs where it is read again: it holds up others, and the users
     /// price it at about the worth of a request for 7,000 tokens.
     double read_again_factor { 4 };
-    /// Part of a service's engines that long answers go to first, so that long prompts do not stretch the pauses
-    /// between their events. An engine bears far more long answers than one box in five gets.
-    double share_for_long_answers { 0.2 };
-    /// An answer is long if making it takes this many times as long as reading its prompt.
-    double long_answer_ratio { 6 };
     /// Cost of placing a request on an engine that is meant for the other kind.
     double wrong_side_milliseconds { 400 };
+    /// Cost of an engine all of whose slots are taken; half of them are free of cost.
+    double full_engine_milliseconds { 1000 };
 
     bool operator==(PlacementModel const&) const = default;
 };
@@ -63,6 +55,9 @@
 struct PlacementQuery {
     Workload const& workload;
     bool is_engine { false };
+    /// Part of a service's engines that long answers go to first, so that long prompts do not stretch the pauses
+    /// between their events.
+    double share_for_answers { 0 };
     std::string const& own_domain;
     Instant now;
 };
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -120,6 +120,8 @@
     auto const* const service = configuration->find_service(admitted.service);
     admitted.is_engine = service != nullptr && service->engine.has_value();
     this->allowance_of(admitted.service).request_sent(now);
+    if (admitted.is_engine)
+        this->demands[admitted.service].add(head.workload, this->settings.placement.engine, now);
     admitted.configuration = std::move(configuration);
     return admitted;
 }
@@ -143,7 +145,8 @@
     }
     // NOTE: When no endpoint is trusted the belief may be wrong, and trying one costs less than refusing.
     auto const& usable = candidates.empty() ? distrusted : candidates;
-    PlacementQuery const query { workload, request.is_engine, this->settings.failure_domain, now };
+    PlacementQuery const query { workload, request.is_engine, this->demands[request.service].share_of_answers(now),
+        this->settings.failure_domain, now };
     auto const choice = choose_endpoint(usable, this->loads, query, this->settings.placement);
     if (!choice)
         return Rejected { Reason::NoEndpoint, tried.empty() ? come_back_after_gap : come_back_when_full };
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -136,6 +136,7 @@
     EndpointDirectory directory;
     LoadTable loads;
     std::unordered_map<std::string, RetryAllowance> allowances;
+    std::unordered_map<std::string, EngineDemand> demands;
     pcg32 random;
     std::uint64_t next_request { 1 };
 };
