--- a/Libraries/LibRouting/EngineDemand.h
+++ b/Libraries/LibRouting/EngineDemand.h
@@ -49,8 +49,8 @@
     static constexpr double answers_side_by_side = 32;
     /// Part of a prompt that an engine has to read on average; the rest is kept from earlier ones.
     static constexpr double unkept_share = 0.5;
-    /// Engines for long answers when there are hardly any: one in eight, so that a burst finds room.
-    static constexpr double least_share = 0.12;
+    /// Engines for long answers when there are hardly any: one in five, so that a burst finds room.
+    static constexpr double least_share = 0.2;
     static constexpr double most_share = 0.7;
 
     FadingSum answers { half_life };
