--- /dev/null
+++ b/Tests/LibLog/TestBoundedSink.cpp
@@ -0,0 +1,85 @@
+#include <TestMain.h>
+
+#include <LibLog/BoundedSink.h>
+#include <array>
+#include <fcntl.h>
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+namespace {
+
+/// A logger that writes into a pipe which nobody reads until the test does.
+struct PipedLogger {
+    PipedLogger()
+    {
+        REQUIRE(pipe(this->ends.data()) == 0);
+        this->sink = std::make_shared<Log::BoundedSink>(this->ends[1]);
+        this->logger = std::make_unique<spdlog::logger>("test", this->sink);
+        this->logger->set_pattern("%l %v");
+    }
+    ~PipedLogger()
+    {
+        close(this->ends[0]);
+        close(this->ends[1]);
+    }
+    PipedLogger(PipedLogger const&) = delete;
+    PipedLogger& operator=(PipedLogger const&) = delete;
+
+    [[nodiscard]] std::string read_all() const
+    {
+        fcntl(this->ends[0], F_SETFL, O_NONBLOCK);
+        std::string text;
+        std::array<char, 4096> piece {};
+        for (;;) {
+            auto const size = read(this->ends[0], piece.data(), piece.size());
+            if (size <= 0)
+                return text;
+            text.append(piece.data(), static_cast<std::size_t>(size));
+        }
+    }
+
+    std::array<int, 2> ends {};
+    std::shared_ptr<Log::BoundedSink> sink;
+    std::unique_ptr<spdlog::logger> logger;
+};
+
+}
+
+TEST_CASE("lines come whole and in order")
+{
+    PipedLogger const piped;
+    piped.logger->info("event=a n=1");
+    piped.logger->warn("event=b n=2");
+    piped.logger->flush();
+    CHECK(piped.read_all() == "info event=a n=1\nwarning event=b n=2\n");
+}
+
+TEST_CASE("a reader that stands still never blocks the writer, and learns what it missed")
+{
+    PipedLogger const piped;
+    std::string const line(1000, 'x');
+    // More than the pipe and the buffer hold together; warnings are not bound by the rate.
+    for (int index = 0; index < 2000; ++index)
+        piped.logger->warn(line);
+    CHECK(piped.sink->dropped_lines() > 0);
+    static_cast<void>(piped.read_all());
+    piped.logger->flush();
+    static_cast<void>(piped.read_all());
+    piped.logger->warn("event=again");
+    piped.logger->flush();
+    auto const text = piped.read_all();
+    CHECK(text.find("event=again") != std::string::npos);
+    CHECK(text.find("event=log_lines_dropped count=") != std::string::npos);
+}
+
+TEST_CASE("lines of information are bounded in number, warnings are not")
+{
+    PipedLogger const piped;
+    // The bound holds for each second, and the loop may cross one.
+    for (unsigned index = 0; index < 4 * Log::BoundedSink::most_lines_per_second; ++index)
+        piped.logger->info("i");
+    CHECK(piped.sink->dropped_lines() >= Log::BoundedSink::most_lines_per_second);
+    auto const before = piped.sink->dropped_lines();
+    piped.logger->warn("w");
+    CHECK(piped.sink->dropped_lines() == before);
+}
--- /dev/null
+++ b/Tests/LibRouting/TestPlacement.cpp
@@ -0,0 +1,149 @@
+#include <TestMain.h>
+
+#include <LibRouting/Placement.h>
+#include <map>
+
+namespace {
+
+using namespace Routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+auto const now = Instant {} + seconds(100);
+std::string const own_domain = "hall";
+
+/// Engines of one service and what one box believes of them.
+struct Engines {
+    explicit Engines(int count)
+    {
+        for (int index = 0; index < count; ++index)
+            this->endpoints.push_back({ EndpointId { static_cast<std::uint32_t>(index + 1) },
+                { "i-" + std::to_string(index), "pool", { "10.0.0.1", 80 }, own_domain, 64, false }, {}, false });
+    }
+
+    [[nodiscard]] EndpointId place(Workload const& workload, double share_for_answers = 0.2) const
+    {
+        std::vector<KnownEndpoint const*> candidates;
+        for (auto const& endpoint : this->endpoints)
+            candidates.push_back(&endpoint);
+        auto const choice
+            = choose_endpoint(candidates, this->loads, { workload, true, share_for_answers, own_domain, now }, {});
+        REQUIRE(choice);
+        return choice->endpoint;
+    }
+
+    std::vector<KnownEndpoint> endpoints;
+    LoadTable loads;
+};
+
+Workload long_prompt(std::uint64_t subject, std::uint64_t own)
+{
+    return { { { 1, 2500 }, { subject, 3800 }, { own, 2900 } }, 9200, 54 };
+}
+
+Workload long_answer(std::uint64_t own)
+{
+    return { { { 2, 100 }, { 3, 70 }, { own, 540 } }, 710, 280 };
+}
+
+}
+
+TEST_CASE("without endpoints there is no choice")
+{
+    Workload const workload;
+    CHECK_FALSE(choose_endpoint({}, {}, { workload, false, 0, own_domain, now }, {}));
+}
+
+TEST_CASE("boxes that know nothing of one another send a subject to the same engine")
+{
+    Engines const first(9);
+    Engines second(9);
+    std::ranges::reverse(second.endpoints);
+    std::map<EndpointId, int> homes;
+    for (std::uint64_t subject = 100; subject < 200; ++subject) {
+        auto const home = first.place(long_prompt(subject, subject * 1000));
+        CHECK(home == second.place(long_prompt(subject, subject * 1000 + 1)));
+        ++homes[home];
+    }
+    // Subjects spread over the engines for long prompts.
+    CHECK(homes.size() == 7);
+    for (auto const& [engine, subjects] : homes)
+        CHECK(subjects >= 5);
+}
+
+TEST_CASE("long answers and long prompts are kept apart, by the share that is asked for")
+{
+    Engines const engines(10);
+    std::map<EndpointId, int> prompts;
+    std::map<EndpointId, int> answers;
+    for (std::uint64_t own = 1000; own < 1200; ++own) {
+        ++prompts[engines.place(long_prompt(own * 7, own), 0.3)];
+        ++answers[engines.place(long_answer(own), 0.3)];
+    }
+    CHECK(prompts.size() == 7);
+    for (auto const& [engine, count] : answers)
+        CHECK_FALSE(prompts.contains(engine));
+}
+
+TEST_CASE("a subject leaves its home when the home has too much to read, and comes back")
+{
+    Engines engines(9);
+    auto const request = long_prompt(100, 5);
+    auto const home = engines.place(request);
+    for (std::uint64_t id = 1; id <= 8; ++id)
+        engines.loads[home].started(RequestId { id }, long_prompt(100, id), milliseconds(160), now);
+    CHECK(engines.place(request) != home);
+    for (std::uint64_t id = 1; id <= 8; ++id)
+        engines.loads[home].ended(RequestId { id });
+    CHECK(engines.place(request) == home);
+}
+
+TEST_CASE("a full engine is avoided by what it tells of all boxes together")
+{
+    Engines engines(9);
+    auto const engine = engines.place(long_answer(1));
+    engines.loads[engine].take_told({ 64, 10, 64 }, now);
+    CHECK(engines.place(long_answer(1)) != engine);
+}
+
+TEST_CASE("an endpoint that fails a part of its requests is left for one that does not")
+{
+    Engines engines(9);
+    auto const engine = engines.place(long_answer(1));
+    for (std::uint64_t id = 1; id <= 10; ++id) {
+        engines.loads[engine].started(RequestId { id }, {}, Duration { 0 }, now);
+        engines.loads[engine].ended(RequestId { id });
+        if (id % 2 == 0)
+            engines.loads[engine].failed(now);
+        else
+            engines.loads[engine].succeeded();
+    }
+    CHECK(engines.place(long_answer(1)) != engine);
+}
+
+TEST_CASE("calls of plain services go to the own failure domain until it is busy")
+{
+    std::vector<KnownEndpoint> endpoints {
+        { EndpointId { 1 }, { "a", "desk", { "10.0.0.1", 80 }, "other", 6, false }, {}, false },
+        { EndpointId { 2 }, { "b", "desk", { "10.0.0.2", 80 }, own_domain, 6, false }, {}, false },
+    };
+    LoadTable loads;
+    Workload const workload;
+    PlacementQuery const query { workload, false, 0, own_domain, now };
+    auto const place = [&] { return choose_endpoint({ &endpoints[0], &endpoints[1] }, loads, query, {})->endpoint; };
+    CHECK(place() == EndpointId { 2 });
+    for (std::uint64_t id = 1; id <= 6; ++id)
+        loads[EndpointId { 2 }].started(RequestId { id }, workload, Duration { 0 }, now);
+    CHECK(place() == EndpointId { 1 });
+}
+
+TEST_CASE("a part that was not used for a while is not counted as kept, and a lost one ends what follows it")
+{
+    PromptMemory memory;
+    memory.remember({ { 1, 100 }, { 2, 100 } }, now);
+    CHECK(memory.holds(1, now + seconds(9)));
+    CHECK_FALSE(memory.holds(1, now + seconds(11)));
+    CHECK_FALSE(memory.holds(3, now));
+    memory.clear();
+    CHECK_FALSE(memory.holds(1, now));
+}
--- /dev/null
+++ b/Tests/LibRouting/TestRequestRouter.cpp
@@ -0,0 +1,189 @@
+#include <TestMain.h>
+
+#include <LibRouting/RequestRouter.h>
+#include <set>
+
+namespace {
+
+using namespace Routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Instant at(Duration since_start)
+{
+    return Instant {} + seconds(100) + since_start;
+}
+
+Route route_named(std::string prefix, RouteKind kind, unsigned attempts)
+{
+    Route route;
+    route.name = prefix;
+    route.host = "h";
+    route.path_prefix = std::move(prefix);
+    route.kind = kind;
+    route.timeout = seconds(3);
+    route.priority = 2;
+    route.services = { { "desk", 1 } };
+    route.max_attempts = attempts;
+    return route;
+}
+
+SharedConfiguration configuration(std::uint64_t version, std::vector<std::string> keys)
+{
+    Configuration contents;
+    contents.version = version;
+    contents.routes = { route_named("/a/", RouteKind::Idempotent, 2), route_named("/open/", RouteKind::Idempotent, 2) };
+    contents.routes[1].is_public = true;
+    contents.services = { { "desk", 96, {} } };
+    contents.accounts = { { "account", std::move(keys), 0 } };
+    return std::make_shared<ConfigurationSnapshot const>(std::move(contents));
+}
+
+RequestHead request(std::string target, std::string key)
+{
+    return { "attempt", "h", std::move(target), std::move(key), seconds(1), {} };
+}
+
+struct Box {
+    Box()
+    {
+        RouterSettings settings;
+        settings.failure_domain = "hall";
+        settings.lease = { seconds(2), seconds(5) };
+        this->router = std::make_unique<RequestRouter>(settings, 7);
+        this->router->offer_configuration(configuration(1, { "k" }), at(seconds(0)));
+        this->router->put_endpoint({ "a", "desk", { "10.0.0.1", 80 }, "hall", 6, false });
+        this->router->put_endpoint({ "b", "desk", { "10.0.0.2", 80 }, "hall", 6, false });
+    }
+
+    [[nodiscard]] Reason refusal(RequestHead const& head, Instant now) const
+    {
+        auto const decision = this->router->admit(head, now);
+        auto const* const rejected = std::get_if<Rejected>(&decision);
+        return rejected ? rejected->reason : Reason::None;
+    }
+
+    std::unique_ptr<RequestRouter> router;
+};
+
+}
+
+TEST_CASE("a box without a configuration says that it can't tell yet")
+{
+    RequestRouter router({}, 1);
+    auto const decision = router.admit(request("/a/x", "k"), at(seconds(0)));
+    REQUIRE(std::holds_alternative<Rejected>(decision));
+    CHECK(std::get<Rejected>(decision).reason == Reason::ConfigurationMissing);
+    CHECK(std::get<Rejected>(decision).retry_after.has_value());
+}
+
+TEST_CASE("an unknown route or key is refused for good only while the configuration is fresh")
+{
+    Box const box;
+    CHECK(box.refusal(request("/a/x", "k"), at(seconds(1))) == Reason::None);
+    CHECK(box.refusal(request("/b/x", "k"), at(seconds(1))) == Reason::RouteUnknown);
+    CHECK(box.refusal(request("/a/x", "wrong"), at(seconds(1))) == Reason::KeyUnknown);
+    CHECK(box.refusal(request("/b/x", "k"), at(seconds(3))) == Reason::ConfigurationExpired);
+    CHECK(box.refusal(request("/a/x", "wrong"), at(seconds(3))) == Reason::ConfigurationExpired);
+    CHECK(box.refusal(request("/a/x", "k"), at(seconds(3))) == Reason::None);
+}
+
+TEST_CASE("a key that may have been taken away is not served, a public route is")
+{
+    Box const box;
+    CHECK(box.refusal(request("/a/x", "k"), at(milliseconds(4400))) == Reason::None);
+    CHECK(box.refusal(request("/a/x", "k"), at(milliseconds(4600))) == Reason::ConfigurationExpired);
+    CHECK(box.refusal(request("/open/x", ""), at(milliseconds(4600))) == Reason::None);
+    box.router->confirm_configuration(at(milliseconds(4500)));
+    CHECK(box.refusal(request("/a/x", "k"), at(milliseconds(4600))) == Reason::None);
+    box.router->offer_configuration(configuration(2, { "other" }), at(milliseconds(4700)));
+    CHECK(box.refusal(request("/a/x", "k"), at(milliseconds(4700))) == Reason::KeyUnknown);
+}
+
+TEST_CASE("a request admitted before the lease ran out is not sent after it did")
+{
+    Box const box;
+    auto const admitted = std::get<Admitted>(box.router->admit(request("/a/x", "k"), at(milliseconds(4400))));
+    CHECK(std::holds_alternative<Placed>(box.router->place(admitted, {}, {}, at(milliseconds(4450)))));
+    auto const late = box.router->place(admitted, {}, {}, at(milliseconds(4600)));
+    REQUIRE(std::holds_alternative<Rejected>(late));
+    CHECK(std::get<Rejected>(late).reason == Reason::ConfigurationExpired);
+}
+
+TEST_CASE("the account's priority goes before the route's, and the shorter time ends a request")
+{
+    Box const box;
+    auto const keyed = std::get<Admitted>(box.router->admit(request("/a/x", "k"), at(seconds(0))));
+    CHECK(keyed.priority == 0);
+    CHECK(keyed.account == "account");
+    CHECK(keyed.expires == at(seconds(1)));
+    CHECK(keyed.expiry == Reason::DeadlinePassed);
+    auto head = request("/open/x", "");
+    head.patience = seconds(9);
+    auto const open = std::get<Admitted>(box.router->admit(head, at(seconds(0))));
+    CHECK(open.priority == 2);
+    CHECK(open.account.empty());
+    CHECK(open.expires == at(seconds(3)));
+    CHECK(open.expiry == Reason::RouteTimeoutPassed);
+}
+
+TEST_CASE("a second endpoint is another one, and there is none after the last")
+{
+    Box const box;
+    auto const admitted = std::get<Admitted>(box.router->admit(request("/a/x", "k"), at(seconds(0))));
+    std::vector<EndpointId> tried;
+    std::set<std::string> seen;
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        auto const placed = std::get<Placed>(box.router->place(admitted, {}, tried, at(seconds(0))));
+        seen.insert(placed.endpoint.incarnation);
+        tried.push_back(placed.choice.endpoint);
+    }
+    CHECK(seen.size() == 2);
+    auto const last = box.router->place(admitted, {}, tried, at(seconds(0)));
+    REQUIRE(std::holds_alternative<Rejected>(last));
+    CHECK(std::get<Rejected>(last).reason == Reason::NoEndpoint);
+}
+
+TEST_CASE("an endpoint that fails again and again is left alone, but not when it is the last")
+{
+    Box const box;
+    auto const admitted = std::get<Admitted>(box.router->admit(request("/a/x", "k"), at(seconds(0))));
+    auto const first = std::get<Placed>(box.router->place(admitted, {}, {}, at(seconds(0))));
+    for (int failure = 0; failure < 3; ++failure) {
+        box.router->attempt_started(admitted, {}, first.choice, at(seconds(0)));
+        box.router->attempt_ended(admitted.id, first.choice.endpoint, AttemptResult::Failed, at(seconds(0)));
+    }
+    auto const second = std::get<Placed>(box.router->place(admitted, {}, {}, at(milliseconds(10))));
+    CHECK(second.choice.endpoint != first.choice.endpoint);
+    box.router->remove_endpoint(second.endpoint.incarnation, at(milliseconds(20)));
+    auto const last = std::get<Placed>(box.router->place(admitted, {}, {}, at(milliseconds(30))));
+    CHECK(last.choice.endpoint == first.choice.endpoint);
+}
+
+TEST_CASE("an attempt that ends after its endpoint is gone leaves nothing behind")
+{
+    Box const box;
+    auto const admitted = std::get<Admitted>(box.router->admit(request("/a/x", "k"), at(seconds(0))));
+    auto const placed = std::get<Placed>(box.router->place(admitted, {}, {}, at(seconds(0))));
+    box.router->attempt_started(admitted, {}, placed.choice, at(seconds(0)));
+    box.router->remove_endpoint(placed.endpoint.incarnation, at(seconds(0)));
+    CHECK(box.router->expire_endpoints(at(seconds(0))) == std::vector { placed.choice.endpoint });
+    box.router->attempt_ended(admitted.id, placed.choice.endpoint, AttemptResult::Failed, at(seconds(1)));
+    CHECK(box.router->endpoint_count() == 1);
+}
+
+TEST_CASE("requests divide over services by their weights")
+{
+    Configuration contents;
+    contents.version = 1;
+    contents.routes = { route_named("/a/", RouteKind::Idempotent, 1) };
+    contents.routes[0].services = { { "desk", 90 }, { "new", 10 }, { "none", 0 } };
+    RequestRouter router({}, 11);
+    router.offer_configuration(std::make_shared<ConfigurationSnapshot const>(std::move(contents)), at(seconds(0)));
+    std::map<std::string, int> drawn;
+    for (int index = 0; index < 2000; ++index)
+        ++drawn[std::get<Admitted>(router.admit(request("/a/x", ""), at(seconds(0)))).service];
+    CHECK(drawn["desk"] > 1700);
+    CHECK(drawn["new"] > 130);
+    CHECK(drawn["none"] == 0);
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/TestRequestCodec.cpp
@@ -0,0 +1,133 @@
+#include <TestMain.h>
+
+#include <platform/RequestCodec.h>
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace {
+
+using namespace Adapter;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+HttpRequestHead request_head(std::string const& text)
+{
+    http::request_parser<http::string_body> parser;
+    boost::system::error_code error;
+    parser.put(boost::asio::buffer(text), error);
+    REQUIRE(parser.is_header_done());
+    return parser.get();
+}
+
+HttpAnswerHead answer_head(std::string const& text)
+{
+    http::response_parser<http::string_body> parser;
+    boost::system::error_code error;
+    parser.put(boost::asio::buffer(text), error);
+    REQUIRE(parser.is_header_done());
+    return parser.get();
+}
+
+std::string const streaming_request
+    = "POST /a/b?q=1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 9c41\r\nX-Model: m\r\n"
+      "X-Token-Count: 1460,80\r\nX-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4:250\r\n"
+      "x-oWn: Kept\r\nX-Deadline-Ms: 4000\r\nX-Key: secret\r\nX-Tenant: forged\r\n"
+      "X-Expect-Instance: forged\r\nX-Request-Urgency: 0\r\nConnection: keep-alive, X-Hop\r\n"
+      "X-Hop: 1\r\nKeep-Alive: timeout=5\r\nTE: trailers\r\nContent-Length: 2\r\n\r\nab";
+
+bool contains(std::string const& text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+}
+
+TEST_CASE("a request's head is read into what the product knows of requests")
+{
+    Core::LastReason reason;
+    auto const read = decode_request(request_head(streaming_request), reason);
+    REQUIRE(read);
+    CHECK(read->attempt == "9c41");
+    CHECK(read->host == "h.example");
+    CHECK(read->target == "/a/b?q=1");
+    CHECK(read->api_key == "secret");
+    CHECK(read->patience == std::chrono::seconds(4));
+    CHECK(read->workload.prompt_tokens == 1460);
+    CHECK(read->workload.answer_tokens == 80);
+    CHECK(read->workload.prompt
+        == std::vector<Routing::PromptPart> { { 0x5c1e07a2, 800 }, { 0x91bd3f06, 410 }, { 0xe4, 250 } });
+}
+
+TEST_CASE("heads that no endpoint could be given are refused")
+{
+    Core::LastReason reason;
+    CHECK_FALSE(decode_request(request_head("GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n"), reason));
+    CHECK_FALSE(decode_request(request_head("GET / HTTP/1.1\r\n\r\n"), reason));
+    CHECK_FALSE(decode_request(request_head("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"), reason));
+    CHECK_FALSE(decode_request(request_head("GET / HTTP/1.1\r\nHost: a\r\nX-Deadline-Ms: soon\r\n\r\n"), reason));
+    CHECK_FALSE(decode_request(request_head("GET / HTTP/1.1\r\nHost: a\r\nX-Key: 1\r\nX-Key: 2\r\n\r\n"), reason));
+    CHECK(decode_request(request_head("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), reason));
+}
+
+TEST_CASE("an endpoint gets the client's head without its key and its connection's headers, and this box's own")
+{
+    auto const sent = encode_request(request_head(streaming_request), { "account", "i-1", 2, milliseconds(1500), 2 });
+    CHECK(sent.starts_with("POST /a/b?q=1 HTTP/1.1\r\nHost: h.example\r\n"));
+    CHECK(sent.ends_with("\r\n\r\n"));
+    for (auto const* part : { "X-Attempt-Id: 9c41\r\n", "X-Model: m\r\n", "X-Token-Count: 1460,80\r\n",
+             "X-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4:250\r\n", "x-oWn: Kept\r\n", "X-Deadline-Ms: 1500\r\n",
+             "X-Tenant: account\r\n", "X-Expect-Instance: i-1\r\n", "X-Request-Urgency: 2\r\n",
+             "Content-Length: 2\r\n" })
+        CHECK_MESSAGE(contains(sent, part), part);
+    for (auto const* part : { "secret", "forged", "X-Key", "Connection", "X-Hop", "Keep-Alive", "TE:", "4000" })
+        CHECK_MESSAGE(!contains(sent, part), part);
+}
+
+TEST_CASE("a request without a body gets no length, and no account where it has none")
+{
+    auto const sent = encode_request(
+        request_head("GET /a/ HTTP/1.1\r\nHost: h\r\nX-Tenant: forged\r\n\r\n"), { "", "i-1", 0, milliseconds(1), {} });
+    CHECK_FALSE(contains(sent, "Content-Length"));
+    CHECK_FALSE(contains(sent, "X-Tenant"));
+}
+
+TEST_CASE("what an endpoint says of a request is read from its answer's head")
+{
+    auto const facts = [](std::string const& text) { return decode_answer(answer_head(text + "\r\n"), "9c41"); };
+    CHECK(facts("HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\n") == AnswerFacts {});
+    CHECK(facts("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n").is_for_other_request);
+    CHECK(facts("HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n").not_run);
+    CHECK_FALSE(facts("HTTP/1.1 503 No\r\n").not_run);
+    auto const moved = facts("HTTP/1.1 421 Misdirected Request\r\n");
+    CHECK(moved.not_run);
+    CHECK(moved.is_other_endpoint);
+    CHECK(facts("HTTP/1.1 200 OK\r\nX-Server-Load: 3,0,8\r\n").load == Routing::ToldLoad { 3, 0, 8 });
+    CHECK_FALSE(facts("HTTP/1.1 200 OK\r\nX-Server-Load: 3,x,8\r\n").load);
+    CHECK_FALSE(facts("HTTP/1.1 200 OK\r\nX-Server-Load: 3,0\r\n").load);
+}
+
+TEST_CASE("an answer is passed on unchanged but for what concerns its connection")
+{
+    auto const head
+        = answer_head("HTTP/1.1 200 Fine\r\nX-Response-Stamp: 3e1b.07\r\nx-Odd: A b\r\nConnection: close\r\n"
+                      "Keep-Alive: timeout=4\r\nContent-Length: 5\r\n\r\n");
+    auto const kept = encode_answer(head, { BodyFraming::Length, true });
+    CHECK(kept == "HTTP/1.1 200 Fine\r\nX-Response-Stamp: 3e1b.07\r\nx-Odd: A b\r\nContent-Length: 5\r\n\r\n");
+    CHECK(encode_answer(head, { BodyFraming::Chunked, false })
+        == "HTTP/1.1 200 Fine\r\nX-Response-Stamp: 3e1b.07\r\nx-Odd: A b\r\nTransfer-Encoding: chunked\r\n"
+           "Connection: close\r\n\r\n");
+    CHECK(idle_time_told(head) == std::chrono::seconds(4));
+    CHECK_FALSE(idle_time_told(answer_head("HTTP/1.1 200 OK\r\nKeep-Alive: max=4\r\n\r\n")));
+}
+
+TEST_CASE("an own answer names its reason and when to come back")
+{
+    auto const text = encode_own_answer({ 503, "9c41", Core::Reason::EndpointFull, milliseconds(150), false, false });
+    CHECK(text.starts_with("HTTP/1.1 503 Service Unavailable\r\n"));
+    CHECK(contains(text, "X-Attempt-Id: 9c41\r\n"));
+    CHECK(contains(text, "Retry-After: 0.150\r\n"));
+    CHECK(contains(text, "Connection: close\r\n"));
+    CHECK(text.ends_with("{\"reason\":\"endpoint-full\"}\n"));
+    CHECK_FALSE(contains(text, "X-Response-Stamp"));
+}
