LibRouting: Change the division of engines only when demand clearly changed

Change: half-life 6 s, and a change needs 0.8 engines or 15 in 100. Test: 'the engines for long answers follow the demand, not every sample of it'.

--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -472,6 +472,8 @@
         .with("backlog_ms", figures.backlog_milliseconds)
         .with("tokens_to_read", figures.tokens_to_read)
         .with("running", figures.running)
+        .with("subject", fmt::format("{:x}", figures.subject))
+        .with("home", figures.is_home ? "yes" : "no")
         .with("left_ms", Core::to_milliseconds(this->admitted->expires - attempt.started))
         .info();
 }
--- a/Libraries/LibRouting/EngineDemand.cpp
+++ b/Libraries/LibRouting/EngineDemand.cpp
@@ -1,6 +1,7 @@
 #include <LibRouting/EngineDemand.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Routing {
 
@@ -22,6 +23,19 @@
         this->prompts.add(speed.reading_milliseconds(workload) * unkept_share, now);
 }
 
+std::size_t EngineDemand::engines_for_answers(std::size_t engines, Core::Instant now)
+{
+    if (engines < fewest_to_divide)
+        return 0;
+    auto const needed = std::max(1.0, this->share_of_answers(now) * static_cast<double>(engines));
+    auto const has = static_cast<double>(this->given);
+    bool const has_changed = std::abs(needed - has) > std::max(least_change_engines, has * least_change_share);
+    if (engines != this->given_of || has_changed)
+        this->given = static_cast<std::size_t>(std::lround(needed));
+    this->given_of = engines;
+    return this->given;
+}
+
 double EngineDemand::share_of_answers(Core::Instant now) const
 {
     auto const for_answers = this->answers.value(now);
--- a/Libraries/LibRouting/EngineDemand.h
+++ b/Libraries/LibRouting/EngineDemand.h
@@ -39,12 +39,18 @@
 class EngineDemand {
 public:
     void add(Workload const& workload, EngineSpeed const& speed, Core::Instant now);
-    /// The part of the engines that long answers need.
-    [[nodiscard]] double share_of_answers(Core::Instant now) const;
+    /// How many of a service's engines long answers get. Changes only when the need has clearly changed: each change
+    /// makes engines read shared prompt parts again, and boxes that see different samples would disagree.
+    [[nodiscard]] std::size_t engines_for_answers(std::size_t engines, Core::Instant now);
 
 private:
-    /// Bursts last some seconds; a few requests are enough for a rough division.
-    static constexpr Core::Duration half_life { std::chrono::seconds(2) };
+    [[nodiscard]] double share_of_answers(Core::Instant now) const;
+
+    /// A box of the first sites sees some ten requests a second; fewer than a hundred make the share a matter of luck.
+    static constexpr Core::Duration half_life { std::chrono::seconds(6) };
+    /// By how much the need must differ from what long answers have, in engines and as a part of what they have.
+    static constexpr double least_change_engines = 0.8;
+    static constexpr double least_change_share = 0.15;
     /// Requests that an engine runs side by side before its steps grow noticeably.
     static constexpr double answers_side_by_side = 32;
     /// Part of a prompt that an engine has to read on average; the rest is kept from earlier ones.
@@ -52,9 +58,13 @@
     /// Engines for long answers when there are hardly any: one in five, so that a burst finds room.
     static constexpr double least_share = 0.2;
     static constexpr double most_share = 0.7;
+    /// With fewer engines every one takes both kinds.
+    static constexpr std::size_t fewest_to_divide = 3;
 
     FadingSum answers { half_life };
     FadingSum prompts { half_life };
+    std::size_t given { 0 };
+    std::size_t given_of { 0 };
 };
 
 }
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -27,16 +27,14 @@
 std::vector<KnownEndpoint const*> preferred_side(
     std::vector<KnownEndpoint const*> const& candidates, PlacementQuery const& query, PlacementModel const& model)
 {
-    constexpr std::size_t fewest_to_divide = 3;
-    if (candidates.size() < fewest_to_divide)
+    auto const for_answers = query.engines_for_answers;
+    if (for_answers == 0 || for_answers >= candidates.size())
         return candidates;
     std::vector<std::pair<std::uint64_t, KnownEndpoint const*>> order;
     for (auto const* endpoint : candidates)
         order.emplace_back(rendezvous_weight(0, endpoint->record.incarnation), endpoint);
     std::ranges::sort(order);
     bool const long_answer = work_kind(query.workload, model.engine) == WorkKind::LongAnswer;
-    auto const share = static_cast<double>(order.size()) * query.share_for_answers;
-    auto const for_answers = static_cast<std::size_t>(std::max(1L, std::lround(share)));
     std::vector<KnownEndpoint const*> side;
     for (std::size_t index = long_answer ? 0 : for_answers; index < (long_answer ? for_answers : order.size()); ++index)
         side.push_back(order[index].second);
@@ -95,7 +93,7 @@
     auto const occupancy = running / std::max(1U, endpoint.record.slots);
     auto const congestion = std::max(0.0, 2 * occupancy - 1) * model.full_engine_milliseconds;
     return { { endpoint.id, Core::from_seconds(prefill / 1000), Core::from_seconds(first_piece / 1000),
-                 { first_piece, backlog, static_cast<std::uint32_t>(to_read.all), running, 0 } },
+                 { first_piece, backlog, static_cast<std::uint32_t>(to_read.all), running, 0, is_home, 0 } },
         first_piece + read_again + congestion };
 }
 
@@ -108,7 +106,8 @@
     // NOTE: Among endpoints with free slots the emptier one is taken, since peers send there too.
     auto const busy_share = running / std::max(1U, endpoint.record.slots);
     auto const expected = model.plain_call_milliseconds * (1 + turns + busy_share / 2);
-    return { { endpoint.id, Duration { 0 }, Core::from_seconds(expected / 1000), { expected, 0, 0, running, 0 } },
+    return { { endpoint.id, Duration { 0 }, Core::from_seconds(expected / 1000),
+                 { expected, 0, 0, running, 0, false, 0 } },
         expected };
 }
 
@@ -138,6 +137,7 @@
             best = candidate;
     }
     best->choice.figures.candidates = candidates.size();
+    best->choice.figures.subject = subject.value_or(0);
     return best->choice;
 }
 
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -35,6 +35,9 @@
     double backlog_milliseconds { 0 };
     std::uint32_t tokens_to_read { 0 };
     double running { 0 };
+    /// The part of the prompt that decides on the home, and whether this endpoint is it.
+    std::uint64_t subject { 0 };
+    bool is_home { false };
     std::size_t candidates { 0 };
 
     bool operator==(PlacementFigures const&) const = default;
@@ -55,9 +58,9 @@
 struct PlacementQuery {
     Workload const& workload;
     bool is_engine { false };
-    /// Part of a service's engines that long answers go to first, so that long prompts do not stretch the pauses
-    /// between their events.
-    double share_for_answers { 0 };
+    /// How many of the engines long answers go to first, so that long prompts do not stretch the pauses between their
+    /// events; 0 if every engine takes both kinds.
+    std::size_t engines_for_answers { 0 };
     std::string const& own_domain;
     Instant now;
 };
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -145,8 +145,9 @@
     }
     // NOTE: When no endpoint is trusted the belief may be wrong, and trying one costs less than refusing.
     auto const& usable = candidates.empty() ? distrusted : candidates;
-    PlacementQuery const query { workload, request.is_engine, this->demands[request.service].share_of_answers(now),
-        this->settings.failure_domain, now };
+    auto const for_answers
+        = request.is_engine ? this->demands[request.service].engines_for_answers(usable.size(), now) : 0;
+    PlacementQuery const query { workload, request.is_engine, for_answers, this->settings.failure_domain, now };
     auto const choice = choose_endpoint(usable, this->loads, query, this->settings.placement);
     if (!choice)
         return Rejected { Reason::NoEndpoint, tried.empty() ? come_back_after_gap : come_back_when_full };
--- a/Tests/LibRouting/TestPlacement.cpp
+++ b/Tests/LibRouting/TestPlacement.cpp
@@ -21,13 +21,13 @@
                 { "i-" + std::to_string(index), "pool", { "10.0.0.1", 80 }, own_domain, 64, false }, {}, false });
     }
 
-    [[nodiscard]] EndpointId place(Workload const& workload, double share_for_answers = 0.2) const
+    [[nodiscard]] EndpointId place(Workload const& workload, std::size_t for_answers = 2) const
     {
         std::vector<KnownEndpoint const*> candidates;
         for (auto const& endpoint : this->endpoints)
             candidates.push_back(&endpoint);
         auto const choice
-            = choose_endpoint(candidates, this->loads, { workload, true, share_for_answers, own_domain, now }, {});
+            = choose_endpoint(candidates, this->loads, { workload, true, for_answers, own_domain, now }, {});
         REQUIRE(choice);
         return choice->endpoint;
     }
@@ -71,20 +71,45 @@
         CHECK(subjects >= 5);
 }
 
-TEST_CASE("long answers and long prompts are kept apart, by the share that is asked for")
+TEST_CASE("long answers and long prompts are kept apart, by the number that is asked for")
 {
     Engines const engines(10);
     std::map<EndpointId, int> prompts;
     std::map<EndpointId, int> answers;
     for (std::uint64_t own = 1000; own < 1200; ++own) {
-        ++prompts[engines.place(long_prompt(own * 7, own), 0.3)];
-        ++answers[engines.place(long_answer(own), 0.3)];
+        ++prompts[engines.place(long_prompt(own * 7, own), 3)];
+        ++answers[engines.place(long_answer(own), 3)];
     }
     CHECK(prompts.size() == 7);
     for (auto const& [engine, count] : answers)
         CHECK_FALSE(prompts.contains(engine));
 }
 
+TEST_CASE("the engines for long answers follow the demand, not every sample of it")
+{
+    EngineDemand demand;
+    EngineSpeed const speed;
+    auto moment = now;
+    CHECK(demand.engines_for_answers(2, moment) == 0);
+    CHECK(demand.engines_for_answers(10, moment) == 2);
+    std::size_t changes = 0;
+    auto before = demand.engines_for_answers(10, moment);
+    for (std::uint64_t own = 0; own < 2000; ++own) {
+        moment += milliseconds(100);
+        demand.add(own % 4 == 0 ? long_answer(own) : long_prompt(own, own), speed, moment);
+        auto const given = demand.engines_for_answers(10, moment);
+        changes += given != before ? 1 : 0;
+        before = given;
+    }
+    CHECK(changes <= 1);
+    CHECK(before == 2);
+    for (std::uint64_t own = 0; own < 300; ++own) {
+        moment += milliseconds(100);
+        demand.add(long_answer(own), speed, moment);
+    }
+    CHECK(demand.engines_for_answers(10, moment) >= 6);
+}
+
 TEST_CASE("a subject leaves its home when the home has too much to read, and comes back")
 {
     Engines engines(9);
