--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -179,7 +179,7 @@
     bool const has_body = !this->request.body().empty() || this->request.count(http::field::content_length) > 0
         || this->request.chunked();
     Adapter::ForwardedFigures const figures { this->admitted->account, attempt.placed.endpoint.incarnation,
-        this->admitted->priority, this->admitted->expires - monotonic_now(),
+        this->admitted->urgency, this->admitted->expires - monotonic_now(),
         has_body ? std::optional(this->request.body().size()) : std::nullopt };
     auto const head = std::make_shared<std::string>(Adapter::encode_request(this->request, figures));
     std::array<asio::const_buffer, 2> const buffers { asio::buffer(*head), asio::buffer(this->request.body()) };
@@ -462,7 +462,7 @@
         .with("id", this->attempt_id)
         .with("route", this->admitted->route->name)
         .with("account", this->admitted->account)
-        .with("priority", this->admitted->priority)
+        .with("urgency", this->admitted->urgency)
         .with("configuration", this->admitted->configuration->version())
         .with("configuration_age_ms", Core::to_milliseconds(this->state.router.configuration_age(attempt.started)))
         .with("endpoint", attempt.placed.endpoint.incarnation)
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -1,6 +1,8 @@
 #include <LibGateway/StoreFollower.h>
 
 #include <LibLog/EventLog.h>
+#include <algorithm>
+#include <iterator>
 
 namespace Gateway {
 
@@ -165,11 +167,17 @@
     }
     auto const version = decoded->version;
     auto const routes = decoded->routes.size();
+    auto const accounts = decoded->accounts ? decoded->accounts->size() : 0;
+    auto const ranked = !decoded->accounts
+        ? 0
+        : std::ranges::count_if(*decoded->accounts, [](auto const& account) { return account.priority.has_value(); });
     auto snapshot = std::make_shared<Routing::ConfigurationSnapshot const>(std::move(*decoded));
     bool const is_newer = this->state.router.offer_configuration(std::move(snapshot), asked_at);
     Log::EventLine(is_newer ? "configuration_in_force" : "configuration_not_newer")
         .with("version", version)
         .with("routes", routes)
+        .with("accounts", accounts)
+        .with("accounts_with_priority", ranked)
         .info();
 }
 
--- a/Libraries/LibRouting/Configuration.h
+++ b/Libraries/LibRouting/Configuration.h
@@ -92,7 +92,7 @@
 struct ClientAccount {
     std::string name;
     std::vector<std::string> api_keys;
-    /// Takes precedence over the route's priority.
+    /// Decides among requests whose routes have the same priority. docs/QUESTIONS.md tells why not the other way round.
     std::optional<unsigned> priority;
 
     bool operator==(ClientAccount const&) const = default;
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -5,6 +5,16 @@
 
 namespace Routing {
 
+unsigned urgency_of(Route const& route, ClientAccount const* account)
+{
+    /// Priorities of each kind that are told apart; endpoints know ten ranks.
+    constexpr unsigned told_apart = 3;
+    /// The rank of accounts that have none: between the others.
+    constexpr unsigned usual_priority = 1;
+    auto const of_account = account ? account->priority.value_or(usual_priority) : usual_priority;
+    return std::min(route.priority, told_apart - 1) * told_apart + std::min(of_account, told_apart - 1);
+}
+
 RequestRouter::RequestRouter(RouterSettings settings, std::uint64_t seed)
     : settings(std::move(settings))
     , lease(this->settings.lease)
@@ -100,14 +110,14 @@
     if (!route)
         return this->refuse_unknown(Reason::RouteUnknown, now);
     Admitted admitted;
-    admitted.priority = route->priority;
+    ClientAccount const* account = nullptr;
     if (configuration->needs_keys() && !route->is_public) {
-        auto const* const account = configuration->find_account(head.api_key);
+        account = configuration->find_account(head.api_key);
         if (!account)
             return this->refuse_unknown(Reason::KeyUnknown, now);
         admitted.account = account->name;
-        admitted.priority = account->priority.value_or(route->priority);
     }
+    admitted.urgency = urgency_of(*route, account);
     admitted.route = route;
     admitted.arrived = now;
     bool const timeout_is_first
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -40,7 +40,8 @@
     std::string service;
     /// Name of the client account; empty on a public route.
     std::string account;
-    unsigned priority { 0 };
+    /// 0 is the most urgent.
+    unsigned urgency { 0 };
     bool is_engine { false };
     Instant arrived;
     /// When the client's patience or the route's timeout ends, whichever comes first.
@@ -51,6 +52,9 @@
     bool operator==(Admitted const&) const = default;
 };
 
+/// The rank of a request among all others, 0 for the most urgent: the route's priority first, then the account's.
+[[nodiscard]] unsigned urgency_of(Route const& route, ClientAccount const* account);
+
 /// A request that this box will not send to any endpoint, now or later.
 struct Rejected {
     Reason reason { Reason::None };
