LibGateway: Pace reads of the store by the users' bounds

Change: endpoints are read every 0.6 of the drain bound (0.9 s before), the configuration pauses 250 ms after a change so that a storm of changes costs fewer calls, failed calls back off to 800 ms.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -36,7 +36,8 @@
     , options(std::move(options))
     , state(this->context, router_settings(this->environment), this->options.seed)
     , operator_follower(this->state, this->environment.store, Adapter::Topic::Operator, operator_pace)
-    , endpoints_follower(this->state, this->environment.store, Adapter::Topic::Endpoints, endpoints_pace)
+    , endpoints_follower(
+          this->state, this->environment.store, Adapter::Topic::Endpoints, endpoints_pace(this->environment))
     , signals(this->context, SIGTERM, SIGINT, SIGHUP)
     , settings_changed_at(change_time(this->options.settings_path))
 {
@@ -46,6 +47,12 @@
         = static_cast<std::size_t>(static_cast<double>(this->environment.most_sockets) * share_of_sockets_for_clients);
 }
 
+StoreFollower::Pace Gateway::endpoints_pace(Adapter::BoxEnvironment const& environment)
+{
+    auto const pause = Core::from_seconds(Core::to_seconds(environment.drain_within) * share_of_drain_bound);
+    return { std::chrono::milliseconds(0), pause };
+}
+
 std::unique_ptr<Gateway> Gateway::try_create(
     Adapter::BoxEnvironment environment, GatewayOptions options, Core::LastReason& last_reason)
 {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -45,14 +45,15 @@
     /// How often idle connections, lapsed endpoints and the log's buffer are looked after. Well below the 2 s in which
     /// an endpoint that leaves has to be left alone.
     static constexpr Core::Duration housekeeping_interval { std::chrono::milliseconds(250) };
-    /// A read that waits renews the configuration's lease this often; three of them fit into the shortest revocation
-    /// bound of the first sites with a second to spare.
+    /// A read that waits renews the configuration's lease this often. Three fit into the shortest revocation bound of
+    /// the first sites. The pause makes one call of changes that come in quick succession, well inside the 2 s in which
+    /// they must be in force.
     static constexpr StoreFollower::Pace operator_pace { std::chrono::milliseconds(1200),
-        std::chrono::milliseconds(0) };
-    /// Endpoints write about every second each, so waiting would make a call of each write. One read a second leaves
-    /// half of the 2 s in which an endpoint that drains must be left alone.
-    static constexpr StoreFollower::Pace endpoints_pace { std::chrono::milliseconds(0),
-        std::chrono::milliseconds(900) };
+        std::chrono::milliseconds(250) };
+    /// Endpoints write about every second each, so waiting would make a call of each write. The pause leaves room for a
+    /// slow answer inside the time in which an endpoint that drains must be left alone.
+    static constexpr double share_of_drain_bound = 0.6;
+    [[nodiscard]] static StoreFollower::Pace endpoints_pace(Adapter::BoxEnvironment const& environment);
     /// After the signal to stop: the balancer asks each second and lets go after two refusals.
     static constexpr Core::Duration balancer_lag { std::chrono::milliseconds(2300) };
     /// Kept back from the grace, so that the process ends by itself.
--- a/Libraries/LibGateway/StoreFollower.h
+++ b/Libraries/LibGateway/StoreFollower.h
@@ -54,7 +54,7 @@
     static constexpr Core::Duration answer_patience { std::chrono::milliseconds(700) };
     /// Pause after a failed call; doubled with each further one up to the longest.
     static constexpr Core::Duration first_pause_after_failure { std::chrono::milliseconds(100) };
-    static constexpr Core::Duration longest_pause_after_failure { std::chrono::milliseconds(400) };
+    static constexpr Core::Duration longest_pause_after_failure { std::chrono::milliseconds(800) };
 
     GatewayState& state;
     Adapter::Topic topic;
