LibRouting: Leave endpoints that fall silent before their requests time out

Change: an endpoint that owes an answer beyond twice the expected time costs more in placement; an idempotent call that is silent for one and a half times its target is tried elsewhere, inside the retry budget.

--- a/Libraries/LibCore/Reason.cpp
+++ b/Libraries/LibCore/Reason.cpp
@@ -54,6 +54,7 @@
     "route-unknown",
     "key-unknown",
     "configuration-missing",
+    "configuration-aging",
     "configuration-expired",
     "header-too-large",
     "malformed-request",
@@ -62,6 +63,7 @@
     "endpoint-full",
     "endpoint-replaced",
     "endpoint-failed",
+    "endpoint-silent",
     "attempts-spent",
     "memory-limit",
 };
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -47,6 +47,7 @@
     , client(std::move(client))
     , arrived(monotonic_now())
     , expiry(state.context)
+    , silence(state.context)
     , keeps_client(this->client.keeps_connection)
 {
 }
@@ -105,7 +106,7 @@
             co_await this->give_up(this->last_end, this->reason_for_giving_up());
             co_return;
         }
-        this->state.metrics.count_retry(retry_reason(this->last_end));
+        this->state.metrics.count_retry(this->was_silent ? Reason::EndpointSilent : retry_reason(this->last_end));
     }
 }
 
@@ -194,8 +195,11 @@
 Task<RequestExchange::AttemptEnd> RequestExchange::converse(Attempt& attempt)
 {
     this->send_request(attempt);
+    this->arm_silence_limit();
     Adapter::AnswerFacts facts;
-    if (!co_await this->read_answer_head(attempt, facts))
+    bool const is_answered = co_await this->read_answer_head(attempt, facts);
+    this->silence.cancel();
+    if (!is_answered)
         co_return AttemptEnd::Unknown;
     attempt.status = this->parser->get().result_int();
     auto const endpoint = attempt.placed.choice.endpoint;
@@ -380,6 +384,24 @@
     });
 }
 
+void RequestExchange::arm_silence_limit()
+{
+    this->was_silent = false;
+    auto const& route = *this->admitted->route;
+    bool const may_go_elsewhere = route.kind == Routing::RouteKind::Idempotent
+        && this->sent_attempts < route.max_attempts && route.goal > Core::Duration { 0 };
+    if (!may_go_elsewhere)
+        return;
+    this->silence.expires_after(Core::from_seconds(Core::to_seconds(route.goal) * silence_in_targets));
+    this->silence.async_wait([weak = this->weak_from_this(), watched = this->connection](error_code cancelled) {
+        auto const self = weak.lock();
+        if (cancelled || !self || self->connection != watched)
+            return;
+        self->was_silent = true;
+        watched->abort();
+    });
+}
+
 void RequestExchange::cancel_attempt()
 {
     if (this->connection)
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -67,6 +67,8 @@
     [[nodiscard]] Task<void> give_up(AttemptEnd last, Core::Reason why);
 
     void arm_expiry();
+    /// Ends an attempt of which nothing has come after a while, if the request may go to another endpoint instead.
+    void arm_silence_limit();
     void cancel_attempt();
     [[nodiscard]] bool is_cancelled() const { return this->has_expired || this->has_left; }
     [[nodiscard]] bool may_try_again(AttemptEnd end);
@@ -87,6 +89,9 @@
     static constexpr std::uint64_t largest_held_answer = 64 * 1024;
     static constexpr std::size_t piece_bytes = 8 * 1024;
     static constexpr std::uint32_t largest_answer_head = 64 * 1024;
+    /// An idempotent call that is silent for this many times its target is tried elsewhere: endpoints that fall silent
+    /// answer nothing before the client gives up, and calls that take that long are one in a hundred.
+    static constexpr double silence_in_targets = 1.5;
     /// When a client may come back after an endpoint refused its request: a few service times.
     static constexpr Core::Duration come_back_after_refusal { std::chrono::milliseconds(150) };
 
@@ -98,6 +103,7 @@
     std::optional<Routing::Admitted> admitted;
     Core::Instant arrived;
     asio::steady_timer expiry;
+    asio::steady_timer silence;
     SharedConnection connection;
     std::unique_ptr<AnswerParser> parser;
     /// Whether the endpoint has taken all of the request.
@@ -107,6 +113,7 @@
     AttemptEnd last_end { AttemptEnd::NotSent };
     bool has_expired { false };
     bool has_left { false };
+    bool was_silent { false };
     bool client_is_broken { false };
     bool answer_begun { false };
     bool keeps_client { true };
--- /dev/null
+++ b/Libraries/LibLog/LogLine.cpp
@@ -0,0 +1,99 @@
+#include <LibLog/LogLine.h>
+
+#include <algorithm>
+
+#include <spdlog/fmt/fmt.h>
+
+namespace Log {
+
+namespace {
+
+using Pairs = std::map<std::string, std::string>;
+
+std::string value_of(Pairs const& pairs, std::string const& key)
+{
+    auto const found = pairs.find(key);
+    return found == pairs.end() ? std::string("?") : found->second;
+}
+
+/// Reads a quoted value from behind its opening quote; `position` ends behind the closing one.
+std::string quoted_value(std::string_view line, std::size_t& position)
+{
+    std::string value;
+    while (position < line.size() && line[position] != '"') {
+        if (line[position] == '\\' && position + 1 < line.size())
+            ++position;
+        value += line[position++];
+    }
+    ++position;
+    return value;
+}
+
+std::string tell_placement(Pairs const& pairs)
+{
+    return fmt::format("attempt {}: sent to {} of {} candidates (route {}, configuration {} confirmed {} ms before; "
+                       "predicted {} ms: backlog {} ms, {} tokens to read, {} running there; {} ms left)",
+        value_of(pairs, "attempt"), value_of(pairs, "endpoint"), value_of(pairs, "candidates"),
+        value_of(pairs, "route"), value_of(pairs, "configuration"), value_of(pairs, "configuration_age_ms"),
+        value_of(pairs, "predicted_ms"), value_of(pairs, "backlog_ms"), value_of(pairs, "tokens_to_read"),
+        value_of(pairs, "running"), value_of(pairs, "left_ms"));
+}
+
+std::string tell_attempt_end(Pairs const& pairs)
+{
+    auto told = fmt::format("attempt at {} ended after {} ms: {}, status {}, on a {} connection",
+        value_of(pairs, "endpoint"), value_of(pairs, "took_ms"), value_of(pairs, "result"), value_of(pairs, "status"),
+        value_of(pairs, "reused_connection") == "yes" ? "kept" : "new");
+    if (pairs.contains("detail"))
+        told += " (" + value_of(pairs, "detail") + ")";
+    return told;
+}
+
+std::string tell_end(Pairs const& pairs)
+{
+    return fmt::format("the client was told {} after {} ms and {} attempts, because: {}{}", value_of(pairs, "status"),
+        value_of(pairs, "took_ms"), value_of(pairs, "attempts"), value_of(pairs, "reason"),
+        value_of(pairs, "client_left") == "yes" ? "; it had left by then" : "");
+}
+
+}
+
+Pairs parse_line(std::string_view line)
+{
+    Pairs pairs;
+    std::size_t position = 0;
+    while (position < line.size()) {
+        auto const end_of_key = line.find_first_of(" =", position);
+        if (end_of_key == std::string_view::npos)
+            break;
+        std::string const key(line.substr(position, end_of_key - position));
+        position = end_of_key + 1;
+        if (line[end_of_key] == ' ' || key.empty())
+            continue;
+        if (position < line.size() && line[position] == '"') {
+            pairs[key] = quoted_value(line, ++position);
+        } else {
+            auto const end = std::min(line.find(' ', position), line.size());
+            pairs[key] = line.substr(position, end - position);
+            position = end;
+        }
+        ++position;
+    }
+    return pairs;
+}
+
+std::string tell_event(Pairs const& pairs)
+{
+    auto const event = value_of(pairs, "event");
+    if (event == "request_placed")
+        return tell_placement(pairs);
+    if (event == "attempt_ended")
+        return tell_attempt_end(pairs);
+    if (event == "request_ended")
+        return tell_end(pairs);
+    if (event == "answer_for_other_request")
+        return "the endpoint sent an answer to another request first; it was dropped";
+    return {};
+}
+
+}
--- a/Libraries/LibRouting/ConfigurationLease.cpp
+++ b/Libraries/LibRouting/ConfigurationLease.cpp
@@ -26,7 +26,7 @@
     if (this->bounds.revoke_within
         && Core::to_seconds(held) > Core::to_seconds(*this->bounds.revoke_within) * share_of_revoke_bound)
         return ConfigurationTrust::Expired;
-    return held <= this->bounds.apply_within ? ConfigurationTrust::Fresh : ConfigurationTrust::Aging;
+    return held <= this->bounds.apply_within + waiting_read ? ConfigurationTrust::Fresh : ConfigurationTrust::Aging;
 }
 
 }
--- a/Libraries/LibRouting/ConfigurationLease.h
+++ b/Libraries/LibRouting/ConfigurationLease.h
@@ -50,6 +50,9 @@
     /// Part of the revocation bound after which keys are no longer trusted. The rest covers the way from the check to
     /// the endpoint and clocks that run unevenly.
     static constexpr double share_of_revoke_bound = 0.9;
+    /// Added to the bound for applying changes before refusals stop being final: the moment that a read vouches for
+    /// lies up to a second before its answer, since the read waits at the store.
+    static constexpr Duration waiting_read { std::chrono::seconds(1) };
 
     LeaseBounds bounds;
     SharedConfiguration in_force;
--- a/Libraries/LibRouting/EndpointLoad.cpp
+++ b/Libraries/LibRouting/EndpointLoad.cpp
@@ -4,9 +4,9 @@
 
 namespace Routing {
 
-void EndpointLoad::started(RequestId request, Workload const& workload, Duration prefill, Instant now)
+void EndpointLoad::started(RequestId request, Workload const& workload, ExpectedTimes const& expected, Instant now)
 {
-    this->own[request] = { prefill, false };
+    this->own[request] = { expected, now, false };
     this->prompts.remember(workload.prompt, now);
     this->attempts.add(1, now);
 }
@@ -17,6 +17,7 @@
     if (found == this->own.end())
         return;
     found->second.answer_begun = true;
+    this->last_answer = now;
     auto const late = std::max(0.0, Core::to_seconds(lateness));
     this->lateness_seconds.set(std::max(late, this->lateness_seconds.value(now) / 2), now);
 }
@@ -58,11 +59,24 @@
     Duration backlog { 0 };
     for (auto const& [id, request] : this->own) {
         if (!request.answer_begun)
-            backlog += request.prefill;
+            backlog += request.expected.prefill;
     }
     return backlog + Core::from_seconds(this->lateness_seconds.value(now));
 }
 
+Duration EndpointLoad::overdue(Instant now) const
+{
+    Duration longest { 0 };
+    for (auto const& [id, request] : this->own) {
+        // NOTE: An answer that began after this request was sent shows that the endpoint lives.
+        if (request.answer_begun || this->last_answer > request.started)
+            continue;
+        auto const allowed = 2 * request.expected.first_piece + overdue_margin;
+        longest = std::max(longest, now - request.started - allowed);
+    }
+    return longest;
+}
+
 double EndpointLoad::running(Instant now) const
 {
     return static_cast<double>(this->own.size()) + this->peers_running.value(now);
--- a/Libraries/LibRouting/EndpointLoad.h
+++ b/Libraries/LibRouting/EndpointLoad.h
@@ -30,12 +30,21 @@
     bool operator==(ToldLoad const&) const = default;
 };
 
+/// How long a request is expected to take at an endpoint.
+struct ExpectedTimes {
+    /// How long the engine reads the prompt.
+    Duration prefill { 0 };
+    /// When the first piece of the answer comes, from the start.
+    Duration first_piece { 0 };
+
+    bool operator==(ExpectedTimes const&) const = default;
+};
+
 /// What this box believes of an endpoint's load and health: what it sent there itself, corrected by what the endpoint
 /// tells and by how late its first tokens come, which shows what other boxes sent.
 class EndpointLoad {
 public:
-    /// `prefill` is how long the engine is expected to read the prompt.
-    void started(RequestId request, Workload const& workload, Duration prefill, Instant now);
+    void started(RequestId request, Workload const& workload, ExpectedTimes const& expected, Instant now);
     /// The first piece of the answer came; `lateness` is how much later than predicted.
     void answered(RequestId request, Duration lateness, Instant now);
     void ended(RequestId request);
@@ -48,6 +57,8 @@
     [[nodiscard]] bool takes_work(Instant now) const;
     /// How long a new prompt waits until the engine begins to read it.
     [[nodiscard]] Duration prefill_backlog(Instant now) const;
+    /// How long the endpoint has been silent beyond what was expected; zero for one that answers in time.
+    [[nodiscard]] Duration overdue(Instant now) const;
     /// Requests believed to be there, of all boxes.
     [[nodiscard]] double running(Instant now) const;
     /// Requests of this box whose answer has begun, or is about to.
@@ -58,7 +69,8 @@
 
 private:
     struct OwnRequest {
-        Duration prefill { 0 };
+        ExpectedTimes expected;
+        Instant started;
         bool answer_begun { false };
     };
     /// How long what one answer told of an endpoint stays of use: engines run a request for one or two seconds.
@@ -66,10 +78,14 @@
     /// How long the lateness of one first token says something of the next: about as long as a backlog lasts.
     static constexpr Duration lateness_half_life { std::chrono::milliseconds(400) };
     static constexpr Duration failure_half_life { std::chrono::seconds(4) };
+    /// An answer is overdue after twice its expected time and this, which covers a long tail of short calls.
+    static constexpr Duration overdue_margin { std::chrono::milliseconds(60) };
     /// An endpoint that was full is left alone this long: a few requests' service times.
     static constexpr Duration pause_when_full { std::chrono::milliseconds(60) };
 
     std::map<RequestId, OwnRequest> own;
+    /// When the endpoint last began an answer to this box.
+    Instant last_answer;
     FadingSum lateness_seconds { lateness_half_life };
     FadingSum peers_running { told_half_life };
     FadingSum failures { failure_half_life };
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -129,6 +129,7 @@
         auto candidate = query.is_engine ? predict_engine(*endpoint, load, endpoint == home, query, model)
                                          : predict_plain(*endpoint, load, query, model);
         candidate.cost += load.failure_share(query.now) * model.failure_milliseconds;
+        candidate.cost += Core::to_milliseconds(load.overdue(query.now)) * model.overdue_factor;
         if (endpoint->record.failure_domain != query.own_domain)
             candidate.cost += model.other_domain_milliseconds;
         if (std::ranges::find(side, endpoint) == side.end())
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -175,15 +175,15 @@
 {
     std::scoped_lock const guard(this->endpoints_lock);
     if (auto* const load = this->load_of(choice.endpoint))
-        load->started(request.id, workload, choice.prefill, now);
+        load->started(request.id, workload, { choice.prefill, choice.first_piece }, now);
 }
 
 void RequestRouter::attempt_answered(
     Admitted const& request, PlacementChoice const& choice, Duration taken, Instant now)
 {
     std::scoped_lock const guard(this->endpoints_lock);
-    if (auto* const load = this->load_of(choice.endpoint); load != nullptr && request.is_engine)
-        load->answered(request.id, taken - choice.first_piece, now);
+    if (auto* const load = this->load_of(choice.endpoint))
+        load->answered(request.id, request.is_engine ? taken - choice.first_piece : Duration { 0 }, now);
 }
 
 void RequestRouter::attempt_ended(RequestId request, EndpointId endpoint, AttemptResult result, Instant now)
@@ -239,7 +239,7 @@
     // NOTE: A newer configuration may know the route or the key, so a final answer needs a fresh one.
     if (this->lease.trust(now) == ConfigurationTrust::Fresh)
         return { reason, {} };
-    return { Reason::ConfigurationExpired, come_back_after_gap };
+    return { Reason::ConfigurationAging, come_back_after_gap };
 }
 
 std::string const& RequestRouter::draw_service(Route const& route)
--- a/Programs/cleatbeam/BoxCommands.cpp
+++ b/Programs/cleatbeam/BoxCommands.cpp
@@ -1,4 +1,5 @@
 #include "CommandLine.h"
+#include "ExplainLog.h"
 #include "FileText.h"
 
 #include <LibPlatform/HttpAddress.h>
@@ -8,6 +9,7 @@
 #include <sstream>
 
 DEFINE_string(box_address, "", "operator address of a box, IP:PORT; several, separated by commas, for explain");
+DEFINE_string(log, "", "file with the log lines of boxes, - for standard input; explain reads them in place of asking");
 DEFINE_string(key_file, "", "file with the operator key; empty for none");
 
 namespace {
@@ -76,5 +78,7 @@
 
 int run_explain(std::vector<std::string> const& positional)
 {
+    if (!FLAGS_log.empty())
+        return explain_from_log(positional[0], FLAGS_log);
     return print_first_answer("/explain/" + positional[0]);
 }
--- a/Programs/cleatbeam/CommandLine.cpp
+++ b/Programs/cleatbeam/CommandLine.cpp
@@ -19,7 +19,7 @@
         { "show", "FILE", "show resolved settings and where each was inherited from",
             { "class", "account", "endpoint" }, 1, run_show },
         { "status", "", "show the status of a box", { "box_address", "key_file" }, 0, run_status },
-        { "explain", "ID", "tell what was decided on a request, and why", { "box_address", "key_file" }, 1,
+        { "explain", "ID", "tell what was decided on a request, and why", { "box_address", "key_file", "log" }, 1,
             run_explain },
     };
     return all;
--- a/Tests/LibGateway/TestRequestExchange.cpp
+++ b/Tests/LibGateway/TestRequestExchange.cpp
@@ -67,7 +67,8 @@
 
 /// One request through a box with a few scripted endpoints.
 struct Exchange {
-    explicit Exchange(Routing::RouteKind kind, unsigned attempts = 2, int endpoint_count = 1, bool can_resume = false)
+    explicit Exchange(Routing::RouteKind kind, unsigned attempts = 2, int endpoint_count = 1, bool can_resume = false,
+        Core::Duration goal = Core::Duration { 0 })
         : state(this->context, Routing::RouterSettings { "hall", {}, { 0.2, std::chrono::seconds(10), 100 }, {} }, 1)
         , client(this->context)
         , socket(std::make_shared<tcp::socket>(std::move(this->client.near)))
@@ -80,6 +81,7 @@
         route.path_prefix = "/";
         route.kind = kind;
         route.timeout = std::chrono::seconds(60);
+        route.goal = goal;
         route.services = { { "desk", 1 } };
         route.max_attempts = attempts;
         route.can_resume = can_resume;
@@ -358,6 +360,31 @@
     }
 }
 
+TEST_CASE("a repeatable call to an endpoint that stays silent is tried elsewhere, any other waits")
+{
+    SUBCASE("repeatable")
+    {
+        Exchange request(RouteKind::Idempotent, 2, 2, false, std::chrono::milliseconds(20));
+        request.start();
+        auto const silent = request.arrival();
+        request.endpoints[request.arrival()]->answer(whole_answer);
+        REQUIRE(request.ends());
+        CHECK(request.received.starts_with("HTTP/1.1 200 "));
+        CHECK(request.reach([&] { return request.endpoints[silent]->connections[0]->is_closed; }));
+    }
+    SUBCASE("not repeatable")
+    {
+        Exchange request(RouteKind::NonIdempotent, 2, 2, false, std::chrono::milliseconds(1));
+        request.start();
+        auto const slow = request.arrival();
+        request.context.run_for(std::chrono::milliseconds(30));
+        request.endpoints[slow]->answer(whole_answer);
+        REQUIRE(request.ends());
+        CHECK(request.received.starts_with("HTTP/1.1 200 "));
+        CHECK(request.arrivals() == 1);
+    }
+}
+
 TEST_CASE("an endpoint that can't be reached costs no attempt")
 {
     Exchange request(RouteKind::NonIdempotent, 1, 2);
--- a/Tests/LibRouting/TestPlacement.cpp
+++ b/Tests/LibRouting/TestPlacement.cpp
@@ -117,7 +117,8 @@
     auto const request = long_prompt(100, 5);
     auto const home = engines.place(request);
     for (std::uint64_t id = 1; id <= 8; ++id)
-        engines.loads[home].started(RequestId { id }, long_prompt(100, id), milliseconds(160), now);
+        engines.loads[home].started(
+            RequestId { id }, long_prompt(100, id), { milliseconds(160), milliseconds(160) }, now);
     CHECK(engines.place(request) != home);
     for (std::uint64_t id = 1; id <= 8; ++id)
         engines.loads[home].ended(RequestId { id });
@@ -137,7 +138,7 @@
     Engines engines(9);
     auto const engine = engines.place(long_answer(1));
     for (std::uint64_t id = 1; id <= 10; ++id) {
-        engines.loads[engine].started(RequestId { id }, {}, Duration { 0 }, now);
+        engines.loads[engine].started(RequestId { id }, {}, {}, now);
         engines.loads[engine].ended(RequestId { id });
         if (id % 2 == 0)
             engines.loads[engine].failed(now);
@@ -159,10 +160,32 @@
     auto const place = [&] { return choose_endpoint({ &endpoints[0], &endpoints[1] }, loads, query, {})->endpoint; };
     CHECK(place() == EndpointId { 2 });
     for (std::uint64_t id = 1; id <= 6; ++id)
-        loads[EndpointId { 2 }].started(RequestId { id }, workload, Duration { 0 }, now);
+        loads[EndpointId { 2 }].started(RequestId { id }, workload, {}, now);
     CHECK(place() == EndpointId { 1 });
 }
 
+TEST_CASE("an endpoint that stays silent beyond the expected is avoided before its requests time out")
+{
+    EndpointLoad load;
+    ExpectedTimes const expected { Duration { 0 }, milliseconds(20) };
+    load.started(RequestId { 1 }, {}, expected, now);
+    CHECK(load.overdue(now + milliseconds(99)) == Duration { 0 });
+    CHECK(load.overdue(now + milliseconds(150)) == milliseconds(50));
+    // Another answer, begun later, shows that the endpoint lives.
+    load.started(RequestId { 2 }, {}, expected, now + milliseconds(10));
+    load.answered(RequestId { 2 }, Duration { 0 }, now + milliseconds(30));
+    CHECK(load.overdue(now + milliseconds(150)) == Duration { 0 });
+    load.started(RequestId { 3 }, {}, expected, now + milliseconds(40));
+    CHECK(load.overdue(now + milliseconds(200)) == milliseconds(60));
+    load.ended(RequestId { 3 });
+    CHECK(load.overdue(now + milliseconds(200)) == Duration { 0 });
+
+    Engines engines(9);
+    auto const engine = engines.place(long_answer(1));
+    engines.loads[engine].started(RequestId { 1 }, long_answer(2), expected, now - seconds(1));
+    CHECK(engines.place(long_answer(1)) != engine);
+}
+
 TEST_CASE("a part that was not used for a while is not counted as kept, and a lost one ends what follows it")
 {
     PromptMemory memory;
