--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -70,9 +70,9 @@
         return false;
     this->readiness.emplace(
         std::move(*readiness_acceptor), [this](std::string_view path) { return this->answer_readiness(path); });
-    if (this->options.metrics_port == 0)
+    if (!this->options.metrics_port)
         return true;
-    auto metrics_acceptor = listen_on(this->context, { "0.0.0.0", this->options.metrics_port }, last_reason);
+    auto metrics_acceptor = listen_on(this->context, { "0.0.0.0", *this->options.metrics_port }, last_reason);
     if (!metrics_acceptor)
         return false;
     this->metrics_listener.emplace(
@@ -80,6 +80,12 @@
     return true;
 }
 
+Gateway::Ports Gateway::ports() const
+{
+    return { this->clients_acceptor->local_endpoint().port(), this->readiness->port(),
+        this->metrics_listener ? this->metrics_listener->port() : std::uint16_t { 0 } };
+}
+
 void Gateway::run()
 {
     Log::EventLine("gateway_started")
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -12,8 +12,8 @@
 
 struct GatewayOptions {
     std::string settings_path;
-    /// Where metrics are served, on all addresses of the box; 0 for nowhere.
-    std::uint16_t metrics_port { 0 };
+    /// Where metrics are served, on all addresses of the box; nothing for nowhere.
+    std::optional<std::uint16_t> metrics_port;
     std::uint64_t seed { 0 };
 };
 
@@ -24,6 +24,14 @@
     [[nodiscard]] static std::unique_ptr<Gateway> try_create(
         Adapter::BoxEnvironment environment, GatewayOptions options, Core::LastReason& last_reason);
 
+    /// The ports that are listened on, which the kernel may have chosen; 0 for metrics that are served nowhere.
+    struct Ports {
+        std::uint16_t front { 0 };
+        std::uint16_t readiness { 0 };
+        std::uint16_t metrics { 0 };
+    };
+    [[nodiscard]] Ports ports() const;
+
     /// Serves until the process is told to stop and its requests are finished.
     void run();
 
--- a/Meta/check_command_line.sh
+++ b/Meta/check_command_line.sh
@@ -20,7 +20,7 @@
 expect 2 'usage: cleatbeam'
 expect 0 'usage: cleatbeam' --help
 expect 2 "unknown subcommand 'fly'" fly
-for subcommand in serve check publish show status explain; do
+for subcommand in serve route check publish show status explain; do
     expect 0 "usage: cleatbeam $subcommand" "$subcommand" --help
     expect 2 'unknown flag --colour' "$subcommand" --colour=red
 done
@@ -37,6 +37,14 @@
 expect 1 'path=classes/field/patience line=8 value="6" reason=' check "$folder/bad.yaml"
 printf 'name: x\nlisten: nowhere\n' >"$folder/box.yaml"
 expect 1 'path=listen line=2 value="nowhere"' serve --box="$folder/box.yaml"
+expect 2 'names no settings file' route
+printf '{"node_name": "x"}' >"$folder/environment.json"
+export CLEATBEAM_CONFIG="$folder/environment.json"
+expect 1 '/zone: is missing' route
+unset CLEATBEAM_CONFIG
+printf 'event=request_ended id=abc status=503 reason=no-endpoint\n' >"$folder/box.log"
+expect 0 'because: no-endpoint' explain abc --log="$folder/box.log"
+expect 1 'no line tells of request' explain missing --log="$folder/box.log"
 expect 1 "does not answer" publish Examples/censo-aves.yaml --platform=127.0.0.1:1
 expect 2 'must be an IP number' publish Examples/censo-aves.yaml --platform=nowhere
 [ "$failures" -eq 0 ] && echo "command line: as it should be"
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -41,4 +41,37 @@
 id=$(grep -i '^X-Cleatbeam-Request-Id' "$cluster_folder/chat.head" | tr -d '\r' | cut -d' ' -f2)
 "$cluster_build/cleatbeam" explain "$id" --box_address="127.0.0.1:${operators[1]}"
 echo "== where to look: operators' side of the boxes on ports ${operators[*]}: /metrics /status /ready"
-echo "demo: both answers are whole"
+
+echo "== the users' platform: a store, two engines, a plain service, three boxes"
+cluster_standin store store; store=$cluster_port
+for name in engine-a engine-b; do cluster_standin "$name" server --store="127.0.0.1:$store" --service=model --incarnation="$name"; done
+cluster_standin desk server --store="127.0.0.1:$store" --service=desk --incarnation=desk
+cat >"$cluster_folder/config.json" <<'CONFIG'
+{"version": 1, "services": [{"name": "model", "engine": {"slots": 64, "kv_cache_tokens": 289584}}, {"name": "desk"}],
+ "routes": [{"name": "chat", "host": "demo.example", "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 5000, "service": "model"},
+            {"name": "sighting", "host": "demo.example", "path_prefix": "/sighting/", "kind": "non_idempotent", "timeout_ms": 5000, "service": "desk"}],
+ "tenants": [{"name": "censo", "api_keys": ["demo-key"]}]}
+CONFIG
+cluster_put_record "$store" keyed.op config "$cluster_folder/config.json"
+for number in 1 2 3; do
+    cluster_route_box "route-$number" "hall-$number" "$store"
+    fronts[number]=$cluster_port
+    cluster_wait_ready_path "$cluster_ready_port" /readiness
+done
+ask() { curl -sSN "http://127.0.0.1:$1$2" -H 'Host: demo.example' -H 'X-Key: demo-key' -H "X-Attempt-Id: $3" -H 'X-Deadline-Ms: 5000' -d 'body' "${@:4}"; }
+ask "${fronts[1]}" /chat/now demo-chat -H 'X-Standin-Events: 3' | tee "$cluster_folder/route-chat.body"
+grep -q '^data: demo-chat:3' "$cluster_folder/route-chat.body"
+ask "${fronts[2]}" /sighting/new demo-sighting -D "$cluster_folder/route-call.head" | tee "$cluster_folder/route-call.body"
+echo
+grep -qx 'ran demo-sighting' "$cluster_folder/route-call.body"
+grep -qi '^X-Response-Stamp: ' "$cluster_folder/route-call.head"
+[ "$(ask "${fronts[3]}" /sighting/new demo-wrong -H 'X-Key: wrong' -o /dev/null -w '%{http_code}')" = 400 ]
+echo "== the chat's story, from the log of its box"
+for tries in $(seq 100); do
+    "$cluster_build/cleatbeam" explain demo-chat --log="$cluster_folder/route-1.log" >"$cluster_folder/story" 2>/dev/null &&
+        grep -q 'the client was told 200' "$cluster_folder/story" && break
+    sleep 0.1
+done
+cat "$cluster_folder/story"
+grep -q 'the client was told 200' "$cluster_folder/story"
+echo "demo: both answers are whole, on the own interface and on the users' platform"
--- a/Programs/cleatbeam/Route.cpp
+++ b/Programs/cleatbeam/Route.cpp
@@ -4,13 +4,31 @@
 #include <LibGateway/Gateway.h>
 #include <LibLog/EventLog.h>
 #include <csignal>
+#include <cstdio>
+#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
 #include <random>
 
-DEFINE_int32(metrics_port, 0, "port of the metrics page, on all addresses of the box; 0 for none");
+DEFINE_int32(metrics_port, -1, "port of the metrics page, on all addresses of the box; 0 for any, -1 for none");
+DEFINE_string(ports_file, "", "file to write the ports of clients, readiness and metrics to, once they are open");
 DECLARE_string(log_level);
 
+namespace {
+
+void write_ports(Gateway::Gateway::Ports const& ports)
+{
+    if (FLAGS_ports_file.empty())
+        return;
+    // NOTE: Written aside and renamed, so that nobody reads a half of it.
+    auto const draft = FLAGS_ports_file + ".draft";
+    std::ofstream(draft) << ports.front << " " << ports.readiness << " " << ports.metrics << "\n";
+    if (std::rename(draft.c_str(), FLAGS_ports_file.c_str()) != 0)
+        Log::EventLine("ports_not_written").with("file", FLAGS_ports_file).error();
+}
+
+}
+
 int run_route(std::vector<std::string> const&)
 {
     auto const path = Adapter::settings_path();
@@ -29,12 +47,15 @@
     std::signal(SIGPIPE, SIG_IGN);
     Log::set_up_bounded_logging(environment->box_name);
     spdlog::set_level(spdlog::level::from_str(FLAGS_log_level));
-    auto const gateway = Gateway::Gateway::try_create(
-        *environment, { *path, static_cast<std::uint16_t>(FLAGS_metrics_port), std::random_device {}() }, last_reason);
+    auto const metrics_port
+        = FLAGS_metrics_port < 0 ? std::nullopt : std::optional(static_cast<std::uint16_t>(FLAGS_metrics_port));
+    auto const gateway
+        = Gateway::Gateway::try_create(*environment, { *path, metrics_port, std::random_device {}() }, last_reason);
     if (!gateway) {
         Log::EventLine("gateway_not_started").with("reason", last_reason.text).error();
         return exit_failure;
     }
+    write_ports(gateway->ports());
     gateway->run();
     return exit_success;
 }
--- /dev/null
+++ b/Programs/standin/HttpSession.cpp
@@ -0,0 +1,71 @@
+#include "HttpSession.h"
+
+#include <fmt/format.h>
+
+namespace Standin {
+
+Task<bool> Session::answer(unsigned status, std::string const& body, std::string const& headers)
+{
+    co_return co_await this->send(fmt::format("HTTP/1.1 {} {}\r\n{}Content-Length: {}\r\n\r\n{}", status,
+        std::string(http::obsolete_reason(static_cast<http::status>(status))), headers, body.size(), body));
+}
+
+Task<bool> Session::send(std::string const& bytes)
+{
+    auto const [error, written] = co_await asio::async_write(this->socket, asio::buffer(bytes), Gateway::as_value);
+    co_return !error;
+}
+
+namespace {
+
+Task<void> run_session(std::shared_ptr<Session> session, Handler handler)
+{
+    Gateway::flat_buffer buffer;
+    bool is_open = true;
+    while (is_open) {
+        Request request;
+        auto const [error, bytes] = co_await http::async_read(session->socket, buffer, request, Gateway::as_value);
+        if (error)
+            co_return;
+        is_open = co_await handler(session, std::move(request));
+    }
+}
+
+Task<void> accept_sessions(std::shared_ptr<tcp::acceptor> acceptor, Handler handler)
+{
+    for (;;) {
+        auto [error, socket] = co_await acceptor->async_accept(Gateway::as_value);
+        if (error)
+            continue;
+        socket.set_option(tcp::no_delay(true));
+        auto session = std::make_shared<Session>(std::move(socket));
+        asio::co_spawn(acceptor->get_executor(), run_session(std::move(session), handler), asio::detached);
+    }
+}
+
+}
+
+std::uint16_t serve(asio::io_context& context, Handler handler)
+{
+    auto const acceptor = std::make_shared<tcp::acceptor>(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    asio::co_spawn(context, accept_sessions(acceptor, std::move(handler)), asio::detached);
+    return acceptor->local_endpoint().port();
+}
+
+std::string query_value(std::string_view target, std::string_view name)
+{
+    auto const query = target.find('?');
+    if (query == std::string_view::npos)
+        return {};
+    auto rest = target.substr(query + 1);
+    while (!rest.empty()) {
+        auto const pair = rest.substr(0, rest.find('&'));
+        auto const equals = pair.find('=');
+        if (equals != std::string_view::npos && pair.substr(0, equals) == name)
+            return std::string(pair.substr(equals + 1));
+        rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    }
+    return {};
+}
+
+}
--- /dev/null
+++ b/Programs/standin/Server.cpp
@@ -0,0 +1,162 @@
+#include "HttpSession.h"
+#include "Standin.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+
+DECLARE_string(port_file);
+DEFINE_string(store, "", "address of the stand-in store, IP:PORT");
+DEFINE_string(service, "desk", "the service that the server belongs to");
+DEFINE_string(incarnation, "i-1", "the server's own id");
+DEFINE_string(failure_domain, "hall-1", "where the server stands");
+DEFINE_int32(server_slots, 64, "requests at once");
+DEFINE_int32(work_ms, 5, "time for a plain call, and between two events of a stream");
+DEFINE_int32(heartbeat_ms, 200, "time between two records in the store");
+
+/// A server of the users' platform as their pages tell it: keeps itself in the store, checks who a request is for,
+/// streams events, says what it did not run, and keeps a journal of what it ran.
+namespace {
+
+using namespace Standin;
+using nlohmann::json;
+
+class Server {
+public:
+    explicit Server(asio::io_context& context)
+        : context(context)
+    {
+    }
+
+    void start(std::uint16_t port)
+    {
+        this->address = "127.0.0.1:" + std::to_string(port);
+        asio::co_spawn(this->context, this->keep_listed(), asio::detached);
+    }
+
+    Task<bool> handle(std::shared_ptr<Session> session, Request request)
+    {
+        std::string const target(request.target());
+        if (target == "/journal")
+            co_return co_await session->answer(200, json(this->runs).dump());
+        if (target == "/drain") {
+            this->is_draining = true;
+            co_await this->tell_store(this->record());
+            co_return co_await session->answer(200, "{}");
+        }
+        std::string const attempt(request["X-Attempt-Id"]);
+        if (request["X-Expect-Instance"] != FLAGS_incarnation)
+            co_return co_await session->answer(421, "", "X-Instance-Id: " + FLAGS_incarnation + "\r\n");
+        if (this->running >= FLAGS_server_slots)
+            co_return co_await session->answer(503, "", "X-Not-Executed: 1\r\n");
+        ++this->running;
+        this->note_run(request, attempt);
+        bool const is_open = co_await this->run(*session, request, attempt);
+        --this->running;
+        co_return is_open && !this->is_draining;
+    }
+
+private:
+    void note_run(Request const& request, std::string const& attempt)
+    {
+        auto& run = this->runs.try_emplace(attempt, json::object()).first->second;
+        run["count"] = run.value("count", 0) + 1;
+        run["tenant"] = std::string(request["X-Tenant"]);
+        run["key_seen"] = request.count("X-Key") > 0;
+        run["left_ms"] = std::string(request["X-Deadline-Ms"]);
+        run["body"] = request.body();
+    }
+
+    Task<bool> run(Session& session, Request const& request, std::string const& attempt)
+    {
+        auto const head = fmt::format(
+            "X-Attempt-Id: {}\r\nX-Response-Stamp: {}.{}\r\nX-Server-Load: {},0,{}\r\nKeep-Alive: timeout=5\r\n{}",
+            attempt, FLAGS_incarnation, attempt, this->running, FLAGS_server_slots,
+            this->is_draining ? "Connection: close\r\n" : "");
+        auto const events = std::string(request["X-Standin-Events"]);
+        if (events.empty()) {
+            co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_work_ms));
+            co_return co_await session.answer(200, "ran " + attempt, head);
+        }
+        if (!co_await session.send(
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n"))
+            co_return false;
+        for (int event = 1; event <= std::stoi(events); ++event) {
+            co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_work_ms));
+            auto const text = fmt::format("id: {}\ndata: {}:{}\n\n", event, attempt, event);
+            if (!co_await session.send(fmt::format("{:x}\r\n{}\r\n", text.size(), text)))
+                co_return false;
+        }
+        co_return co_await session.send("0\r\n\r\n");
+    }
+
+    [[nodiscard]] std::string record() const
+    {
+        return json {
+            { "service", FLAGS_service }, { "address", this->address }, { "zone", FLAGS_failure_domain },
+            { "version", "v1" }, { "slots", FLAGS_server_slots }, { "state", this->is_draining ? "draining" : "ready" },
+            { "cold_left_ms", 0 }, { "call_seq", this->heartbeats }
+        }.dump();
+    }
+
+    Task<void> keep_listed()
+    {
+        for (;;) {
+            ++this->heartbeats;
+            co_await this->tell_store(this->record());
+            co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_heartbeat_ms));
+        }
+    }
+
+    /// Appends the server's record under its id.
+    Task<void> tell_store(std::string value)
+    {
+        auto const length = 1 + FLAGS_incarnation.size() + value.size();
+        std::string body;
+        for (int shift = 24; shift >= 0; shift -= 8)
+            body += static_cast<char>(length >> static_cast<unsigned>(shift) & 0xffU);
+        body += static_cast<char>(FLAGS_incarnation.size());
+        body += FLAGS_incarnation + value;
+        auto const colon = FLAGS_store.find(':');
+        tcp::socket socket(this->context);
+        auto const place = Gateway::to_socket_address(
+            { FLAGS_store.substr(0, colon), static_cast<std::uint16_t>(std::stoi(FLAGS_store.substr(colon + 1))) });
+        auto const [connect_error] = co_await socket.async_connect(*place, Gateway::as_value);
+        if (connect_error)
+            co_return;
+        auto const call = fmt::format("POST /log-append?topic=keyed.servers&part=0 HTTP/1.1\r\nHost: store\r\n"
+                                      "Connection: close\r\nContent-Length: {}\r\n\r\n{}",
+            body.size(), body);
+        auto const [write_error, written] = co_await asio::async_write(socket, asio::buffer(call), Gateway::as_value);
+        Gateway::flat_buffer buffer;
+        http::response<http::string_body> answer;
+        if (!write_error)
+            co_await http::async_read(socket, buffer, answer, Gateway::as_value);
+    }
+
+    asio::io_context& context;
+    std::string address;
+    std::map<std::string, json> runs;
+    int running { 0 };
+    int heartbeats { 0 };
+    bool is_draining { false };
+};
+
+}
+
+int run_server()
+{
+    asio::io_context context(1);
+    Server server(context);
+    auto const port = serve(context,
+        [&server](auto session, auto request) { return server.handle(std::move(session), std::move(request)); });
+    server.start(port);
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](auto const&, int) { context.stop(); });
+    write_port_file(FLAGS_port_file, port);
+    context.run();
+    return 0;
+}
--- a/Programs/standin/Standin.h
+++ b/Programs/standin/Standin.h
@@ -9,6 +9,8 @@
 int run_load();
 int run_probe();
 int run_print_settings();
+int run_store();
+int run_server();
 
 /// Writes "PORT\n" to a file, aside and renamed. Does nothing for an empty path.
 void write_port_file(std::string const& path, int port);
--- /dev/null
+++ b/Programs/standin/Store.cpp
@@ -0,0 +1,182 @@
+#include "HttpSession.h"
+#include "Standin.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+DECLARE_string(port_file);
+
+/// The users' store as their pages tell it: topics with keyed records, reads that wait, appends, lost history, and
+/// outages on demand.
+namespace {
+
+using namespace Standin;
+using nlohmann::json;
+
+struct Record {
+    std::string key;
+    std::string value;
+    std::string raw;
+};
+
+struct Topic {
+    std::vector<Record> records;
+    std::uint64_t first { 0 };
+
+    [[nodiscard]] std::uint64_t end() const { return this->first + this->records.size(); }
+};
+
+std::string big_endian(std::uint64_t number, int bytes)
+{
+    std::string text;
+    for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8)
+        text += static_cast<char>(number >> static_cast<unsigned>(shift) & 0xffU);
+    return text;
+}
+
+std::string base64(std::string const& bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    auto const size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+        reinterpret_cast<unsigned char const*>(bytes.data()), static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+}
+
+class Store {
+public:
+    Task<bool> handle(std::shared_ptr<Session> session, Request request)
+    {
+        std::string const target(request.target());
+        auto const path = target.substr(0, target.find('?'));
+        if (path == "/faults")
+            co_return co_await this->take_faults(*session, request.body());
+        if (path == "/calls")
+            co_return co_await session->answer(200, std::to_string(this->calls));
+        ++this->calls;
+        co_await Gateway::sleep_for(std::chrono::milliseconds(this->slow_milliseconds));
+        if (this->mode == "reset")
+            co_return false;
+        if (this->mode == "busy")
+            co_return co_await session->answer(503, "{}");
+        if (this->mode == "silent") {
+            while (this->mode == "silent")
+                co_await Gateway::sleep_for(std::chrono::milliseconds(20));
+            co_return false;
+        }
+        if (path == "/log-read")
+            co_return co_await this->read(*session, target);
+        if (path == "/log-newest")
+            co_return co_await this->newest(*session, target);
+        if (path == "/log-append")
+            co_return co_await this->append(*session, target, request.body());
+        if (path == "/log-trim")
+            co_return co_await this->trim(*session, target);
+        co_return co_await session->answer(404, "{}");
+    }
+
+private:
+    Task<bool> take_faults(Session& session, std::string const& body)
+    {
+        auto const faults = json::parse(body, nullptr, false);
+        this->mode = faults.value("mode", "");
+        this->slow_milliseconds = faults.value("slow_ms", 0);
+        co_return co_await session.answer(200, "{}");
+    }
+
+    Task<bool> read(Session& session, std::string const& target)
+    {
+        auto& topic = this->topics[query_value(target, "topic")];
+        auto const from = std::stoull("0" + query_value(target, "from"));
+        auto const wait = std::stoi("0" + query_value(target, "wait_ms"));
+        auto const ends_at = Core::monotonic_now() + std::chrono::milliseconds(wait);
+        while (topic.end() <= from && Core::monotonic_now() < ends_at && this->mode.empty())
+            co_await Gateway::sleep_for(std::chrono::milliseconds(2));
+        if (!this->mode.empty())
+            co_return false;
+        if (from < topic.first) {
+            auto const gone = fmt::format(R"({{"first":{}}})", topic.first);
+            co_return co_await session.answer(410, gone);
+        }
+        auto body = big_endian(topic.end(), 8) + big_endian(topic.first, 8);
+        for (auto index = from - topic.first; index < topic.records.size(); ++index)
+            body += topic.records[index].raw;
+        co_return co_await session.answer(200, body);
+    }
+
+    Task<bool> newest(Session& session, std::string const& target)
+    {
+        auto& topic = this->topics[query_value(target, "topic")];
+        std::map<std::string, std::pair<std::string, std::uint64_t>> newest = this->kept[query_value(target, "topic")];
+        auto items = json::array();
+        for (auto const& [key, kept] : newest) {
+            json item;
+            item["tls_key"] = key;
+            item["value"] = base64(kept.first);
+            item["offset"] = kept.second;
+            items.push_back(std::move(item));
+        }
+        auto const body = fmt::format(R"({{"items":{},"truncated":false,"end":{}}})", items.dump(), topic.end());
+        co_return co_await session.answer(200, body);
+    }
+
+    Task<bool> append(Session& session, std::string const& target, std::string const& body)
+    {
+        auto const name = query_value(target, "topic");
+        auto& topic = this->topics[name];
+        auto const offset = topic.end();
+        std::size_t position = 0;
+        while (position + 4 <= body.size()) {
+            std::uint64_t length = 0;
+            for (int index = 0; index < 4; ++index)
+                length = length << 8U | static_cast<unsigned char>(body[position + static_cast<std::size_t>(index)]);
+            auto const raw = body.substr(position, 4 + length);
+            auto const key_bytes = static_cast<unsigned char>(raw.at(4));
+            Record record { raw.substr(5, key_bytes), raw.substr(5U + key_bytes), raw };
+            if (record.value.empty())
+                this->kept[name].erase(record.key);
+            else
+                this->kept[name][record.key] = { record.value, topic.end() };
+            topic.records.push_back(std::move(record));
+            position += 4 + length;
+        }
+        auto const answer = fmt::format(R"({{"offset":{},"end":{}}})", offset, topic.end());
+        co_return co_await session.answer(200, answer);
+    }
+
+    Task<bool> trim(Session& session, std::string const& target)
+    {
+        auto& topic = this->topics[query_value(target, "topic")];
+        auto const before = std::stoull("0" + query_value(target, "before"));
+        while (topic.first < before && !topic.records.empty()) {
+            topic.records.erase(topic.records.begin());
+            ++topic.first;
+        }
+        co_return co_await session.answer(200, "{}");
+    }
+
+    std::map<std::string, Topic> topics;
+    std::map<std::string, std::map<std::string, std::pair<std::string, std::uint64_t>>> kept;
+    std::string mode;
+    int slow_milliseconds { 0 };
+    std::uint64_t calls { 0 };
+};
+
+}
+
+int run_store()
+{
+    asio::io_context context(1);
+    Store store;
+    auto const port = serve(
+        context, [&store](auto session, auto request) { return store.handle(std::move(session), std::move(request)); });
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](auto const&, int) { context.stop(); });
+    write_port_file(FLAGS_port_file, port);
+    context.run();
+    return 0;
+}
--- a/Tests/Harness/Cluster.cpp
+++ b/Tests/Harness/Cluster.cpp
@@ -76,6 +76,21 @@
     both >> this->ports[name] >> this->operator_ports[name];
 }
 
+std::array<int, 3> Cluster::start_route(std::string const& name, std::string const& settings_file)
+{
+    auto const ports_file = this->folder / (name + ".ports");
+    std::filesystem::remove(ports_file);
+    setenv("CLEATBEAM_CONFIG", settings_file.c_str(), 1);
+    this->processes[name] = std::make_unique<Process>((this->build / "cleatbeam").string(),
+        std::vector<std::string> { "route", "--metrics_port=0", "--ports_file=" + ports_file.string() },
+        this->path_of(name + ".log"));
+    wait_until(name + " listens", [&] { return std::filesystem::exists(ports_file); });
+    std::array<int, 3> ports {};
+    std::istringstream all(text_of(ports_file));
+    all >> ports[0] >> ports[1] >> ports[2];
+    return ports;
+}
+
 void Cluster::publish(std::string const& document)
 {
     std::ofstream(this->folder / "settings.yaml") << document;
--- a/Tests/Harness/Cluster.h
+++ b/Tests/Harness/Cluster.h
@@ -2,6 +2,7 @@
 
 #include "Process.h"
 
+#include <array>
 #include <filesystem>
 #include <functional>
 #include <map>
@@ -37,6 +38,8 @@
     /// Starts a stand-in of the role under a name of the test's choice.
     void start_standin(std::string const& name, std::string const& role, std::vector<std::string> const& flags = {});
     void start_box(std::string const& name, int threads = 64);
+    /// Starts a box of the users' platform with this settings file; its ports for clients, readiness and metrics.
+    std::array<int, 3> start_route(std::string const& name, std::string const& settings_file);
     /// Publishes a settings document and waits until all boxes are ready.
     void publish(std::string const& document);
     void wait_ready(std::string const& box);
--- /dev/null
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -0,0 +1,147 @@
+#include "PlatformCluster.h"
+
+#include <doctest/doctest.h>
+#include <fstream>
+#include <httplib.h>
+#include <sstream>
+
+namespace Harness {
+
+namespace {
+
+using nlohmann::json;
+
+json route(std::string const& prefix, std::string const& kind, std::string const& service, int attempts)
+{
+    json entry;
+    entry["name"] = prefix;
+    entry["host"] = "h.example";
+    entry["path_prefix"] = prefix;
+    entry["kind"] = kind;
+    entry["timeout_ms"] = 20000;
+    entry["goal_ms"] = 5000;
+    entry["priority"] = 1;
+    entry["service"] = service;
+    entry["max_attempts"] = attempts;
+    return entry;
+}
+
+/// Short bounds, so that a test of what runs out waits for a second and not for five.
+constexpr auto environment_form = R"({"node_name":"%1","zone":"hall-1",
+  "listen":{"front":"127.0.0.1:0","ready":"127.0.0.1:0"},"limits":{"memory_mb":110,"max_fds":4100},
+  "provider":{"address":"127.0.0.1:%2"},
+  "bounds":{"grace_s":8,"config_apply_ms":500,"revoke_strict":true,"revoke_ms":3000,"drain_ms":300,
+            "retry_ratio":0.2,"retry_window_s":10,"retry_slack":100}})";
+
+std::string replaced(std::string text, std::string const& from, std::string const& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+std::string keyed_record(std::string const& key, std::string const& value)
+{
+    auto const length = 1 + key.size() + value.size();
+    std::string record;
+    for (int shift = 24; shift >= 0; shift -= 8)
+        record += static_cast<char>(length >> static_cast<unsigned>(shift) & 0xffU);
+    return record + static_cast<char>(key.size()) + key + value;
+}
+
+}
+
+PlatformCluster::PlatformCluster()
+{
+    this->cluster.start_standin("store", "store");
+}
+
+void PlatformCluster::start_server(
+    std::string const& name, std::string const& service, std::vector<std::string> const& flags)
+{
+    std::vector<std::string> all { "--store=127.0.0.1:" + std::to_string(this->cluster.port("store")),
+        "--service=" + service, "--incarnation=" + name };
+    all.insert(all.end(), flags.begin(), flags.end());
+    this->cluster.start_standin(name, "server", all);
+    this->servers.push_back(name);
+}
+
+void PlatformCluster::start_box(std::string const& name)
+{
+    auto const settings = this->cluster.path_of(name + ".json");
+    auto const store_port = std::to_string(this->cluster.port("store"));
+    std::ofstream(settings) << replaced(replaced(environment_form, "%1", name), "%2", store_port);
+    auto const ports = this->cluster.start_route(name, settings);
+    this->box_ports[name] = ports;
+}
+
+void PlatformCluster::configure(int version, std::vector<std::string> const& keys)
+{
+    json account;
+    account["name"] = "account";
+    account["api_keys"] = keys;
+    json configuration;
+    configuration["version"] = version;
+    configuration["routes"] = { route("/stream/", "streaming", "model", 1), route("/repeat/", "idempotent", "desk", 2),
+        route("/once/", "non_idempotent", "desk", 1) };
+    json service;
+    service["name"] = "desk";
+    configuration["services"] = { service };
+    configuration["tenants"] = { account };
+    httplib::Client client("127.0.0.1", this->cluster.port("store"));
+    auto const result = client.Post(
+        "/log-append?topic=keyed.op&part=0", keyed_record("config", configuration.dump()), "application/octet-stream");
+    REQUIRE(static_cast<bool>(result));
+}
+
+void PlatformCluster::wait_ready(std::string const& box) const
+{
+    auto const port = this->box_ports.at(box)[1];
+    wait_until(box + " is ready", [&] { return this->cluster.get(port, "/readiness") == "ready\n"; });
+}
+
+void PlatformCluster::set_store_mode(std::string const& mode) const
+{
+    json faults;
+    faults["mode"] = mode;
+    this->cluster.set_faults("store", faults);
+}
+
+Reply PlatformCluster::send(std::string const& box, std::string const& path, std::string const& attempt,
+    std::map<std::string, std::string> headers) const
+{
+    headers.try_emplace("Host", "h.example");
+    headers.try_emplace("X-Attempt-Id", attempt);
+    headers.try_emplace("X-Deadline-Ms", "15000");
+    headers.try_emplace("X-Key", "key");
+    constexpr auto longest_answer = std::chrono::seconds(30);
+    httplib::Client client("127.0.0.1", this->box_ports.at(box)[0]);
+    client.set_read_timeout(longest_answer);
+    auto const result
+        = client.Post(path, httplib::Headers(headers.begin(), headers.end()), "body of " + attempt, "text/plain");
+    if (!result)
+        return {};
+    return { result->status, result->body, {}, {}, {}, result->get_header_value("Retry-After") };
+}
+
+int PlatformCluster::runs(std::string const& attempt) const
+{
+    int count = 0;
+    for (auto const& server : this->servers) {
+        auto const text = this->cluster.get(this->cluster.port(server), "/journal");
+        auto const journal = json::parse(text, nullptr, false);
+        if (journal.is_object() && journal.contains(attempt))
+            count += journal[attempt].value("count", 0);
+    }
+    return count;
+}
+
+std::string PlatformCluster::get(std::string const& name, std::string const& path) const
+{
+    return this->cluster.get(this->cluster.port(name), path);
+}
+
+std::string PlatformCluster::metrics(std::string const& box) const
+{
+    return this->cluster.get(this->box_ports.at(box)[2], "/metrics");
+}
+
+}
--- /dev/null
+++ b/Tests/Harness/PlatformCluster.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Cluster.h"
+
+namespace Harness {
+
+/// Real boxes (`cleatbeam route`) before stand-ins of the users' store and servers, for one test.
+class PlatformCluster {
+public:
+    PlatformCluster();
+
+    /// Starts a server of a service; its id is its name.
+    void start_server(std::string const& name, std::string const& service, std::vector<std::string> const& flags = {});
+    void start_box(std::string const& name);
+    /// Writes the operator's record: three routes (a stream, a call that may be repeated, one that may not) and one
+    /// account that holds the keys.
+    void configure(int version, std::vector<std::string> const& keys);
+    /// Waits until the box takes clients.
+    void wait_ready(std::string const& box) const;
+    void set_store_mode(std::string const& mode) const;
+
+    /// Sends a request through a box.
+    [[nodiscard]] Reply send(std::string const& box, std::string const& path, std::string const& attempt,
+        std::map<std::string, std::string> headers = {}) const;
+    /// How often the servers have run an attempt, all together.
+    [[nodiscard]] int runs(std::string const& attempt) const;
+    [[nodiscard]] nlohmann::json journal(std::string const& server) const { return this->cluster.journal(server); }
+    [[nodiscard]] Process& process(std::string const& name) { return this->cluster.process(name); }
+    [[nodiscard]] std::string get(std::string const& name, std::string const& path) const;
+    [[nodiscard]] std::string metrics(std::string const& box) const;
+
+private:
+    Cluster cluster;
+    std::vector<std::string> servers;
+    std::map<std::string, std::array<int, 3>> box_ports;
+};
+
+}
--- a/Tests/Harness/Process.cpp
+++ b/Tests/Harness/Process.cpp
@@ -19,6 +19,7 @@
     posix_spawn_file_actions_init(&actions);
     constexpr mode_t readable = 0644;
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_file.c_str(), O_WRONLY | O_CREAT | O_TRUNC, readable);
+    posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
     auto const failure = posix_spawn(&this->id, program.c_str(), &actions, nullptr, words.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     VERIFY(failure == 0);
