LibGateway: Let streams go on after a break, from a copy where they can't be resumed

Change: only whole events are passed on; a route that can be resumed goes on at another endpoint behind the last event; long answers name a second engine of the same failure domain that keeps a copy, and go on there. A refusal after an attempt that may have run is 502, not 503. The connection to an endpoint is a class of its own.

--- a/Libraries/LibCore/Reason.cpp
+++ b/Libraries/LibCore/Reason.cpp
@@ -64,6 +64,7 @@
     "endpoint-replaced",
     "endpoint-failed",
     "endpoint-silent",
+    "stream-resumed",
     "attempts-spent",
     "memory-limit",
 };
--- a/Libraries/LibCore/Reason.h
+++ b/Libraries/LibCore/Reason.h
@@ -81,6 +81,7 @@
     EndpointReplaced,
     EndpointFailed,
     EndpointSilent,
+    StreamResumed,
     AttemptsSpent,
     MemoryLimit,
     Count,
--- /dev/null
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -0,0 +1,105 @@
+#include <LibGateway/EndpointCall.h>
+
+#include <LibLog/EventLog.h>
+
+namespace Gateway {
+
+Task<error_code> EndpointCall::open(EndpointId endpoint, Routing::SocketAddress address)
+{
+    this->connection = this->state.connections.take_idle(endpoint, Core::monotonic_now());
+    this->reused = this->connection != nullptr;
+    if (this->reused)
+        co_return error_code {};
+    error_code error;
+    this->state.metrics.count_endpoint_connection();
+    this->connection = co_await this->state.connections.connect(endpoint, std::move(address), error);
+    if (!error && this->is_aborted)
+        error = asio::error::operation_aborted;
+    co_return error;
+}
+
+void EndpointCall::send(std::string head, asio::const_buffer body, std::shared_ptr<void const> owner)
+{
+    auto const kept_head = std::make_shared<std::string const>(std::move(head));
+    std::array<asio::const_buffer, 2> const buffers { asio::buffer(*kept_head), body };
+    // NOTE: Not awaited: an endpoint may answer before it has read all of a long body.
+    asio::async_write(this->connection->socket, buffers,
+        [self = this->shared_from_this(), kept_head, owner = std::move(owner)](
+            error_code error, std::size_t) { self->is_written = !error; });
+}
+
+Task<error_code> EndpointCall::read_head(Adapter::AnswerFacts& facts)
+{
+    constexpr unsigned first_final_status = 200;
+    for (;;) {
+        this->parser = std::make_unique<AnswerParser>();
+        this->parser->header_limit(largest_answer_head);
+        this->parser->body_limit(boost::none);
+        this->parser->skip(this->is_head_request);
+        auto const [error, bytes] = co_await http::async_read_header(
+            this->connection->socket, this->connection->buffer, *this->parser, as_value);
+        if (error)
+            co_return error;
+        if (this->head().result_int() < first_final_status)
+            continue;
+        facts = Adapter::decode_answer(this->head(), this->attempt);
+        if (!facts.is_for_other_request)
+            co_return error_code {};
+        Log::EventLine("answer_for_other_request").with("id", this->attempt).info();
+        if (auto const broken = co_await this->discard_body())
+            co_return broken;
+    }
+}
+
+Task<error_code> EndpointCall::read_piece(std::string& piece)
+{
+    auto const before = piece.size();
+    piece.resize(before + piece_bytes);
+    auto& body = this->parser->get().body();
+    body.data = piece.data() + before;
+    body.size = piece_bytes;
+    body.more = true;
+    auto [error, bytes]
+        = co_await http::async_read_some(this->connection->socket, this->connection->buffer, *this->parser, as_value);
+    piece.resize(before + piece_bytes - body.size);
+    // NOTE: The parser asks for another buffer when this one is full.
+    if (error == http::error::need_buffer)
+        error = {};
+    co_return error;
+}
+
+Task<error_code> EndpointCall::discard_body()
+{
+    std::string discarded;
+    while (!this->parser->is_done()) {
+        discarded.clear();
+        if (auto const error = co_await this->read_piece(discarded))
+            co_return error;
+    }
+    co_return error_code {};
+}
+
+void EndpointCall::abort()
+{
+    this->is_aborted = true;
+    if (this->connection)
+        this->connection->abort();
+}
+
+void EndpointCall::release(Core::Instant now)
+{
+    auto used = std::exchange(this->connection, nullptr);
+    if (!used)
+        return;
+    bool const is_clean = this->is_written && this->is_done() && this->parser->keep_alive() && used->buffer.size() == 0
+        && used->socket.is_open();
+    if (!is_clean) {
+        used->abort();
+        return;
+    }
+    if (auto const told = Adapter::idle_time_told(this->head()))
+        used->told_idle_time = told;
+    this->state.connections.put_back(std::move(used), now);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -0,0 +1,127 @@
+// What RequestExchange tells the router, the metrics and the log of its attempts and its end.
+
+#include <LibGateway/RequestExchange.h>
+
+#include <LibLog/EventLog.h>
+#include <fmt/format.h>
+
+namespace Gateway {
+
+using Core::monotonic_now;
+using Routing::AttemptResult;
+
+namespace {
+
+constexpr unsigned first_failure_status = 500;
+
+std::string_view yes_or_no(bool value)
+{
+    return value ? "yes" : "no";
+}
+
+}
+
+std::string_view to_string(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Delivered:
+        return "delivered";
+    case AttemptEnd::BrokenAfterDelivery:
+        return "broken-after-delivery";
+    case AttemptEnd::Interrupted:
+        return "interrupted";
+    case AttemptEnd::NotSent:
+        return "not-sent";
+    case AttemptEnd::NotRun:
+        return "not-run";
+    case AttemptEnd::Unknown:
+        return "unknown";
+    case AttemptEnd::EndpointError:
+        return "endpoint-error";
+    }
+    return "unknown";
+}
+
+AttemptResult RequestExchange::result_of(Attempt const& attempt, AttemptEnd end) const
+{
+    switch (end) {
+    case AttemptEnd::Delivered:
+        return attempt.status >= first_failure_status ? AttemptResult::Failed : AttemptResult::Completed;
+    case AttemptEnd::NotRun:
+        return AttemptResult::EndpointBusy;
+    case AttemptEnd::EndpointError:
+        return AttemptResult::Failed;
+    case AttemptEnd::NotSent:
+        return this->is_cancelled() ? AttemptResult::NotSent : AttemptResult::ConnectionRefused;
+    case AttemptEnd::Interrupted:
+        return AttemptResult::BrokenAfterDelivery;
+    case AttemptEnd::BrokenAfterDelivery:
+        return this->is_cancelled() ? AttemptResult::CallerGone : AttemptResult::BrokenAfterDelivery;
+    case AttemptEnd::Unknown:
+        return this->has_left ? AttemptResult::CallerGone : AttemptResult::Failed;
+    }
+    return AttemptResult::Failed;
+}
+
+void RequestExchange::record_attempt(Attempt const& attempt, AttemptEnd end, Core::Instant now)
+{
+    this->state.router.attempt_ended(
+        this->admitted->id, attempt.placed.choice.endpoint, this->result_of(attempt, end), now);
+    this->state.metrics.count_attempt(to_string(end));
+    Log::EventLine line("attempt_ended");
+    line.with("id", this->attempt_id)
+        .with("endpoint", attempt.placed.endpoint.incarnation)
+        .with("result", to_string(end))
+        .with("status", attempt.status)
+        .with("reused_connection", yes_or_no(attempt.reused_connection))
+        .with("took_ms", Core::to_milliseconds(now - attempt.started));
+    if (!attempt.detail.empty())
+        line.with("detail", attempt.detail);
+    line.info();
+}
+
+void RequestExchange::log_placement(Attempt const& attempt) const
+{
+    auto const& figures = attempt.placed.choice.figures;
+    Log::EventLine line("request_placed");
+    line.with("id", this->attempt_id)
+        .with("route", this->admitted->route->name)
+        .with("account", this->admitted->account)
+        .with("urgency", this->admitted->urgency)
+        .with("configuration", this->admitted->configuration->version())
+        .with("configuration_age_ms", Core::to_milliseconds(this->state.router.configuration_age(attempt.started)))
+        .with("endpoint", attempt.placed.endpoint.incarnation)
+        .with("attempt", this->sent_attempts + 1)
+        .with("candidates", figures.candidates)
+        .with("predicted_ms", figures.predicted_milliseconds)
+        .with("backlog_ms", figures.backlog_milliseconds)
+        .with("tokens_to_read", figures.tokens_to_read)
+        .with("running", figures.running)
+        .with("subject", fmt::format("{:x}", figures.subject))
+        .with("home", yes_or_no(figures.is_home))
+        .with("left_ms", Core::to_milliseconds(this->admitted->expires - attempt.started));
+    if (attempt.placed.backup)
+        line.with("backup", attempt.placed.backup->record.incarnation);
+    if (this->answer_begun || attempt.uses_copy)
+        line.with("goes_on_after", this->events.last_id().value_or("")).with("uses_copy", yes_or_no(attempt.uses_copy));
+    line.info();
+}
+
+void RequestExchange::log_end(unsigned status, Core::Reason reason) const
+{
+    auto const taken = monotonic_now() - this->arrived;
+    auto const route = this->admitted ? this->admitted->route->name : std::string("none");
+    this->state.metrics.count_request(route, this->has_left ? 0 : status);
+    this->state.metrics.observe_answer(route, taken);
+    Log::EventLine("request_ended")
+        .with("id", this->attempt_id)
+        .with("route", route)
+        .with("status", status)
+        .with("reason", Core::to_string(reason))
+        .with("attempts", this->sent_attempts)
+        .with("client_left", yes_or_no(this->has_left))
+        .with("took_ms", Core::to_milliseconds(taken))
+        .info();
+}
+
+}
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -5,16 +5,16 @@
 
 namespace Gateway {
 
-using Core::Instant;
 using Core::monotonic_now;
 using Core::Reason;
-using Routing::AttemptResult;
+using Routing::RouteKind;
 
 namespace {
 
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_unauthorized = 401;
 constexpr unsigned status_not_found = 404;
+constexpr unsigned status_ok = 200;
 constexpr unsigned first_failure_status = 500;
 constexpr unsigned status_bad_gateway = 502;
 constexpr unsigned status_unavailable = 503;
@@ -32,12 +32,8 @@
     }
 }
 
-std::string as_chunk(std::string_view piece)
-{
-    return piece.empty() ? std::string() : fmt::format("{:x}\r\n{}\r\n", piece.size(), piece);
-}
-
 constexpr std::string_view last_chunk = "0\r\n\r\n";
+constexpr unsigned http_1_1 = 11;
 
 }
 
@@ -78,45 +74,78 @@
 
 Task<void> RequestExchange::serve()
 {
-    unsigned unsent = 0;
+    std::optional<Attempt> from_copy;
     for (;;) {
-        auto decision = this->state.router.place(*this->admitted, this->workload, this->tried, monotonic_now());
-        if (auto const* const rejected = std::get_if<Routing::Rejected>(&decision)) {
-            if (this->sent_attempts == 0)
-                co_await this->refuse(*rejected);
-            else
-                co_await this->give_up(this->last_end, rejected->reason);
-            co_return;
+        auto attempt = std::exchange(from_copy, std::nullopt);
+        if (!attempt) {
+            auto decision = this->state.router.place(*this->admitted, this->workload, this->tried, monotonic_now());
+            if (auto const* const rejected = std::get_if<Routing::Rejected>(&decision)) {
+                if (this->sent_attempts == 0 && this->unsent_attempts == 0)
+                    co_await this->refuse(*rejected);
+                else
+                    co_await this->give_up(rejected->reason);
+                co_return;
+            }
+            attempt = Attempt { std::move(std::get<Routing::Placed>(decision)), monotonic_now(), false, 0, false, {} };
         }
-        Attempt attempt { std::move(std::get<Routing::Placed>(decision)), monotonic_now(), 0, false, {} };
-        this->last_end = co_await this->try_endpoint(attempt);
-        this->record_attempt(attempt, this->last_end, monotonic_now());
+        this->last_end = co_await this->try_endpoint(*attempt);
+        this->record_attempt(*attempt, this->last_end, monotonic_now());
         if (this->last_end == AttemptEnd::Delivered) {
-            this->log_end(attempt.status, Reason::AnswerComplete);
+            this->log_end(attempt->status, Reason::AnswerComplete);
             co_return;
         }
-        if (this->last_end == AttemptEnd::BrokenAfterDelivery) {
-            this->keeps_client = false;
-            this->log_end(attempt.status, this->has_left ? Reason::CallerGone : Reason::AnswerCutShort);
-            co_return;
-        }
-        this->tried.push_back(attempt.placed.choice.endpoint);
-        unsent += this->last_end == AttemptEnd::NotSent ? 1 : 0;
-        if (this->is_cancelled() || unsent > most_unsent_attempts || !this->may_try_again(this->last_end)) {
-            co_await this->give_up(this->last_end, this->reason_for_giving_up());
-            co_return;
+        this->tried.push_back(attempt->placed.choice.endpoint);
+        if (this->last_end != AttemptEnd::BrokenAfterDelivery && !this->is_cancelled()) {
+            from_copy = attempt_from_copy(this->last_end, *attempt);
+            if (from_copy || this->may_try_again(this->last_end)) {
+                this->state.metrics.count_retry(this->retry_reason(this->last_end));
+                this->events.drop_rest();
+                continue;
+            }
         }
-        this->state.metrics.count_retry(this->was_silent ? Reason::EndpointSilent : retry_reason(this->last_end));
+        co_await this->end_unserved(*attempt);
+        co_return;
     }
 }
 
-Reason RequestExchange::retry_reason(AttemptEnd end)
+Task<void> RequestExchange::end_unserved(Attempt const& attempt)
 {
+    if (!this->answer_begun) {
+        co_await this->give_up(this->reason_for_giving_up());
+        co_return;
+    }
+    // NOTE: The client sees that the answer is not whole, since its connection ends without the last chunk. Before
+    // HTTP/1.1 the end of a connection ended an answer, so there it is reset.
+    this->keeps_client = false;
+    error_code ignored;
+    if (this->request.version() < http_1_1)
+        this->client.socket->set_option(asio::socket_base::linger(true, 0), ignored);
+    this->log_end(attempt.status, this->has_left ? Reason::CallerGone : Reason::AnswerCutShort);
+}
+
+std::optional<Attempt> RequestExchange::attempt_from_copy(AttemptEnd end, Attempt const& broken)
+{
+    // NOTE: Before its first event a run may have left no copy, and an engine without one was seen to run the request
+    // anew in place of refusing.
+    auto const& backup = broken.placed.backup;
+    if (end != AttemptEnd::Interrupted || broken.uses_copy || !backup)
+        return {};
+    Routing::PlacementChoice choice;
+    choice.endpoint = backup->id;
+    return Attempt { { choice, backup->record, {} }, monotonic_now(), true, 0, false, {} };
+}
+
+Reason RequestExchange::retry_reason(AttemptEnd end) const
+{
+    if (this->was_silent)
+        return Reason::EndpointSilent;
     switch (end) {
     case AttemptEnd::NotSent:
         return Reason::RetryConnectionRefused;
     case AttemptEnd::NotRun:
         return Reason::EndpointFull;
+    case AttemptEnd::Interrupted:
+        return Reason::StreamResumed;
     default:
         return Reason::RetryAttemptFailed;
     }
@@ -137,71 +166,72 @@
 
 bool RequestExchange::may_try_again(AttemptEnd end)
 {
+    // NOTE: Asked first: the last attempt may have left no trace while an earlier one ran.
+    if (this->may_have_run && !this->admitted->route->is_repeatable())
+        return false;
     if (end == AttemptEnd::NotSent)
-        return true;
+        return this->unsent_attempts <= most_unsent_attempts;
     // NOTE: The budget was asked when the endpoint's failure was held back.
     if (end == AttemptEnd::EndpointError)
         return true;
-    if (end == AttemptEnd::Unknown && !this->admitted->route->is_repeatable())
-        return false;
     return this->sent_attempts < this->admitted->route->max_attempts
         && this->state.router.may_repeat(*this->admitted, monotonic_now());
 }
 
-Task<RequestExchange::AttemptEnd> RequestExchange::try_endpoint(Attempt& attempt)
+Task<AttemptEnd> RequestExchange::try_endpoint(Attempt& attempt)
 {
     auto const endpoint = attempt.placed.choice.endpoint;
     this->log_placement(attempt);
     this->state.router.attempt_started(*this->admitted, this->workload, attempt.placed.choice, attempt.started);
-    this->connection = this->state.connections.take_idle(endpoint, attempt.started);
-    attempt.reused_connection = this->connection != nullptr;
-    if (!this->connection) {
-        error_code error;
-        this->state.metrics.count_endpoint_connection();
-        this->connection = co_await this->state.connections.connect(endpoint, attempt.placed.endpoint.address, error);
-        if (!this->connection) {
-            attempt.detail = "connect: " + error.message();
-            co_return AttemptEnd::NotSent;
-        }
-    }
-    if (this->is_cancelled()) {
-        this->state.connections.put_back(std::exchange(this->connection, nullptr), monotonic_now());
+    this->call
+        = std::make_shared<EndpointCall>(this->state, this->attempt_id, this->request.method() == http::verb::head);
+    auto const error = co_await this->call->open(endpoint, attempt.placed.endpoint.address);
+    attempt.reused_connection = this->call->is_reused();
+    if (error || this->is_cancelled()) {
+        ++this->unsent_attempts;
+        attempt.detail = error ? "connect: " + error.message() : "given up before it was sent";
+        this->call->abort();
         co_return AttemptEnd::NotSent;
     }
     auto const end = co_await this->converse(attempt);
-    this->release_connection(monotonic_now());
+    this->call->release(monotonic_now());
+    this->may_have_run |= end != AttemptEnd::NotRun;
     co_return end;
 }
 
 void RequestExchange::send_request(Attempt const& attempt)
 {
     ++this->sent_attempts;
-    this->request_is_written = false;
     bool const has_body = !this->request.body().empty() || this->request.count(http::field::content_length) > 0
         || this->request.chunked();
-    Adapter::ForwardedFigures const figures { this->admitted->account, attempt.placed.endpoint.incarnation,
-        this->admitted->urgency, this->admitted->expires - monotonic_now(),
-        has_body ? std::optional(this->request.body().size()) : std::nullopt };
-    auto const head = std::make_shared<std::string>(Adapter::encode_request(this->request, figures));
-    std::array<asio::const_buffer, 2> const buffers { asio::buffer(*head), asio::buffer(this->request.body()) };
-    // NOTE: Not awaited: an endpoint may answer before it has read all of a long body.
-    asio::async_write(this->connection->socket, buffers,
-        [self = this->shared_from_this(), head, used = this->connection](error_code error, std::size_t) {
-            if (!error && self->connection == used)
-                self->request_is_written = true;
-        });
-}
-
-Task<RequestExchange::AttemptEnd> RequestExchange::converse(Attempt& attempt)
+    Adapter::ForwardedFigures figures;
+    figures.account = this->admitted->account;
+    figures.expected_incarnation = attempt.placed.endpoint.incarnation;
+    figures.urgency = this->admitted->urgency;
+    figures.left = this->admitted->expires - monotonic_now();
+    if (has_body)
+        figures.body_bytes = this->request.body().size();
+    if (attempt.placed.backup)
+        figures.backup = attempt.placed.backup->record.address;
+    if (attempt.uses_copy)
+        figures.copy_at = attempt.placed.endpoint.address;
+    figures.last_event_id = this->events.last_id();
+    this->call->send(
+        Adapter::encode_request(this->request, figures), asio::buffer(this->request.body()), this->shared_from_this());
+}
+
+Task<AttemptEnd> RequestExchange::converse(Attempt& attempt)
 {
     this->send_request(attempt);
     this->arm_silence_limit();
     Adapter::AnswerFacts facts;
-    bool const is_answered = co_await this->read_answer_head(attempt, facts);
+    auto const error = co_await this->call->read_head(facts);
     this->silence.cancel();
-    if (!is_answered)
-        co_return AttemptEnd::Unknown;
-    attempt.status = this->parser->get().result_int();
+    if (error) {
+        attempt.detail = "answer's head: " + error.message();
+        co_return this->end_of_broken_answer();
+    }
+    attempt.status = this->call->head().result_int();
     auto const endpoint = attempt.placed.choice.endpoint;
     if (facts.load)
         this->state.router.take_told_load(endpoint, *facts.load, monotonic_now());
@@ -209,54 +239,16 @@
         this->state.router.endpoint_replaced(endpoint);
     if (facts.not_run) {
         attempt.detail = facts.is_other_endpoint ? "another endpoint has the address" : "not run";
-        co_await this->discard_answer_body();
+        co_await this->call->discard_body();
         co_return AttemptEnd::NotRun;
     }
     if (attempt.status >= first_failure_status && this->failure_may_be_withheld()) {
-        co_await this->discard_answer_body();
+        co_await this->call->discard_body();
         co_return AttemptEnd::EndpointError;
     }
     co_return co_await this->pass_answer(attempt);
 }
 
-Task<bool> RequestExchange::read_answer_head(Attempt& attempt, Adapter::AnswerFacts& facts)
-{
-    constexpr unsigned first_final_status = 200;
-    for (;;) {
-        this->parser = std::make_unique<AnswerParser>();
-        this->parser->header_limit(largest_answer_head);
-        this->parser->body_limit(boost::none);
-        this->parser->skip(this->request.method() == http::verb::head);
-        auto const [error, bytes] = co_await http::async_read_header(
-            this->connection->socket, this->connection->buffer, *this->parser, as_value);
-        if (error) {
-            attempt.detail = "answer's head: " + error.message();
-            co_return false;
-        }
-        if (this->parser->get().result_int() < first_final_status)
-            continue;
-        facts = Adapter::decode_answer(this->parser->get(), this->attempt_id);
-        if (!facts.is_for_other_request)
-            co_return true;
-        Log::EventLine("answer_for_other_request").with("id", this->attempt_id).info();
-        if (!co_await this->discard_answer_body()) {
-            attempt.detail = "an answer to another request broke";
-            co_return false;
-        }
-    }
-}
-
-Task<bool> RequestExchange::discard_answer_body()
-{
-    std::string discarded;
-    while (!this->parser->is_done()) {
-        discarded.clear();
-        if (auto const error = co_await this->read_piece(discarded))
-            co_return false;
-    }
-    co_return true;
-}
-
 bool RequestExchange::failure_may_be_withheld()
 {
     return !this->has_left && this->admitted->route->is_repeatable()
@@ -264,48 +256,52 @@
         && this->state.router.may_repeat(*this->admitted, monotonic_now());
 }
 
-Task<error_code> RequestExchange::read_piece(std::string& piece)
+Task<AttemptEnd> RequestExchange::pass_answer(Attempt& attempt)
 {
-    auto const before = piece.size();
-    piece.resize(before + piece_bytes);
-    auto& body = this->parser->get().body();
-    body.data = piece.data() + before;
-    body.size = piece_bytes;
-    body.more = true;
-    auto [error, bytes]
-        = co_await http::async_read_some(this->connection->socket, this->connection->buffer, *this->parser, as_value);
-    piece.resize(before + piece_bytes - body.size);
-    if (error == http::error::need_buffer)
-        error = {};
-    co_return error;
+    if (this->answer_begun) {
+        // NOTE: The answer keeps the head of its first run, so only a run that goes on in the same form will do.
+        if (attempt.status != status_ok) {
+            attempt.detail = "the stream was not continued";
+            co_return AttemptEnd::BrokenAfterDelivery;
+        }
+        co_return co_await this->pass_body(attempt, {}, false);
+    }
+    auto const& head = this->call->head();
+    auto const length = this->call->content_length();
+    bool const is_chunked = !length && !this->call->is_done();
+    bool const ends_with_connection = is_chunked && this->request.version() < http_1_1;
+    this->keeps_client = this->keeps_client && !ends_with_connection && !this->state.is_stopping;
+    if (is_chunked)
+        this->framing = ends_with_connection ? Adapter::BodyFraming::Empty : Adapter::BodyFraming::Chunked;
+    else
+        this->framing = length ? Adapter::BodyFraming::Length : Adapter::BodyFraming::Empty;
+    bool const can_go_on = this->admitted->route->can_resume || attempt.placed.backup || attempt.uses_copy;
+    this->splits_events
+        = is_chunked && can_go_on && this->admitted->route->kind == RouteKind::Streaming && attempt.status == status_ok;
+    bool const is_held = length && *length <= largest_held_answer;
+    auto out = Adapter::encode_answer(head, { this->framing, this->keeps_client });
+    co_return co_await this->pass_body(attempt, std::move(out), is_held);
 }
 
-Task<RequestExchange::AttemptEnd> RequestExchange::pass_answer(Attempt& attempt)
+Task<AttemptEnd> RequestExchange::pass_body(Attempt& attempt, std::string out, bool is_held)
 {
-    auto const& head = this->parser->get();
-    auto const length = this->parser->content_length();
-    bool const is_held = length && *length <= largest_held_answer;
-    bool const is_chunked = !length && !this->parser->is_done();
-    bool const closes_to_end = is_chunked && this->request.version() < 11;
-    this->keeps_client = this->keeps_client && !closes_to_end && !this->state.is_stopping;
-    auto const body_framing = is_chunked ? (closes_to_end ? Adapter::BodyFraming::Empty : Adapter::BodyFraming::Chunked)
-        : head.count(http::field::content_length) > 0 ? Adapter::BodyFraming::Length
-                                                      : Adapter::BodyFraming::Empty;
-    auto out = Adapter::encode_answer(head, { body_framing, this->keeps_client });
-    std::string piece;
     do {
-        piece.clear();
-        do {
-            if (this->parser->is_done())
-                break;
-            if (auto const error = co_await this->read_piece(piece)) {
+        std::string piece;
+        while (!this->call->is_done()) {
+            std::string came;
+            if (auto const error = co_await this->call->read_piece(came)) {
                 attempt.detail = "answer's body: " + error.message();
-                co_return this->answer_begun ? AttemptEnd::BrokenAfterDelivery : AttemptEnd::Unknown;
+                co_return this->end_of_broken_answer();
             }
-        } while ((is_held || piece.empty()) && !this->parser->is_done());
+            piece += this->splits_events ? this->events.take(came) : came;
+            if (!is_held && !piece.empty())
+                break;
+        }
+        if (this->call->is_done() && this->splits_events)
+            piece += this->events.rest();
         this->note_first_piece(attempt);
-        out += body_framing == Adapter::BodyFraming::Chunked ? as_chunk(piece) : piece;
-        if (this->parser->is_done() && body_framing == Adapter::BodyFraming::Chunked)
+        out += this->framed(piece);
+        if (this->call->is_done() && this->framing == Adapter::BodyFraming::Chunked)
             out += last_chunk;
         this->answer_begun = true;
         if (!co_await this->send_to_client(out)) {
@@ -313,10 +309,24 @@
             co_return AttemptEnd::BrokenAfterDelivery;
         }
         out.clear();
-    } while (!this->parser->is_done());
+    } while (!this->call->is_done());
     co_return AttemptEnd::Delivered;
 }
 
+AttemptEnd RequestExchange::end_of_broken_answer() const
+{
+    if (!this->answer_begun)
+        return AttemptEnd::Unknown;
+    return this->splits_events && !this->is_cancelled() ? AttemptEnd::Interrupted : AttemptEnd::BrokenAfterDelivery;
+}
+
+std::string RequestExchange::framed(std::string const& piece)
+{
+    if (this->framing != Adapter::BodyFraming::Chunked || piece.empty())
+        return piece;
+    return fmt::format("{:x}\r\n{}\r\n", piece.size(), piece);
+}
+
 void RequestExchange::note_first_piece(Attempt const& attempt)
 {
     if (this->answer_begun)
@@ -342,8 +352,7 @@
 Task<void> RequestExchange::answer(unsigned status, Reason reason, std::optional<Core::Duration> retry_after)
 {
     this->keeps_client = this->keeps_client && !this->state.is_stopping;
-    if (status >= status_bad_request)
-        this->state.metrics.count_refusal(reason);
+    this->state.metrics.count_refusal(reason);
     auto const bytes = Adapter::encode_own_answer({ status, this->attempt_id, reason, retry_after, this->keeps_client,
         this->request.method() == http::verb::head });
     this->log_end(status, reason);
@@ -355,9 +364,9 @@
     co_await this->answer(status_of(rejected.reason), rejected.reason, rejected.retry_after);
 }
 
-Task<void> RequestExchange::give_up(AttemptEnd last, Reason why)
+Task<void> RequestExchange::give_up(Reason why)
 {
-    if (last == AttemptEnd::NotSent || last == AttemptEnd::NotRun) {
+    if (!this->may_have_run) {
         co_await this->answer(status_unavailable, why, come_back_after_refusal);
         co_return;
     }
@@ -367,7 +376,7 @@
 void RequestExchange::client_left()
 {
     this->has_left = true;
-    bool const may_be_cancelled = !this->admitted || this->admitted->route->kind != Routing::RouteKind::NonIdempotent;
+    bool const may_be_cancelled = !this->admitted || this->admitted->route->kind != RouteKind::NonIdempotent;
     if (may_be_cancelled)
         this->cancel_attempt();
 }
@@ -388,14 +397,14 @@
 {
     this->was_silent = false;
     auto const& route = *this->admitted->route;
-    bool const may_go_elsewhere = route.kind == Routing::RouteKind::Idempotent
-        && this->sent_attempts < route.max_attempts && route.goal > Core::Duration { 0 };
+    bool const may_go_elsewhere = route.kind == RouteKind::Idempotent && this->sent_attempts < route.max_attempts
+        && route.goal > Core::Duration { 0 };
     if (!may_go_elsewhere)
         return;
     this->silence.expires_after(Core::from_seconds(Core::to_seconds(route.goal) * silence_in_targets));
-    this->silence.async_wait([weak = this->weak_from_this(), watched = this->connection](error_code cancelled) {
+    this->silence.async_wait([weak = this->weak_from_this(), watched = this->call](error_code cancelled) {
         auto const self = weak.lock();
-        if (cancelled || !self || self->connection != watched)
+        if (cancelled || !self || self->call != watched)
             return;
         self->was_silent = true;
         watched->abort();
@@ -404,117 +413,8 @@
 
 void RequestExchange::cancel_attempt()
 {
-    if (this->connection)
-        this->connection->abort();
-}
-
-void RequestExchange::release_connection(Instant now)
-{
-    auto used = std::exchange(this->connection, nullptr);
-    bool const is_clean = this->request_is_written && this->parser && this->parser->is_done()
-        && this->parser->keep_alive() && used->buffer.size() == 0 && used->socket.is_open();
-    if (!is_clean) {
-        used->abort();
-        return;
-    }
-    if (auto const told = Adapter::idle_time_told(this->parser->get()))
-        used->told_idle_time = told;
-    this->state.connections.put_back(std::move(used), now);
-}
-
-AttemptResult RequestExchange::result_of(Attempt const& attempt, AttemptEnd end) const
-{
-    switch (end) {
-    case AttemptEnd::Delivered:
-        return attempt.status >= first_failure_status ? AttemptResult::Failed : AttemptResult::Completed;
-    case AttemptEnd::NotRun:
-        return AttemptResult::EndpointBusy;
-    case AttemptEnd::EndpointError:
-        return AttemptResult::Failed;
-    case AttemptEnd::NotSent:
-        return this->is_cancelled() ? AttemptResult::NotSent : AttemptResult::ConnectionRefused;
-    case AttemptEnd::BrokenAfterDelivery:
-        return this->is_cancelled() ? AttemptResult::CallerGone : AttemptResult::BrokenAfterDelivery;
-    case AttemptEnd::Unknown:
-        return this->has_left ? AttemptResult::CallerGone : AttemptResult::Failed;
-    }
-    return AttemptResult::Failed;
-}
-
-std::string_view RequestExchange::to_string(AttemptEnd end)
-{
-    switch (end) {
-    case AttemptEnd::Delivered:
-        return "delivered";
-    case AttemptEnd::BrokenAfterDelivery:
-        return "broken-after-delivery";
-    case AttemptEnd::NotSent:
-        return "not-sent";
-    case AttemptEnd::NotRun:
-        return "not-run";
-    case AttemptEnd::Unknown:
-        return "unknown";
-    case AttemptEnd::EndpointError:
-        return "endpoint-error";
-    }
-    return "unknown";
-}
-
-void RequestExchange::record_attempt(Attempt const& attempt, AttemptEnd end, Instant now)
-{
-    this->state.router.attempt_ended(
-        this->admitted->id, attempt.placed.choice.endpoint, this->result_of(attempt, end), now);
-    this->state.metrics.count_attempt(to_string(end));
-    Log::EventLine line("attempt_ended");
-    line.with("id", this->attempt_id)
-        .with("endpoint", attempt.placed.endpoint.incarnation)
-        .with("result", to_string(end))
-        .with("status", attempt.status)
-        .with("reused_connection", attempt.reused_connection ? "yes" : "no")
-        .with("took_ms", Core::to_milliseconds(now - attempt.started));
-    if (!attempt.detail.empty())
-        line.with("detail", attempt.detail);
-    line.info();
-}
-
-void RequestExchange::log_placement(Attempt const& attempt) const
-{
-    auto const& figures = attempt.placed.choice.figures;
-    Log::EventLine("request_placed")
-        .with("id", this->attempt_id)
-        .with("route", this->admitted->route->name)
-        .with("account", this->admitted->account)
-        .with("urgency", this->admitted->urgency)
-        .with("configuration", this->admitted->configuration->version())
-        .with("configuration_age_ms", Core::to_milliseconds(this->state.router.configuration_age(attempt.started)))
-        .with("endpoint", attempt.placed.endpoint.incarnation)
-        .with("attempt", this->sent_attempts + 1)
-        .with("candidates", figures.candidates)
-        .with("predicted_ms", figures.predicted_milliseconds)
-        .with("backlog_ms", figures.backlog_milliseconds)
-        .with("tokens_to_read", figures.tokens_to_read)
-        .with("running", figures.running)
-        .with("subject", fmt::format("{:x}", figures.subject))
-        .with("home", figures.is_home ? "yes" : "no")
-        .with("left_ms", Core::to_milliseconds(this->admitted->expires - attempt.started))
-        .info();
-}
-
-void RequestExchange::log_end(unsigned status, Reason reason) const
-{
-    auto const taken = monotonic_now() - this->arrived;
-    auto const route = this->admitted ? this->admitted->route->name : std::string("none");
-    this->state.metrics.count_request(route, this->has_left ? 0 : status);
-    this->state.metrics.observe_answer(route, taken);
-    Log::EventLine("request_ended")
-        .with("id", this->attempt_id)
-        .with("route", route)
-        .with("status", status)
-        .with("reason", Core::to_string(reason))
-        .with("attempts", this->sent_attempts)
-        .with("client_left", this->has_left ? "yes" : "no")
-        .with("took_ms", Core::to_milliseconds(taken))
-        .info();
+    if (this->call)
+        this->call->abort();
 }
 
 }
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <LibGateway/GatewayState.h>
-#include <platform/RequestCodec.h>
+#include <LibGateway/EndpointCall.h>
+#include <LibGateway/EventSplitter.h>
 
 namespace Gateway {
 
@@ -14,6 +14,38 @@
     bool keeps_connection { true };
 };
 
+/// How one send to an endpoint ended, as far as the next step depends on it.
+enum class AttemptEnd {
+    /// The whole answer went to the client, or was discarded because it had left.
+    Delivered,
+    /// The answer broke after a part of it went to the client, and can't go on.
+    BrokenAfterDelivery,
+    /// The endpoint broke off a stream after whole events of it went to the client.
+    Interrupted,
+    /// No byte of the request reached the endpoint.
+    NotSent,
+    /// The endpoint told that it did not run the request.
+    NotRun,
+    /// It may have run.
+    Unknown,
+    /// It ran, and the endpoint answered with a failure of its own that was not passed on.
+    EndpointError,
+};
+
+[[nodiscard]] std::string_view to_string(AttemptEnd end);
+
+/// One send to an endpoint, for the decisions after it and for the log.
+struct Attempt {
+    Routing::Placed placed;
+    Core::Instant started;
+    /// Goes on from the copy that this endpoint keeps of an earlier run.
+    bool uses_copy { false };
+    unsigned status { 0 };
+    bool reused_connection { false };
+    /// What broke, in words; empty if nothing did.
+    std::string detail;
+};
+
 /// One request, from its admission to the last byte of its answer: sends it to endpoints in turn until one answers,
 /// passes the answer on as it comes, and gives up when its time is over or the client has left.
 class RequestExchange : public std::enable_shared_from_this<RequestExchange> {
@@ -26,45 +58,23 @@
     void client_left();
 
 private:
-    /// How one send to an endpoint ended, as far as the next step depends on it.
-    enum class AttemptEnd {
-        /// The whole answer went to the client, or was discarded because it had left.
-        Delivered,
-        /// The answer broke after a part of it went to the client.
-        BrokenAfterDelivery,
-        /// No byte of the request reached the endpoint.
-        NotSent,
-        /// The endpoint told that it did not run the request.
-        NotRun,
-        /// It may have run.
-        Unknown,
-        /// It ran, and the endpoint answered with a failure of its own that was not passed on.
-        EndpointError,
-    };
-    struct Attempt {
-        Routing::Placed placed;
-        Core::Instant started;
-        unsigned status { 0 };
-        bool reused_connection { false };
-        std::string detail;
-    };
-    using AnswerParser = http::response_parser<http::buffer_body>;
-
     [[nodiscard]] Task<void> serve();
+    /// Tells the client, as far as that can still be done, that no endpoint served the request.
+    [[nodiscard]] Task<void> end_unserved(Attempt const& attempt);
     [[nodiscard]] Task<AttemptEnd> try_endpoint(Attempt& attempt);
     void send_request(Attempt const& attempt);
     [[nodiscard]] Task<AttemptEnd> converse(Attempt& attempt);
-    [[nodiscard]] Task<bool> read_answer_head(Attempt& attempt, Adapter::AnswerFacts& facts);
-    [[nodiscard]] Task<bool> discard_answer_body();
     [[nodiscard]] Task<AttemptEnd> pass_answer(Attempt& attempt);
-    /// Appends what the endpoint sent next.
-    [[nodiscard]] Task<error_code> read_piece(std::string& piece);
+    /// Passes the body on behind the head that `out` holds, or behind what was passed on before.
+    [[nodiscard]] Task<AttemptEnd> pass_body(Attempt& attempt, std::string out, bool is_held);
+    [[nodiscard]] AttemptEnd end_of_broken_answer() const;
+    [[nodiscard]] std::string framed(std::string const& piece);
     void note_first_piece(Attempt const& attempt);
     /// False if the client can't be reached any more and the work is not worth going on with.
     [[nodiscard]] Task<bool> send_to_client(std::string const& bytes);
     [[nodiscard]] Task<void> answer(unsigned status, Core::Reason reason, std::optional<Core::Duration> retry_after);
     [[nodiscard]] Task<void> refuse(Routing::Rejected const& rejected);
-    [[nodiscard]] Task<void> give_up(AttemptEnd last, Core::Reason why);
+    [[nodiscard]] Task<void> give_up(Core::Reason why);
 
     void arm_expiry();
     /// Ends an attempt of which nothing has come after a while, if the request may go to another endpoint instead.
@@ -72,13 +82,13 @@
     void cancel_attempt();
     [[nodiscard]] bool is_cancelled() const { return this->has_expired || this->has_left; }
     [[nodiscard]] bool may_try_again(AttemptEnd end);
+    /// The copy of a broken run, if it has one that was not used yet.
+    [[nodiscard]] static std::optional<Attempt> attempt_from_copy(AttemptEnd end, Attempt const& broken);
     /// Whether an endpoint's own failure is retried in place of passing it on. Spends from the retry budget.
     [[nodiscard]] bool failure_may_be_withheld();
     [[nodiscard]] Core::Reason reason_for_giving_up() const;
-    [[nodiscard]] static Core::Reason retry_reason(AttemptEnd end);
-    [[nodiscard]] static std::string_view to_string(AttemptEnd end);
+    [[nodiscard]] Core::Reason retry_reason(AttemptEnd end) const;
     [[nodiscard]] Routing::AttemptResult result_of(Attempt const& attempt, AttemptEnd end) const;
-    void release_connection(Core::Instant now);
     void record_attempt(Attempt const& attempt, AttemptEnd end, Core::Instant now);
     void log_placement(Attempt const& attempt) const;
     void log_end(unsigned status, Core::Reason reason) const;
@@ -87,8 +97,6 @@
     static constexpr unsigned most_unsent_attempts = 3;
     /// Answers up to this size are read whole before they are passed on, so that a broken one can be retried.
     static constexpr std::uint64_t largest_held_answer = 64 * 1024;
-    static constexpr std::size_t piece_bytes = 8 * 1024;
-    static constexpr std::uint32_t largest_answer_head = 64 * 1024;
     /// An idempotent call that is silent for this many times its target is tried elsewhere: endpoints that fall silent
     /// answer nothing before the client gives up, and calls that take that long are one in a hundred.
     static constexpr double silence_in_targets = 1.5;
@@ -104,18 +112,22 @@
     Core::Instant arrived;
     asio::steady_timer expiry;
     asio::steady_timer silence;
-    SharedConnection connection;
-    std::unique_ptr<AnswerParser> parser;
-    /// Whether the endpoint has taken all of the request.
-    bool request_is_written { false };
+    std::shared_ptr<EndpointCall> call;
+    EventSplitter events;
+    Adapter::BodyFraming framing { Adapter::BodyFraming::Empty };
     std::vector<Core::EndpointId> tried;
     unsigned sent_attempts { 0 };
+    unsigned unsent_attempts { 0 };
     AttemptEnd last_end { AttemptEnd::NotSent };
+    /// Whether any endpoint may have run the request.
+    bool may_have_run { false };
     bool has_expired { false };
     bool has_left { false };
     bool was_silent { false };
     bool client_is_broken { false };
     bool answer_begun { false };
+    /// Whether only whole events are passed on, so that another run can go on behind them.
+    bool splits_events { false };
     bool keeps_client { true };
     bool is_finished { false };
 };
