LibGateway: Remove the copies of long answers, keep resuming

Kept from it: resuming where the route allows it, the whole-event rule, the honest status after a run that may have been.

--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -100,10 +100,8 @@
         .with("subject", fmt::format("{:x}", figures.subject))
         .with("home", yes_or_no(figures.is_home))
         .with("left_ms", Core::to_milliseconds(this->admitted->expires - attempt.started));
-    if (attempt.placed.backup)
-        line.with("backup", attempt.placed.backup->record.incarnation);
-    if (this->answer_begun || attempt.uses_copy)
-        line.with("goes_on_after", this->events.last_id().value_or("")).with("uses_copy", yes_or_no(attempt.uses_copy));
+    if (this->answer_begun)
+        line.with("goes_on_after", this->events.last_id().value_or(""));
     line.info();
 }
 
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -74,41 +74,40 @@
 
 Task<void> RequestExchange::serve()
 {
-    std::optional<Attempt> from_copy;
     for (;;) {
-        auto attempt = std::exchange(from_copy, std::nullopt);
-        if (!attempt) {
-            auto decision = this->state.router.place(*this->admitted, this->workload, this->tried, monotonic_now());
-            if (auto const* const rejected = std::get_if<Routing::Rejected>(&decision)) {
-                if (this->sent_attempts == 0 && this->unsent_attempts == 0)
-                    co_await this->refuse(*rejected);
-                else
-                    co_await this->give_up(rejected->reason);
-                co_return;
-            }
-            attempt = Attempt { std::move(std::get<Routing::Placed>(decision)), monotonic_now(), false, 0, false, {} };
+        auto decision = this->state.router.place(*this->admitted, this->workload, this->tried, monotonic_now());
+        if (auto const* const rejected = std::get_if<Routing::Rejected>(&decision)) {
+            co_await this->end_unplaced(*rejected);
+            co_return;
         }
-        this->last_end = co_await this->try_endpoint(*attempt);
-        this->record_attempt(*attempt, this->last_end, monotonic_now());
+        Attempt attempt { std::move(std::get<Routing::Placed>(decision)), monotonic_now(), 0, false, {} };
+        this->last_end = co_await this->try_endpoint(attempt);
+        this->record_attempt(attempt, this->last_end, monotonic_now());
         if (this->last_end == AttemptEnd::Delivered) {
-            this->log_end(attempt->status, Reason::AnswerComplete);
+            this->log_end(attempt.status, Reason::AnswerComplete);
             co_return;
         }
-        this->tried.push_back(attempt->placed.choice.endpoint);
-        if (this->last_end != AttemptEnd::BrokenAfterDelivery && !this->is_cancelled()) {
-            from_copy = attempt_from_copy(this->last_end, *attempt);
-            if (from_copy || this->may_try_again(this->last_end)) {
-                this->state.metrics.count_retry(this->retry_reason(this->last_end));
-                this->events.drop_rest();
-                continue;
-            }
+        this->tried.push_back(attempt.placed.choice.endpoint);
+        if (this->is_cancelled() || !this->may_try_again(this->last_end)) {
+            co_await this->end_unserved(attempt.status);
+            co_return;
         }
-        co_await this->end_unserved(*attempt);
-        co_return;
+        this->state.metrics.count_retry(this->retry_reason(this->last_end));
+        this->events.drop_rest();
     }
 }
 
-Task<void> RequestExchange::end_unserved(Attempt const& attempt)
+Task<void> RequestExchange::end_unplaced(Routing::Rejected const& rejected)
+{
+    if (this->answer_begun)
+        co_await this->end_unserved(0);
+    else if (this->sent_attempts == 0 && this->unsent_attempts == 0)
+        co_await this->refuse(rejected);
+    else
+        co_await this->give_up(rejected.reason);
+}
+
+Task<void> RequestExchange::end_unserved(unsigned last_status)
 {
     if (!this->answer_begun) {
         co_await this->give_up(this->reason_for_giving_up());
@@ -120,19 +119,7 @@
     error_code ignored;
     if (this->request.version() < http_1_1)
         this->client.socket->set_option(asio::socket_base::linger(true, 0), ignored);
-    this->log_end(attempt.status, this->has_left ? Reason::CallerGone : Reason::AnswerCutShort);
-}
-
-std::optional<Attempt> RequestExchange::attempt_from_copy(AttemptEnd end, Attempt const& broken)
-{
-    // NOTE: Before its first event a run may have left no copy, and an engine without one was seen to run the request
-    // anew in place of refusing.
-    auto const& backup = broken.placed.backup;
-    if (end != AttemptEnd::Interrupted || broken.uses_copy || !backup)
-        return {};
-    Routing::PlacementChoice choice;
-    choice.endpoint = backup->id;
-    return Attempt { { choice, backup->record, {} }, monotonic_now(), true, 0, false, {} };
+    this->log_end(last_status, this->has_left ? Reason::CallerGone : Reason::AnswerCutShort);
 }
 
 Reason RequestExchange::retry_reason(AttemptEnd end) const
@@ -171,6 +158,8 @@
         return false;
     if (end == AttemptEnd::NotSent)
         return this->unsent_attempts <= most_unsent_attempts;
+    if (end == AttemptEnd::BrokenAfterDelivery)
+        return false;
     // NOTE: The budget was asked when the endpoint's failure was held back.
     if (end == AttemptEnd::EndpointError)
         return true;
@@ -211,10 +200,6 @@
     figures.left = this->admitted->expires - monotonic_now();
     if (has_body)
         figures.body_bytes = this->request.body().size();
-    if (attempt.placed.backup)
-        figures.backup = attempt.placed.backup->record.address;
-    if (attempt.uses_copy)
-        figures.copy_at = attempt.placed.endpoint.address;
     figures.last_event_id = this->events.last_id();
     this->call->send(
         Adapter::encode_request(this->request, figures), asio::buffer(this->request.body()), this->shared_from_this());
@@ -275,9 +260,8 @@
         this->framing = ends_with_connection ? Adapter::BodyFraming::Empty : Adapter::BodyFraming::Chunked;
     else
         this->framing = length ? Adapter::BodyFraming::Length : Adapter::BodyFraming::Empty;
-    bool const can_go_on = this->admitted->route->can_resume || attempt.placed.backup || attempt.uses_copy;
-    this->splits_events
-        = is_chunked && can_go_on && this->admitted->route->kind == RouteKind::Streaming && attempt.status == status_ok;
+    this->splits_events = is_chunked && this->admitted->route->kind == RouteKind::Streaming
+        && this->admitted->route->can_resume && attempt.status == status_ok;
     bool const is_held = length && *length <= largest_held_answer;
     auto out = Adapter::encode_answer(head, { this->framing, this->keeps_client });
     co_return co_await this->pass_body(attempt, std::move(out), is_held);
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -38,8 +38,6 @@
 struct Attempt {
     Routing::Placed placed;
     Core::Instant started;
-    /// Goes on from the copy that this endpoint keeps of an earlier run.
-    bool uses_copy { false };
     unsigned status { 0 };
     bool reused_connection { false };
     /// What broke, in words; empty if nothing did.
@@ -60,7 +58,9 @@
 private:
     [[nodiscard]] Task<void> serve();
     /// Tells the client, as far as that can still be done, that no endpoint served the request.
-    [[nodiscard]] Task<void> end_unserved(Attempt const& attempt);
+    [[nodiscard]] Task<void> end_unserved(unsigned last_status);
+    /// The same where there is no endpoint to try, or none any more.
+    [[nodiscard]] Task<void> end_unplaced(Routing::Rejected const& rejected);
     [[nodiscard]] Task<AttemptEnd> try_endpoint(Attempt& attempt);
     void send_request(Attempt const& attempt);
     [[nodiscard]] Task<AttemptEnd> converse(Attempt& attempt);
@@ -82,8 +82,6 @@
     void cancel_attempt();
     [[nodiscard]] bool is_cancelled() const { return this->has_expired || this->has_left; }
     [[nodiscard]] bool may_try_again(AttemptEnd end);
-    /// The copy of a broken run, if it has one that was not used yet.
-    [[nodiscard]] static std::optional<Attempt> attempt_from_copy(AttemptEnd end, Attempt const& broken);
     /// Whether an endpoint's own failure is retried in place of passing it on. Spends from the retry budget.
     [[nodiscard]] bool failure_may_be_withheld();
     [[nodiscard]] Core::Reason reason_for_giving_up() const;
--- a/Libraries/LibRouting/Configuration.h
+++ b/Libraries/LibRouting/Configuration.h
@@ -66,8 +66,6 @@
     std::uint64_t cache_tokens { 0 };
     /// Tokens in one event of a stream.
     unsigned tokens_per_event { 1 };
-    /// Whether an engine copies what it makes to another one that a request names.
-    bool keeps_backups { false };
 
     bool operator==(EngineTraits const&) const = default;
 };
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -23,8 +23,6 @@
     double read_again_factor { 4 };
     /// Cost of placing a request on an engine that is meant for the other kind.
     double wrong_side_milliseconds { 400 };
-    /// Whether long answers are copied to a second engine while they are made.
-    bool backs_up_long_answers { true };
     /// How many times the silence of an endpoint beyond the expected counts: it has most likely failed.
     double overdue_factor { 4 };
     /// Cost of an engine all of whose slots are taken; half of them are free of cost.
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -161,34 +161,7 @@
     auto const choice = choose_endpoint(usable, this->loads, query, this->settings.placement);
     if (!choice)
         return Rejected { Reason::NoEndpoint, tried.empty() ? come_back_after_gap : come_back_when_full };
-    auto const& chosen = *this->directory.find(choice->endpoint);
-    return Placed { *choice, chosen.record, this->choose_backup(request, workload, usable, chosen, now) };
-}
-
-std::optional<KnownEndpoint> RequestRouter::choose_backup(Admitted const& request, Workload const& workload,
-    std::vector<KnownEndpoint const*> const& candidates, KnownEndpoint const& chosen, Instant now) const
-{
-    auto const* const service = request.configuration->find_service(request.service);
-    // NOTE: A stream that can be resumed needs no copy. A long prompt costs more to copy than its answer is worth.
-    bool const is_worth_it = request.is_engine && service->engine->keeps_backups
-        && request.route->kind == RouteKind::Streaming && !request.route->can_resume
-        && work_kind(workload, this->settings.placement.engine) == WorkKind::LongAnswer;
-    if (!this->settings.placement.backs_up_long_answers || !is_worth_it)
-        return {};
-    KnownEndpoint const* best = nullptr;
-    double best_running = 0;
-    for (auto const* candidate : candidates) {
-        // NOTE: Copies between failure domains take twice as long and cost the price of the bytes.
-        if (candidate->id == chosen.id || candidate->record.failure_domain != chosen.record.failure_domain)
-            continue;
-        auto const found = this->loads.find(candidate->id);
-        auto const running = found == this->loads.end() ? 0 : found->second.running(now);
-        if (best != nullptr && running >= best_running)
-            continue;
-        best = candidate;
-        best_running = running;
-    }
-    return best != nullptr ? std::optional(*best) : std::nullopt;
+    return Placed { *choice, this->directory.find(choice->endpoint)->record };
 }
 
 bool RequestRouter::may_repeat(Admitted const& request, Instant now)
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -68,8 +68,6 @@
 struct Placed {
     PlacementChoice choice;
     EndpointRecord endpoint;
-    /// An engine that is to keep a copy of what the first one makes, from which the answer can go on if that one fails.
-    std::optional<KnownEndpoint> backup;
 
     bool operator==(Placed const&) const = default;
 };
@@ -128,8 +126,6 @@
     /// When a client may come back to a service whose endpoints are full: a few service times.
     static constexpr Duration come_back_when_full { std::chrono::milliseconds(150) };
 
-    [[nodiscard]] std::optional<KnownEndpoint> choose_backup(Admitted const& request, Workload const& workload,
-        std::vector<KnownEndpoint const*> const& candidates, KnownEndpoint const& chosen, Instant now) const;
     [[nodiscard]] std::optional<Rejected> refuse_by_lease(Route const* route, Instant now) const;
     [[nodiscard]] Rejected refuse_unknown(Reason reason, Instant now) const;
     [[nodiscard]] std::string const& draw_service(Route const& route);
