--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -148,22 +148,24 @@
         this->take_endpoints(records, is_whole_list);
         return;
     }
-    for (auto const& record : records) {
-        if (Adapter::is_configuration(record) && record.value)
-            this->take_configuration(*record.value, asked_at);
+    // NOTE: Only the last version matters to a box that catches up; an earlier one does if the last can't be read.
+    bool is_taken = false;
+    for (auto record = records.rbegin(); record != records.rend() && !is_taken; ++record) {
+        if (Adapter::is_configuration(*record) && record->value)
+            is_taken = this->take_configuration(*record->value, asked_at);
     }
     if (is_whole_list && this->state.router.configuration())
         this->state.router.confirm_configuration(asked_at);
 }
 
-void StoreFollower::take_configuration(std::string const& text, Instant asked_at)
+bool StoreFollower::take_configuration(std::string const& text, Instant asked_at)
 {
     Core::LastReason reason;
     auto decoded = Adapter::decode_configuration(text, reason);
     if (!decoded) {
         this->state.metrics.count_bad_record("configuration");
         Log::EventLine("configuration_rejected").with("reason", reason.text).with("bytes", text.size()).error();
-        return;
+        return false;
     }
     auto const version = decoded->version;
     auto const routes = decoded->routes.size();
@@ -179,6 +181,7 @@
         .with("accounts", accounts)
         .with("accounts_with_priority", ranked)
         .info();
+    return true;
 }
 
 void StoreFollower::take_endpoints(std::vector<Adapter::KeyedRecord> const& records, bool is_whole_list)
--- a/Libraries/LibGateway/StoreFollower.h
+++ b/Libraries/LibGateway/StoreFollower.h
@@ -44,7 +44,8 @@
     [[nodiscard]] Task<bool> read_next();
     [[nodiscard]] Task<std::optional<StoreAnswer>> call(std::string const& target, Core::Duration patience);
     void take(std::vector<Adapter::KeyedRecord> const& records, Core::Instant asked_at, bool is_whole_list);
-    void take_configuration(std::string const& text, Core::Instant asked_at);
+    /// False if the record can't be read.
+    bool take_configuration(std::string const& text, Core::Instant asked_at);
     void take_endpoints(std::vector<Adapter::KeyedRecord> const& records, bool is_whole_list);
     [[nodiscard]] std::optional<Routing::EndpointRecord> decode_endpoint(Adapter::KeyedRecord const& record);
     void note_failure(std::string const& reason);
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -31,6 +31,7 @@
     if (for_answers == 0 || for_answers >= candidates.size())
         return candidates;
     std::vector<std::pair<std::uint64_t, KnownEndpoint const*>> order;
+    order.reserve(candidates.size());
     for (auto const* endpoint : candidates)
         order.emplace_back(rendezvous_weight(0, endpoint->record.incarnation), endpoint);
     std::ranges::sort(order);
--- a/Programs/standin/HttpSession.h
+++ b/Programs/standin/HttpSession.h
@@ -16,6 +16,11 @@
 
 /// The client's side of one request.
 struct Session {
+    explicit Session(tcp::socket accepted)
+        : socket(std::move(accepted))
+    {
+    }
+
     tcp::socket socket;
 
     /// Sends a whole answer with a length; extra headers end with line ends.
