LibServer: Let many callers connect at once

Cause: Integration.TestCallerSide failed 2 of 5 parallel runs of all tests, and 'many callers at once' alone 3 of 12 (status 0: the connection broke): the HTTP library listens with five waiting connections, and 24 callers come at once. Ruled out: the answers (the box's log knows nothing of the broken ones), the threads (256 for 24 callers). Change: the socket listens anew with 1,024 waiting connections.

--- a/Libraries/LibServer/HttpListener.cpp
+++ b/Libraries/LibServer/HttpListener.cpp
@@ -34,6 +34,12 @@
         last_reason.text = "can't listen on " + address.to_string();
         return {};
     }
+    // NOTE: The library asks for five waiting connections; where more come at once, some are reset.
+    constexpr int waiting_connections = 1024;
+    if (::listen(listener->listening_socket, waiting_connections) != 0) {
+        last_reason.text = "can't listen on " + address.to_string();
+        return {};
+    }
     listener->thread = std::thread([&server] { server.listen_after_bind(); });
     // NOTE: A stop before the server runs would be lost. The socket listens already, so this is short.
     while (!server.is_running())
