LibGateway: Keep a connection for as long as anything writes to it

Cause: since the connection to an endpoint became a class of its own, a write of a long body that was still under way when an early answer ended the call referred to a connection that was freed (address sanitizer, 'an answer that comes before the body was read'). A connection and the request on it also held each other, so a process that ends in the middle of a request leaked both (leak sanitizer, TestCallerConnection). Change: the write holds its connection; the task that serves a request owns it, the connection only refers to it.

--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -134,11 +134,12 @@
     this->state.body_bytes += body_bytes;
     ++this->state.requests;
     ++this->turn;
-    this->exchange = std::make_shared<RequestExchange>(
+    auto const served = std::make_shared<RequestExchange>(
         this->state, std::move(request), ClientSide { this->shared_socket(), keeps_connection });
+    this->exchange = served;
     this->watch_for_close();
-    bool const is_open = co_await this->exchange->run();
-    this->exchange = nullptr;
+    bool const is_open = co_await served->run();
+    this->exchange.reset();
     ++this->turn;
     --this->state.requests;
     this->state.body_bytes -= body_bytes;
@@ -164,12 +165,13 @@
     this->socket.async_wait(
         tcp::socket::wait_read, [weak = this->weak_from_this(), watched = this->turn](error_code error) {
             auto const self = weak.lock();
-            if (error || !self || self->turn != watched || !self->exchange)
+            auto const served = self ? self->exchange.lock() : nullptr;
+            if (error || !served || self->turn != watched)
                 return;
             error_code ignored;
             // NOTE: Readable without bytes is the end of the connection; bytes are the client's next request.
             if (self->socket.available(ignored) == 0)
-                self->exchange->client_left();
+                served->client_left();
         });
 }
 
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -38,7 +38,8 @@
     bool guard_fired { false };
     /// From the first byte of a request until its answer is sent.
     bool is_busy { false };
-    std::shared_ptr<RequestExchange> exchange;
+    /// The request being served. The task that serves it owns it: it holds this connection in turn.
+    std::weak_ptr<RequestExchange> exchange;
     /// Counts requests, so that a watch set for an earlier one knows that it is over.
     std::uint64_t turn { 0 };
 };
--- a/Libraries/LibGateway/EndpointCall.cpp
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -22,9 +22,10 @@
 {
     auto const kept_head = std::make_shared<std::string const>(std::move(head));
     std::array<asio::const_buffer, 2> const buffers { asio::buffer(*kept_head), body };
-    // NOTE: Not awaited: an endpoint may answer before it has read all of a long body.
+    // NOTE: Not awaited: an endpoint may answer before it has read all of a long body. The connection may be given up
+    // before the write has ended, so the write holds it.
     asio::async_write(this->connection->socket, buffers,
-        [self = this->shared_from_this(), kept_head, owner = std::move(owner)](
+        [self = this->shared_from_this(), used = this->connection, kept_head, owner = std::move(owner)](
             error_code error, std::size_t) { self->is_written = !error; });
 }
 
