Models: Check that a lease passed on by a relay ends in time

Cause: what a relay vouches for crosses two questions, and either side may stand still in between; tests show single orders of events, not all.

Models/Lease.pml holds (3,047,164 states; with three reads a side 107,338,760 states, once, no error); the variants that count from an answer's arrival, at the relay or at the box, are caught. Ruled out as a fault by the same model: an answer older than what the box holds that renews its lease (104,006,469 states, no error), since it can't vouch for a later moment; the code does not renew then either.

--- /dev/null
+++ b/Models/Lease-broken-box-vouches-for-arrival.pml
@@ -0,0 +1,3 @@
+/* The checker must find the fault of this variant. */
+#define BROKEN_BOX_VOUCHES_FOR_ARRIVAL
+#include "Lease.pml"
