LibRouting: Divide engines by the demand of a whole failure domain

Cause: a box of a grown deployment sees four requests to engines a second.

What it does now: a question to a relay tells what the asker's requests ask of engines; the relay adds this up and answers with one division for all.

Ruled out: homes that have no time for a request.

Tests: TestPlacement (told share, totals of others), TestControlRecords, TestEndpointJournal (demand added up, numbers that can't be).

--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -30,9 +30,9 @@
 ControlPlane::ControlPlane(GatewayState& state, Adapter::BoxEnvironment const& environment, std::uint64_t seed)
     : state(state)
     , source(environment.box_name, environment.failure_domain, control_bounds(environment))
-    , records(state, source_id(seed))
-    , operator_follower(state, this->records, this->source, environment.store, Adapter::Topic::Operator,
-          this->operator_paces())
+    , records(state, environment.box_name, source_id(seed))
+    , operator_follower(
+          state, this->records, this->source, environment.store, Adapter::Topic::Operator, this->operator_paces())
     , endpoints_follower(state, this->records, this->source, environment.store, Adapter::Topic::Endpoints,
           this->endpoints_paces(environment.drain_within))
     , relay_follower(
@@ -68,8 +68,7 @@
     std::optional<tcp::acceptor> acceptor;
     // NOTE: Counted in a wider type, since the last port may be the highest there is.
     for (unsigned port = this->ports->first; port <= this->ports->last && !acceptor; ++port)
-        acceptor = listen_on(
-            this->state.context, { this->ports->host, static_cast<std::uint16_t>(port) }, last_reason);
+        acceptor = listen_on(this->state.context, { this->ports->host, static_cast<std::uint16_t>(port) }, last_reason);
     if (!acceptor)
         return false;
     this->listener.emplace(
--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -8,8 +8,9 @@
 using Core::Instant;
 using Core::monotonic_now;
 
-ControlRecords::ControlRecords(GatewayState& state, std::uint64_t source)
+ControlRecords::ControlRecords(GatewayState& state, std::string box_name, std::uint64_t source)
     : state(state)
+    , box_name(std::move(box_name))
     , source(source)
 {
 }
@@ -146,13 +147,14 @@
     return configuration ? configuration->version() : 0;
 }
 
-Membership::ControlQuestion ControlRecords::question() const
+Membership::ControlQuestion ControlRecords::question(Instant now) const
 {
-    return { this->relayed_source, this->relayed_source == 0 ? 0 : this->relayed_revision, this->version() };
+    return { this->relayed_source, this->relayed_source == 0 ? 0 : this->relayed_revision, this->version(),
+        this->box_name, this->state.router.work_totals(now) };
 }
 
 std::optional<Membership::ControlAnswer> ControlRecords::answer(
-    Membership::ControlQuestion const& question, std::size_t longest_configuration, Instant now) const
+    Membership::ControlQuestion const& question, std::size_t longest_configuration, Instant now)
 {
     if (!this->endpoints_confirmed_at || !this->endpoints_next || !this->operator_next || this->version() == 0)
         return {};
@@ -168,6 +170,9 @@
     answer.configuration_next = *this->operator_next;
     if (this->returned_at)
         answer.store_returned_ago = now - *this->returned_at;
+    this->demand_of_askers.take(question.asker, question.work, now);
+    this->state.router.take_totals_of_others(this->demand_of_askers.totals(now), now);
+    answer.answer_shares = this->state.router.answer_shares(now);
     return answer;
 }
 
@@ -182,6 +187,7 @@
         if (!this->returned_at || moment > *this->returned_at + same_return)
             this->store_returned(moment);
     }
+    this->state.router.take_answer_shares(answer.answer_shares, asked_at);
     // NOTE: What this box read itself a moment ago may be newer than what the relay knows.
     if (!this->endpoints_confirmed_at || endpoints_vouched_at >= *this->endpoints_confirmed_at)
         this->take_relayed_endpoints(answer, endpoints_vouched_at);
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibGateway/GatewayState.h>
-#include <LibMembership/RelayMessages.h>
+#include <LibMembership/DemandPool.h>
 #include <platform/StoreRecords.h>
 
 namespace Gateway {
@@ -11,7 +11,7 @@
 class ControlRecords {
 public:
     /// `source` names this process to other boxes; not 0.
-    ControlRecords(GatewayState& state, std::uint64_t source);
+    ControlRecords(GatewayState& state, std::string box_name, std::uint64_t source);
 
     // From the store. `asked_at` is when the read was sent; an answer vouches for no later moment.
     void take_operator_records(
@@ -26,11 +26,11 @@
     void set_next(Adapter::Topic topic, std::optional<std::uint64_t> offset);
 
     // Between boxes.
-    [[nodiscard]] Membership::ControlQuestion question() const;
+    [[nodiscard]] Membership::ControlQuestion question(Core::Instant now) const;
     /// Nothing until both topics were read whole. A configuration of more than `longest_configuration` bytes is left
     /// out.
     [[nodiscard]] std::optional<Membership::ControlAnswer> answer(
-        Membership::ControlQuestion const& question, std::size_t longest_configuration, Core::Instant now) const;
+        Membership::ControlQuestion const& question, std::size_t longest_configuration, Core::Instant now);
     /// Takes what a relay answered to a question sent at `asked_at`. False if it knows of a configuration that it did
     /// not pass on.
     bool take_relayed(Membership::ControlAnswer const& answer, Core::Instant asked_at);
@@ -49,8 +49,10 @@
     [[nodiscard]] std::uint64_t version() const;
 
     GatewayState& state;
+    std::string box_name;
     std::uint64_t source;
     Membership::EndpointJournal journal;
+    Membership::DemandPool demand_of_askers;
     /// The moment that the list of endpoints vouches for; nothing until it was known whole.
     std::optional<Core::Instant> endpoints_confirmed_at;
     std::optional<std::uint64_t> endpoints_next;
--- a/Libraries/LibMembership/RelayMessages.cpp
+++ b/Libraries/LibMembership/RelayMessages.cpp
@@ -2,6 +2,7 @@
 
 #include <LibMembership/Relay.pb.h>
 #include <algorithm>
+#include <cmath>
 
 namespace Membership {
 
@@ -63,6 +64,12 @@
     return Duration { static_cast<Duration::rep>(std::min(microseconds, longest)) };
 }
 
+/// Nothing in place of a number that is none, is negative or has no end.
+double amount(double told)
+{
+    return std::isfinite(told) && told > 0 ? told : 0;
+}
+
 }
 
 std::string encode(ControlQuestion const& question)
@@ -71,6 +78,13 @@
     message.set_source(question.source);
     message.set_revision(question.revision);
     message.set_configuration_version(question.configuration_version);
+    message.set_asker(question.asker);
+    for (auto const& [service, totals] : question.work) {
+        auto& work = *message.add_work();
+        work.set_service(service);
+        work.set_answer_ms(totals.answer_milliseconds);
+        work.set_prompt_ms(totals.prompt_milliseconds);
+    }
     return message.SerializeAsString();
 }
 
@@ -79,7 +93,12 @@
     wire::ControlQuestion message;
     if (!message.ParseFromString(bytes))
         return {};
-    return ControlQuestion { message.source(), message.revision(), message.configuration_version() };
+    ControlQuestion question { message.source(), message.revision(), message.configuration_version(), message.asker(),
+        {} };
+    for (auto const& work : message.work())
+        question.work.emplace(
+            work.service(), Routing::WorkTotals { amount(work.answer_ms()), amount(work.prompt_ms()) });
+    return question;
 }
 
 std::string encode(ControlAnswer const& answer)
@@ -99,6 +118,11 @@
     message.set_configuration_next(answer.configuration_next);
     if (answer.store_returned_ago)
         message.set_store_returned_us_ago(to_wire(*answer.store_returned_ago));
+    for (auto const& [service, share] : answer.answer_shares) {
+        auto& told = *message.add_answer_shares();
+        told.set_service(service);
+        told.set_share(share);
+    }
     return message.SerializeAsString();
 }
 
@@ -126,6 +150,8 @@
     answer.configuration_next = message.configuration_next();
     if (message.has_store_returned_us_ago())
         answer.store_returned_ago = duration_from(message.store_returned_us_ago());
+    for (auto const& told : message.answer_shares())
+        answer.answer_shares.emplace(told.service(), std::min(amount(told.share()), 1.0));
     return answer;
 }
 
--- a/Libraries/LibMembership/RelayMessages.h
+++ b/Libraries/LibMembership/RelayMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibMembership/EndpointJournal.h>
+#include <LibRouting/EngineDemand.h>
 
 namespace Membership {
 
@@ -11,6 +12,10 @@
     /// The revision of that process's list.
     std::uint64_t revision { 0 };
     std::uint64_t configuration_version { 0 };
+    /// Name of the box that asks.
+    std::string asker;
+    /// What the asker's recent requests ask of engines, by service.
+    std::map<std::string, Routing::WorkTotals> work;
 
     bool operator==(ControlQuestion const&) const = default;
 };
@@ -30,6 +35,8 @@
     std::uint64_t configuration_next { 0 };
     /// How long ago the store answered the relay again after a loss.
     std::optional<Duration> store_returned_ago;
+    /// The part of each service's engines that long answers get at all boxes that ask this relay.
+    std::map<std::string, double> answer_shares;
 
     bool operator==(ControlAnswer const&) const = default;
 };
--- a/Libraries/LibRouting/EngineDemand.cpp
+++ b/Libraries/LibRouting/EngineDemand.cpp
@@ -27,6 +27,12 @@
 {
     if (engines < fewest_to_divide)
         return 0;
+    if (this->told_share && this->told_share->is_recent(now)) {
+        auto const told = std::lround(this->told_share->value * static_cast<double>(engines));
+        this->given = static_cast<std::size_t>(std::max(1L, told));
+        this->given_of = engines;
+        return this->given;
+    }
     auto const needed = std::max(1.0, this->share_of_answers(now) * static_cast<double>(engines));
     auto const has = static_cast<double>(this->given);
     bool const has_changed = std::abs(needed - has) > std::max(least_change_engines, has * least_change_share);
@@ -36,13 +42,39 @@
     return this->given;
 }
 
+WorkTotals EngineDemand::own_totals(Core::Instant now) const
+{
+    return { this->answers.value(now), this->prompts.value(now) };
+}
+
+void EngineDemand::take_totals_of_others(WorkTotals totals, Core::Instant now)
+{
+    this->others = { totals, now };
+}
+
+void EngineDemand::take_told_share(double share, Core::Instant now)
+{
+    this->told_share = { share, now };
+}
+
+std::optional<double> EngineDemand::share_given() const
+{
+    if (this->given_of == 0)
+        return {};
+    return static_cast<double>(this->given) / static_cast<double>(this->given_of);
+}
+
 double EngineDemand::share_of_answers(Core::Instant now) const
 {
-    auto const for_answers = this->answers.value(now);
-    auto const for_prompts = this->prompts.value(now);
-    if (for_answers + for_prompts <= 0)
+    auto totals = this->own_totals(now);
+    if (this->others && this->others->is_recent(now)) {
+        totals.answer_milliseconds += this->others->value.answer_milliseconds;
+        totals.prompt_milliseconds += this->others->value.prompt_milliseconds;
+    }
+    auto const all = totals.answer_milliseconds + totals.prompt_milliseconds;
+    if (all <= 0)
         return least_share;
-    return std::clamp(for_answers / (for_answers + for_prompts), least_share, most_share);
+    return std::clamp(totals.answer_milliseconds / all, least_share, most_share);
 }
 
 }
--- a/Libraries/LibRouting/EngineDemand.h
+++ b/Libraries/LibRouting/EngineDemand.h
@@ -3,6 +3,8 @@
 #include <LibRouting/EndpointLoad.h>
 #include <LibRouting/FadingSum.h>
 
+#include <optional>
+
 namespace Routing {
 
 /// Speeds of engines that placement reckons with, from the users' sheets.
@@ -34,8 +36,17 @@
 
 [[nodiscard]] WorkKind work_kind(Workload const& workload, EngineSpeed const& speed);
 
+/// Engine time that the recent requests of a service ask for, by kind; older ones count for less.
+struct WorkTotals {
+    double answer_milliseconds { 0 };
+    double prompt_milliseconds { 0 };
+
+    bool operator==(WorkTotals const&) const = default;
+};
+
 /// How a service's recent requests divide into long prompts and long answers, as this box sees them. Boxes see samples
-/// of the same traffic, so they come to nearly the same division without talking.
+/// of the same traffic, so they come to nearly the same division without talking. Where many boxes see few requests
+/// each the samples differ too much; there a relay adds them up and tells the division to all.
 class EngineDemand {
 public:
     void add(Workload const& workload, EngineSpeed const& speed, Core::Instant now);
@@ -43,9 +54,28 @@
     /// makes engines read shared prompt parts again, and boxes that see different samples would disagree.
     [[nodiscard]] std::size_t engines_for_answers(std::size_t engines, Core::Instant now);
 
+    /// What this box itself has lately seen.
+    [[nodiscard]] WorkTotals own_totals(Core::Instant now) const;
+    /// What other boxes have lately seen, all together.
+    void take_totals_of_others(WorkTotals totals, Core::Instant now);
+    /// The part of the engines that long answers get, as a relay decided for all boxes of the failure domain.
+    void take_told_share(double share, Core::Instant now);
+    /// The part of the engines that this box gives to long answers; nothing before it first divided any.
+    [[nodiscard]] std::optional<double> share_given() const;
+
 private:
+    template <typename Value> struct Told {
+        Value value;
+        Core::Instant at;
+
+        [[nodiscard]] bool is_recent(Core::Instant now) const { return now - this->at <= told_memory; }
+    };
+
     [[nodiscard]] double share_of_answers(Core::Instant now) const;
 
+    /// What others told holds this long: a box that goes from one relay to the next keeps its division meanwhile.
+    static constexpr Core::Duration told_memory { std::chrono::seconds(6) };
+
     /// A box of the first sites sees some ten requests a second; fewer than a hundred make the share a matter of luck.
     static constexpr Core::Duration half_life { std::chrono::seconds(6) };
     /// By how much the need must differ from what long answers have, in engines and as a part of what they have.
@@ -63,6 +93,8 @@
 
     FadingSum answers { half_life };
     FadingSum prompts { half_life };
+    std::optional<Told<WorkTotals>> others;
+    std::optional<Told<double>> told_share;
     std::size_t given { 0 };
     std::size_t given_of { 0 };
 };
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -271,4 +271,40 @@
     return this->allowances.try_emplace(service, this->settings.retry).first->second;
 }
 
+std::map<std::string, WorkTotals> RequestRouter::work_totals(Instant now) const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    std::map<std::string, WorkTotals> totals;
+    for (auto const& [service, demand] : this->demands)
+        totals.emplace(service, demand.own_totals(now));
+    return totals;
+}
+
+void RequestRouter::take_totals_of_others(std::map<std::string, WorkTotals> const& totals, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    for (auto const& [service, of_others] : totals)
+        this->demands[service].take_totals_of_others(of_others, now);
+}
+
+std::map<std::string, double> RequestRouter::answer_shares(Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    std::map<std::string, double> shares;
+    for (auto& [service, demand] : this->demands) {
+        // NOTE: Decides anew, since a relay may have no requests of its own to do so.
+        static_cast<void>(demand.engines_for_answers(this->directory.usable(service, now).size(), now));
+        if (auto const share = demand.share_given())
+            shares.emplace(service, *share);
+    }
+    return shares;
+}
+
+void RequestRouter::take_answer_shares(std::map<std::string, double> const& shares, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    for (auto const& [service, share] : shares)
+        this->demands[service].take_told_share(share, now);
+}
+
 }
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -119,6 +119,15 @@
     void endpoint_replaced(EndpointId endpoint);
     void take_told_load(EndpointId endpoint, ToldLoad const& told, Instant now);
 
+    /// Engine time that this box's recent requests ask for, by service.
+    [[nodiscard]] std::map<std::string, WorkTotals> work_totals(Instant now) const;
+    /// The same of other boxes of the failure domain, all together.
+    void take_totals_of_others(std::map<std::string, WorkTotals> const& totals, Instant now);
+    /// The part of each service's engines that this box gives to long answers.
+    [[nodiscard]] std::map<std::string, double> answer_shares(Instant now);
+    /// The same as a relay decided it for all boxes of the failure domain.
+    void take_answer_shares(std::map<std::string, double> const& shares, Instant now);
+
 private:
     /// When a client may come back after a refusal for want of an endpoint or a configuration: about the time in which
     /// the store tells of a new one.
@@ -140,7 +149,7 @@
     EndpointDirectory directory;
     LoadTable loads;
     std::unordered_map<std::string, RetryAllowance> allowances;
-    std::unordered_map<std::string, EngineDemand> demands;
+    std::map<std::string, EngineDemand> demands;
     pcg32 random;
     std::uint64_t next_request { 1 };
 };
--- a/Tests/LibGateway/TestControlRecords.cpp
+++ b/Tests/LibGateway/TestControlRecords.cpp
@@ -28,7 +28,7 @@
 struct Box {
     explicit Box(std::uint64_t source)
         : state(this->context, Routing::RouterSettings {}, 1)
-        , records(this->state, source)
+        , records(this->state, "b" + std::to_string(source), source)
     {
     }
 
@@ -49,9 +49,9 @@
 };
 
 /// One question of a box to a relay. The relay's clock is the asker's here; answers take no time.
-bool ask(Box& asker, Box const& relay, Instant now, std::size_t longest_configuration = any_length)
+bool ask(Box& asker, Box& relay, Instant now, std::size_t longest_configuration = any_length)
 {
-    auto const answer = relay.records.answer(asker.records.question(), longest_configuration, now);
+    auto const answer = relay.records.answer(asker.records.question(now), longest_configuration, now);
     REQUIRE(answer);
     return asker.records.take_relayed(*answer, now);
 }
@@ -60,7 +60,7 @@
 
 TEST_CASE("a box that knows nothing answers nothing")
 {
-    Box const box(1);
+    Box box(1);
     CHECK(!box.records.answer({}, any_length, at(0)));
 }
 
@@ -78,7 +78,7 @@
 
     relay.records.take_endpoint_records({ endpoint("b", "draining"), { "a", std::nullopt } }, at(1500), false);
     relay.records.confirm_configuration(at(1500));
-    auto const answer = relay.records.answer(box.records.question(), any_length, at(1600));
+    auto const answer = relay.records.answer(box.records.question(at(1600)), any_length, at(1600));
     REQUIRE(answer);
     CHECK(!answer->endpoints.is_whole);
     CHECK(answer->endpoints.changes.size() == 2);
@@ -129,7 +129,7 @@
     Box relay(1);
     Box box(2);
     relay.read(7, {}, at(5000));
-    auto const answer = relay.records.answer(box.records.question(), any_length, at(5000));
+    auto const answer = relay.records.answer(box.records.question(at(1000)), any_length, at(5000));
     REQUIRE(answer);
     // Asked at 1000, answered at 5000 and taken later still: the box can't know when the answer was made.
     CHECK(box.records.take_relayed(*answer, at(1000)));
@@ -146,7 +146,19 @@
     CHECK(ask(box, first, at(1000)));
     CHECK(ask(box, second, at(1200)));
     CHECK(box.state.router.endpoint_count() == 3);
-    auto const answer = first.records.answer(box.records.question(), any_length, at(1300));
+    auto const answer = first.records.answer(box.records.question(at(1300)), any_length, at(1300));
     REQUIRE(answer);
     CHECK(answer->endpoints.is_whole);
 }
+
+TEST_CASE("boxes that ask one relay divide the engines as it does, whatever each has seen")
+{
+    Box relay(1);
+    Box box(2);
+    relay.read(7, { endpoint("a"), endpoint("b"), endpoint("c"), endpoint("d") }, at(1000));
+    relay.state.router.take_answer_shares({ { "s", 0.25 } }, at(1000));
+    CHECK(ask(box, relay, at(1100)));
+    auto const shares = box.state.router.answer_shares(at(1200));
+    REQUIRE(shares.contains("s"));
+    CHECK(shares.at("s") == relay.state.router.answer_shares(at(1200)).at("s"));
+}
--- a/Tests/LibGateway/TestStoreFollower.cpp
+++ b/Tests/LibGateway/TestStoreFollower.cpp
@@ -92,7 +92,7 @@
 struct Follower {
     Follower(Adapter::Topic topic, FakeStore::Script script)
         : state(this->context, Routing::RouterSettings {}, 1)
-        , records(this->state, 1)
+        , records(this->state, "box", 1)
         , source("box", "domain", {})
         , store(this->context, std::move(script))
         , follower(this->state, this->records, this->source, this->store.address(), topic, { pace, pace })
--- a/Tests/LibMembership/TestEndpointJournal.cpp
+++ b/Tests/LibMembership/TestEndpointJournal.cpp
@@ -1,6 +1,7 @@
 #include <TestMain.h>
 
-#include <LibMembership/RelayMessages.h>
+#include <LibMembership/DemandPool.h>
+#include <limits>
 #include <map>
 #include <pcg_random.hpp>
 
@@ -99,7 +100,7 @@
 
 TEST_CASE("what boxes say to each other comes back as it was")
 {
-    ControlQuestion const question { 77, 5, 9 };
+    ControlQuestion const question { 77, 5, 9, "b1", { { "pool", { 12.5, 3 } } } };
     CHECK(decode_question(encode(question)) == question);
     ControlAnswer answer;
     answer.source = 1;
@@ -111,6 +112,7 @@
     answer.configuration_age = std::chrono::microseconds(17);
     answer.configuration_next = 44;
     answer.store_returned_ago = std::chrono::seconds(3);
+    answer.answer_shares = { { "pool", 0.25 } };
     CHECK(decode_answer(encode(answer)) == answer);
     BoxRecord const record { "b1", { "10.0.0.9", 7340 }, "hall", 25'000'000 };
     CHECK(decode_box("b1", encode(record)) == record);
@@ -128,6 +130,31 @@
     CHECK(!decode_answer(encode(broken)));
 }
 
+TEST_CASE("numbers that can't be are not taken for work or shares")
+{
+    ControlQuestion question { 1, 1, 1, "b1", { { "pool", { -5, std::numeric_limits<double>::infinity() } } } };
+    auto const decoded = decode_question(encode(question));
+    REQUIRE(decoded);
+    CHECK(decoded->work.at("pool") == Routing::WorkTotals { 0, 0 });
+    ControlAnswer answer;
+    answer.source = 1;
+    answer.answer_shares = { { "pool", 7 } };
+    CHECK(decode_answer(encode(answer))->answer_shares.at("pool") == 1.0);
+}
+
+TEST_CASE("demand is added up over the boxes heard of lately, each by its latest word")
+{
+    DemandPool pool;
+    auto const moment = [](int milliseconds) { return Instant { std::chrono::milliseconds(milliseconds) }; };
+    pool.take("b1", { { "pool", { 100, 50 } } }, moment(0));
+    pool.take("b2", { { "pool", { 10, 5 } }, { "other", { 1, 1 } } }, moment(1000));
+    pool.take("b1", { { "pool", { 20, 30 } } }, moment(1500));
+    CHECK(pool.totals(moment(1600)).at("pool") == Routing::WorkTotals { 30, 35 });
+    auto const later = pool.totals(moment(4100));
+    CHECK(later.at("pool") == Routing::WorkTotals { 20, 30 });
+    CHECK(!later.contains("other"));
+}
+
 TEST_CASE("an age that can't be is taken for a great one")
 {
     ControlAnswer answer;
--- a/Tests/LibRouting/TestPlacement.cpp
+++ b/Tests/LibRouting/TestPlacement.cpp
@@ -111,6 +111,30 @@
     CHECK(demand.engines_for_answers(10, moment) >= 6);
 }
 
+TEST_CASE("a division that a relay told goes before the own samples, for a while")
+{
+    EngineDemand demand;
+    EngineSpeed const speed;
+    for (std::uint64_t own = 0; own < 50; ++own)
+        demand.add(long_answer(own), speed, now);
+    CHECK(demand.engines_for_answers(10, now) >= 6);
+    demand.take_told_share(0.3, now);
+    CHECK(demand.engines_for_answers(10, now + milliseconds(1000)) == 3);
+    CHECK(demand.engines_for_answers(20, now + milliseconds(1000)) == 6);
+    CHECK(demand.share_given() == std::optional(0.3));
+    CHECK(demand.engines_for_answers(10, now + milliseconds(7000)) >= 6);
+}
+
+TEST_CASE("what other boxes have seen counts with the own samples")
+{
+    EngineDemand demand;
+    EngineSpeed const speed;
+    demand.add(long_answer(1), speed, now);
+    CHECK(demand.engines_for_answers(10, now) == 7);
+    demand.take_totals_of_others({ 0, demand.own_totals(now).answer_milliseconds * 3 }, now);
+    CHECK(demand.engines_for_answers(10, now) == 3);
+}
+
 TEST_CASE("a subject leaves its home when the home has too much to read, and comes back")
 {
     Engines engines(9);
