LibMembership: Leave a relay that can't reach the store, as before

Cause of the try: calls to the store while it is down. The log told why: a cut held 28 boxes off the store, santafe-2 (the relay) and santafe-18 among them. santafe-18 kept its relay (relay_in_use at -12.5 s, then store_lost at 2.6 s, not_ready at 4.8 s, relay_lost only at 13.4 s), although santafe-1, next in order, was reachable and not cut.

Conclusion: reverted. Exchanging the relay serves users better than the calls cost.

--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -40,7 +40,7 @@
     return this->away_since ? now - *this->away_since : Core::Duration { 0 };
 }
 
-StoreFollower::StoreFollower(GatewayState& state, ControlRecords& records, Membership::ControlSource& source,
+StoreFollower::StoreFollower(GatewayState& state, ControlRecords& records, Membership::ControlSource const& source,
     Routing::SocketAddress address, Adapter::Topic topic, Paces paces)
     : state(state)
     , records(records)
@@ -70,8 +70,7 @@
                 co_await this->pause.wait(interval);
             continue;
         }
-        bool const is_left_to_relay = this->source.waits_with_relay(monotonic_now());
-        co_await this->pause.wait(is_left_to_relay ? pause_beside_relay : this->failure_pause);
+        co_await sleep_for(this->failure_pause);
         this->failure_pause = std::min(this->failure_pause * 2, longest_pause_after_failure);
     }
 }
@@ -183,14 +182,12 @@
 
 void StoreFollower::note_failure(std::string const& reason)
 {
-    this->source.store_failed();
     if (this->link.failed(monotonic_now()))
         Log::EventLine("store_lost").with("topic", to_string(this->topic)).with("reason", reason).warning();
 }
 
 void StoreFollower::note_answer()
 {
-    this->source.store_answered();
     auto const now = monotonic_now();
     auto const away = this->link.away_for(now);
     if (!this->link.answered(now))
--- a/Libraries/LibGateway/StoreFollower.h
+++ b/Libraries/LibGateway/StoreFollower.h
@@ -35,7 +35,7 @@
         Pace as_relay;
     };
 
-    StoreFollower(GatewayState& state, ControlRecords& records, Membership::ControlSource& source,
+    StoreFollower(GatewayState& state, ControlRecords& records, Membership::ControlSource const& source,
         Routing::SocketAddress address, Adapter::Topic topic, Paces paces);
 
     /// Runs until stop().
@@ -62,14 +62,10 @@
     /// Pause after a failed call; doubled with each further one up to the longest.
     static constexpr Core::Duration first_pause_after_failure { std::chrono::milliseconds(100) };
     static constexpr Core::Duration longest_pause_after_failure { std::chrono::milliseconds(800) };
-    /// The same while a relay answers that it can't reach the store either: it will tell when it can, and all boxes of
-    /// a failure domain need not try. Below the 3 s in which boxes are expected to be in touch after the store's
-    /// return.
-    static constexpr Core::Duration pause_beside_relay { std::chrono::milliseconds(2500) };
 
     GatewayState& state;
     ControlRecords& records;
-    Membership::ControlSource& source;
+    Membership::ControlSource const& source;
     Adapter::Topic topic;
     Paces paces;
     StoreConnection connection;
--- /dev/null
+++ b/Libraries/LibGateway/WholeTopic.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <LibGateway/StoreConnection.h>
+#include <platform/StoreRecords.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace Gateway {
+
+/// The newest record of each key of a topic.
+struct WholeTopic {
+    std::vector<Adapter::KeyedRecord> records;
+    /// Where to read on: nothing that was appended after the first page was made is missed.
+    std::uint64_t end { 0 };
+};
+
+/// Reads a topic page by page. `call` takes a path with its query and gives the answer, or nothing after a failure that
+/// it has dealt with. Nothing without a reason after such a failure, nothing with one for an answer that can't be read.
+template <typename Call>
+[[nodiscard]] Task<std::optional<WholeTopic>> read_whole_topic(
+    Adapter::Topic topic, Core::LastReason& last_reason, Call call)
+{
+    WholeTopic whole;
+    std::optional<std::string> after;
+    bool is_first = true;
+    do {
+        auto const target = Adapter::newest_target(topic, after);
+        auto const answer = co_await call(target);
+        if (!answer)
+            co_return std::nullopt;
+        auto page = Adapter::decode_newest(answer->body, last_reason);
+        if (!page)
+            co_return std::nullopt;
+        // NOTE: Pages are not a snapshot, so what follows is read from the end as it was at the first one.
+        if (std::exchange(is_first, false))
+            whole.end = page->end;
+        after = page->continue_after;
+        std::ranges::move(page->records, std::back_inserter(whole.records));
+    } while (after);
+    co_return whole;
+}
+
+}
--- a/Libraries/LibMembership/ControlSource.cpp
+++ b/Libraries/LibMembership/ControlSource.cpp
@@ -60,19 +60,11 @@
     // NOTE: A box that is asked for the first time has to read the store first, so it gets some time.
     if (!this->stale_since)
         this->stale_since = now;
-    this->last_stale_at = now;
     this->vouched_at.reset();
-    // NOTE: Where the store is out of reach for this box too, another relay would know no more.
-    if (!this->store_is_away && now - *this->stale_since > this->oldest())
+    if (now - *this->stale_since > this->oldest())
         this->relay_failed(name, now);
 }
 
-bool ControlSource::waits_with_relay(Instant now) const
-{
-    bool const relay_answers = this->last_stale_at && now - *this->last_stale_at <= asked_memory;
-    return this->store_is_away && relay_answers && !this->is_relay(now);
-}
-
 void ControlSource::relay_failed(std::string const& name, Instant now)
 {
     auto const [position, is_new] = this->troubles.try_emplace(name);
--- a/Libraries/LibMembership/ControlSource.h
+++ b/Libraries/LibMembership/ControlSource.h
@@ -43,13 +43,6 @@
     /// Another box asked this one.
     void was_asked(Instant now);
 
-    /// The store answered this box, or did not.
-    void store_answered() { this->store_is_away = false; }
-    void store_failed() { this->store_is_away = true; }
-
-    /// Whether this box can leave it to its relay to find out that the store is back: neither reaches it, but the relay
-    /// answers.
-    [[nodiscard]] bool waits_with_relay(Instant now) const;
     /// Whether this box has to read the store itself.
     [[nodiscard]] bool reads_store(Instant now) const;
     /// Whether other boxes take what the store says from this one.
@@ -110,8 +103,6 @@
     std::map<std::string, Trouble> troubles;
     /// Since when the relay asked answers with what is too old; nothing if it does not.
     std::optional<Instant> stale_since;
-    std::optional<Instant> last_stale_at;
-    bool store_is_away { false };
     /// The last moment that a relay vouched for.
     std::optional<Instant> vouched_at;
     std::optional<Instant> asked_at;
