LibGateway: Keep status numbers and the reading of whole topics in one place

Cause: status numbers stood in nine files, and the reading of a topic page by page twice (the followers of the store, the list of boxes). PromptMemory::clear and EndpointDirectory::count were used by tests alone, StoreLink::answered took a time that it ignored.

What it does now: HttpStatus.h; read_whole_topic.

--- a/Libraries/LibGateway/BoxRegistry.cpp
+++ b/Libraries/LibGateway/BoxRegistry.cpp
@@ -1,17 +1,13 @@
 #include <LibGateway/BoxRegistry.h>
 
+#include <LibGateway/HttpStatus.h>
+#include <LibGateway/WholeTopic.h>
 #include <LibLog/EventLog.h>
 
 namespace Gateway {
 
 using Core::monotonic_now;
 
-namespace {
-
-constexpr unsigned status_ok = 200;
-
-}
-
 BoxRegistry::BoxRegistry(GatewayState& state, Membership::ControlSource& source, Routing::SocketAddress store,
     Membership::BoxRecord own, OnBoxes on_boxes, std::uint64_t seed)
     : state(state)
@@ -49,27 +45,25 @@
 
 Task<std::optional<std::vector<Membership::BoxRecord>>> BoxRegistry::read()
 {
+    Core::LastReason reason;
+    auto const topic = co_await read_whole_topic(
+        Adapter::Topic::Boxes, reason, [this](std::string const& target) -> Task<std::optional<StoreAnswer>> {
+            Core::LastReason call_reason;
+            auto answer = co_await this->connection.get(target, patience, call_reason);
+            co_return this->accepted(std::move(answer), call_reason.text);
+        });
+    if (!topic) {
+        Log::EventLine("boxes_unread").with("reason", reason.text).warning();
+        co_return std::nullopt;
+    }
     std::vector<Membership::BoxRecord> boxes;
-    std::optional<std::string> after;
-    do {
-        Core::LastReason reason;
-        auto answer
-            = co_await this->connection.get(Adapter::newest_target(Adapter::Topic::Boxes, after), patience, reason);
-        answer = this->accepted(std::move(answer), reason.text);
-        auto const page = answer ? Adapter::decode_newest(answer->body, reason) : std::nullopt;
-        if (!page) {
-            Log::EventLine("boxes_unread").with("reason", reason.text).warning();
-            co_return std::nullopt;
-        }
-        for (auto const& record : page->records) {
-            auto box = Membership::decode_box(record.key, record.value.value_or(""));
-            if (box)
-                boxes.push_back(std::move(*box));
-            else
-                this->state.metrics.count_bad_record("box");
-        }
-        after = page->continue_after;
-    } while (after);
+    for (auto const& record : topic->records) {
+        auto box = Membership::decode_box(record.key, record.value.value_or(""));
+        if (box)
+            boxes.push_back(std::move(*box));
+        else
+            this->state.metrics.count_bad_record("box");
+    }
     co_return boxes;
 }
 
--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/CallerConnection.h>
 
+#include <LibGateway/HttpStatus.h>
 #include <LibLog/EventLog.h>
 
 namespace Gateway {
@@ -8,12 +9,6 @@
 
 namespace {
 
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_request_timeout = 408;
-constexpr unsigned status_payload_too_large = 413;
-constexpr unsigned status_header_too_large = 431;
-constexpr unsigned status_unavailable = 503;
-
 struct BadRequest {
     unsigned status;
     Reason reason;
--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/ControlPlane.h>
 
+#include <LibGateway/HttpStatus.h>
 #include <LibLog/EventLog.h>
 
 namespace Gateway {
@@ -8,11 +9,6 @@
 
 namespace {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_unavailable = 503;
-
 Membership::ControlBounds control_bounds(Adapter::BoxEnvironment const& environment)
 {
     return { environment.lease.apply_within, environment.drain_within };
--- a/Libraries/LibGateway/EndpointCall.cpp
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/EndpointCall.h>
 
+#include <LibGateway/HttpStatus.h>
 #include <LibLog/EventLog.h>
 
 namespace Gateway {
@@ -31,7 +32,6 @@
 
 Task<error_code> EndpointCall::read_head(Adapter::AnswerFacts& facts)
 {
-    constexpr unsigned first_final_status = 200;
     for (;;) {
         this->parser = std::make_unique<AnswerParser>();
         this->parser->header_limit(largest_answer_head);
--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -2,6 +2,7 @@
 
 #include <LibGateway/RequestExchange.h>
 
+#include <LibGateway/HttpStatus.h>
 #include <LibLog/EventLog.h>
 #include <fmt/format.h>
 
@@ -12,8 +13,6 @@
 
 namespace {
 
-constexpr unsigned first_failure_status = 500;
-
 std::string_view yes_or_no(bool value)
 {
     return value ? "yes" : "no";
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/Gateway.h>
 
+#include <LibGateway/HttpStatus.h>
 #include <LibLog/EventLog.h>
 #include <csignal>
 #include <filesystem>
@@ -13,10 +14,6 @@
 
 namespace {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_unavailable = 503;
-
 Routing::RouterSettings router_settings(Adapter::BoxEnvironment const& environment)
 {
     return { environment.failure_domain, environment.lease, environment.retry, {} };
@@ -60,8 +57,7 @@
     auto readiness_acceptor = listen_on(this->context, this->environment.readiness, last_reason);
     if (!this->clients_acceptor || !readiness_acceptor)
         return false;
-    this->readiness.emplace(
-        std::move(*readiness_acceptor),
+    this->readiness.emplace(std::move(*readiness_acceptor),
         [this](std::string_view path, std::string const&) { return this->answer_readiness(path); });
     if (!this->control.open_listener(last_reason))
         return false;
@@ -70,8 +66,7 @@
     auto metrics_acceptor = listen_on(this->context, { "0.0.0.0", *this->options.metrics_port }, last_reason);
     if (!metrics_acceptor)
         return false;
-    this->metrics_listener.emplace(
-        std::move(*metrics_acceptor),
+    this->metrics_listener.emplace(std::move(*metrics_acceptor),
         [this](std::string_view path, std::string const&) { return this->answer_metrics(path); });
     return true;
 }
--- a/Libraries/LibGateway/RelayFollower.cpp
+++ b/Libraries/LibGateway/RelayFollower.cpp
@@ -1,17 +1,12 @@
 #include <LibGateway/RelayFollower.h>
 
+#include <LibGateway/HttpStatus.h>
 #include <LibLog/EventLog.h>
 
 namespace Gateway {
 
 using Core::monotonic_now;
 
-namespace {
-
-constexpr unsigned status_ok = 200;
-
-}
-
 RelayFollower::RelayFollower(GatewayState& state, ControlRecords& records, Membership::ControlSource& source,
     OnChange on_change, OnMissingConfiguration on_missing_configuration)
     : state(state)
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/RequestExchange.h>
 
+#include <LibGateway/HttpStatus.h>
 #include <LibLog/EventLog.h>
 #include <fmt/format.h>
 
@@ -11,15 +12,6 @@
 
 namespace {
 
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_unauthorized = 401;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_ok = 200;
-constexpr unsigned first_failure_status = 500;
-constexpr unsigned status_bad_gateway = 502;
-constexpr unsigned status_unavailable = 503;
-constexpr unsigned status_gateway_timeout = 504;
-
 unsigned status_of(Reason reason)
 {
     switch (reason) {
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -1,8 +1,9 @@
 #include <LibGateway/StoreFollower.h>
 
+#include <LibGateway/HttpStatus.h>
+#include <LibGateway/WholeTopic.h>
 #include <LibLog/EventLog.h>
 #include <algorithm>
-#include <iterator>
 
 namespace Gateway {
 
@@ -11,8 +12,6 @@
 
 namespace {
 
-constexpr unsigned status_ok = 200;
-
 std::string_view to_string(Adapter::Topic topic)
 {
     return topic == Adapter::Topic::Operator ? "operator" : "endpoints";
@@ -20,7 +19,7 @@
 
 }
 
-bool StoreLink::answered(Instant)
+bool StoreLink::answered()
 {
     bool const was_away = this->away_since.has_value();
     this->away_since.reset();
@@ -101,28 +100,20 @@
 Task<bool> StoreFollower::read_newest()
 {
     auto const asked_at = monotonic_now();
-    std::vector<Adapter::KeyedRecord> records;
-    std::optional<std::string> after;
-    std::optional<std::uint64_t> first_end;
-    do {
-        auto const answer = co_await this->call(Adapter::newest_target(this->topic, after), answer_patience);
-        if (!answer)
-            co_return false;
-        Core::LastReason reason;
-        auto page = Adapter::decode_newest(answer->body, reason);
-        if (!page) {
+    Core::LastReason reason;
+    auto const topic = co_await read_whole_topic(
+        this->topic, reason, [this](std::string const& target) -> Task<std::optional<StoreAnswer>> {
+            co_return co_await this->call(target, answer_patience);
+        });
+    if (!topic) {
+        if (!reason.text.empty()) {
             this->state.metrics.count_bad_record("newest");
             this->note_failure("unreadable answer: " + reason.text);
-            co_return false;
         }
-        // NOTE: Pages are not a snapshot, so what follows is read from the end as it was at the first one.
-        if (!first_end)
-            first_end = page->end;
-        after = page->continue_after;
-        std::ranges::move(page->records, std::back_inserter(records));
-    } while (after);
-    this->records.set_next(this->topic, first_end);
-    this->take(records, asked_at, true);
+        co_return false;
+    }
+    this->records.set_next(this->topic, topic->end);
+    this->take(topic->records, asked_at, true);
     co_return true;
 }
 
@@ -190,7 +181,7 @@
 {
     auto const now = monotonic_now();
     auto const away = this->link.away_for(now);
-    if (!this->link.answered(now))
+    if (!this->link.answered())
         return;
     if (this->topic == Adapter::Topic::Endpoints)
         this->records.store_returned(now);
--- a/Libraries/LibGateway/StoreFollower.h
+++ b/Libraries/LibGateway/StoreFollower.h
@@ -10,7 +10,7 @@
 class StoreLink {
 public:
     /// True if the store had been away before this answer.
-    bool answered(Core::Instant now);
+    bool answered();
     /// True if this is the first failure since the last answer.
     bool failed(Core::Instant now);
     [[nodiscard]] Core::Duration away_for(Core::Instant now) const;
--- a/Libraries/LibRouting/EndpointDirectory.cpp
+++ b/Libraries/LibRouting/EndpointDirectory.cpp
@@ -84,14 +84,6 @@
     return ids;
 }
 
-std::size_t EndpointDirectory::count(std::string_view service) const
-{
-    std::size_t listed = 0;
-    for (auto const& [incarnation, endpoint] : this->endpoints)
-        listed += endpoint.record.service == service ? 1 : 0;
-    return listed;
-}
-
 std::vector<EndpointId> EndpointDirectory::take_removed()
 {
     return std::exchange(this->removed, {});
--- a/Libraries/LibRouting/EndpointDirectory.h
+++ b/Libraries/LibRouting/EndpointDirectory.h
@@ -62,8 +62,6 @@
     [[nodiscard]] KnownEndpoint const* find(EndpointId id) const;
     /// Ids of the endpoints of a service that may get new work, in the order of their incarnations.
     [[nodiscard]] std::vector<EndpointId> usable(std::string_view service, Instant now) const;
-    /// How many endpoints of a service are listed, usable or not.
-    [[nodiscard]] std::size_t count(std::string_view service) const;
     [[nodiscard]] std::size_t size() const { return this->endpoints.size(); }
     /// Ids that are gone since the last call, so that connections to them can be closed once they are idle.
     [[nodiscard]] std::vector<EndpointId> take_removed();
--- a/Libraries/LibRouting/PromptMemory.cpp
+++ b/Libraries/LibRouting/PromptMemory.cpp
@@ -26,10 +26,4 @@
     return found != this->by_id.end() && now - found->second->used_at <= believed_kept;
 }
 
-void PromptMemory::clear()
-{
-    this->by_id.clear();
-    this->newest_first.clear();
-}
-
 }
--- a/Libraries/LibRouting/PromptMemory.h
+++ b/Libraries/LibRouting/PromptMemory.h
@@ -22,8 +22,6 @@
     void remember(std::vector<PromptPart> const& parts, Instant now);
     /// Whether the part was used there a short while ago.
     [[nodiscard]] bool holds(std::uint64_t part, Instant now) const;
-    /// Forgets everything, after a restart or a failure of the engine.
-    void clear();
 
 private:
     /// How long an unused part is believed to stay: an engine of the first sites takes in about 17,000 tokens a second
--- a/Tests/LibRouting/TestPlacement.cpp
+++ b/Tests/LibRouting/TestPlacement.cpp
@@ -210,13 +210,11 @@
     CHECK(engines.place(long_answer(1)) != engine);
 }
 
-TEST_CASE("a part that was not used for a while is not counted as kept, and a lost one ends what follows it")
+TEST_CASE("a part that was not used for a while is not counted as kept")
 {
     PromptMemory memory;
     memory.remember({ { 1, 100 }, { 2, 100 } }, now);
     CHECK(memory.holds(1, now + seconds(9)));
     CHECK_FALSE(memory.holds(1, now + seconds(11)));
     CHECK_FALSE(memory.holds(3, now));
-    memory.clear();
-    CHECK_FALSE(memory.holds(1, now));
 }
