Tests: Strike real boxes with faults drawn from a seed

Cause: the users ask for a fault soak of our own; tests of single faults show single orders of events.

Five boxes with relays, four servers and the store's stand-in run as real processes; a seed draws kills, pauses, planned stops, outages of the store, and delays, one-way cuts, silence and resets on the ways to boxes and to the store, in series and overlapping.

--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -71,7 +71,8 @@
 void PlatformCluster::start_box(std::string const& name, BoxBounds const& bounds)
 {
     auto const settings = this->cluster.path_of(name + ".json");
-    std::ofstream(settings) << environment(name, this->cluster.port("store"), bounds).dump();
+    auto const store = bounds.store_port != 0 ? bounds.store_port : this->store_port();
+    std::ofstream(settings) << environment(name, store, bounds).dump();
     auto const ports = this->cluster.start_route(name, settings);
     this->box_ports[name] = ports;
 }
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -12,6 +12,8 @@
     int revoke_milliseconds { 3000 };
     /// Whether the boxes can reach each other.
     bool has_peers { false };
+    /// Where the box finds the store, if not at the store's own port: a proxy before it.
+    int store_port { 0 };
 };
 
 /// Real boxes (`cleatbeam route`) before stand-ins of the users' store and servers, for one test.
@@ -35,6 +37,8 @@
     /// How often the servers have run an attempt, all together.
     [[nodiscard]] int runs(std::string const& attempt) const;
     [[nodiscard]] nlohmann::json journal(std::string const& server) const { return this->cluster.journal(server); }
+    [[nodiscard]] int store_port() const { return this->cluster.port("store"); }
+    [[nodiscard]] int client_port(std::string const& box) const { return this->box_ports.at(box)[0]; }
     [[nodiscard]] Process& process(std::string const& name) { return this->cluster.process(name); }
     [[nodiscard]] std::string get(std::string const& name, std::string const& path) const;
     [[nodiscard]] std::string metrics(std::string const& box) const;
--- /dev/null
+++ b/Tests/Soak/FaultProxy.cpp
@@ -0,0 +1,117 @@
+#include "FaultProxy.h"
+
+namespace Soak {
+
+using namespace Gateway;
+
+namespace {
+
+/// Closes so that the peer sees a reset.
+void reset(tcp::socket& socket)
+{
+    error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+}
+
+FaultProxy::FaultProxy()
+    : acceptor(this->context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    , thread([this] {
+        asio::co_spawn(this->context, this->accept(), asio::detached);
+        this->context.run();
+    })
+{
+}
+
+FaultProxy::~FaultProxy()
+{
+    this->context.stop();
+    this->thread.join();
+}
+
+void FaultProxy::set_fault(Fault changed)
+{
+    this->fault = changed;
+    if (changed == Fault::Reset)
+        asio::post(this->context, [this] { this->reset_all(); });
+}
+
+void FaultProxy::reset_all()
+{
+    for (auto const& weak : this->pairs) {
+        if (auto const pair = weak.lock()) {
+            reset(pair->near);
+            reset(pair->far);
+        }
+    }
+    this->pairs.clear();
+}
+
+Task<void> FaultProxy::accept()
+{
+    for (;;) {
+        auto [error, socket] = co_await this->acceptor.async_accept(as_value);
+        if (error)
+            co_return;
+        if (this->fault == Fault::Reset) {
+            reset(socket);
+            continue;
+        }
+        std::erase_if(this->pairs, [](auto const& weak) { return weak.expired(); });
+        auto const pair = std::make_shared<Pair>(Pair { std::move(socket), tcp::socket(this->context) });
+        this->pairs.push_back(pair);
+        asio::co_spawn(this->context, this->connect(pair), asio::detached);
+    }
+}
+
+Task<void> FaultProxy::connect(std::shared_ptr<Pair> pair)
+{
+    tcp::endpoint const place(asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(this->target.load()));
+    auto const [error] = co_await pair->far.async_connect(place, as_value);
+    if (error) {
+        reset(pair->near);
+        co_return;
+    }
+    error_code ignored;
+    pair->near.set_option(tcp::no_delay(true), ignored);
+    pair->far.set_option(tcp::no_delay(true), ignored);
+    asio::co_spawn(this->context, this->pass_on(pair, false), asio::detached);
+    asio::co_spawn(this->context, this->pass_on(pair, true), asio::detached);
+}
+
+Task<void> FaultProxy::pass_on(std::shared_ptr<Pair> pair, bool is_answer)
+{
+    auto& from = is_answer ? pair->far : pair->near;
+    auto& to = is_answer ? pair->near : pair->far;
+    std::vector<char> bytes(chunk_bytes);
+    for (;;) {
+        auto const [read_error, read] = co_await from.async_read_some(asio::buffer(bytes), as_value);
+        if (this->fault == Fault::Delayed)
+            co_await sleep_for(delay);
+        while (this->holds(is_answer))
+            co_await sleep_for(look_again);
+        if (read_error) {
+            error_code ignored;
+            // NOTE: An end is passed on as an end, anything else as a reset, as the peer would have seen it.
+            if (read_error == asio::error::eof)
+                to.shutdown(tcp::socket::shutdown_send, ignored);
+            else
+                reset(to);
+            co_return;
+        }
+        auto const [write_error, written] = co_await asio::async_write(to, asio::buffer(bytes.data(), read), as_value);
+        if (write_error) {
+            reset(from);
+            co_return;
+        }
+    }
+}
+
+bool FaultProxy::holds(bool is_answer) const
+{
+    return this->fault == Fault::Silent || (this->fault == Fault::CutOneWay && is_answer);
+}
+
+}
