--- a/Tests/PlatformAdapter/TestRequestCodec.cpp
+++ b/Tests/PlatformAdapter/TestRequestCodec.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cctype>
 
 namespace {
 
@@ -13,7 +14,9 @@
 
 HttpRequestHead request_head(std::string const& text)
 {
+    constexpr std::uint32_t most_header_bytes = 64 * 1024;
     http::request_parser<http::string_body> parser;
+    parser.header_limit(most_header_bytes);
     boost::system::error_code error;
     parser.put(boost::asio::buffer(text), error);
     REQUIRE(parser.is_header_done());
@@ -36,6 +39,13 @@
       "X-Expect-Instance: forged\r\nX-Request-Urgency: 0\r\nConnection: keep-alive, X-Hop\r\n"
       "X-Hop: 1\r\nKeep-Alive: timeout=5\r\nTE: trailers\r\nContent-Length: 2\r\n\r\nab";
 
+std::string changed_case(std::string text, int (*change)(int))
+{
+    for (auto& letter : text)
+        letter = static_cast<char>(change(static_cast<unsigned char>(letter)));
+    return text;
+}
+
 bool contains(std::string const& text, std::string_view part)
 {
     return text.find(part) != std::string::npos;
@@ -43,6 +53,40 @@
 
 }
 
+TEST_CASE("a header that only a box may set never passes from a client, however it is written")
+{
+    std::string const long_value(10'000, '7');
+    for (std::string const name : { "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch", "X-Expect-Version",
+             "X-Tenant", "X-Expect-Instance", "X-Request-Urgency" }) {
+        CAPTURE(name);
+        auto const upper = changed_case(name, [](int letter) { return std::toupper(letter); });
+        std::string const once = name + ": forged\r\n";
+        for (auto const& fields :
+            { once, once + once, upper + ": forged\r\n", name + ":\r\n", name + ": " + long_value + "\r\n",
+                name + ":forged,\r\n" + upper + ": forged\r\n", "Connection: " + name + "\r\n" + once }) {
+            auto const head = request_head("GET /a HTTP/1.1\r\nX-First: 1\r\n" + fields + "Host: h\r\n\r\n");
+            auto const encoded = encode_request(head, {});
+            CHECK_FALSE(contains(encoded, "forged"));
+            CHECK_FALSE(contains(encoded, long_value));
+            bool const is_set_by_box = name == "X-Expect-Instance" || name == "X-Request-Urgency";
+            CHECK(contains(changed_case(encoded, [](int letter) { return std::toupper(letter); }), upper + ":")
+                == is_set_by_box);
+        }
+    }
+}
+
+TEST_CASE("a reserved header behind a body in chunks does not pass either")
+{
+    http::request_parser<http::string_body> parser;
+    parser.eager(true);
+    boost::system::error_code error;
+    std::string const text = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTrailer: X-Hold\r\n\r\n"
+                             "2\r\nab\r\n0\r\nX-Hold: forged\r\n\r\n";
+    parser.put(boost::asio::buffer(text), error);
+    REQUIRE(parser.is_done());
+    CHECK_FALSE(contains(encode_request(parser.get(), {}), "forged"));
+}
+
 TEST_CASE("a request's head is read into what the product knows of requests")
 {
     Core::LastReason reason;
