LibRouting: Refuse nothing urgent while something less urgent is taken

Cause: a short goal made an urgent request refused at a wait at which a less urgent one with a longer goal was still sent to the same engines; the users' rule on urgency forbids that, and engines let urgent requests in first anyway. Change: the wait limit of a request goes by the longest goal among the routes to its service that are as urgent or less. The test fails without the change.

--- a/Libraries/LibRouting/ConfigurationSnapshot.cpp
+++ b/Libraries/LibRouting/ConfigurationSnapshot.cpp
@@ -66,4 +66,16 @@
     return found == this->services_by_name.end() ? nullptr : &this->contents.services[found->second];
 }
 
+Duration ConfigurationSnapshot::longest_goal(std::string_view service, unsigned priority) const
+{
+    Duration longest { 0 };
+    for (auto const& route : this->contents.routes) {
+        bool const is_served_there
+            = std::ranges::any_of(route.services, [&](ServiceShare const& share) { return share.service == service; });
+        if (is_served_there && route.priority >= priority)
+            longest = std::max(longest, route.goal);
+    }
+    return longest;
+}
+
 }
--- a/Libraries/LibRouting/ConfigurationSnapshot.h
+++ b/Libraries/LibRouting/ConfigurationSnapshot.h
@@ -23,6 +23,8 @@
     /// The account that holds the key; null for none.
     [[nodiscard]] ClientAccount const* find_account(std::string_view api_key) const;
     [[nodiscard]] Service const* find_service(std::string_view name) const;
+    /// The longest goal of the routes to a service whose requests are as urgent as `priority` or less.
+    [[nodiscard]] Duration longest_goal(std::string_view service, unsigned priority) const;
     [[nodiscard]] bool needs_keys() const { return this->contents.accounts.has_value(); }
 
 private:
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -262,8 +262,14 @@
 std::optional<Rejected> RequestRouter::refuse_by_wait(Admitted const& request, PlacementChoice const& choice)
 {
     auto const wait = Core::from_seconds(choice.figures.backlog_milliseconds / milliseconds_per_second);
-    auto const limit = longest_wait(request.route->goal, choice.prefill);
-    if (!limit || wait <= *limit)
+    auto const own_limit = longest_wait(request.route->goal, choice.prefill);
+    if (!own_limit || wait <= *own_limit)
+        return {};
+    // NOTE: Engines let urgent requests in first, so these wait less than predicted; and what is urgent must not be
+    // refused while something less urgent, with a longer goal, is still taken.
+    auto const goal = request.configuration->longest_goal(request.service, request.route->priority);
+    auto const limit = longest_wait(goal, choice.prefill);
+    if (wait <= *limit)
         return {};
     auto const drawn = std::ldexp(static_cast<double>(this->random()), -32);
     return Rejected { Reason::BacklogTooLong, come_back_after(wait, *limit, drawn) };
--- a/Tests/LibRouting/TestWaitLimit.cpp
+++ b/Tests/LibRouting/TestWaitLimit.cpp
@@ -13,7 +13,7 @@
 
 /// A box before two engines; another box tells what is queued there.
 struct Box {
-    explicit Box(Duration goal)
+    explicit Box(Duration goal, unsigned priority = 0)
     {
         Configuration contents;
         contents.version = 1;
@@ -24,9 +24,14 @@
         route.kind = RouteKind::Streaming;
         route.timeout = seconds(6);
         route.goal = goal;
+        route.priority = priority;
         route.services = { { "pool", 1 } };
         route.max_attempts = 2;
-        contents.routes = { route };
+        auto other = route;
+        other.path_prefix = "/other/";
+        other.priority = 2;
+        other.goal = priority == 0 ? goal : milliseconds(1200);
+        contents.routes = { route, other };
         contents.services = { { "pool", 96, EngineTraits { 64, 300'000, 3 } } };
         this->router.offer_configuration(std::make_shared<ConfigurationSnapshot const>(std::move(contents)), now);
         for (auto const* name : { "a", "b" })
@@ -94,6 +99,26 @@
     CHECK(std::holds_alternative<Placed>(box.place(1000, { EndpointId { 1 } })));
 }
 
+TEST_CASE("what is urgent is not refused while something less urgent is taken")
+{
+    for (auto const wait : { milliseconds(100), milliseconds(400), milliseconds(700), milliseconds(1500) }) {
+        CAPTURE(wait.count());
+        Box urgent(milliseconds(500), 1);
+        urgent.queue(wait, wait);
+        Box less_urgent(milliseconds(1200), 2);
+        less_urgent.queue(wait, wait);
+        auto const takes_urgent = urgent.takes(2400);
+        auto const takes_less_urgent = less_urgent.takes(9200);
+        CHECK((takes_urgent || !takes_less_urgent));
+    }
+    // The route with the longer goal alone keeps the urgent one from being refused.
+    Box urgent(milliseconds(500), 1);
+    urgent.queue(milliseconds(600), milliseconds(600));
+    CHECK(urgent.takes(2400));
+    urgent.queue(milliseconds(900), milliseconds(900));
+    CHECK_FALSE(urgent.takes(2400));
+}
+
 TEST_CASE("callers that are refused together don't come back together")
 {
     Box box(milliseconds(600));
