LibGateway: Tell how many bytes of a store's answer had come when it failed

Cause: a box that lost the store logged "no answer in time" once, whether nothing came or nearly all of it, and nothing told a slow link from a silent store or from a slow decoder. Ruled out: nothing; this only lets the three hypotheses be told apart from logs. Conclusion: a cut transfer shows as "N bytes came in M ms of a body of B".

--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -35,6 +35,7 @@
 
 bool ControlRecords::take_configuration(std::string const& text, Instant asked_at)
 {
+    auto const began = monotonic_now();
     Core::LastReason reason;
     auto decoded = Adapter::decode_configuration(text, reason);
     if (!decoded) {
@@ -58,6 +59,8 @@
         .with("accounts", accounts)
         .with("accounts_with_priority", ranked)
         .with("bytes", text.size())
+        .with("asked_ms_ago", Core::to_milliseconds(began - asked_at))
+        .with("decode_ms", Core::to_milliseconds(monotonic_now() - began))
         .info();
     return true;
 }
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -36,6 +36,8 @@
     , endpoint_connections(
           counters(*this->registry, "cleatbeam_endpoint_connections_total", "New connections to endpoints").Add({}))
     , store_calls(counters(*this->registry, "cleatbeam_store_calls_total", "Calls to the platform's store"))
+    , store_bytes(
+          counters(*this->registry, "cleatbeam_store_bytes_total", "Bytes that came from the platform's store").Add({}))
     , relay_questions(counters(*this->registry, "cleatbeam_relay_questions_total", "Questions to a relay by outcome"))
     , relay_answers(
           counters(*this->registry, "cleatbeam_relay_answers_total", "Questions of other boxes answered").Add({}))
@@ -82,6 +84,11 @@
     this->store_calls.Add({ { "outcome", std::string(outcome) } }).Increment();
 }
 
+void GatewayMetrics::count_store_bytes(std::size_t bytes)
+{
+    this->store_bytes.Increment(static_cast<double>(bytes));
+}
+
 void GatewayMetrics::count_relay_question(std::string_view outcome)
 {
     this->relay_questions.Add({ { "outcome", std::string(outcome) } }).Increment();
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -25,6 +25,8 @@
     void count_attempt(std::string_view result);
     void count_endpoint_connection();
     void count_store_call(std::string_view outcome);
+    /// What came from the store, also of answers that were cut off.
+    void count_store_bytes(std::size_t bytes);
     /// This box asked a relay: "answered", "old" for an answer that is not recent enough, or "failed".
     void count_relay_question(std::string_view outcome);
     /// Another box asked this one.
@@ -48,6 +50,7 @@
     prometheus::Family<prometheus::Counter>& attempts;
     prometheus::Counter& endpoint_connections;
     prometheus::Family<prometheus::Counter>& store_calls;
+    prometheus::Counter& store_bytes;
     prometheus::Family<prometheus::Counter>& relay_questions;
     prometheus::Counter& relay_answers;
     prometheus::Family<prometheus::Counter>& load_reports;
--- a/Libraries/LibGateway/StoreConnection.cpp
+++ b/Libraries/LibGateway/StoreConnection.cpp
@@ -24,6 +24,7 @@
 Task<std::optional<StoreAnswer>> StoreConnection::call_within(
     std::string const& request, Core::Duration patience, Core::LastReason& last_reason)
 {
+    auto const started = Core::monotonic_now();
     bool has_timed_out = false;
     asio::steady_timer timer(this->context, patience);
     // NOTE: Lives on its own, since the handler may still be queued when this call is over.
@@ -42,10 +43,20 @@
         co_return answer;
     // NOTE: Nothing more is said on a connection that lost an answer.
     this->abort();
-    last_reason.text = has_timed_out ? "no answer in time" : error.message();
+    last_reason.text = this->failure_text(error, has_timed_out, Core::monotonic_now() - started);
     co_return std::nullopt;
 }
 
+std::string StoreConnection::failure_text(error_code error, bool has_timed_out, Core::Duration taken) const
+{
+    auto const what = has_timed_out ? std::string("no answer in time") : error.message();
+    if (this->progress.received_bytes == 0)
+        return fmt::format("{}: nothing came in {:.0f} ms", what, Core::to_milliseconds(taken));
+    auto const body = this->progress.body_bytes ? std::to_string(*this->progress.body_bytes) : "unknown";
+    return fmt::format("{}: {} bytes came in {:.0f} ms of a body of {}", what, this->progress.received_bytes,
+        Core::to_milliseconds(taken), body);
+}
+
 void StoreConnection::abort()
 {
     if (!this->socket)
@@ -72,6 +83,7 @@
 
 Task<error_code> StoreConnection::call(std::string const& request, StoreAnswer& answer)
 {
+    this->progress = {};
     if (!this->socket || !this->socket->is_open()) {
         if (auto const error = co_await this->connect())
             co_return error;
@@ -80,11 +92,22 @@
     auto const [write_error, written] = co_await asio::async_write(*kept, asio::buffer(request), as_value);
     if (write_error)
         co_return write_error;
+    co_return co_await this->read_answer(*kept, answer);
+}
+
+Task<error_code> StoreConnection::read_answer(tcp::socket& kept, StoreAnswer& answer)
+{
     http::response_parser<http::string_body> parser;
     parser.body_limit(largest_answer);
-    auto const [read_error, read] = co_await http::async_read(*kept, this->buffer, parser, as_value);
-    if (read_error)
-        co_return read_error;
+    parser.eager(true);
+    while (!parser.is_done()) {
+        auto const [error, read] = co_await http::async_read_some(kept, this->buffer, parser, as_value);
+        if (error)
+            co_return error;
+        this->progress.received_bytes += read;
+        if (auto const length = parser.content_length())
+            this->progress.body_bytes = *length;
+    }
     answer.status = parser.get().result_int();
     bool const keeps_connection = parser.get().keep_alive() && this->buffer.size() == 0;
     answer.body = std::move(parser.get().body());
--- a/Libraries/LibGateway/StoreConnection.h
+++ b/Libraries/LibGateway/StoreConnection.h
@@ -11,6 +11,16 @@
     bool operator==(StoreAnswer const&) const = default;
 };
 
+/// How far the answer to a call has come.
+struct AnswerProgress {
+    /// Of head and body.
+    std::size_t received_bytes { 0 };
+    /// Of the body, once the head has told it.
+    std::optional<std::uint64_t> body_bytes;
+
+    bool operator==(AnswerProgress const&) const = default;
+};
+
 /// Calls the platform's store, or another box, over one kept connection, one call at a time.
 class StoreConnection {
 public:
@@ -25,6 +35,8 @@
         std::string const& target, Core::Duration patience, Core::LastReason& last_reason);
     [[nodiscard]] Task<std::optional<StoreAnswer>> post(
         std::string const& target, std::string const& body, Core::Duration patience, Core::LastReason& last_reason);
+    /// How far the answer to the last call has come.
+    [[nodiscard]] AnswerProgress const& last_progress() const { return this->progress; }
     /// Ends the call under way and closes the connection.
     void abort();
     void set_address(Routing::SocketAddress changed) { this->address = std::move(changed); }
@@ -34,6 +46,8 @@
     [[nodiscard]] Task<std::optional<StoreAnswer>> call_within(
         std::string const& request, Core::Duration patience, Core::LastReason& last_reason);
     [[nodiscard]] Task<error_code> call(std::string const& request, StoreAnswer& answer);
+    [[nodiscard]] Task<error_code> read_answer(tcp::socket& kept, StoreAnswer& answer);
+    [[nodiscard]] std::string failure_text(error_code error, bool has_timed_out, Core::Duration taken) const;
 
     /// A configuration with thousands of routes takes about half a megabyte.
     static constexpr std::uint64_t largest_answer = 16 * 1024 * 1024;
@@ -42,6 +56,7 @@
     Routing::SocketAddress address;
     std::shared_ptr<tcp::socket> socket;
     flat_buffer buffer;
+    AnswerProgress progress;
 };
 
 }
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -19,26 +19,20 @@
 
 }
 
-bool StoreLink::answered()
+std::optional<StoreLink::Loss> StoreLink::answered()
 {
-    bool const was_away = this->away_since.has_value();
-    this->away_since.reset();
-    return was_away;
+    return std::exchange(this->loss, std::nullopt);
 }
 
 bool StoreLink::failed(Instant now)
 {
-    bool const is_first = !this->away_since;
+    bool const is_first = !this->loss;
     if (is_first)
-        this->away_since = now;
+        this->loss = Loss { now, 0 };
+    ++this->loss->failed_calls;
     return is_first;
 }
 
-Core::Duration StoreLink::away_for(Instant now) const
-{
-    return this->away_since ? now - *this->away_since : Core::Duration { 0 };
-}
-
 StoreFollower::StoreFollower(GatewayState& state, ControlRecords& records, Membership::ControlSource const& source,
     Routing::SocketAddress address, Adapter::Topic topic, Paces paces)
     : state(state)
@@ -147,6 +141,7 @@
 {
     Core::LastReason reason;
     auto answer = co_await this->connection.get(target, patience, reason);
+    this->state.metrics.count_store_bytes(this->connection.last_progress().received_bytes);
     if (!answer) {
         this->state.metrics.count_store_call("no-answer");
         this->note_failure(reason.text);
@@ -183,14 +178,15 @@
 void StoreFollower::note_answer()
 {
     auto const now = monotonic_now();
-    auto const away = this->link.away_for(now);
-    if (!this->link.answered())
+    auto const loss = this->link.answered();
+    if (!loss)
         return;
     if (this->topic == Adapter::Topic::Endpoints)
         this->records.store_returned(now);
     Log::EventLine("store_regained")
         .with("topic", to_string(this->topic))
-        .with("away_ms", Core::to_milliseconds(away))
+        .with("away_ms", Core::to_milliseconds(now - loss->since))
+        .with("failed_calls", loss->failed_calls)
         .warning();
 }
 
--- a/Libraries/LibGateway/StoreFollower.h
+++ b/Libraries/LibGateway/StoreFollower.h
@@ -9,14 +9,21 @@
 /// Whether one of the two followers reaches the store, so that a loss and a return are logged once.
 class StoreLink {
 public:
-    /// True if the store had been away before this answer.
-    bool answered();
+    /// A loss of the store that is over.
+    struct Loss {
+        Core::Instant since;
+        unsigned failed_calls { 0 };
+
+        bool operator==(Loss const&) const = default;
+    };
+
+    /// The loss that this answer ended; nothing if the store had not been away.
+    [[nodiscard]] std::optional<Loss> answered();
     /// True if this is the first failure since the last answer.
-    bool failed(Core::Instant now);
-    [[nodiscard]] Core::Duration away_for(Core::Instant now) const;
+    [[nodiscard]] bool failed(Core::Instant now);
 
 private:
-    std::optional<Core::Instant> away_since;
+    std::optional<Loss> loss;
 };
 
 /// Follows one topic of the platform's store: reads the newest record of each key once, then what is appended. When
