Tests: Show that a configuration over a slow link never comes into force

Cause: a call to the store has 500 ms for its whole answer; a longer transfer is cut off and begun again from its first byte. Ruled out: the store's rate (a scripted store that answers at once and goes on steadily does it too) and the decoder (the record of the test has 39 bytes). The test is listed as known to be red; Meta/test.sh runs what is listed, prints it and passes over it. The scripted store moves to a header of its own, serves connections side by side, and can send its answers piece by piece.

--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -18,5 +18,13 @@
 Meta/build.sh "$folder" ${sanitize:+-DSANITIZE="$sanitize"}
 [ -z "$lint" ] || Meta/lint.sh "$folder"
 export TSAN_OPTIONS="suppressions=$PWD/Meta/tsan.supp"
+# Tests that are known to be red, by ctest's name: all before the first colon of each line. They run first and are printed;
+# whether they fail does not count, and ctest's summary of all others comes last.
+known_red=$(sed -n 's/^\([A-Za-z.]*\):.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 cd "$folder"
-ctest --output-on-failure --timeout 300 -j 4
+if [ -n "$known_red" ]; then
+    ctest --timeout 300 -R "^($known_red)\$" || true
+    ctest --output-on-failure --timeout 300 -j 4 -E "^($known_red)\$"
+else
+    ctest --output-on-failure --timeout 300 -j 4
+fi
--- /dev/null
+++ b/Tests/LibGateway/ScriptedStore.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "LoopbackPair.h"
+#include <LibGateway/StoreFollower.h>
+#include <functional>
+#include <limits>
+
+/// A scripted store on loopback, and a follower before it.
+namespace Scripted {
+
+using namespace Gateway;
+
+struct Answer {
+    unsigned status { 200 };
+    std::string body;
+    /// In how many pieces the body comes, and the pause before each of them.
+    std::size_t pieces { 1 };
+    Core::Duration pause { 0 };
+    /// How many of them come before the store falls silent for good.
+    std::size_t pieces_sent { std::numeric_limits<std::size_t>::max() };
+};
+
+/// A store that a test scripts: an answer for each target, or nothing to close the connection without one.
+class FakeStore {
+public:
+    using Script = std::function<std::optional<Answer>(std::string const& target)>;
+
+    FakeStore(asio::io_context& context, Script script)
+        : acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , script(std::move(script))
+    {
+        asio::co_spawn(
+            context, [this] { return this->run(); }, asio::detached);
+    }
+
+    [[nodiscard]] Routing::SocketAddress address() const
+    {
+        return { "127.0.0.1", this->acceptor.local_endpoint().port() };
+    }
+    std::vector<std::string> targets;
+
+private:
+    Task<void> run()
+    {
+        for (;;) {
+            auto [error, socket] = co_await this->acceptor.async_accept(as_value);
+            if (error)
+                co_return;
+            asio::co_spawn(this->acceptor.get_executor(), this->serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    Task<void> serve(tcp::socket socket)
+    {
+        flat_buffer buffer;
+        for (;;) {
+            http::request<http::string_body> request;
+            auto const [read_error, read] = co_await http::async_read(socket, buffer, request, as_value);
+            if (read_error)
+                co_return;
+            this->targets.emplace_back(request.target());
+            auto const answer = this->script(this->targets.back());
+            if (!answer)
+                co_return;
+            if (!co_await send(socket, *answer))
+                co_return;
+        }
+    }
+
+    /// False if the client is gone.
+    static Task<bool> send(tcp::socket& socket, Answer const& answer)
+    {
+        auto const head = "HTTP/1.1 " + std::to_string(answer.status)
+            + " -\r\nContent-Length: " + std::to_string(answer.body.size()) + "\r\n\r\n";
+        auto [error, written] = co_await asio::async_write(socket, asio::buffer(head), as_value);
+        auto const piece_bytes = (answer.body.size() + answer.pieces - 1) / answer.pieces;
+        for (std::size_t index = 0; index < answer.pieces && !error; ++index) {
+            if (index >= answer.pieces_sent)
+                co_await sleep_for(std::chrono::hours(1));
+            co_await sleep_for(answer.pause);
+            auto const piece = answer.body.substr(index * piece_bytes, piece_bytes);
+            std::tie(error, written) = co_await asio::async_write(socket, asio::buffer(piece), as_value);
+        }
+        co_return !error;
+    }
+
+    tcp::acceptor acceptor;
+    Script script;
+};
+
+inline std::string bytes_of(std::uint64_t number, int size)
+{
+    std::string bytes;
+    for (int shift = (size - 1) * 8; shift >= 0; shift -= 8)
+        bytes += static_cast<char>(number >> static_cast<unsigned>(shift) & 0xffU);
+    return bytes;
+}
+
+inline std::string record(std::string const& key, std::string const& value)
+{
+    return bytes_of(1 + key.size() + value.size(), 4) + bytes_of(key.size(), 1) + key + value;
+}
+
+inline std::string configuration(int version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+}
+
+inline std::string const nothing_newest = R"({"items":[],"truncated":false,"end":0})";
+
+/// A follower of one topic before a scripted store.
+struct Follower {
+    Follower(Adapter::Topic topic, FakeStore::Script script, bool knows_boxes = true)
+        : state(this->context, Routing::RouterSettings {}, 1)
+        , records(this->state, "box", 1)
+        , source("box", "domain", {})
+        , store(this->context, std::move(script))
+        , follower(this->state, this->records, this->source, this->store.address(), topic, { pace, pace })
+    {
+        if (knows_boxes)
+            this->source.boxes_unknown();
+        asio::co_spawn(
+            this->context, [this] { return this->follower.run(); }, asio::detached);
+    }
+
+    [[nodiscard]] std::uint64_t version() const
+    {
+        auto const current = this->state.router.configuration();
+        return current ? current->version() : 0;
+    }
+
+    static constexpr StoreFollower::Pace pace { std::chrono::milliseconds(0), std::chrono::milliseconds(1) };
+
+    asio::io_context context;
+    GatewayState state;
+    ControlRecords records;
+    Membership::ControlSource source;
+    FakeStore store;
+    StoreFollower follower;
+};
+
+inline bool begins_with(std::string const& target, std::string_view path)
+{
+    return target.starts_with(path);
+}
+
+}
