LibGateway: Don't cut an answer for a silence that it has ended

Cause: the limit on an endpoint's silence is a timer; when the event loop stands still past it (decoding 541 KB takes a box of 0.12 of a core 124 ms), its handler is queued behind the answer, the answer's head is read, the timer is cancelled in vain, and the handler closes the connection under the answer. A client that had got the first bytes lost the rest. Ruled out: the endpoint (its run had ended 0.2 s before), the stop of a box, the reload of settings. Conclusion: the handler asks whether the head is still awaited. The other timers were looked through: the ones of a client's connection, of a connect and of a store call already ask whether what they watch is over.

--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -218,6 +218,7 @@
     this->arm_silence_limit();
     Adapter::AnswerFacts facts;
     auto const error = co_await this->call->read_head(facts);
+    this->awaits_head = false;
     this->silence.cancel();
     if (error) {
         attempt.detail = "answer's head: " + error.message();
@@ -404,10 +405,13 @@
         && route.goal > Core::Duration { 0 };
     if (!may_go_elsewhere)
         return;
+    this->awaits_head = true;
     this->silence.expires_after(Core::from_seconds(Core::to_seconds(route.goal) * silence_in_targets));
     this->silence.async_wait([weak = this->weak_from_this(), watched = this->call](error_code cancelled) {
         auto const self = weak.lock();
-        if (cancelled || !self || self->call != watched)
+        // NOTE: After a stall of the event loop this handler may be queued behind the answer that it waits for, and
+        // then it can't be cancelled. It cut answers that had begun, one or two on a day with two large configurations.
+        if (cancelled || !self || self->call != watched || !self->awaits_head)
             return;
         self->was_silent = true;
         watched->abort();
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -130,6 +130,8 @@
     bool has_expired { false };
     bool has_left { false };
     bool was_silent { false };
+    /// Whether the limit on the endpoint's silence still holds.
+    bool awaits_head { false };
     bool client_is_broken { false };
     bool answer_begun { false };
     /// Whether only whole events are passed on, so that another run can go on behind them.
--- a/Tests/LibGateway/TestRequestExchange.cpp
+++ b/Tests/LibGateway/TestRequestExchange.cpp
@@ -4,6 +4,7 @@
 #include <LibGateway/RequestExchange.h>
 #include <functional>
 #include <set>
+#include <thread>
 
 namespace {
 
@@ -385,6 +386,29 @@
     }
 }
 
+// What users saw: beside a change of the configuration, a client got the head and the first bytes of a 200, and then
+// the end of its connection. Order of events: a box of 0.12 of a core decoded a configuration of 541 KB, and its event
+// loop stood still for 124 ms; an answer came meanwhile, and the limit on its endpoint's silence (180 ms) passed.
+// Cause: the answer's head was read first and the timer was cancelled, but its handler was queued already and closed
+// the connection to the endpoint. Evidence: the server's run had ended 0.2 s before the client's connection was closed,
+// and the calls that it happened to were all repeatable ones, which alone have that limit.
+TEST_CASE("an answer that came while the event loop stood still past the limit on silence is passed on whole")
+{
+    constexpr auto goal = std::chrono::milliseconds(20);
+    Exchange request(RouteKind::Idempotent, 2, 2, false, goal);
+    request.start();
+    auto& endpoint = *request.endpoints[request.arrival()];
+    endpoint.answer(stream_head + "2\r\nok\r\n");
+    std::this_thread::sleep_for(3 * goal);
+    REQUIRE(request.reach([&] { return request.received.ends_with("2\r\nok\r\n"); }));
+    int rounds = 0;
+    REQUIRE(request.reach([&] { return ++rounds > 3; }));
+    endpoint.answer("0\r\n\r\n");
+    REQUIRE(request.ends());
+    CHECK(request.received.ends_with("2\r\nok\r\n0\r\n\r\n"));
+    CHECK(request.arrivals() == 1);
+}
+
 TEST_CASE("a refusal after an attempt that may have run does not say that the request has not run")
 {
     Exchange request(RouteKind::Idempotent, 2, 2);
