LibRouting: Don't go by a configuration that is known to be old for good

Cause: a box whose relay told it of a newer version, but could not pass it on, went on with its own version as a box does that reaches nobody: final 404 and 401 for up to 4 s, and public routes for ever, also after its lease had run out. Ruled out: refusing everything as soon as a newer version is known; nearly all boxes are in that state for as long as a large record takes their links, and most requests are the same in both versions. Conclusion: what is known to be old gives no final answer, and once its lease is over serves nothing.

--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -194,6 +194,7 @@
     // NOTE: What this box read itself a moment ago may be newer than what the relay knows.
     if (!this->endpoints_confirmed_at || endpoints_vouched_at >= *this->endpoints_confirmed_at)
         this->take_relayed_endpoints(answer, endpoints_vouched_at);
+    this->state.router.note_configuration(answer.configuration_version);
     if (answer.configuration_version > this->version() && answer.configuration)
         this->take_configuration(*answer.configuration, configuration_vouched_at);
     if (answer.configuration_version != this->version())
--- a/Libraries/LibRouting/ConfigurationLease.cpp
+++ b/Libraries/LibRouting/ConfigurationLease.cpp
@@ -26,7 +26,8 @@
     if (this->bounds.revoke_within
         && Core::to_seconds(held) > Core::to_seconds(*this->bounds.revoke_within) * share_of_revoke_bound)
         return ConfigurationTrust::Expired;
-    return held <= this->bounds.apply_within + waiting_read ? ConfigurationTrust::Fresh : ConfigurationTrust::Aging;
+    bool const is_fresh = held <= this->bounds.apply_within + waiting_read && !this->is_superseded();
+    return is_fresh ? ConfigurationTrust::Fresh : ConfigurationTrust::Aging;
 }
 
 }
--- a/Libraries/LibRouting/ConfigurationLease.h
+++ b/Libraries/LibRouting/ConfigurationLease.h
@@ -2,6 +2,8 @@
 
 #include <LibRouting/ConfigurationSnapshot.h>
 
+#include <algorithm>
+
 namespace Routing {
 
 /// How far the configuration in force can be relied on.
@@ -10,7 +12,7 @@
     Missing,
     /// Confirmed a short while ago: what it does not allow may be refused for good.
     Fresh,
-    /// A newer one may exist: what it allows is served, what it does not allow may be allowed by now.
+    /// A newer one may exist, or is known to: what it allows is served, what it does not allow may be allowed by now.
     Aging,
     /// A key may have been taken away for longer than the operator accepts: requests with a key are not served.
     Expired,
@@ -39,6 +41,13 @@
     bool offer(SharedConfiguration offered, Instant asked_at);
     /// The store said to a read sent at `asked_at` that nothing newer exists.
     void confirm(Instant asked_at);
+    /// The version exists, whether this box has it or not.
+    void note_version(std::uint64_t version) { this->newest_known = std::max(this->newest_known, version); }
+    /// Whether a newer version than the one in force is known to exist.
+    [[nodiscard]] bool is_superseded() const
+    {
+        return this->in_force && this->in_force->version() < this->newest_known;
+    }
     void set_bounds(LeaseBounds changed) { this->bounds = changed; }
 
     [[nodiscard]] ConfigurationTrust trust(Instant now) const;
@@ -57,6 +66,7 @@
     LeaseBounds bounds;
     SharedConfiguration in_force;
     Instant confirmed_at;
+    std::uint64_t newest_known { 0 };
 };
 
 }
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -47,6 +47,12 @@
     this->lease.confirm(asked_at);
 }
 
+void RequestRouter::note_configuration(std::uint64_t version)
+{
+    std::scoped_lock const guard(this->configuration_lock);
+    this->lease.note_version(version);
+}
+
 SharedConfiguration RequestRouter::configuration() const
 {
     std::scoped_lock const guard(this->configuration_lock);
@@ -253,8 +259,10 @@
     std::scoped_lock const guard(this->configuration_lock);
     if (this->lease.trust(now) != ConfigurationTrust::Expired)
         return {};
+    // NOTE: Without a way to the store a public route is served, since nothing speaks against it. A newer version that
+    // is known to exist does: it may have dropped the route, or moved it to another service.
     bool const needs_key = this->lease.current()->needs_keys() && !(route != nullptr && route->is_public);
-    if (!needs_key)
+    if (!needs_key && !this->lease.is_superseded())
         return {};
     return Rejected { Reason::ConfigurationExpired, come_back_after_gap };
 }
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -94,6 +94,8 @@
     void set_settings(RouterSettings changed);
     bool offer_configuration(SharedConfiguration offered, Instant asked_at);
     void confirm_configuration(Instant asked_at);
+    /// The version exists, whether this box has it or not.
+    void note_configuration(std::uint64_t version);
     [[nodiscard]] SharedConfiguration configuration() const;
     [[nodiscard]] ConfigurationTrust trust(Instant now) const;
     [[nodiscard]] Duration configuration_age(Instant now) const;
--- a/Tests/LibGateway/TestControlRecords.cpp
+++ b/Tests/LibGateway/TestControlRecords.cpp
@@ -121,6 +121,7 @@
     CHECK(!ask(box, relay, at(1100), shorter_than_any));
     CHECK(box.version() == 6);
     CHECK(box.state.router.configuration_age(at(1100)) == std::chrono::milliseconds(600));
+    CHECK(box.state.router.trust(at(1100)) == Routing::ConfigurationTrust::Aging);
     CHECK(box.state.router.endpoint_count() == 1);
 }
 
--- a/Tests/LibRouting/TestRequestRouter.cpp
+++ b/Tests/LibRouting/TestRequestRouter.cpp
@@ -100,6 +100,32 @@
     CHECK(box.refusal(request("/a/x", "k"), at(milliseconds(4700))) == Reason::KeyUnknown);
 }
 
+// What users saw: a box served a public route 3.1 s after the store had confirmed the version that dropped it. Order of
+// events: another box had told it that a newer version exists; the box was reading that, for longer than its lease;
+// with the lease gone it refused what needs a key and went on with public routes by the version that it had. Cause: a
+// box that reaches nobody and a box that knows that it is behind were treated alike. Evidence: the box's log has
+// not_ready with an age of the configuration of 4.6 s before the request, and its relay had the newer version 4 s
+// before.
+TEST_CASE("a box that knows of a newer configuration refuses nothing for good, and on an expired lease serves nothing")
+{
+    Box const box;
+    box.router->note_configuration(2);
+    CHECK(box.refusal(request("/a/x", "k"), at(seconds(1))) == Reason::None);
+    CHECK(box.refusal(request("/b/x", "k"), at(seconds(1))) == Reason::ConfigurationAging);
+    CHECK(box.refusal(request("/a/x", "wrong"), at(seconds(1))) == Reason::ConfigurationAging);
+    auto const admitted = std::get<Admitted>(box.router->admit(request("/open/x", ""), at(milliseconds(4400))));
+    CHECK(box.refusal(request("/open/x", ""), at(milliseconds(4600))) == Reason::ConfigurationExpired);
+    auto const late = box.router->place(admitted, {}, {}, at(milliseconds(4600)));
+    REQUIRE(std::holds_alternative<Rejected>(late));
+    CHECK(std::get<Rejected>(late).reason == Reason::ConfigurationExpired);
+
+    box.router->offer_configuration(configuration(2, { "k" }), at(milliseconds(4500)));
+    CHECK(box.refusal(request("/open/x", ""), at(milliseconds(4600))) == Reason::None);
+    CHECK(box.refusal(request("/b/x", "k"), at(milliseconds(4600))) == Reason::RouteUnknown);
+    box.router->note_configuration(1);
+    CHECK(box.refusal(request("/b/x", "k"), at(milliseconds(4600))) == Reason::RouteUnknown);
+}
+
 TEST_CASE("a request admitted before the lease ran out is not sent after it did")
 {
     Box const box;
