LibRouting: Index routes in one piece of memory, and goals by priority

Change: routes are found by their host's number and their own prefix in a flat table; the longest goal is kept by service and priority. The first of two routes with the same host and prefix still wins, as before. Tests: both look-ups against plain scans of random routes.

--- a/Libraries/LibRouting/ConfigurationSnapshot.cpp
+++ b/Libraries/LibRouting/ConfigurationSnapshot.cpp
@@ -1,7 +1,7 @@
 #include <LibRouting/ConfigurationSnapshot.h>
 
 #include <algorithm>
-#include <cctype>
+#include <xxhash.h>
 
 namespace Routing {
 
@@ -10,25 +10,23 @@
 std::string without_port_in_lower_case(std::string_view host)
 {
     std::string name(host.substr(0, host.find(':')));
-    std::ranges::transform(
-        name, name.begin(), [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+    std::ranges::transform(name, name.begin(),
+        [](char sign) { return sign >= 'A' && sign <= 'Z' ? static_cast<char>(sign - 'A' + 'a') : sign; });
     return name;
 }
 
-std::string prefix_key(std::string const& host, std::string_view prefix)
-{
-    return host + '\n' + std::string(prefix);
 }
 
+std::size_t ConfigurationSnapshot::RouteKeyHash::operator()(RouteKey const& key) const
+{
+    return XXH3_64bits_withSeed(key.prefix.data(), key.prefix.size(), key.host);
 }
 
 ConfigurationSnapshot::ConfigurationSnapshot(Configuration configuration)
     : contents(std::move(configuration))
 {
-    for (std::size_t index = 0; index < this->contents.routes.size(); ++index) {
-        auto const& route = this->contents.routes[index];
-        this->routes_by_prefix.emplace(prefix_key(without_port_in_lower_case(route.host), route.path_prefix), index);
-    }
+    this->index_routes();
+    this->index_goals();
     for (std::size_t index = 0; index < this->contents.services.size(); ++index)
         this->services_by_name.emplace(this->contents.services[index].name, index);
     if (!this->contents.accounts)
@@ -39,14 +37,46 @@
     }
 }
 
+void ConfigurationSnapshot::index_routes()
+{
+    this->routes_by_key.reserve(this->contents.routes.size());
+    for (std::uint32_t index = 0; index < this->contents.routes.size(); ++index) {
+        auto const& route = this->contents.routes[index];
+        auto const next_host = static_cast<std::uint32_t>(this->hosts.size());
+        auto const host = this->hosts.try_emplace(without_port_in_lower_case(route.host), next_host).first->second;
+        this->routes_by_key.try_emplace(RouteKey { host, route.path_prefix }, index);
+    }
+}
+
+void ConfigurationSnapshot::index_goals()
+{
+    for (auto const& route : this->contents.routes) {
+        for (auto const& share : route.services) {
+            auto& goals = this->goals_by_service[share.service];
+            auto const found = std::ranges::lower_bound(goals, route.priority, {}, &GoalOfPriority::priority);
+            if (found != goals.end() && found->priority == route.priority)
+                found->goal = std::max(found->goal, route.goal);
+            else
+                goals.insert(found, { route.priority, route.goal });
+        }
+    }
+    for (auto& [service, goals] : this->goals_by_service) {
+        Duration longest { 0 };
+        for (auto entry = goals.rbegin(); entry != goals.rend(); ++entry)
+            entry->goal = longest = std::max(longest, entry->goal);
+    }
+}
+
 Route const* ConfigurationSnapshot::find_route(std::string_view host, std::string_view path) const
 {
     path = path.substr(0, path.find_first_of("?#"));
-    auto const name = without_port_in_lower_case(host);
+    auto const host_found = this->hosts.find(without_port_in_lower_case(host));
+    if (host_found == this->hosts.end())
+        return nullptr;
     // NOTE: A prefix ends with a slash, so only the slashes of the path can end a match.
     for (auto end = path.rfind('/'); end != std::string_view::npos; end = path.rfind('/', end - 1)) {
-        auto const found = this->routes_by_prefix.find(prefix_key(name, path.substr(0, end + 1)));
-        if (found != this->routes_by_prefix.end())
+        auto const found = this->routes_by_key.find(RouteKey { host_found->second, path.substr(0, end + 1) });
+        if (found != this->routes_by_key.end())
             return &this->contents.routes[found->second];
         if (end == 0)
             break;
@@ -68,14 +98,11 @@
 
 Duration ConfigurationSnapshot::longest_goal(std::string_view service, unsigned priority) const
 {
-    Duration longest { 0 };
-    for (auto const& route : this->contents.routes) {
-        bool const is_served_there
-            = std::ranges::any_of(route.services, [&](ServiceShare const& share) { return share.service == service; });
-        if (is_served_there && route.priority >= priority)
-            longest = std::max(longest, route.goal);
-    }
-    return longest;
+    auto const found = this->goals_by_service.find(service);
+    if (found == this->goals_by_service.end())
+        return Duration { 0 };
+    auto const goal = std::ranges::lower_bound(found->second, priority, {}, &GoalOfPriority::priority);
+    return goal == found->second.end() ? Duration { 0 } : goal->goal;
 }
 
 }
--- a/Libraries/LibRouting/ConfigurationSnapshot.h
+++ b/Libraries/LibRouting/ConfigurationSnapshot.h
@@ -2,6 +2,7 @@
 
 #include <LibRouting/Configuration.h>
 
+#include <boost/unordered/unordered_flat_map.hpp>
 #include <memory>
 #include <string_view>
 #include <unordered_map>
@@ -28,11 +29,37 @@
     [[nodiscard]] bool needs_keys() const { return this->contents.accounts.has_value(); }
 
 private:
+    /// What a route is looked up by: its host's place in `hosts`, and its prefix.
+    struct RouteKey {
+        std::uint32_t host { 0 };
+        std::string_view prefix;
+
+        bool operator==(RouteKey const&) const = default;
+    };
+    struct RouteKeyHash {
+        using is_avalanching = void;
+
+        [[nodiscard]] std::size_t operator()(RouteKey const& key) const;
+    };
+    struct GoalOfPriority {
+        unsigned priority { 0 };
+        Duration goal { 0 };
+    };
+
+    void index_routes();
+    void index_goals();
+
     Configuration contents;
-    /// Keyed by host, a line feed, and the prefix.
-    std::unordered_map<std::string, std::size_t> routes_by_prefix;
+    /// In lower case, without port. Routes have few hosts.
+    std::unordered_map<std::string, std::uint32_t> hosts;
+    /// One piece of memory that refers to the prefixes of the routes themselves. With a text and a node for each of
+    /// 10,000 routes a snapshot's indexes took 1,045 KB in place of 514 and its end 0.96 ms in place of 0.23
+    /// (`Benchmarks/BenchConfiguration.cpp`).
+    boost::unordered_flat_map<RouteKey, std::uint32_t, RouteKeyHash> routes_by_key;
     std::unordered_map<std::string_view, std::size_t> accounts_by_key;
     std::unordered_map<std::string_view, std::size_t> services_by_name;
+    /// For each service, by rising priority, the longest goal of the routes of that priority or less urgent.
+    std::unordered_map<std::string_view, std::vector<GoalOfPriority>> goals_by_service;
 };
 
 using SharedConfiguration = std::shared_ptr<ConfigurationSnapshot const>;
--- a/Tests/LibRouting/TestConfiguration.cpp
+++ b/Tests/LibRouting/TestConfiguration.cpp
@@ -2,6 +2,9 @@
 
 #include <LibRouting/ConfigurationLease.h>
 
+#include <algorithm>
+#include <random>
+
 namespace {
 
 using namespace Routing;
@@ -24,6 +27,57 @@
     return std::make_shared<ConfigurationSnapshot const>(std::move(configuration));
 }
 
+/// Routes over few letters, so that prefixes begin one another and hosts differ only in case or not at all.
+Configuration random_configuration(std::mt19937_64& random)
+{
+    static constexpr std::array hosts { "h.example", "H.Example", "other.example", "o", "" };
+    static constexpr std::array prefixes { "", "a/", "b/", "a/b/", "ab/", "a/a/", "a//", "b/a/a/" };
+    static constexpr std::array services { "s1", "s2", "s3" };
+    Configuration configuration;
+    for (auto count = random() % 20; count > 0; --count) {
+        auto route = route_to(hosts.at(random() % hosts.size()), "/");
+        route.path_prefix += prefixes.at(random() % prefixes.size());
+        route.path_prefix += prefixes.at(random() % prefixes.size());
+        route.priority = static_cast<unsigned>(random() % 5);
+        route.goal = milliseconds(random() % 1000);
+        for (auto shares = random() % 4; shares > 0; --shares)
+            route.services.push_back({ services.at(random() % services.size()), 1 });
+        configuration.routes.push_back(std::move(route));
+    }
+    return configuration;
+}
+
+std::string lower_case(std::string text)
+{
+    std::ranges::transform(
+        text, text.begin(), [](unsigned char sign) { return static_cast<char>(std::tolower(sign)); });
+    return text;
+}
+
+/// The first of the routes with the longest prefix.
+Route const* scan_for_route(Configuration const& configuration, std::string const& host, std::string const& path)
+{
+    Route const* longest = nullptr;
+    for (auto const& route : configuration.routes) {
+        bool const fits = lower_case(route.host) == lower_case(host) && path.starts_with(route.path_prefix);
+        if (fits && (!longest || route.path_prefix.size() > longest->path_prefix.size()))
+            longest = &route;
+    }
+    return longest;
+}
+
+Duration scan_for_longest_goal(Configuration const& configuration, std::string_view service, unsigned priority)
+{
+    Duration longest { 0 };
+    for (auto const& route : configuration.routes) {
+        bool const is_served_there
+            = std::ranges::any_of(route.services, [&](ServiceShare const& share) { return share.service == service; });
+        if (is_served_there && route.priority >= priority)
+            longest = std::max(longest, route.goal);
+    }
+    return longest;
+}
+
 Instant at(Duration since_start)
 {
     return Instant {} + seconds(100) + since_start;
@@ -46,6 +100,45 @@
     CHECK(snapshot.find_route("h.example", "") == nullptr);
 }
 
+TEST_CASE("a route is found as by a scan of all routes")
+{
+    static constexpr std::string_view signs = "ab//";
+    std::size_t found = 0;
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        ConfigurationSnapshot const snapshot(random_configuration(random));
+        for (std::size_t tries = 0; tries < 50; ++tries) {
+            static constexpr std::array hosts { "h.example", "H.EXAMPLE", "other.example", "O", "", "nowhere" };
+            std::string const host = hosts.at(random() % hosts.size());
+            std::string path = "/";
+            for (auto size = random() % 10; size > 0; --size)
+                path += signs[random() % signs.size()];
+            CAPTURE(host);
+            CAPTURE(path);
+            auto const* const expected = scan_for_route(snapshot.configuration(), host, path);
+            found += expected ? 1 : 0;
+            CHECK(snapshot.find_route(host, path) == expected);
+            CHECK(snapshot.find_route(host + ":8080", path + "?/a/b/") == expected);
+        }
+    }
+    CHECK(found > 1000);
+}
+
+TEST_CASE("the longest goal is the one that a scan of all routes finds")
+{
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        ConfigurationSnapshot const snapshot(random_configuration(random));
+        for (auto const* service : { "s1", "s2", "s3", "s4", "" }) {
+            for (unsigned priority = 0; priority < 7; ++priority)
+                CHECK(snapshot.longest_goal(service, priority)
+                    == scan_for_longest_goal(snapshot.configuration(), service, priority));
+        }
+    }
+}
+
 TEST_CASE("a key belongs to the account that holds it")
 {
     Configuration configuration;
