LibGateway: Hold what probes' answers share once, and limit how long a peer reads

Ruled out: sending the two parts one after the other, which costs a call and a packet more. Conclusion: an answer may have an end that many share; the limit of ten seconds holds for reading an answer too.

--- a/Libraries/LibGateway/ProbeListener.cpp
+++ b/Libraries/LibGateway/ProbeListener.cpp
@@ -1,7 +1,56 @@
 #include <LibGateway/ProbeListener.h>
 
+#include <array>
+
 namespace Gateway {
 
+namespace {
+
+/// The two parts of an answer's body as the HTTP library takes a body: sent as they lie, in one call.
+struct TwoPartBody {
+    using value_type = ProbeAnswer;
+
+    static std::uint64_t size(value_type const& answer)
+    {
+        return answer.body.size() + (answer.shared_end ? answer.shared_end->size() : 0);
+    }
+
+    // The library's own names.
+    class writer {
+    public:
+        using const_buffers_type = std::array<asio::const_buffer, 2>;
+
+        template <bool is_request, typename Fields>
+        writer(http::header<is_request, Fields> const& /*head*/, value_type const& answer)
+            : parts { asio::buffer(answer.body),
+                answer.shared_end ? asio::buffer(*answer.shared_end) : asio::const_buffer() }
+        {
+        }
+        void init(error_code& error) { error = {}; }
+        boost::optional<std::pair<const_buffers_type, bool>> get(error_code& error)
+        {
+            error = {};
+            return std::pair { this->parts, false };
+        }
+
+    private:
+        const_buffers_type parts;
+    };
+};
+
+/// Closes the connection unless the timer is set anew or cancelled before.
+void close_after(asio::steady_timer& timer, Core::Duration duration, std::shared_ptr<tcp::socket> socket)
+{
+    timer.expires_after(duration);
+    timer.async_wait([socket = std::move(socket)](error_code cancelled) {
+        error_code ignored;
+        if (!cancelled)
+            socket->close(ignored);
+    });
+}
+
+}
+
 Task<void> ProbeListener::run()
 {
     while (this->acceptor.is_open()) {
@@ -29,32 +78,30 @@
     auto const counted = this->connections;
     ++*counted;
     auto const answer_question = this->answerer;
+    auto const longest = this->patience;
     error_code ignored;
     socket->set_option(tcp::no_delay(true), ignored);
     flat_buffer buffer;
+    asio::steady_timer timer(socket->get_executor());
     bool is_open = true;
     while (is_open) {
-        asio::steady_timer timer(socket->get_executor(), idle_timeout);
-        timer.async_wait([socket](error_code cancelled) {
-            error_code ignored;
-            if (!cancelled)
-                socket->close(ignored);
-        });
+        close_after(timer, longest, socket);
         http::request<http::string_body> request;
         auto const [read_error, read] = co_await http::async_read(*socket, buffer, request, as_value);
-        timer.cancel();
         if (read_error)
             break;
         auto const target = std::string_view(request.target().data(), request.target().size());
-        auto const answer = answer_question(target.substr(0, target.find('?')), request.body());
-        http::response<http::string_body> response(static_cast<http::status>(answer.status), request.version());
+        auto answer = answer_question(target.substr(0, target.find('?')), request.body());
+        http::response<TwoPartBody> response(static_cast<http::status>(answer.status), request.version());
         response.set(http::field::content_type, "text/plain; version=0.0.4");
         response.keep_alive(request.keep_alive());
-        response.body() = answer.body;
+        response.body() = std::move(answer);
         response.prepare_payload();
+        close_after(timer, longest, socket);
         auto const [write_error, written] = co_await http::async_write(*socket, response, as_value);
         is_open = !write_error && request.keep_alive();
     }
+    timer.cancel();
     --*counted;
 }
 
--- a/Libraries/LibGateway/ProbeListener.h
+++ b/Libraries/LibGateway/ProbeListener.h
@@ -9,8 +9,8 @@
 struct ProbeAnswer {
     unsigned status { 200 };
     std::string body;
-
-    bool operator==(ProbeAnswer const&) const = default;
+    /// What follows the body, held once for all answers that end with it; nothing for most.
+    std::shared_ptr<std::string const> shared_end {};
 };
 
 /// Answers short questions about this box, such as whether it takes clients or what it knows from the store, on an
@@ -20,10 +20,13 @@
     /// Gives the answer for a path and the body of the question.
     using Answerer = std::function<ProbeAnswer(std::string_view path, std::string const& body)>;
 
-    ProbeListener(tcp::acceptor acceptor, Answerer answerer, std::size_t most_connections = default_connections)
+    /// `patience` is how long a connection may be silent, and how long its peer may take to read an answer.
+    ProbeListener(tcp::acceptor acceptor, Answerer answerer, std::size_t most_connections = default_connections,
+        Core::Duration patience = default_patience)
         : acceptor(std::move(acceptor))
         , answerer(std::move(answerer))
         , most_connections(most_connections)
+        , patience(patience)
     {
     }
 
@@ -35,14 +38,16 @@
 private:
     [[nodiscard]] Task<void> serve(std::shared_ptr<tcp::socket> socket) const;
 
-    /// Probes come every second; a connection that is silent for this long is of no use.
-    static constexpr auto idle_timeout = std::chrono::seconds(10);
+    /// Probes come every second, so a silent connection is of no use. A peer that doesn't read holds what its answer
+    /// holds and a place among the connections; a box that asks gives up long before.
+    static constexpr Core::Duration default_patience { std::chrono::seconds(10) };
     /// Enough for a balancer, a scraper and a person.
     static constexpr std::size_t default_connections = 16;
 
     tcp::acceptor acceptor;
     Answerer answerer;
     std::size_t most_connections;
+    Core::Duration patience;
     std::shared_ptr<std::size_t> connections { std::make_shared<std::size_t>(0) };
 };
 
