LibGateway: Give up a relay whose answer would come too late to be used

Cause: an answer of a relay had 0.15 of the tightest bound for its whole transfer, which a narrow link needs for a list of 1,900 endpoints and a configuration; now that silence is what is limited, a relay that answers by drops would be waited for up to 27 s, and the next box of the order not be asked for as long. Ruled out: a longer limit for the whole transfer, which cuts off for ever what takes longer; the lease is not concerned, as an answer vouches for when its question was sent. Figures: an answer of 65 KB that takes 2 s in pieces of 3 KB, at a bound of 8 s: lost before the limit (1.2 s) became one on silence, taken now, with an age of more than its transfer. One of 20 s is given up after 4.4 s (0.55 of the bound), one that falls silent after 1.24 s. Conclusion: a transfer may take as long as its result can be of use.

--- a/Libraries/LibGateway/RelayFollower.cpp
+++ b/Libraries/LibGateway/RelayFollower.cpp
@@ -37,9 +37,8 @@
     this->use(relay);
     auto const asked_at = monotonic_now();
     Core::LastReason reason;
-    CallTimeouts const timeouts { this->source.patience(), this->source.patience() };
-    auto const reply = co_await this->connection->post(
-        std::string(control_path), Membership::encode(this->records.question(asked_at)), timeouts, reason);
+    auto const question = Membership::encode(this->records.question(asked_at));
+    auto const reply = co_await this->call(question, reason);
     if (!reply) {
         this->note_failure(relay, reason.text);
         co_return;
@@ -69,6 +68,20 @@
         this->on_missing_configuration();
 }
 
+Task<std::optional<StoreAnswer>> RelayFollower::call(std::string const& question, Core::LastReason& last_reason)
+{
+    // NOTE: Guards against a relay that answers by drops. Where no piece is late a call may last for 27 s, and for as
+    // long the next box of the order would not be asked.
+    auto const longest = this->source.longest_answer();
+    auto const whole = std::make_shared<CallWatch>(
+        this->state.context, CallTimeouts { longest, longest }, [this] { this->connection->abort(); });
+    whole->start();
+    CallTimeouts const timeouts { this->source.patience(), this->source.patience() };
+    auto answer = co_await this->connection->post(std::string(control_path), question, timeouts, last_reason);
+    whole->finish();
+    co_return answer;
+}
+
 void RelayFollower::use(Membership::BoxRecord const& relay)
 {
     if (this->connection && this->relay_name == relay.name && this->relay_address == relay.address)
--- a/Libraries/LibGateway/RelayFollower.h
+++ b/Libraries/LibGateway/RelayFollower.h
@@ -29,6 +29,7 @@
 
 private:
     [[nodiscard]] Task<void> ask(Membership::BoxRecord const& relay);
+    [[nodiscard]] Task<std::optional<StoreAnswer>> call(std::string const& question, Core::LastReason& last_reason);
     void use(Membership::BoxRecord const& relay);
     void note_failure(Membership::BoxRecord const& relay, std::string const& reason);
 
--- a/Libraries/LibMembership/ControlSource.h
+++ b/Libraries/LibMembership/ControlSource.h
@@ -55,8 +55,12 @@
 
     /// How often a relay is asked.
     [[nodiscard]] Duration poll_interval() const { return this->tightest() / 10; }
-    /// Longest wait for a relay's answer. One that hangs must leave time for a read of the store.
+    /// Longest silence of a relay, before its answer and within it. One that hangs must leave time for a read of the
+    /// store.
     [[nodiscard]] Duration patience() const { return this->tightest() * 3 / 20; }
+    /// Longest time for a relay's whole answer: one that takes longer is too old to be used when it has come, since it
+    /// vouches for no later moment than its question.
+    [[nodiscard]] Duration longest_answer() const { return this->oldest(); }
     /// Pause between a relay's reads of the endpoints.
     [[nodiscard]] Duration read_interval() const { return this->tightest() / 5; }
     /// Longest wait of a relay's read of the configuration. What an answer vouches for is as old as the read is long,
