Tests: Pass a configuration with thousands of routes on through a relay

Cause: no test of whole boxes had a configuration that is long for a link, so nothing would have shown that each box reads it from the store.

--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -77,7 +77,7 @@
     this->box_ports[name] = ports;
 }
 
-void PlatformCluster::configure(int version, std::vector<std::string> const& keys)
+void PlatformCluster::configure(int version, std::vector<std::string> const& keys, int more_routes)
 {
     json account;
     account["name"] = "account";
@@ -86,6 +86,8 @@
     configuration["version"] = version;
     configuration["routes"] = { route("/stream/", "streaming", "model", 1), route("/repeat/", "idempotent", "desk", 2),
         route("/once/", "non_idempotent", "desk", 1) };
+    for (int number = 0; number < more_routes; ++number)
+        configuration["routes"].push_back(route("/more-" + std::to_string(number) + "/", "non_idempotent", "desk", 1));
     json service;
     service["name"] = "desk";
     configuration["services"] = { service };
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -25,8 +25,8 @@
     void start_server(std::string const& name, std::string const& service, std::vector<std::string> const& flags = {});
     void start_box(std::string const& name, BoxBounds const& bounds = {});
     /// Writes the operator's record: three routes (a stream, a call that may be repeated, one that may not) and one
-    /// account that holds the keys.
-    void configure(int version, std::vector<std::string> const& keys);
+    /// account that holds the keys. `more_routes` others are as good as the first of them: /more-0/ and so on.
+    void configure(int version, std::vector<std::string> const& keys, int more_routes = 0);
     /// Waits until the box takes clients.
     void wait_ready(std::string const& box) const;
     void set_store_mode(std::string const& mode) const;
