Tests: Let a proxy make a link narrow and a test make a configuration large

Cause: no test of ours had a link that takes longer for an answer than the answer's time limit, nor a record of more than a kilobyte, so nothing we ran could show what boxes with links of 10 Mbit/s do with a record of half a megabyte. What it does: Fault::Narrow passes answers at a rate that all connections of a proxy share, in pieces of 4 KB that are let through one after another. The proxy moves to Tests/Harness; the reader of metrics moves there from TestRelay.

--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Harness/FaultProxy.cpp
@@ -1,6 +1,9 @@
 #include "FaultProxy.h"
 
-namespace Soak {
+#include <LibGateway/Asio.h>
+#include <algorithm>
+
+namespace Harness {
 
 using namespace Gateway;
 
@@ -90,8 +93,7 @@
         auto const [read_error, read] = co_await from.async_read_some(asio::buffer(bytes), as_value);
         if (this->fault == Fault::Delayed)
             co_await sleep_for(delay);
-        while (this->holds(is_answer))
-            co_await sleep_for(look_again);
+        co_await this->wait_while_held(is_answer);
         if (read_error) {
             error_code ignored;
             // NOTE: An end is passed on as an end, anything else as a reset, as the peer would have seen it.
@@ -101,14 +103,44 @@
                 reset(to);
             co_return;
         }
-        auto const [write_error, written] = co_await asio::async_write(to, asio::buffer(bytes.data(), read), as_value);
-        if (write_error) {
+        if (co_await this->write(to, { bytes.data(), read }, is_answer)) {
             reset(from);
             co_return;
         }
     }
 }
 
+Task<error_code> FaultProxy::write(tcp::socket& socket, std::string_view bytes, bool is_answer)
+{
+    while (!bytes.empty()) {
+        auto const piece = bytes.substr(0, this->is_narrow(is_answer) ? narrow_piece_bytes : bytes.size());
+        if (this->is_narrow(is_answer))
+            co_await this->wait_for_link(piece.size());
+        co_await this->wait_while_held(is_answer);
+        auto const [error, written] = co_await asio::async_write(socket, asio::buffer(piece), as_value);
+        if (error)
+            co_return error;
+        if (is_answer)
+            this->passed_answer_bytes += written;
+        bytes.remove_prefix(written);
+    }
+    co_return error_code {};
+}
+
+Task<void> FaultProxy::wait_for_link(std::size_t bytes)
+{
+    auto const now = Core::monotonic_now();
+    auto const seconds = static_cast<double>(bytes) / static_cast<double>(this->rate.load());
+    this->link_free_at = std::max(this->link_free_at, now) + Core::from_seconds(seconds);
+    co_await sleep_for(this->link_free_at - now);
+}
+
+Task<void> FaultProxy::wait_while_held(bool is_answer)
+{
+    while (this->holds(is_answer))
+        co_await sleep_for(look_again);
+}
+
 bool FaultProxy::holds(bool is_answer) const
 {
     return this->fault == Fault::Silent || (this->fault == Fault::CutOneWay && is_answer);
--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -30,13 +30,14 @@
 {
     json settings = json::parse(R"({"zone":"hall-1","ip":"127.0.0.1",
       "listen":{"front":"127.0.0.1:0","ready":"127.0.0.1:0"},
-      "limits":{"memory_mb":110,"max_fds":4100,"link_mbps":1000.0},
+      "limits":{"memory_mb":110,"max_fds":4100},
       "bounds":{"grace_s":8,"revoke_strict":true,"retry_ratio":0.2,"retry_window_s":10,"retry_slack":100}})");
     settings["node_name"] = name;
     settings["provider"]["address"] = "127.0.0.1:" + std::to_string(store_port);
     settings["bounds"]["config_apply_ms"] = bounds.apply_milliseconds;
     settings["bounds"]["drain_ms"] = bounds.drain_milliseconds;
     settings["bounds"]["revoke_ms"] = bounds.revoke_milliseconds;
+    settings["limits"]["link_mbps"] = bounds.link_megabits;
     if (bounds.has_peers)
         settings["port_range"] = { 0, 0 };
     return settings;
@@ -77,7 +78,7 @@
     this->box_ports[name] = ports;
 }
 
-void PlatformCluster::configure(int version, std::vector<std::string> const& keys, int more_routes)
+void PlatformCluster::configure(int version, std::vector<std::string> const& keys, int further_routes)
 {
     json account;
     account["name"] = "account";
@@ -86,8 +87,8 @@
     configuration["version"] = version;
     configuration["routes"] = { route("/stream/", "streaming", "model", 1), route("/repeat/", "idempotent", "desk", 2),
         route("/once/", "non_idempotent", "desk", 1) };
-    for (int number = 0; number < more_routes; ++number)
-        configuration["routes"].push_back(route("/more-" + std::to_string(number) + "/", "non_idempotent", "desk", 1));
+    for (int number = 0; number < further_routes; ++number)
+        configuration["routes"].push_back(route("/more-" + std::to_string(number) + "/", "idempotent", "desk", 2));
     json service;
     service["name"] = "desk";
     configuration["services"] = { service };
@@ -145,6 +146,24 @@
     return this->cluster.get(this->cluster.port(name), path);
 }
 
+double PlatformCluster::metric(std::string const& box, std::string const& begin) const
+{
+    auto const text = this->metrics(box);
+    double sum = 0;
+    for (auto position = text.find("\n" + begin); position != std::string::npos;
+         position = text.find("\n" + begin, position + 1)) {
+        auto const line_end = text.find('\n', position + 1);
+        auto const line = text.substr(position + 1, line_end - position - 1);
+        sum += std::stod(line.substr(line.rfind(' ') + 1));
+    }
+    return sum;
+}
+
+int PlatformCluster::version_in_force(std::string const& box) const
+{
+    return static_cast<int>(this->metric(box, "cleatbeam_configuration_version "));
+}
+
 std::string PlatformCluster::metrics(std::string const& box) const
 {
     return this->cluster.get(this->box_ports.at(box)[2], "/metrics");
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -14,6 +14,8 @@
     bool has_peers { false };
     /// Where the box finds the store, if not at the store's own port: a proxy before it.
     int store_port { 0 };
+    /// The box's link as its settings file tells it, in Mbit/s. Narrows nothing by itself.
+    int link_megabits { 1000 };
 };
 
 /// Real boxes (`cleatbeam route`) before stand-ins of the users' store and servers, for one test.
@@ -25,8 +27,8 @@
     void start_server(std::string const& name, std::string const& service, std::vector<std::string> const& flags = {});
     void start_box(std::string const& name, BoxBounds const& bounds = {});
     /// Writes the operator's record: three routes (a stream, a call that may be repeated, one that may not) and one
-    /// account that holds the keys. `more_routes` others are as good as the first of them: /more-0/ and so on.
-    void configure(int version, std::vector<std::string> const& keys, int more_routes = 0);
+    /// account that holds the keys. Further routes, some 170 bytes each, make it as large as a test wants it.
+    void configure(int version, std::vector<std::string> const& keys, int further_routes = 0);
     /// Waits until the box takes clients.
     void wait_ready(std::string const& box) const;
     void set_store_mode(std::string const& mode) const;
@@ -42,6 +44,11 @@
     [[nodiscard]] Process& process(std::string const& name) { return this->cluster.process(name); }
     [[nodiscard]] std::string get(std::string const& name, std::string const& path) const;
     [[nodiscard]] std::string metrics(std::string const& box) const;
+    /// Sum of a metric's samples whose line begins so; 0 if there is none.
+    [[nodiscard]] double metric(std::string const& box, std::string const& begin) const;
+    /// Version of the configuration in force; 0 if there is none.
+    [[nodiscard]] int version_in_force(std::string const& box) const;
+    [[nodiscard]] std::string log_of(std::string const& name) const { return this->cluster.log_of(name); }
 
 private:
     Cluster cluster;
--- a/Tests/Integration/TestRelay.cpp
+++ b/Tests/Integration/TestRelay.cpp
@@ -9,23 +9,9 @@
 
 constexpr std::array boxes { "b1", "b2", "b3", "b4", "b5" };
 
-/// Sum of a metric's samples whose line begins so; 0 if there is none.
-double metric(PlatformCluster const& site, std::string const& box, std::string const& begin)
-{
-    auto const text = site.metrics(box);
-    double sum = 0;
-    for (auto position = text.find("\n" + begin); position != std::string::npos;
-         position = text.find("\n" + begin, position + 1)) {
-        auto const line_end = text.find('\n', position + 1);
-        auto const line = text.substr(position + 1, line_end - position - 1);
-        sum += std::stod(line.substr(line.rfind(' ') + 1));
-    }
-    return sum;
-}
-
 double relayed_answers(PlatformCluster const& site, std::string const& box)
 {
-    return metric(site, box, "cleatbeam_relay_questions_total{outcome=\"answered\"}");
+    return site.metric(box, "cleatbeam_relay_questions_total{outcome=\"answered\"}");
 }
 
 /// Five boxes of one failure domain that can reach each other, with wide bounds: none runs out while a test is slow.
@@ -74,11 +60,11 @@
 {
     Site site;
     auto const box = Site::others(site.relay()).front();
-    auto const calls = metric(site, box, "cleatbeam_store_calls_total");
+    auto const calls = site.metric(box, "cleatbeam_store_calls_total");
     auto const answers = relayed_answers(site, box);
     constexpr double some = 4;
     wait_until("the relay has answered some more", [&] { return relayed_answers(site, box) >= answers + some; });
-    CHECK(metric(site, box, "cleatbeam_store_calls_total") < calls + some);
+    CHECK(site.metric(box, "cleatbeam_store_calls_total") < calls + some);
 
     site.configure(2, { "key" });
     for (auto const* name : boxes) {
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -1,7 +1,7 @@
 #include <TestMain.h>
 
 #include "Clients.h"
-#include "FaultProxy.h"
+#include <Harness/FaultProxy.h>
 #include <Harness/PlatformCluster.h>
 #include <cstdlib>
 #include <pcg_random.hpp>
@@ -12,6 +12,8 @@
 namespace {
 
 using namespace Soak;
+using Harness::Fault;
+using Harness::FaultProxy;
 using Harness::wait_until;
 
 constexpr std::array box_names { "b1", "b2", "b3", "b4", "b5" };
