standin: Bound what a read of the store gives, and page the newest records

Cause: the stand-in gave everything that a topic holds in one answer; the users' store gives 1 MB, or what max_kb says, and pages of 500 items. Several large records one after another would have made an answer that no real store makes. Conclusion: a record larger than the bound still comes, alone.

--- a/Programs/standin/Store.cpp
+++ b/Programs/standin/Store.cpp
@@ -47,6 +47,12 @@
     return text;
 }
 
+/// What an answer holds at most, as the users' pages tell it: kilobytes of a read that names no other size, and items
+/// and bytes of a page of newest records.
+constexpr std::size_t default_read_kilobytes = 1024;
+constexpr std::size_t most_newest_items = 500;
+constexpr std::size_t most_newest_bytes = 1024 * 1024;
+
 class Store {
 public:
     Task<bool> handle(std::shared_ptr<Session> session, Request request)
@@ -103,24 +109,39 @@
             co_return co_await session.answer(410, gone);
         }
         auto body = big_endian(topic.end(), 8) + big_endian(topic.first, 8);
-        for (auto index = from - topic.first; index < topic.records.size(); ++index)
-            body += topic.records[index].raw;
+        auto const named = std::stoull("0" + query_value(target, "max_kb"));
+        auto const most_bytes = 1024 * (named > 0 ? named : default_read_kilobytes);
+        // NOTE: A record that is larger than that comes alone.
+        for (auto index = from - topic.first; index < topic.records.size(); ++index) {
+            auto const& raw = topic.records[index].raw;
+            if (index > from - topic.first && body.size() + raw.size() > most_bytes)
+                break;
+            body += raw;
+        }
         co_return co_await session.answer(200, body);
     }
 
     Task<bool> newest(Session& session, std::string const& target)
     {
         auto& topic = this->topics[query_value(target, "topic")];
-        std::map<std::string, std::pair<std::string, std::uint64_t>> newest = this->kept[query_value(target, "topic")];
+        auto const& newest = this->kept[query_value(target, "topic")];
+        auto const after = query_value(target, "after_rev");
         auto items = json::array();
-        for (auto const& [key, kept] : newest) {
+        std::size_t bytes = 0;
+        auto position = after.empty() ? newest.begin() : newest.upper_bound(after);
+        for (; position != newest.end() && items.size() < most_newest_items; ++position) {
+            auto const& [key, kept] = *position;
+            if (!items.empty() && bytes + kept.first.size() > most_newest_bytes)
+                break;
+            bytes += kept.first.size();
             json item;
             item["tls_key"] = key;
             item["value"] = base64(kept.first);
             item["offset"] = kept.second;
             items.push_back(std::move(item));
         }
-        auto const body = fmt::format(R"({{"items":{},"truncated":false,"end":{}}})", items.dump(), topic.end());
+        auto const body = fmt::format(
+            R"({{"items":{},"truncated":{},"end":{}}})", items.dump(), position != newest.end(), topic.end());
         co_return co_await session.answer(200, body);
     }
 
