Tests: Show what boxes behind narrow links do with a large configuration

Cause: a read of the store had 0.5 s (with a wait at the store 1.7 s) for its whole answer and began again at the first byte. Ruled out by these tests: the store's rate and the box's processor, since one box alone shows it. Figures, record of 700 routes (118,678 bytes) at 80 KB a second. Conclusion: keeps the bound by progress and its two ends, the long answer and the silent one.

--- /dev/null
+++ b/Tests/Integration/TestLargeConfiguration.cpp
@@ -0,0 +1,177 @@
+#include <TestMain.h>
+
+#include <Harness/FaultProxy.h>
+#include <Harness/PlatformCluster.h>
+
+/// What users saw: after each large configuration, boxes with narrow links went on serving routes and keys that it had
+/// dropped, then refused everybody; boxes with wide links had it at once.
+///
+/// Order of events: the operator's record grew to half a megabyte and was acknowledged; narrow boxes lost the
+/// operator's topic though bytes came all the time and the store failed nothing; their lease aged and ran out; seconds
+/// later one read happened to come whole.
+///
+/// Cause: a read had 0.5 s for its whole answer, and one that was cut off began again at the first byte. What takes the
+/// link longer than that never comes whole, and a box that starts never becomes ready.
+///
+/// Evidence: docs/incidents/2026-12-02-large-configuration.md.
+namespace {
+
+using Harness::BoxBounds;
+using Harness::Fault;
+using Harness::FaultProxy;
+using Harness::PlatformCluster;
+using Harness::wait_until;
+
+/// Some 120 KB of record.
+constexpr int many_routes = 700;
+/// The record takes this link 1.5 s, and 2 s as base64.
+constexpr std::uint64_t narrow_rate = 80'000;
+/// Wide enough that no lease runs out while two such records pass one after the other.
+constexpr BoxBounds wide_bounds { 3000, 3000, 8000 };
+/// More than three boxes of a failure domain: one of them reads the store for the others.
+constexpr std::array box_names { "b1", "b2", "b3", "b4", "b5" };
+
+/// Boxes that each reach the store over a link of their own, which is as wide as loopback at first.
+struct Site : PlatformCluster {
+    Site() { this->start_server("d1", "desk"); }
+
+    void start_behind_link(std::string const& name, BoxBounds bounds = wide_bounds)
+    {
+        auto& link = this->links[name];
+        link.set_rate(narrow_rate);
+        link.set_target(this->store_port());
+        bounds.store_port = link.port();
+        this->start_box(name, bounds);
+    }
+
+    void narrow(std::string const& name) { this->links.at(name).set_fault(Fault::Narrow); }
+
+    void wait_in_force(std::string const& name, int version) const
+    {
+        wait_until(name + " has version " + std::to_string(version) + " in force",
+            [&] { return this->version_in_force(name) == version; });
+    }
+
+    [[nodiscard]] bool was_always_ready(std::string const& name) const
+    {
+        return this->log_of(name).find("event=not_ready") == std::string::npos;
+    }
+
+    /// Whether the box has lost the operator's topic; reads of the other topic may fail sooner.
+    [[nodiscard]] bool has_lost_store(std::string const& name) const
+    {
+        return this->log_of(name).find("event=store_lost topic=operator") != std::string::npos;
+    }
+
+    [[nodiscard]] int status_with_key(std::string const& name, std::string const& key) const
+    {
+        return this->send(name, "/once/x", key + "-at-" + name, { { "X-Key", key } }).status;
+    }
+
+    std::map<std::string, FaultProxy> links;
+};
+
+/// A site with one box, and with five that ask one of them; configured small, ready, then behind narrow links.
+struct NarrowSite : Site {
+    NarrowSite()
+    {
+        this->configure(1, { "key", "other" });
+        auto bounds = wide_bounds;
+        SUBCASE("a box that reads the store itself")
+        {
+            this->names = { box_names[0] };
+        }
+        SUBCASE("boxes that ask a relay")
+        {
+            this->names = { box_names.begin(), box_names.end() };
+            bounds.has_peers = true;
+            // NOTE: So no box passes a large configuration on, and each has to read it from the store.
+            bounds.link_megabits = 10;
+        }
+        for (auto const& name : this->names)
+            this->start_behind_link(name, bounds);
+        for (auto const& name : this->names)
+            this->wait_ready(name);
+        if (this->names.size() > 1)
+            wait_until(
+                "one box reads the store for all", [&] { return this->boxes_with_relay() + 1 == box_names.size(); });
+        for (auto const& name : this->names)
+            this->narrow(name);
+    }
+
+    [[nodiscard]] std::size_t boxes_with_relay() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(this->names, [&](auto const& name) {
+            return this->metric(name, "cleatbeam_relay_questions_total{outcome=\"answered\"}") > 0;
+        }));
+    }
+
+    std::vector<std::string> names;
+};
+
+}
+
+TEST_CASE("a configuration that takes a narrow link 1.5 s comes into force, and boxes stay ready")
+{
+    NarrowSite site;
+    site.configure(2, { "key" }, many_routes);
+    for (auto const& name : site.names) {
+        CAPTURE(name);
+        site.wait_in_force(name, 2);
+        CHECK(site.status_with_key(name, "key") == 200);
+        CHECK(site.status_with_key(name, "other") == 401);
+        CHECK(site.was_always_ready(name));
+    }
+}
+
+TEST_CASE("of two large configurations in quick succession the last one comes into force, and boxes stay ready")
+{
+    NarrowSite site;
+    site.configure(2, { "key", "other" }, many_routes);
+    site.configure(3, { "key" }, many_routes);
+    for (auto const& name : site.names) {
+        CAPTURE(name);
+        site.wait_in_force(name, 3);
+        CHECK(site.status_with_key(name, "key") == 200);
+        CHECK(site.status_with_key(name, "other") == 401);
+        CHECK(site.was_always_ready(name));
+    }
+}
+
+TEST_CASE("a box that starts behind a narrow link reads a large configuration whole and becomes ready")
+{
+    Site site;
+    site.configure(1, { "key" }, many_routes);
+    site.links["b1"].set_fault(Fault::Narrow);
+    site.start_behind_link("b1");
+    site.wait_ready("b1");
+    CHECK(site.version_in_force("b1") == 1);
+    CHECK(site.status_with_key("b1", "key") == 200);
+}
+
+TEST_CASE("a box notices a store that goes silent within an answer while its lease holds, and reads again after that")
+{
+    Site site;
+    site.configure(1, { "key", "other" });
+    // A lease of 4.5 s, of which the wait at the store and the part that arrives use 2.
+    site.start_behind_link("b1", { 3000, 3000, 5000 });
+    site.wait_ready("b1");
+    site.narrow("b1");
+    site.configure(2, { "key" }, many_routes);
+    auto& link = site.links.at("b1");
+    auto const passed = link.answer_bytes();
+    constexpr std::uint64_t some_of_the_record = 30'000;
+    wait_until("a part of the record has arrived", [&] { return link.answer_bytes() > passed + some_of_the_record; });
+    REQUIRE(site.version_in_force("b1") == 1);
+    REQUIRE(!site.has_lost_store("b1"));
+    link.set_fault(Fault::Silent);
+    auto const silent_since = std::chrono::steady_clock::now();
+    wait_until("the box has noticed", [&] { return site.has_lost_store("b1"); });
+    auto const noticed_after = std::chrono::steady_clock::now() - silent_since;
+    MESSAGE("noticed after " << std::chrono::duration_cast<std::chrono::milliseconds>(noticed_after).count() << " ms");
+    CHECK(site.was_always_ready("b1"));
+    CHECK(site.status_with_key("b1", "key") == 200);
+    link.set_fault(Fault::Narrow);
+    site.wait_in_force("b1", 2);
+    CHECK(site.status_with_key("b1", "other") == 401);
+}
