Tests: Draw narrow links and large configurations in the soak

Cause: the soak had one small record and one change of it, and no link that was slow for long answers, so no seed could show a box that never reads a large configuration whole. What it does: narrow links and series of up to three versions, some of 60 to 120 KB, are among the faults; the last version has to come into force when all is healed, and so has one of 240 KB while all links to the store are narrow (2.4 s). Conclusion: as strict as before and wider; the seeds draw other faults than they did.

--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -8,7 +8,8 @@
 
 /// Real boxes before stand-ins of the users' store and servers, under faults drawn from a seed: boxes are killed,
 /// paused and stopped, the store fails in its ways, and the ways from clients to boxes and from boxes to the store are
-/// delayed, cut and reset. What clients were told is compared with what servers ran.
+/// delayed, cut, narrowed and reset; the operator writes large configurations one after another. What clients were told
+/// is compared with what servers ran, and the last configuration has to come into force everywhere.
 namespace {
 
 using namespace Soak;
@@ -20,7 +21,12 @@
 constexpr std::array server_names { "m1", "m2", "d1", "d2" };
 /// A key must not be served this long after it was taken away.
 constexpr auto revoke_within = std::chrono::milliseconds(3000);
-constexpr Harness::BoxBounds bounds { 1000, 1000, 3000, true };
+/// Boxes tell one another of narrow links, so that none passes a large configuration on and each reads it itself.
+constexpr Harness::BoxBounds bounds { 1000, 1000, 3000, true, 0, 10 };
+/// A record of some 120 KB, which takes a narrow link 1.2 s.
+constexpr int many_routes = 700;
+/// A record that takes a narrow link 2.4 s: longer than any read waits at the store.
+constexpr int most_routes = 2 * many_routes;
 
 std::uint64_t from_environment(char const* name, std::uint64_t otherwise)
 {
@@ -35,7 +41,7 @@
     {
         for (auto const* name : server_names)
             this->cluster.start_server(name, name[0] == 'm' ? "model" : "desk");
-        this->cluster.configure(1, { "key", "other" });
+        this->write_configuration(0);
         for (std::size_t index = 0; index < box_names.size(); ++index) {
             this->to_store[index].set_target(this->cluster.store_port());
             this->start_box(index);
@@ -57,7 +63,7 @@
     {
         auto const index = this->random(static_cast<std::uint32_t>(box_names.size()));
         auto const* const name = box_names[index];
-        switch (this->random(8)) {
+        switch (this->random(10)) {
         case 0:
             this->thaw(index);
             this->cluster.process(name).kill();
@@ -79,7 +85,13 @@
             this->cluster.set_store_mode(std::array { "", "reset", "busy", "silent", "" }[this->random(5)]);
             break;
         case 5:
+            this->to_store[index].set_fault(Fault::Narrow);
+            break;
         case 6:
+            this->write_series();
+            break;
+        case 7:
+        case 8:
             this->to_store[index].set_fault(this->draw_fault());
             break;
         default:
@@ -102,10 +114,30 @@
     Clock::time_point revoke()
     {
         this->cluster.set_store_mode("");
-        this->cluster.configure(2, { "key" });
+        this->keys = { "key" };
+        this->write_configuration(0);
         return Clock::now();
     }
 
+    /// With links to the store that are narrow and nothing else wrong, a large configuration comes into force.
+    void configure_over_narrow_links()
+    {
+        this->wait_in_force();
+        for (auto& proxy : this->to_store)
+            proxy.set_fault(Fault::Narrow);
+        this->keys.emplace_back("late");
+        this->write_configuration(most_routes);
+        this->wait_in_force();
+        for (auto const* name : box_names) {
+            wait_until(std::string(name) + " serves the new key", [&] {
+                return this->cluster.send(name, "/once/x", std::string("late-") + name, { { "X-Key", "late" } }).status
+                    == 200;
+            });
+        }
+    }
+
+    [[nodiscard]] int versions() const { return this->version; }
+
     Harness::PlatformCluster cluster;
 
 private:
@@ -117,6 +149,28 @@
         this->to_box[index].set_target(this->cluster.client_port(box_names[index]));
     }
 
+    /// Up to three versions in a row, some of them large. The operator writes them when the store takes them.
+    void write_series()
+    {
+        this->cluster.set_store_mode("");
+        constexpr std::uint32_t most_versions = 3;
+        auto const count = 1 + this->random(most_versions);
+        for (std::uint32_t number = 0; number < count; ++number)
+            this->write_configuration(std::array { 0, many_routes / 2, many_routes, many_routes }[this->random(4)]);
+    }
+
+    void write_configuration(int further_routes)
+    {
+        this->cluster.configure(++this->version, this->keys, further_routes);
+    }
+
+    void wait_in_force() const
+    {
+        for (auto const* name : box_names)
+            wait_until(std::string(name) + " has the last version in force",
+                [&] { return this->cluster.version_in_force(name) == this->version; });
+    }
+
     void thaw(std::size_t index)
     {
         if (std::exchange(this->is_frozen[index], false))
@@ -125,11 +179,13 @@
 
     Fault draw_fault()
     {
-        return std::array { Fault::None, Fault::Delayed, Fault::CutOneWay, Fault::Silent,
-            Fault::Reset }[this->random(5)];
+        return std::array { Fault::None, Fault::Delayed, Fault::CutOneWay, Fault::Silent, Fault::Reset,
+            Fault::Narrow }[this->random(6)];
     }
 
     pcg32 random;
+    int version { 0 };
+    std::vector<std::string> keys { "key", "other" };
     std::array<FaultProxy, box_names.size()> to_store;
     std::array<FaultProxy, box_names.size()> to_box;
     std::array<bool, box_names.size()> is_frozen {};
@@ -212,6 +268,8 @@
         check(exchange, found == runs.end() ? 0 : found->second, revoked_at);
         served += exchange.status == 200 ? 1 : 0;
     }
-    MESSAGE("seed " << seed << ": " << exchanges.size() << " requests, " << served << " served");
+    MESSAGE("seed " << seed << ": " << exchanges.size() << " requests, " << served << " served, " << site.versions()
+                    << " versions");
     CHECK(served > 0);
+    site.configure_over_narrow_links();
 }
