--- a/Tests/PlatformAdapter/TestConfigurationRecord.cpp
+++ b/Tests/PlatformAdapter/TestConfigurationRecord.cpp
@@ -343,6 +343,19 @@
     CHECK(broken > rounds / 2);
 }
 
+TEST_CASE("nothing but spaces may stand behind a document")
+{
+    std::string const text = R"({"version":1,"routes":[],"services":[]})";
+    Core::LastReason reason;
+    CHECK(decode_configuration(text + " \n\t", reason));
+    for (auto const* behind : { "x", "}", " {}", "\n,", "1", "\"" }) {
+        CAPTURE(behind);
+        reason.text.clear();
+        CHECK_FALSE(decode_configuration(text + behind, reason));
+        CHECK(reason.text == "not valid JSON");
+    }
+}
+
 TEST_CASE("a number that no double holds makes a text invalid")
 {
     Core::LastReason reason;
