--- a/Tests/Integration/TestRelay.cpp
+++ b/Tests/Integration/TestRelay.cpp
@@ -85,7 +85,7 @@
         wait_until(name + " reads the store no more", [&] { return relayed_answers(site, name) >= some; });
     std::map<std::string, double> before;
     for (auto const* name : boxes)
-        before[name] = metric(site, name, "cleatbeam_store_bytes_total");
+        before[name] = site.metric(name, "cleatbeam_store_bytes_total");
     // Uncompressed, the link of a box carries the record in more time than a relay may take for all of an answer.
     constexpr int routes = 5000;
     constexpr double record_bytes = 800'000;
@@ -94,9 +94,9 @@
         wait_until(std::string(name) + " serves the last route",
             [&] { return site.send(name, "/more-4999/x", std::string("late-") + name).status == 200; });
     }
-    CHECK(metric(site, first, "cleatbeam_store_bytes_total") - before[first] > record_bytes);
+    CHECK(site.metric(first, "cleatbeam_store_bytes_total") - before[first] > record_bytes);
     for (auto const& name : Site::others(first))
-        CHECK(metric(site, name, "cleatbeam_store_bytes_total") - before[name] < record_bytes / 2);
+        CHECK(site.metric(name, "cleatbeam_store_bytes_total") - before[name] < record_bytes / 2);
 }
 
 TEST_CASE("a relay that is killed, or hangs, keeps no news from the others")
