LibGateway: Leave a store whose address has changed with the next call

Cause: a changed address was looked at when a connection was made, and a connection to the old one was kept as long as it answered. Figures: no call to the new address in 2 s before, the next call now (test). Conclusion: a call on a connection to another address than the one set makes a new one.

--- a/Libraries/LibGateway/StoreConnection.cpp
+++ b/Libraries/LibGateway/StoreConnection.cpp
@@ -64,6 +64,7 @@
     if (!place)
         co_return asio::error::invalid_argument;
     auto const kept = this->socket;
+    this->connected_to = this->address;
     auto const [error] = co_await kept->async_connect(*place, as_value);
     if (error)
         co_return error;
@@ -75,6 +76,8 @@
 Task<error_code> StoreConnection::call(std::string const& request, CallWatch& watch, StoreAnswer& answer)
 {
     this->progress = {};
+    if (this->connected_to != this->address)
+        this->abort();
     if (!this->socket || !this->socket->is_open()) {
         if (auto const error = co_await this->connect())
             co_return error;
--- a/Libraries/LibGateway/StoreConnection.h
+++ b/Libraries/LibGateway/StoreConnection.h
@@ -54,6 +54,8 @@
 
     asio::io_context& context;
     Routing::SocketAddress address;
+    /// Another address than this one is connected to with the next call.
+    Routing::SocketAddress connected_to;
     std::shared_ptr<tcp::socket> socket;
     flat_buffer buffer;
     AnswerProgress progress;
--- a/Tests/LibGateway/TestStoreFollower.cpp
+++ b/Tests/LibGateway/TestStoreFollower.cpp
@@ -158,6 +158,24 @@
     CHECK(box.version() > 35);
 }
 
+TEST_CASE("a store whose address has changed is asked at the new one although the old one still answers")
+{
+    Follower box(Adapter::Topic::Operator, [&](std::string const& target) -> std::optional<Answer> {
+        if (begins_with(target, "/log-newest"))
+            return Answer { 200, version_2 };
+        return Answer { 200, bytes_of(7, 8) + bytes_of(0, 8) };
+    });
+    FakeStore moved(box.context, [&](std::string const&) -> std::optional<Answer> {
+        return Answer { 200, page(8, 3) };
+    });
+    REQUIRE(run_until(box.context, [&] { return box.version() == 2 && box.store.targets.size() > 3; }));
+    box.follower.set_address(moved.address());
+    auto const told = Core::monotonic_now();
+    REQUIRE(run_until(
+        box.context, [&] { return !moved.targets.empty() || Core::monotonic_now() - told > std::chrono::seconds(2); }));
+    CHECK_FALSE(moved.targets.empty());
+}
+
 TEST_CASE("a follower that is stopped while an answer comes asks for nothing more")
 {
     Follower box(Adapter::Topic::Operator, [&](std::string const& target) -> std::optional<Answer> {
