LibGateway: Take a newer configuration from a relay however late it comes, count all bytes of the store

Cause: an answer that was too old to renew anything was thrown away whole, a newer version with it; the list of boxes was left out of the count of bytes. Ruled out: that an old answer takes anything back: versions only rise, endpoints go by the later moment (tests as before). Conclusion: age decides what is renewed, not what is taken.

--- a/Libraries/LibGateway/BoxRegistry.cpp
+++ b/Libraries/LibGateway/BoxRegistry.cpp
@@ -90,6 +90,7 @@
 
 std::optional<StoreAnswer> BoxRegistry::accepted(std::optional<StoreAnswer> answer, std::string const& reason)
 {
+    this->state.metrics.count_store_bytes(this->connection.last_progress().received_bytes);
     this->state.metrics.count_store_call(answer ? std::to_string(answer->status) : "no-answer");
     if (answer && answer->status == status_ok)
         return answer;
--- a/Libraries/LibGateway/RelayFollower.cpp
+++ b/Libraries/LibGateway/RelayFollower.cpp
@@ -56,14 +56,13 @@
     bool const is_recent = this->source.is_recent(vouched_at, monotonic_now());
     this->source.relay_answered(relay.name, vouched_at, monotonic_now());
     this->state.metrics.count_relay_question(is_recent ? "answered" : "old");
-    if (!is_recent)
-        co_return;
-    if (!this->is_answering)
+    // NOTE: A version that is newer than this box's own is of use however late it comes; its age renews no lease.
+    if (is_recent && !this->is_answering)
         Log::EventLine("relay_in_use")
             .with("relay", relay.name)
             .with("age_ms", Core::to_milliseconds(monotonic_now() - vouched_at))
             .info();
-    this->is_answering = true;
+    this->is_answering = is_recent;
     if (!this->records.take_relayed(*answer, asked_at))
         this->on_missing_configuration();
 }
