LibGateway: Let a connect's own result say whether it succeeded

Cause: a handler of a timer that is queued when the connect completes can't be cancelled, and cancel() tells 0 for it. That was taken for a connect that took too long, though the endpoint had answered long before: the event loop had stood still past the limit of 250 ms. It counted as a refused connection, and three in a row take an endpoint out of use. The handler now looks whether the connect is over, and only a connect that failed, or whose socket the handler closed, is an error. Ruled out: an endpoint that was slow. In the test the listener's kernel answers at once. Conclusion: time that the loop lost is not charged to endpoints.

--- a/Libraries/LibGateway/EndpointConnections.cpp
+++ b/Libraries/LibGateway/EndpointConnections.cpp
@@ -46,13 +46,16 @@
         co_return nullptr;
     }
     asio::steady_timer timer(this->context, connect_timeout);
-    timer.async_wait([connection](error_code cancelled) {
-        if (!cancelled)
+    // NOTE: A handler that is queued when the connect is over can't be cancelled any more.
+    auto const is_over = std::make_shared<bool>(false);
+    timer.async_wait([connection, is_over](error_code cancelled) {
+        if (!cancelled && !*is_over)
             connection->abort();
     });
     auto const [failure] = co_await connection->socket.async_connect(*place, as_value);
-    bool const has_timed_out = timer.cancel() == 0;
-    error = has_timed_out && !failure ? error_code(asio::error::timed_out) : failure;
+    *is_over = true;
+    bool const was_closed = !connection->socket.is_open();
+    error = was_closed && !failure ? error_code(asio::error::timed_out) : failure;
     if (error)
         co_return nullptr;
     this->set_options(connection->socket);
