LibGateway: Close an answer to a box only when its peer takes nothing

Cause: two faults of one limit. A handler that is queued when its timer is set anew can't be cancelled, and closed the connection in the midst of the answer that followed. And the limit counted from the answer's start, so a peer that read steadily but for longer was cut off. The handler now looks whether the limit was set anew, and answers are sent in pieces that each set it anew. Ruled out: that the peer had gone; in both tests it reads until the connection ends. A peer that doesn't read still loses the connection, by the test that was there. Conclusion: the limit bounds silence, not length. The question is still read within one limit as a whole.

--- a/Libraries/LibGateway/ProbeListener.cpp
+++ b/Libraries/LibGateway/ProbeListener.cpp
@@ -38,13 +38,16 @@
     };
 };
 
-/// Closes the connection unless the timer is set anew or cancelled before.
-void close_after(asio::steady_timer& timer, Core::Duration duration, std::shared_ptr<tcp::socket> socket)
+/// Closes the connection unless the timer is set anew or cancelled before. The turn counts how often it was set, since
+/// a handler that is queued then can't be cancelled any more.
+void close_after(asio::steady_timer& timer, Core::Duration duration, std::shared_ptr<tcp::socket> socket,
+    std::shared_ptr<std::uint64_t> turn)
 {
+    auto const watched = ++*turn;
     timer.expires_after(duration);
-    timer.async_wait([socket = std::move(socket)](error_code cancelled) {
+    timer.async_wait([socket = std::move(socket), turn = std::move(turn), watched](error_code cancelled) {
         error_code ignored;
-        if (!cancelled)
+        if (!cancelled && *turn == watched)
             socket->close(ignored);
     });
 }
@@ -83,9 +86,10 @@
     socket->set_option(tcp::no_delay(true), ignored);
     flat_buffer buffer;
     asio::steady_timer timer(socket->get_executor());
+    auto const turn = std::make_shared<std::uint64_t>(0);
     bool is_open = true;
     while (is_open) {
-        close_after(timer, longest, socket);
+        close_after(timer, longest, socket, turn);
         http::request<http::string_body> request;
         auto const [read_error, read] = co_await http::async_read(*socket, buffer, request, as_value);
         if (read_error)
@@ -97,9 +101,14 @@
         response.keep_alive(request.keep_alive());
         response.body() = std::move(answer);
         response.prepare_payload();
-        close_after(timer, longest, socket);
-        auto const [write_error, written] = co_await http::async_write(*socket, response, as_value);
-        is_open = !write_error && request.keep_alive();
+        http::response_serializer<TwoPartBody> unsent(response);
+        bool is_read = true;
+        while (is_read && !unsent.is_done()) {
+            close_after(timer, longest, socket, turn);
+            auto const [write_error, written] = co_await http::async_write_some(*socket, unsent, as_value);
+            is_read = !write_error;
+        }
+        is_open = is_read && request.keep_alive();
     }
     timer.cancel();
     --*counted;
--- a/Libraries/LibGateway/ProbeListener.h
+++ b/Libraries/LibGateway/ProbeListener.h
@@ -20,7 +20,7 @@
     /// Gives the answer for a path and the body of the question.
     using Answerer = std::function<ProbeAnswer(std::string_view path, std::string const& body)>;
 
-    /// `patience` is how long a connection may be silent, and how long its peer may take to read an answer.
+    /// `patience` is how long a connection may be silent, and how long its peer may leave an answer unread.
     ProbeListener(tcp::acceptor acceptor, Answerer answerer, std::size_t most_connections = default_connections,
         Core::Duration patience = default_patience)
         : acceptor(std::move(acceptor))
--- a/Tests/LibGateway/TestProbeListener.cpp
+++ b/Tests/LibGateway/TestProbeListener.cpp
@@ -2,6 +2,7 @@
 
 #include "LoopbackPair.h"
 #include <LibGateway/ProbeListener.h>
+#include <thread>
 
 namespace {
 
@@ -79,3 +80,85 @@
     CHECK(run_until(listener.context, [&] { return listener.shared.use_count() == 2; }));
     CHECK(run_until(listener.context, [&] { return listener.shared.use_count() == 1; }));
 }
+
+// Users see a box fall behind: its question to another one is answered with a part of the answer. Order of events: the
+// question arrives while the asked box's event loop stands still past the limit on silent connections, so that the
+// question and the limit's handler are queued together; the answer starts, then the handler runs. Cause: a handler that
+// is queued can't be cancelled by setting its timer anew. Evidence: the connection closed in the midst of the answer.
+TEST_CASE("an answer to another box is whole though the event loop stood still past the limit on idle connections")
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    auto const place = acceptor.local_endpoint();
+    std::size_t const bytes = 16 * 1024 * 1024;
+    constexpr Core::Duration patience = std::chrono::milliseconds(600);
+    ProbeListener listener(
+        std::move(acceptor),
+        [&](std::string_view, std::string const&) {
+            ProbeAnswer answer;
+            answer.body = std::string(bytes, 'x');
+            return answer;
+        },
+        16, patience);
+    asio::co_spawn(
+        context, [&] { return listener.run(); }, asio::detached);
+    tcp::socket client(context);
+    client.connect(place);
+    auto const connected = std::chrono::steady_clock::now();
+    // A first question, so that the connection is served.
+    context.run_for(std::chrono::milliseconds(50));
+    while (std::chrono::steady_clock::now() < connected + std::chrono::milliseconds(500)) {
+        context.restart();
+        context.run_for(std::chrono::milliseconds(50));
+    }
+    asio::write(client, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    std::size_t received = 0;
+    bool has_ended = false;
+    asio::co_spawn(
+        context,
+        [&]() -> Task<void> {
+            std::array<char, 65536> piece {};
+            while (received < bytes) {
+                auto const [error, size] = co_await client.async_read_some(asio::buffer(piece), as_value);
+                received += size;
+                if (error)
+                    break;
+            }
+            has_ended = true;
+        },
+        asio::detached);
+    REQUIRE(run_until(context, [&] { return has_ended; }));
+    CHECK(received >= bytes);
+}
+
+// Users see a box behind a narrow link stay without a long answer. Order of events: the peer reads steadily, and takes
+// longer for the whole than it may be silent. Cause: the limit counted from the answer's start and not from the last
+// progress. Evidence: the connection closed in the midst of the answer.
+TEST_CASE("an answer that its peer keeps reading is whole though it takes longer than the peer may be silent")
+{
+    Listener listener(long_answer, short_patience);
+    auto socket = listener.asked();
+    socket.non_blocking(true);
+    std::string piece(1024UL * 1024, '-');
+    std::size_t received = 0;
+    std::size_t whole = 0;
+    bool has_ended = false;
+    auto const began = Core::monotonic_now();
+    auto next_read = began;
+    REQUIRE(run_until(listener.context, [&] {
+        if (Core::monotonic_now() < next_read)
+            return false;
+        next_read = Core::monotonic_now() + std::chrono::milliseconds(25);
+        error_code error;
+        auto const size = socket.read_some(asio::buffer(piece), error);
+        if (whole == 0 && size > 0)
+            whole = piece.find("\r\n\r\n") + 4 + std::string_view("/control hi ").size() + long_answer;
+        received += size;
+        has_ended = error && error != asio::error::would_block;
+        return has_ended || (whole != 0 && received >= whole);
+    }));
+    CHECK(whole > long_answer);
+    CHECK(received == whole);
+    CHECK(Core::monotonic_now() - began > 2 * short_patience);
+}
