LibGateway: Let a limit on reading end nothing once the request is read

Cause: a handler of the guard that is queued when the body's last piece is read can't be cancelled, and cancel() leaves the timer's expiry as it was, by which the handler judged. It then ended every wait on the socket, among them the watch for the client's end, so a client that left during the call was never noticed and the endpoint worked on. The guard now has a turn that changes when it is set or lifted, and a handler of an earlier turn does nothing. Ruled out: the watch itself. Without the stall the same client's end cancels the call. Figures: loop standing still past the limit while the last piece arrived: not cancelled within 2 s before, cancelled now. Conclusion: a guard ends only what it was set for.

--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -66,7 +66,7 @@
         if (this->state.is_stopping)
             this->close_if_idle();
     }
-    this->guard.cancel();
+    this->disarm_guard();
     error_code ignored;
     this->socket.close(ignored);
 }
@@ -85,7 +85,7 @@
 Task<bool> CallerConnection::read_request(Parser& parser)
 {
     auto const error = co_await this->read_head_and_body(parser);
-    this->guard.cancel();
+    this->disarm_guard();
     if (!error)
         co_return true;
     if (this->guard_fired) {
@@ -176,10 +176,9 @@
 {
     this->guard_fired = false;
     this->guard.expires_after(timeout);
-    this->guard.async_wait([weak = this->weak_from_this()](error_code cancelled) {
+    this->guard.async_wait([weak = this->weak_from_this(), watched = ++this->guard_turn](error_code cancelled) {
         auto const self = weak.lock();
-        // NOTE: The timer may have been set anew after this handler was queued.
-        if (cancelled || !self || self->guard.expiry() > asio::steady_timer::clock_type::now())
+        if (cancelled || !self || self->guard_turn != watched)
             return;
         self->guard_fired = true;
         error_code ignored;
@@ -187,6 +186,12 @@
     });
 }
 
+void CallerConnection::disarm_guard()
+{
+    ++this->guard_turn;
+    this->guard.cancel();
+}
+
 void CallerConnection::close_if_idle()
 {
     if (this->is_busy || this->buffer.size() > 0)
--- a/Libraries/LibGateway/CallerConnection.h
+++ b/Libraries/LibGateway/CallerConnection.h
@@ -28,6 +28,7 @@
     [[nodiscard]] Task<void> answer_bad_request(unsigned status, Core::Reason reason, std::string_view detail);
     void watch_for_close();
     void arm_guard(Core::Duration timeout);
+    void disarm_guard();
     [[nodiscard]] std::shared_ptr<tcp::socket> shared_socket();
     [[nodiscard]] Routing::ClientLimits limits() const;
 
@@ -35,6 +36,8 @@
     tcp::socket socket;
     flat_buffer buffer;
     asio::steady_timer guard;
+    /// Changes when the guard is set anew or is over, since a handler that is queued then can't be cancelled.
+    std::uint64_t guard_turn { 0 };
     bool guard_fired { false };
     /// From the first byte of a request until its answer is sent.
     bool is_busy { false };
--- a/Tests/LibGateway/TestCallerConnection.cpp
+++ b/Tests/LibGateway/TestCallerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "LoopbackPair.h"
 #include <LibGateway/CallerConnection.h>
+#include <thread>
 
 namespace {
 
@@ -42,6 +43,71 @@
     std::string received;
 };
 
+constexpr auto idle = std::chrono::milliseconds(400);
+
+/// A client's connection of a box with one route to one endpoint, which the test accepts by hand.
+struct ServedConnection {
+    ServedConnection()
+        : state(this->context, Routing::RouterSettings {}, 1)
+        , endpoint(this->context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , at_endpoint(this->context)
+        , sockets(this->context)
+    {
+        this->state.most_body_bytes = 1024 * 1024;
+        Routing::Configuration configuration;
+        configuration.version = 1;
+        configuration.limits.header_timeout = idle;
+        configuration.limits.idle_timeout = idle;
+        Routing::Route route;
+        route.name = "r";
+        route.host = "h";
+        route.path_prefix = "/";
+        route.kind = Routing::RouteKind::Idempotent;
+        route.timeout = std::chrono::seconds(60);
+        route.services = { { "desk", 1 } };
+        route.max_attempts = 1;
+        configuration.routes = { route };
+        this->state.router.offer_configuration(
+            std::make_shared<Routing::ConfigurationSnapshot const>(std::move(configuration)), Core::monotonic_now());
+        this->state.router.put_endpoint(
+            { "i", "desk", { "127.0.0.1", this->endpoint.local_endpoint().port() }, "hall", 6, false });
+        this->endpoint.non_blocking(true);
+        this->caller = std::make_shared<CallerConnection>(this->state, std::move(this->sockets.near));
+        asio::co_spawn(
+            this->context, [caller = this->caller] { return caller->run(); }, asio::detached);
+    }
+
+    void send(std::string_view text) { asio::write(this->sockets.far, asio::buffer(text)); }
+    void run(Core::Duration duration)
+    {
+        auto const until = Core::monotonic_now() + duration;
+        while (Core::monotonic_now() < until) {
+            this->context.restart();
+            this->context.run_for(std::chrono::milliseconds(2));
+        }
+    }
+
+    /// Whether the request has reached the endpoint.
+    bool arrives()
+    {
+        return run_until(this->context, [this] {
+            error_code error;
+            if (!this->at_endpoint.is_open())
+                this->endpoint.accept(this->at_endpoint, error);
+            return this->at_endpoint.is_open() && this->at_endpoint.available(error) > 0;
+        });
+    }
+
+    asio::io_context context;
+    GatewayState state;
+    tcp::acceptor endpoint;
+    tcp::socket at_endpoint;
+    LoopbackPair sockets;
+    std::shared_ptr<CallerConnection> caller;
+};
+
+constexpr std::string_view head = "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 7\r\nContent-Length: 10\r\n\r\n";
+
 }
 
 TEST_CASE("a connection that has read a part of a request is not idle")
@@ -106,3 +172,38 @@
         CHECK(connection.receives("HTTP/1.1 400 "));
     }
 }
+
+// Users see an endpoint go on with calls of clients that left. Order of events: the loop stands still past the limit on
+// the body, so that the last piece and the limit's handler are queued together; the piece is read, the request is sent
+// on and the client's end is watched; then the handler runs. Cause: a handler that is queued can't be cancelled, and it
+// ended every wait on the socket, the watch among them. Evidence: without the stall the call was cancelled, with it
+// not.
+TEST_CASE("a client that leaves is noticed though the loop stood still past the limit on its body")
+{
+    bool stands_still = false;
+    SUBCASE("without a stall") { }
+    SUBCASE("with one")
+    {
+        stands_still = true;
+    }
+    ServedConnection connection;
+    connection.send(head);
+    connection.run(std::chrono::milliseconds(300));
+    connection.send("0123456789");
+    if (stands_still)
+        std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    REQUIRE(connection.arrives());
+    connection.run(std::chrono::milliseconds(50));
+    connection.sockets.far.close();
+    auto const left = Core::monotonic_now();
+    bool is_cancelled = false;
+    connection.at_endpoint.non_blocking(true);
+    REQUIRE(run_until(connection.context, [&] {
+        std::array<char, 4096> piece {};
+        error_code error;
+        connection.at_endpoint.read_some(asio::buffer(piece), error);
+        is_cancelled = error && error != asio::error::would_block;
+        return is_cancelled || Core::monotonic_now() - left > std::chrono::seconds(2);
+    }));
+    CHECK(is_cancelled);
+}
