LibGateway: Count the limit on a body from its last piece

Cause: the limit on idle connections bounded a body as a whole, so a request whose body came steadily but for longer got 408, and got it again whenever it was sent again. Bodies are now read in pieces, and each piece that came sets the guard anew. Ruled out: that the client had paused. Its pieces came 60 ms apart against a limit of 400 ms. Conclusion: the limit bounds pauses. How long a whole body may take is bounded only by its size and by pauses.

--- a/Libraries/LibGateway/CallerConnection.cpp
+++ b/Libraries/LibGateway/CallerConnection.cpp
@@ -113,10 +113,15 @@
         if (error)
             co_return error;
     }
-    // NOTE: A body may take as long as a connection may be idle: the limits name no other time for it.
-    this->arm_guard(this->limits().idle_timeout);
-    auto const [error, bytes] = co_await http::async_read(this->socket, this->buffer, parser, as_value);
-    co_return error;
+    parser.eager(true);
+    while (!parser.is_done()) {
+        // NOTE: A body may pause as long as a connection may be idle: the limits name no other time for it.
+        this->arm_guard(this->limits().idle_timeout);
+        auto const [error, bytes] = co_await http::async_read_some(this->socket, this->buffer, parser, as_value);
+        if (error)
+            co_return error;
+    }
+    co_return error_code {};
 }
 
 Task<bool> CallerConnection::serve_request(Parser& parser)
--- a/Tests/LibGateway/TestCallerConnection.cpp
+++ b/Tests/LibGateway/TestCallerConnection.cpp
@@ -207,3 +207,40 @@
     }));
     CHECK(is_cancelled);
 }
+
+// Users on slow links see 408 for a large request, as often as they send it. Order of events: pieces of a body come
+// steadily, and together take longer than a connection may be idle. Cause: the limit counted from the head and not from
+// the last piece. Evidence: ten pieces 60 ms apart against a limit of 400 ms never reached the endpoint.
+TEST_CASE("a body that keeps coming is taken though it takes longer than a connection may be idle")
+{
+    ServedConnection connection;
+    connection.send(head);
+    for (int piece = 0; piece < 10; ++piece) {
+        connection.run(std::chrono::milliseconds(60));
+        error_code ignored;
+        asio::write(connection.sockets.far, asio::buffer("0", 1), ignored);
+    }
+    connection.run(std::chrono::milliseconds(100));
+    error_code error;
+    connection.endpoint.accept(connection.at_endpoint, error);
+    CHECK(connection.at_endpoint.is_open());
+}
+
+// Users would hold places of a box with requests that never end if the limit on a body no longer held. Order of events:
+// two pieces of a body come, then none. Evidence: 408, after the limit counted from the last piece.
+TEST_CASE("a body that stops coming is refused once it has paused as long as a connection may be idle")
+{
+    ServedConnection connection;
+    connection.send(head);
+    connection.run(idle / 2);
+    connection.send("0");
+    connection.run(idle / 2);
+    connection.send("1");
+    auto const last_piece = Core::monotonic_now();
+    error_code error;
+    REQUIRE(run_until(connection.context, [&] { return connection.sockets.far.available(error) > 0; }));
+    CHECK(Core::monotonic_now() - last_piece >= idle);
+    std::array<char, 4096> piece {};
+    auto const size = connection.sockets.far.read_some(asio::buffer(piece), error);
+    CHECK(std::string_view(piece.data(), size).starts_with("HTTP/1.1 408 "));
+}
