Meta, Tests: Run the tests where no test is known to be red; keep one copy of a scripted answer

Cause: the reader of KNOWN-RED.txt failed where there is no such file, and ended the run after the linter; two tests held the same scripted answer. Conclusion: without the file nothing is left out. No check changes.

--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -20,7 +20,8 @@
 export TSAN_OPTIONS="suppressions=$PWD/Meta/tsan.supp"
 # Tests that are known to be red, by ctest's name: all before the first colon of each line. They run first and are printed;
 # whether they fail does not count, and ctest's summary of all others comes last.
-known_red=$(sed -n 's/^\([A-Za-z.]*\):.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
+known_red=
+[ ! -s KNOWN-RED.txt ] || known_red=$(sed -n 's/^\([A-Za-z.]*\):.*/\1/p' KNOWN-RED.txt | paste -sd '|')
 cd "$folder"
 if [ -n "$known_red" ]; then
     ctest --timeout 300 -R "^($known_red)\$" || true
--- a/Tests/LibGateway/ScriptedStore.h
+++ b/Tests/LibGateway/ScriptedStore.h
@@ -117,6 +117,8 @@
         + std::to_string(end) + "}";
 }
 
+/// Version 2 as the newest one, the seventh record of the log.
+inline std::string const version_2 = newest_answer(7, 2);
 inline std::string const nothing_newest = R"({"items":[],"truncated":false,"end":0})";
 
 /// A follower of one topic before a scripted store.
--- a/Tests/LibGateway/TestSlowAnswers.cpp
+++ b/Tests/LibGateway/TestSlowAnswers.cpp
@@ -21,10 +21,6 @@
 constexpr std::size_t slow_pieces = 48;
 constexpr Core::Duration piece_gap = std::chrono::milliseconds(25);
 
-/// {"version":2,...} in base64, as the store gives the newest record of each key.
-std::string const version_2 = R"({"items":[{"tls_key":"config","value":")"
-                              R"(eyJ2ZXJzaW9uIjoyLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119"}],"truncated":false,"end":7})";
-
 std::string records(int version)
 {
     return bytes_of(8, 8) + bytes_of(0, 8) + record("config", configuration(version));
--- a/Tests/LibGateway/TestStoreFollower.cpp
+++ b/Tests/LibGateway/TestStoreFollower.cpp
@@ -100,10 +100,6 @@
 
 namespace {
 
-/// {"version":2,...} in base64, as the store gives the newest record of each key.
-std::string const version_2 = R"({"items":[{"tls_key":"config","value":")"
-                              R"(eyJ2ZXJzaW9uIjoyLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119"}],"truncated":false,"end":7})";
-
 /// A page of one version that ends before the end of the log.
 std::string page(std::uint64_t end, int version)
 {
