LibGateway: Pause after a page that brings nothing though more follows

Cause: a box that is behind reads on without a pause; a page without records, as where the next one is longer than a page, would have been asked for again in a loop, each call counted against the store's rate. Ruled out: the operator's topic, whose next read is the one of the newest records. Conclusion: only a page that brought something is followed at once.

--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -132,10 +132,12 @@
         co_return false;
     }
     this->records.set_next(this->topic, page->next);
-    this->is_behind = page->next < page->end;
+    bool const more_follows = page->next < page->end;
+    // NOTE: A page that brought nothing though more follows is not asked for again without a pause.
+    this->is_behind = more_follows && (!page->records.empty() || this->topic == Adapter::Topic::Operator);
     bool const took_long = monotonic_now() - asked_at > this->pace().wait;
     this->asks_at_once = took_long && !page->records.empty();
-    this->take(page->records, asked_at, this->is_behind ? Coverage::Part : Coverage::UpToEnd);
+    this->take(page->records, asked_at, more_follows ? Coverage::Part : Coverage::UpToEnd);
     co_return true;
 }
 
--- a/Tests/LibGateway/TestStoreFollower.cpp
+++ b/Tests/LibGateway/TestStoreFollower.cpp
@@ -186,3 +186,21 @@
     CHECK(box.store.targets.size() == 2);
     CHECK(box.version() == 2);
 }
+
+TEST_CASE("a page that brings nothing though more follows is asked for again after the pause, not in a loop")
+{
+    constexpr StoreFollower::Pace rare { std::chrono::milliseconds(0), std::chrono::milliseconds(200) };
+    Follower box(
+        Adapter::Topic::Endpoints,
+        [&](std::string const& target) -> std::optional<Answer> {
+            if (begins_with(target, "/log-newest"))
+                return Answer { 200, nothing_newest };
+            return Answer { 200, bytes_of(5, 8) + bytes_of(0, 8) };
+        },
+        true, rare);
+    REQUIRE(run_until(box.context, [&] { return box.store.targets.size() >= 2; }));
+    int rounds = 0;
+    REQUIRE(run_until(box.context, [&] { return ++rounds > 600; }));
+    // With the pause three or four in 0.6 s, and one each 40 ms without.
+    CHECK(box.store.targets.size() <= 8);
+}
