LibMembership: Reject questions with endless names or services

What a box keeps of a question for seconds (names, demand by service) had no bound but the message's size. Names of more than 256 bytes and more than 64 services are taken for no question; the test sends each.

--- a/Libraries/LibMembership/RelayMessages.cpp
+++ b/Libraries/LibMembership/RelayMessages.cpp
@@ -140,9 +140,15 @@
 
 std::optional<ControlQuestion> decode_question(std::string const& bytes)
 {
+    /// No name of a box or a failure domain is longer, and no box has more services: a question is kept for seconds.
+    constexpr std::size_t longest_name = 256;
+    constexpr int most_services = 64;
     wire::ControlQuestion message;
     if (!message.ParseFromString(bytes))
         return {};
+    if (message.asker().size() > longest_name || message.asker_domain().size() > longest_name
+        || message.work_size() > most_services)
+        return {};
     ControlQuestion question { message.source(), message.revision(), message.configuration_version(), message.asker(),
         {}, message.asker_domain() };
     for (auto const& work : message.work())
--- a/Tests/LibMembership/TestEndpointJournal.cpp
+++ b/Tests/LibMembership/TestEndpointJournal.cpp
@@ -233,3 +233,15 @@
     REQUIRE(decoded);
     CHECK(decoded->endpoints_age >= std::chrono::hours(1));
 }
+
+TEST_CASE("a question with endless names or services is not taken")
+{
+    ControlQuestion const usual { 1, 1, 1, std::string(256, 'b'), {}, "a" };
+    CHECK(decode_question(encode(usual)) == usual);
+    CHECK_FALSE(decode_question(encode(ControlQuestion { 1, 1, 1, std::string(257, 'b'), {}, "a" })));
+    CHECK_FALSE(decode_question(encode(ControlQuestion { 1, 1, 1, "b", {}, std::string(10'000, 'a') })));
+    ControlQuestion many { 1, 1, 1, "b", {}, "a" };
+    for (int service = 0; service <= 64; ++service)
+        many.work["s" + std::to_string(service)] = { 1, 1 };
+    CHECK_FALSE(decode_question(encode(many)));
+}
