--- a/Tests/LibRouting/TestRareReports.cpp
+++ b/Tests/LibRouting/TestRareReports.cpp
@@ -132,10 +132,12 @@
 TEST_CASE("a compared engine is the home of the request's prompt, however few are drawn")
 {
     std::vector<KnownEndpoint> endpoints;
+    endpoints.reserve(engine_count);
     for (std::size_t index = 0; index < engine_count; ++index)
         endpoints.push_back({ EndpointId { static_cast<std::uint32_t>(index + 1) },
             { "i-" + std::to_string(index), "pool", { "10.0.0.1", 80 }, own_domain, slots, false }, {}, false });
     std::vector<KnownEndpoint const*> candidates;
+    candidates.reserve(engine_count);
     for (auto const& endpoint : endpoints)
         candidates.push_back(&endpoint);
     Workload const review { { { 1, 2500 }, { 7, 3800 }, { 8, 2900 } }, 9200, 54 };
