--- a/Libraries/LibMembership/ControlSource.cpp
+++ b/Libraries/LibMembership/ControlSource.cpp
@@ -245,10 +245,10 @@
     /// Boxes that lost the store together come back spread over half of the pause.
     constexpr double least_share = 0.75;
     constexpr double spread_share = 0.5;
-    constexpr double draws = 1024;
-    auto const draw = XXH3_64bits_withSeed(this->box_name.data(), this->box_name.size(), failures) % 1024;
-    return Core::from_seconds(
-        Core::to_seconds(pause) * (least_share + spread_share * static_cast<double>(draw) / draws));
+    constexpr std::uint64_t steps = 1024;
+    auto const step = XXH3_64bits_withSeed(this->box_name.data(), this->box_name.size(), failures) % steps;
+    auto const share = static_cast<double>(step) / static_cast<double>(steps);
+    return Core::from_seconds(Core::to_seconds(pause) * (least_share + spread_share * share));
 }
 
 bool ControlSource::is_recent(Instant vouched, Instant now) const
