--- a/Tests/LibMembership/ControlWorld.h
+++ b/Tests/LibMembership/ControlWorld.h
@@ -56,6 +56,14 @@
         return static_cast<std::size_t>(std::ranges::count_if(
             this->boxes, [this](auto const& entry) { return entry.second.source.reads_store(this->now); }));
     }
+    [[nodiscard]] std::vector<std::string> names() const
+    {
+        std::vector<std::string> names;
+        names.reserve(this->records.size());
+        for (auto const& record : this->records)
+            names.push_back(record.name);
+        return names;
+    }
     /// The oldest knowledge of any box that is up.
     [[nodiscard]] Duration oldest() const
     {
@@ -66,6 +74,16 @@
         }
         return oldest;
     }
+    /// How old the knowledge of each box is that is up and knows something, by name.
+    [[nodiscard]] std::map<std::string, Duration> ages() const
+    {
+        std::map<std::string, Duration> ages;
+        for (auto const& [name, box] : this->boxes) {
+            if (box.is_up)
+                ages.emplace(name, this->now - box.known_at.value_or(box.starts_at));
+        }
+        return ages;
+    }
     /// How many boxes that are up know nothing that is as recent as this.
     [[nodiscard]] std::size_t old_boxes(Duration recent) const
     {
--- a/Tests/LibMembership/TestStoreCalls.cpp
+++ b/Tests/LibMembership/TestStoreCalls.cpp
@@ -1,6 +1,7 @@
 #include <TestMain.h>
 
 #include "ControlWorld.h"
+#include <set>
 
 namespace {
 
@@ -127,3 +128,45 @@
     MESSAGE("calls: ", world.calls);
     CHECK(world.calls < 300);
 }
+
+// A box that has a way to the store must know within the bound what it says, whatever happens to the boxes it asks.
+TEST_CASE("a box that the store serves is never behind, whoever else dies, starts or is turned away")
+{
+    constexpr std::size_t some_domains = 3;
+    constexpr std::size_t some_boxes = 8;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        pcg32 random(seed);
+        ControlWorld world(some_domains, some_boxes);
+        world.play(seconds(2));
+        std::set<std::string> dead;
+        std::set<std::string> turned_away;
+        std::map<std::string, Membership::Instant> sound_since;
+        world.is_dead = [&](std::string const& name) { return dead.contains(name); };
+        world.store_answers = [&](std::string const& name) { return !turned_away.contains(name); };
+        for (int fault = 0; fault < 20; ++fault) {
+            for (auto const& name : world.names()) {
+                auto& set = random(2) == 0 ? dead : turned_away;
+                if (set.contains(name) ? random(2) == 0 : false)
+                    set.erase(name);
+                else if (random(4) == 0)
+                    set.insert(name);
+                if (dead.contains(name) || turned_away.contains(name))
+                    sound_since.erase(name);
+                else
+                    sound_since.try_emplace(name, world.now);
+            }
+            if (random(10) == 0)
+                world.restart_all();
+            for (int step = 0; step < 40; ++step) {
+                world.play(milliseconds(50));
+                for (auto const& [name, age] : world.ages()) {
+                    auto const since = sound_since.find(name);
+                    bool const is_sound = since != sound_since.end() && world.now - since->second > ControlWorld::bound;
+                    if (is_sound)
+                        REQUIRE(age < ControlWorld::bound * 0.7);
+                }
+            }
+        }
+    }
+}
