--- a/Tests/LibRouting/TestRareReports.cpp
+++ b/Tests/LibRouting/TestRareReports.cpp
@@ -116,9 +116,9 @@
 
 }
 
-// What callers saw: in a burst of short questions, of which two thirds fitted, one engine got 102 in a second from 87
-// boxes while others had room; 634 sends in 6 s were turned away for want of a slot, and 265 callers were refused. All
-// boxes had heard of each other's load at the same moment, up to 2 s ago, and found the same engines the emptiest.
+// What callers saw: in a burst of short questions one engine got 102 in a second from 87 boxes while others had room;
+// in the day's first 18 s 634 sends were turned away for want of a slot, and on the whole day 265 callers were refused.
+// All boxes had heard of each other's load up to 2 s ago, and found the same engines the emptiest.
 TEST_CASE("boxes that seldom hear of each other's load don't all send to the engine that was the emptiest then")
 {
     Boxes comparing_all;
