Tests: Write what several cases check once

Three pairs of cases stood twice line by line: the check of a version in force on every box, the store that brings version 3, the answer of a relay with version 7. A comment gave a page's date; it names the page by what it is about.

--- a/Tests/Integration/TestLargeConfiguration.cpp
+++ b/Tests/Integration/TestLargeConfiguration.cpp
@@ -13,7 +13,7 @@
 /// Cause: a read had 0.5 s for its whole answer, and one that was cut off began again at the first byte. What takes the
 /// link longer than that never comes whole, and a box that starts never becomes ready.
 ///
-/// Evidence: docs/incidents/2026-12-02-large-configuration.md.
+/// Evidence: the page on large configurations in docs/incidents.
 namespace {
 
 using Harness::BoxBounds;
@@ -117,15 +117,12 @@
     std::vector<std::string> names;
 };
 
-}
-
-TEST_CASE("a configuration that takes a narrow link 1.5 s comes into force, and boxes stay ready")
+/// Every box comes to this version, read it itself, obeys it and was ready all the time.
+void check_in_force_everywhere(NarrowSite& site, std::uint64_t version)
 {
-    NarrowSite site;
-    site.configure(2, { "key" }, many_routes);
     for (auto const& name : site.names) {
         CAPTURE(name);
-        site.wait_in_force(name, 2);
+        site.wait_in_force(name, version);
         CHECK(site.has_read_large_record(name));
         CHECK(site.status_with_key(name, "key") == 200);
         CHECK(site.status_with_key(name, "other") == 401);
@@ -133,19 +130,21 @@
     }
 }
 
+}
+
+TEST_CASE("a configuration that takes a narrow link 1.5 s comes into force, and boxes stay ready")
+{
+    NarrowSite site;
+    site.configure(2, { "key" }, many_routes);
+    check_in_force_everywhere(site, 2);
+}
+
 TEST_CASE("of two large configurations in quick succession the last one comes into force, and boxes stay ready")
 {
     NarrowSite site;
     site.configure(2, { "key", "other" }, many_routes);
     site.configure(3, { "key" }, many_routes);
-    for (auto const& name : site.names) {
-        CAPTURE(name);
-        site.wait_in_force(name, 3);
-        CHECK(site.has_read_large_record(name));
-        CHECK(site.status_with_key(name, "key") == 200);
-        CHECK(site.status_with_key(name, "other") == 401);
-        CHECK(site.was_always_ready(name));
-    }
+    check_in_force_everywhere(site, 3);
 }
 
 TEST_CASE("a box that starts behind a narrow link reads a large configuration whole and becomes ready")
--- a/Tests/LibGateway/TestControlRecords.cpp
+++ b/Tests/LibGateway/TestControlRecords.cpp
@@ -69,6 +69,16 @@
     return asker.records.take_relayed(*answer, now);
 }
 
+/// What a relay with version 7 answers at 1100 ms to a box that read version 6 at the moment given.
+Membership::ControlAnswer answer_with_version_7(Box& relay, Box& box, Instant box_read_at)
+{
+    relay.read(7, {}, at(1000));
+    box.read(6, {}, box_read_at);
+    auto answer = relay.records.answer(box.records.question("a", at(1100)), any_length, at(1100));
+    REQUIRE(answer);
+    return *answer;
+}
+
 }
 
 TEST_CASE("a box that knows nothing answers nothing")
@@ -177,12 +187,9 @@
     Box relay(1);
     Box box(2);
     Box third(3);
-    relay.read(7, {}, at(1000));
-    box.read(6, {}, at(1000));
-    auto answer = relay.records.answer(box.records.question("a", at(1100)), any_length, at(1100));
-    REQUIRE(answer);
-    answer->configuration = *configuration(7).value;
-    CHECK(box.records.take_relayed(*answer, at(1100)));
+    auto answer = answer_with_version_7(relay, box, at(1000));
+    answer.configuration = *configuration(7).value;
+    CHECK(box.records.take_relayed(answer, at(1100)));
     CHECK(box.version() == 7);
     CHECK(ask(third, box, at(1200)));
     CHECK(third.version() == 7);
@@ -192,15 +199,12 @@
 {
     Box relay(1);
     Box box(2);
-    relay.read(7, {}, at(1000));
-    box.read(6, {}, at(500));
-    auto answer = relay.records.answer(box.records.question("a", at(1100)), any_length, at(1100));
-    REQUIRE(answer);
-    auto const& compressed = std::get<Membership::CompressedText>(*answer->configuration);
+    auto answer = answer_with_version_7(relay, box, at(500));
+    auto const compressed = std::get<Membership::CompressedText>(*answer.configuration);
     Core::LastReason reason;
-    answer->configuration
+    answer.configuration
         = *Membership::CompressedText::from_bytes(compressed.bytes() + "x", compressed.text_size(), reason);
-    CHECK(!box.records.take_relayed(*answer, at(1100)));
+    CHECK(!box.records.take_relayed(answer, at(1100)));
     CHECK(box.version() == 6);
     CHECK(box.state.router.configuration_age(at(1100)) == std::chrono::milliseconds(600));
     auto const text = box.state.metrics.to_text();
--- a/Tests/LibGateway/TestSlowAnswers.cpp
+++ b/Tests/LibGateway/TestSlowAnswers.cpp
@@ -28,19 +28,27 @@
 
 std::string const nothing_new = bytes_of(8, 8) + bytes_of(0, 8);
 
-}
-
-TEST_CASE("a configuration whose transfer takes longer than the wait for an answer comes into force")
+/// A store that lists version 2 and then brings version 3 once, in the way given; nothing new after that.
+FakeStore::Script then_version_3(std::function<Answer()> bring)
 {
-    int transfers = 0;
-    Follower box(Adapter::Topic::Operator, [&](std::string const& target) -> std::optional<Answer> {
+    return [bring = std::move(bring)](std::string const& target) -> std::optional<Answer> {
         if (begins_with(target, "/log-newest"))
             return Answer { 200, version_2 };
         if (target.find("from=7") == std::string::npos)
             return Answer { 200, nothing_new };
+        return bring();
+    };
+}
+
+}
+
+TEST_CASE("a configuration whose transfer takes longer than the wait for an answer comes into force")
+{
+    int transfers = 0;
+    Follower box(Adapter::Topic::Operator, then_version_3([&] {
         ++transfers;
         return Answer { 200, records(3), slow_pieces, piece_gap };
-    });
+    }));
     REQUIRE(run_until(box.context, [&] { return box.version() == 3; }));
     CHECK(transfers == 1);
 }
@@ -61,13 +69,9 @@
 TEST_CASE("an answer that falls silent half way is asked for again")
 {
     int transfers = 0;
-    Follower box(Adapter::Topic::Operator, [&](std::string const& target) -> std::optional<Answer> {
-        if (begins_with(target, "/log-newest"))
-            return Answer { 200, version_2 };
-        if (target.find("from=7") == std::string::npos)
-            return Answer { 200, nothing_new };
+    Follower box(Adapter::Topic::Operator, then_version_3([&] {
         return Answer { 200, records(3), 2, Core::Duration { 0 }, ++transfers == 1 ? 1U : 2U };
-    });
+    }));
     REQUIRE(run_until(box.context, [&] { return box.version() == 3; }));
     CHECK(transfers == 2);
 }
@@ -78,15 +82,9 @@
 TEST_CASE("after a long transfer the next read renews the lease at once")
 {
     constexpr StoreFollower::Pace waits { std::chrono::milliseconds(100), std::chrono::milliseconds(1) };
-    Follower box(
-        Adapter::Topic::Operator,
-        [&](std::string const& target) -> std::optional<Answer> {
-            if (begins_with(target, "/log-newest"))
-                return Answer { 200, version_2 };
-            if (target.find("from=7") == std::string::npos)
-                return Answer { 200, nothing_new };
-            return Answer { 200, records(3), slow_pieces, piece_gap };
-        },
+    Follower box(Adapter::Topic::Operator, then_version_3([] {
+        return Answer { 200, records(3), slow_pieces, piece_gap };
+    }),
         true, waits);
     REQUIRE(run_until(box.context, [&] { return box.store.targets.size() >= 4; }));
     CHECK(box.version() == 3);
