LibGateway: Count only the own failure domain's demand for its division of the engines

Since each failure domain divides the engines itself, the demand that its first box told to others was asked of nobody: two pools, a sum in each question and the rule against counting twice are gone. A relay counts askers of its own domain, as before there was one reader for all.

--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -218,27 +218,10 @@
     return configuration ? configuration->version() : 0;
 }
 
-namespace {
-
-void add(std::map<std::string, Routing::WorkTotals>& totals, std::map<std::string, Routing::WorkTotals> const& more)
-{
-    for (auto const& [service, work] : more) {
-        totals[service].answer_work += work.answer_work;
-        totals[service].prompt_work += work.prompt_work;
-    }
-}
-
-}
-
-Membership::ControlQuestion ControlRecords::question(std::string const& relay_domain, Instant now) const
+Membership::ControlQuestion ControlRecords::question(Instant now) const
 {
-    auto work = this->state.router.work_totals(now);
-    // NOTE: What other domains told is told to nobody: two first boxes that ask each other while the store is away
-    // would count each other's demand again with each question.
-    if (relay_domain != this->failure_domain)
-        add(work, this->demand_of_domain.totals(now));
     return { this->relayed_source, this->relayed_source == 0 ? 0 : this->relayed_revision, this->version(),
-        this->box_name, std::move(work), this->failure_domain };
+        this->box_name, this->state.router.work_totals(now), this->failure_domain };
 }
 
 std::optional<Membership::ControlAnswer> ControlRecords::answer(
@@ -261,12 +244,9 @@
     answer.configuration_next = *this->operator_next;
     if (this->returned_at)
         answer.store_returned_ago = now - *this->returned_at;
-    bool const is_own_domain = question.asker_domain.empty() || question.asker_domain == this->failure_domain;
-    auto& pool = is_own_domain ? this->demand_of_domain : this->demand_of_other_domains;
-    pool.take(question.asker, question.work, now);
-    auto demand = this->demand_of_domain.totals(now);
-    add(demand, this->demand_of_other_domains.totals(now));
-    this->state.router.take_totals_of_others(demand, now);
+    if (question.asker_domain.empty() || question.asker_domain == this->failure_domain)
+        this->demand_of_askers.take(question.asker, question.work, now);
+    this->state.router.take_totals_of_others(this->demand_of_askers.totals(now), now);
     answer.answer_shares = this->state.router.answer_shares(now);
     return answer;
 }
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -39,8 +39,7 @@
     void set_next(Adapter::Topic topic, std::optional<std::uint64_t> offset);
 
     // Between boxes.
-    /// To a relay of this failure domain. One of another domain is told the demand of this whole domain.
-    [[nodiscard]] Membership::ControlQuestion question(std::string const& relay_domain, Core::Instant now) const;
+    [[nodiscard]] Membership::ControlQuestion question(Core::Instant now) const;
     /// Nothing until both topics were read whole. A configuration that takes more than `longest_configuration` bytes
     /// when compressed is left out. The first answer that holds a version compresses it, so only a box that is asked
     /// does.
@@ -77,9 +76,8 @@
     std::string failure_domain;
     std::uint64_t source;
     Membership::EndpointJournal journal;
-    /// What askers of this failure domain told, and what those of others did.
-    Membership::DemandPool demand_of_domain;
-    Membership::DemandPool demand_of_other_domains;
+    /// Of this failure domain alone: each divides the engines for itself.
+    Membership::DemandPool demand_of_askers;
     /// The moment that the list of endpoints vouches for; nothing until it was known whole.
     std::optional<Core::Instant> endpoints_confirmed_at;
     std::optional<std::uint64_t> endpoints_next;
--- a/Libraries/LibGateway/RelayFollower.cpp
+++ b/Libraries/LibGateway/RelayFollower.cpp
@@ -48,7 +48,7 @@
     this->use(relay);
     auto const asked_at = monotonic_now();
     Core::LastReason reason;
-    auto const question = Membership::encode(this->records.question(relay.failure_domain, asked_at));
+    auto const question = Membership::encode(this->records.question(asked_at));
     auto const reply = co_await this->call(question, this->source.patience_with(relay, asked_at), reason);
     if (!reply) {
         this->note_failure(relay, reason.text);
--- a/Libraries/LibMembership/RelayMessages.h
+++ b/Libraries/LibMembership/RelayMessages.h
@@ -17,7 +17,7 @@
     std::uint64_t configuration_version { 0 };
     /// Name of the box that asks.
     std::string asker;
-    /// What the recent requests of the asker, and of the boxes that ask it, ask of engines, by service.
+    /// What the asker's recent requests ask of engines, by service.
     std::map<std::string, Routing::WorkTotals> work;
     /// Its failure domain; empty from boxes that ask within their own only.
     std::string asker_domain;
