LibMembership: Let a box that reads the store itself look soon for other boxes

Cause, found by reading the change again: where all boxes start for the first time each reads the list of boxes once, 0.8 s after its record, and then not for a minute and more. A box that starts a little before the others knows too few of them and stays a reader of its own for that time. Nothing tested that start at all.

--- a/Libraries/LibGateway/BoxRegistry.cpp
+++ b/Libraries/LibGateway/BoxRegistry.cpp
@@ -3,7 +3,6 @@
 #include <LibGateway/HttpStatus.h>
 #include <LibGateway/WholeTopic.h>
 #include <LibLog/EventLog.h>
-#include <algorithm>
 
 namespace Gateway {
 
@@ -28,6 +27,7 @@
         co_await this->write(own_record);
         co_await sleep_for(settling_time);
     }
+    unsigned readings = 0;
     for (;;) {
         auto pause = short_pause;
         if (auto boxes = co_await this->read()) {
@@ -36,7 +36,7 @@
             auto const* const listed = this->source.boxes().find(this->own.name);
             bool const is_listed = listed && *listed == this->own;
             if (is_listed)
-                pause = this->long_pause();
+                pause = this->source.list_pause(readings++, monotonic_now());
             else
                 co_await this->write(own_record);
             co_await this->drop_left_over_records();
@@ -105,13 +105,6 @@
     return std::nullopt;
 }
 
-Core::Duration BoxRegistry::long_pause() const
-{
-    auto const boxes = static_cast<double>(this->source.boxes().size());
-    auto const factor = std::max(1.0, boxes / static_cast<double>(boxes_with_shortest_pause));
-    return Core::from_seconds(Core::to_seconds(shortest_long_pause) * factor);
-}
-
 Core::Duration BoxRegistry::spread(Core::Duration pause)
 {
     // NOTE: Up to half as long again, so that boxes that started together don't ask together for ever.
--- a/Libraries/LibGateway/BoxRegistry.h
+++ b/Libraries/LibGateway/BoxRegistry.h
@@ -45,17 +45,11 @@
     /// Counts the call; nothing, with a log line, for any answer but a success.
     [[nodiscard]] std::optional<StoreAnswer> accepted(std::optional<StoreAnswer> answer, std::string const& reason);
     [[nodiscard]] Core::Duration spread(Core::Duration pause);
-    /// Pause between two readings of a list that holds this box.
-    [[nodiscard]] Core::Duration long_pause() const;
 
     /// The store usually takes 4 ms, and up to 60 times as long when it is slow.
     static constexpr CallTimeouts timeouts { std::chrono::milliseconds(700), std::chrono::milliseconds(1000) };
     /// After the first record was written or a call failed: boxes that started together have written by then.
     static constexpr Core::Duration short_pause { std::chrono::milliseconds(1000) };
-    /// The list is only advice, and a box that is missing from it costs calls and nothing else.
-    static constexpr Core::Duration shortest_long_pause { std::chrono::seconds(60) };
-    /// With more boxes the pause grows with their number, so that the list is read no more often the more there are.
-    static constexpr std::size_t boxes_with_shortest_pause = 30;
     /// Boxes that start together do so within 0.3 s; by then each has written its record, so that one reading of the
     /// list shows all of them.
     static constexpr Core::Duration settling_time { std::chrono::milliseconds(800) };
--- a/Libraries/LibMembership/ControlSource.cpp
+++ b/Libraries/LibMembership/ControlSource.cpp
@@ -6,6 +6,13 @@
 
 namespace Membership {
 
+namespace {
+
+/// Enough to come from any first pause to the longest.
+constexpr unsigned most_doublings = 10;
+
+}
+
 ControlSource::ControlSource(std::string box_name, std::string failure_domain, ControlBounds bounds)
     : box_name(std::move(box_name))
     , failure_domain(std::move(failure_domain))
@@ -230,6 +237,15 @@
     return relay.failure_domain == this->failure_domain ? this->patience() : this->patience() * 2 / 3;
 }
 
+Duration ControlSource::list_pause(unsigned readings, Instant now) const
+{
+    auto const crowd = static_cast<double>(this->directory.size()) / static_cast<double>(boxes_with_usual_list_pause);
+    auto const longest = Core::from_seconds(Core::to_seconds(usual_list_pause) * std::max(1.0, crowd));
+    if (this->relay(now))
+        return longest;
+    return std::min(first_list_pause * (1U << std::min(readings, most_doublings)), longest);
+}
+
 Duration ControlSource::retry_pause(unsigned failures, Instant now) const
 {
     auto first = first_store_pause;
@@ -240,7 +256,6 @@
         longest = std::min(crowded, longest_crowd_pause);
         first = std::max(first, longest / 2);
     }
-    constexpr unsigned most_doublings = 10;
     auto const pause = std::min(first * (1U << std::min(failures, most_doublings)), longest);
     /// Boxes that lost the store together come back spread over half of the pause.
     constexpr double least_share = 0.75;
--- a/Libraries/LibMembership/ControlSource.h
+++ b/Libraries/LibMembership/ControlSource.h
@@ -80,6 +80,10 @@
     /// one that has no power yet says nothing. With the usual patience a third of 87 boxes that lost power together
     /// refused their clients for 0.46 s in place of 0.02 s.
     [[nodiscard]] Duration patience_with(BoxRecord const& relay, Instant now) const;
+    /// Pause after so many readings of a list of boxes that holds this one. A box that has a relay reads it seldom, and
+    /// the more seldom the more boxes there are. One that reads the store itself looks soon, since it may have started
+    /// a moment before the others: it would stay a reader beside the one of all.
+    [[nodiscard]] Duration list_pause(unsigned readings, Instant now) const;
     /// Pause after so many failed reads of the store in a row.
     [[nodiscard]] Duration retry_pause(unsigned failures, Instant now) const;
     /// Longest time for a relay's whole answer: one that takes longer is too old to be used when it has come, since it
@@ -140,6 +144,12 @@
     /// After a failed read of its own a box counts as cut off from the store for so long: longer than the longest pause
     /// until its next one, else it would ask nobody in between.
     static constexpr Duration cut_off_memory { std::chrono::seconds(10) };
+    /// The list is only advice, and a box that is missing from it costs calls and nothing else.
+    static constexpr Duration usual_list_pause { std::chrono::seconds(60) };
+    /// With more boxes the pause grows with their number, so that the list is read no more often the more there are.
+    static constexpr std::size_t boxes_with_usual_list_pause = 30;
+    /// Of a box that reads the store itself; doubled with each reading.
+    static constexpr Duration first_list_pause { std::chrono::seconds(2) };
     /// Boxes of the own domain among those that a box which can't reach the store asks: with the first boxes of all
     /// domains some ten, which it asks in turn in a quarter of the bound.
     static constexpr std::size_t most_of_last_resort = 4;
--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -28,11 +28,13 @@
 
 json environment(std::string const& name, int store_port, BoxBounds const& bounds)
 {
-    json settings = json::parse(R"({"zone":"hall-1","ip":"127.0.0.1",
+    json settings = json::parse(R"({"ip":"127.0.0.1",
       "listen":{"front":"127.0.0.1:0","ready":"127.0.0.1:0"},
       "limits":{"memory_mb":110,"max_fds":4100},
       "bounds":{"grace_s":8,"revoke_strict":true,"retry_ratio":0.2,"retry_window_s":10,"retry_slack":100}})");
     settings["node_name"] = name;
+    settings["zone"] = bounds.failure_domain;
+    settings["bootstrap"] = bounds.is_first_start;
     settings["provider"]["address"] = "127.0.0.1:" + std::to_string(store_port);
     settings["bounds"]["config_apply_ms"] = bounds.apply_milliseconds;
     settings["bounds"]["drain_ms"] = bounds.drain_milliseconds;
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -16,6 +16,9 @@
     int store_port { 0 };
     /// The box's link as its settings file tells it, in Mbit/s. Narrows nothing by itself.
     int link_megabits { 1000 };
+    std::string failure_domain { "hall-1" };
+    /// Whether the settings say that all boxes start for the first time.
+    bool is_first_start { false };
 };
 
 /// Real boxes (`cleatbeam route`) before stand-ins of the users' store and servers, for one test.
--- a/Tests/Integration/TestRelay.cpp
+++ b/Tests/Integration/TestRelay.cpp
@@ -132,3 +132,91 @@
         });
     }
 }
+
+namespace {
+
+/// Four boxes in each of two failure domains, which start for the first time.
+struct TwoDomains : PlatformCluster {
+    TwoDomains()
+    {
+        this->start_server("d1", "desk");
+        this->configure(1, { "key", "other" });
+        for (auto const* domain : { "east", "west" }) {
+            for (auto const* number : { "1", "2", "3", "4" })
+                this->start(std::string(domain) + number, domain);
+        }
+        for (auto const& name : this->names)
+            this->wait_ready(name);
+    }
+
+    /// The only box that called the store in its last few calls; empty if there was more than one.
+    [[nodiscard]] std::string reader() const
+    {
+        constexpr double some = 12;
+        auto const before = this->calls();
+        auto after = before;
+        wait_until("the store was read some more", [&] {
+            after = this->calls();
+            return sum(after) >= sum(before) + some;
+        });
+        std::string found;
+        for (auto const& name : this->names) {
+            if (after[name] == before.at(name))
+                continue;
+            if (!found.empty())
+                return "";
+            found = name;
+        }
+        return found;
+    }
+
+    std::vector<std::string> names;
+
+private:
+    /// Calls to the store so far, by box.
+    [[nodiscard]] std::map<std::string, double> calls() const
+    {
+        std::map<std::string, double> calls;
+        for (auto const& name : this->names)
+            calls[name] = this->metric(name, "cleatbeam_store_calls_total");
+        return calls;
+    }
+    [[nodiscard]] static double sum(std::map<std::string, double> const& calls)
+    {
+        double sum = 0;
+        for (auto const& [name, count] : calls)
+            sum += count;
+        return sum;
+    }
+
+    void start(std::string const& name, std::string const& domain)
+    {
+        Harness::BoxBounds bounds { 8000, 8000, 20000, true };
+        bounds.failure_domain = domain;
+        bounds.is_first_start = true;
+        this->start_box(name, bounds);
+        this->names.push_back(name);
+    }
+};
+
+}
+
+TEST_CASE("one box reads the store for two failure domains, and its death keeps no news from either")
+{
+    TwoDomains site;
+    std::string reader;
+    wait_until("one box reads the store for all", [&] {
+        reader = site.reader();
+        return !reader.empty();
+    });
+    site.process(reader).kill();
+    site.configure(2, { "key" });
+    for (auto const& name : site.names) {
+        if (name == reader)
+            continue;
+        wait_until(name + " refuses the removed key", [&] {
+            return site.send(name, "/once/x", "gone", { { "X-Key", "other" } }).status == 401;
+        });
+        CHECK(site.send(name, "/once/x", "kept-" + name).status == 200);
+    }
+}
--- a/Tests/LibMembership/TestControlSource.cpp
+++ b/Tests/LibMembership/TestControlSource.cpp
@@ -159,6 +159,24 @@
     CHECK(source.long_gone(at(301'000)).empty());
 }
 
+TEST_CASE("a box that reads the store itself looks soon for other boxes, one that has a relay seldom")
+{
+    auto const reader = source_of(order().front());
+    CHECK(reader.list_pause(0, at(0)) == std::chrono::seconds(2));
+    CHECK(reader.list_pause(1, at(0)) == std::chrono::seconds(4));
+    CHECK(reader.list_pause(100, at(0)) == std::chrono::seconds(60));
+    auto const asker = source_of(order().back());
+    CHECK(asker.list_pause(0, at(0)) == std::chrono::seconds(60));
+    std::vector<BoxRecord> many;
+    many.reserve(300);
+    for (int number = 0; number < 300; ++number)
+        many.push_back(box("c" + std::to_string(1000 + number)));
+    ControlSource one_of_many("c1000", "a", { bound, bound });
+    one_of_many.take_boxes(many, at(0));
+    REQUIRE(one_of_many.relay(at(0)));
+    CHECK(one_of_many.list_pause(0, at(0)) == std::chrono::seconds(600));
+}
+
 TEST_CASE("whatever happens, a box either reads the store or holds what a relay vouched for lately")
 {
     pcg32 random(20261202);
