LibRouting: Divide the endpoints once in place of looking each up among its side

Cause, found by reading: for each endpoint choose_endpoint looked through the list of those that are meant for the request, and comparing few did so once more to find the others. Both grow with the square of the endpoints.

Ruled out for now: keeping each endpoint's hash beside it, which would take most of what is left.

Now the endpoints are divided once, by the same common order, and the two parts are gone through one after the other; what is chosen is the same where all are compared, since the others carry their extra cost.

TestPlacement, TestRareReports (1,913 and 495, as before), TestRequestRouter and TestWaitLimit pass as they are.

--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -24,34 +24,49 @@
     return workload.prompt[position].id;
 }
 
-/// Which engines of a service are meant for a request: the first ones for long answers, the others for long prompts.
-std::vector<KnownEndpoint const*> preferred_side(
-    std::vector<KnownEndpoint const*> const& candidates, PlacementQuery const& query)
+using Endpoints = std::vector<KnownEndpoint const*>;
+
+/// The endpoints of a service by whether they are meant for a request, each part in the order given.
+struct Sides {
+    Endpoints meant;
+    Endpoints others;
+};
+
+/// Engines meant for a request: the first ones of a common order for long answers, the others for long prompts.
+Sides divide(Endpoints const& candidates, PlacementQuery const& query)
 {
     auto const for_answers = query.engines_for_answers;
-    if (for_answers == 0 || for_answers >= candidates.size())
-        return candidates;
-    std::vector<std::pair<std::uint64_t, KnownEndpoint const*>> order;
-    order.reserve(candidates.size());
+    if (!query.is_engine || for_answers == 0 || for_answers >= candidates.size())
+        return { candidates, {} };
+    std::vector<std::uint64_t> weights;
+    weights.reserve(candidates.size());
     for (auto const* endpoint : candidates)
-        order.emplace_back(rendezvous_weight(0, endpoint->record.incarnation), endpoint);
-    std::ranges::sort(order);
+        weights.push_back(rendezvous_weight(0, endpoint->record.incarnation));
+    auto ordered = weights;
+    auto const last_for_answers = ordered.begin() + static_cast<std::ptrdiff_t>(for_answers) - 1;
+    std::ranges::nth_element(ordered, last_for_answers);
     bool const long_answer = work_kind(query.workload) == WorkKind::LongAnswer;
-    std::vector<KnownEndpoint const*> side;
-    for (std::size_t index = long_answer ? 0 : for_answers; index < (long_answer ? for_answers : order.size()); ++index)
-        side.push_back(order[index].second);
-    return side;
+    Sides sides;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        bool const is_for_answers = weights[index] <= *last_for_answers;
+        (is_for_answers == long_answer ? sides.meant : sides.others).push_back(candidates[index]);
+    }
+    return sides;
 }
 
-KnownEndpoint const* home_of(std::vector<KnownEndpoint const*> const& side, std::uint64_t subject)
+KnownEndpoint const* home_of(Endpoints const& meant, std::uint64_t subject)
 {
-    return *std::ranges::max_element(side, {},
+    return *std::ranges::max_element(meant, {},
         [&](KnownEndpoint const* endpoint) { return rendezvous_weight(subject, endpoint->record.incarnation); });
 }
 
-/// Some of the endpoints by lot, or all where `count` is no less.
-std::vector<KnownEndpoint const*> drawn(std::vector<KnownEndpoint const*> endpoints, std::size_t count, pcg32& random)
+/// Some of the endpoints by lot: the given part of them, two at least.
+Endpoints drawn(Endpoints endpoints, double share, pcg32& random)
 {
+    /// Two by lot spread load nearly as well as all, when what is known of it is old.
+    constexpr std::size_t fewest = 2;
+    auto const part = static_cast<std::size_t>(std::ceil(static_cast<double>(endpoints.size()) * share));
+    auto const count = std::max(fewest, part);
     if (count >= endpoints.size())
         return endpoints;
     for (std::size_t index = 0; index < count; ++index) {
@@ -62,28 +77,16 @@
     return endpoints;
 }
 
-/// The endpoints that a box compares: the home, and some of each side.
-std::vector<KnownEndpoint const*> compared(std::vector<KnownEndpoint const*> const& candidates,
-    std::vector<KnownEndpoint const*> const& side, KnownEndpoint const* home, PlacementQuery const& query)
+/// The endpoints that a box compares: all, or the home and some of each side.
+Sides compared(Sides sides, KnownEndpoint const* home, PlacementQuery const& query)
 {
-    if (query.compared_share >= 1)
-        return candidates;
-    /// Two by lot spread load nearly as well as all, when what is known of it is old.
-    constexpr std::size_t fewest = 2;
-    auto const count = [&](std::vector<KnownEndpoint const*> const& endpoints) {
-        auto const share = std::ceil(static_cast<double>(endpoints.size()) * query.compared_share);
-        return std::max(fewest, static_cast<std::size_t>(share));
-    };
-    std::vector<KnownEndpoint const*> others;
-    for (auto const* endpoint : candidates) {
-        if (std::ranges::find(side, endpoint) == side.end())
-            others.push_back(endpoint);
-    }
+    if (!query.is_engine || query.compared_share >= 1)
+        return sides;
     pcg32 random(query.draw);
-    auto chosen = drawn(side, count(side), random);
-    std::ranges::copy(drawn(others, count(others), random), std::back_inserter(chosen));
-    if (home != nullptr && std::ranges::find(chosen, home) == chosen.end())
-        chosen.push_back(home);
+    Sides chosen { drawn(std::move(sides.meant), query.compared_share, random),
+        drawn(std::move(sides.others), query.compared_share, random) };
+    if (home != nullptr && std::ranges::find(chosen.meant, home) == chosen.meant.end())
+        chosen.meant.push_back(home);
     return chosen;
 }
 
@@ -160,30 +163,34 @@
 
 }
 
-std::optional<PlacementChoice> choose_endpoint(std::vector<KnownEndpoint const*> const& candidates,
-    LoadTable const& loads, PlacementQuery const& query, PlacementModel const& model)
+std::optional<PlacementChoice> choose_endpoint(
+    Endpoints const& candidates, LoadTable const& loads, PlacementQuery const& query, PlacementModel const& model)
 {
     if (candidates.empty())
         return {};
     static EndpointLoad const unknown_load;
-    auto const side = query.is_engine ? preferred_side(candidates, query) : candidates;
+    auto sides = divide(candidates, query);
     auto const subject = query.is_engine ? shared_subject(query.workload) : std::nullopt;
-    auto const* const home = subject ? home_of(side, *subject) : nullptr;
+    auto const* const home = subject ? home_of(sides.meant, *subject) : nullptr;
     std::optional<Candidate> best;
-    for (auto const* endpoint : query.is_engine ? compared(candidates, side, home, query) : candidates) {
+    auto const consider = [&](KnownEndpoint const* endpoint, double extra_cost) {
         auto const found = loads.find(endpoint->id);
         auto const& load = found == loads.end() ? unknown_load : found->second;
         auto candidate = query.is_engine ? predict_engine(*endpoint, load, endpoint == home, query, model)
                                          : predict_plain(*endpoint, load, query, model);
+        candidate.cost += extra_cost;
         candidate.cost += load.failure_share(query.now) * model.failure_milliseconds;
         candidate.cost += Core::to_milliseconds(load.overdue(query.now)) * model.overdue_factor;
         if (endpoint->record.failure_domain != query.own_domain)
             candidate.cost += model.other_domain_milliseconds;
-        if (std::ranges::find(side, endpoint) == side.end())
-            candidate.cost += model.wrong_side_milliseconds;
         if (!best || candidate.cost < best->cost)
             best = candidate;
-    }
+    };
+    auto const chosen = compared(std::move(sides), home, query);
+    for (auto const* endpoint : chosen.meant)
+        consider(endpoint, 0);
+    for (auto const* endpoint : chosen.others)
+        consider(endpoint, model.wrong_side_milliseconds);
     best->choice.figures.candidates = candidates.size();
     best->choice.figures.speed = query.speed;
     best->choice.figures.subject = subject.value_or(0);
