LibGateway: Take a removal at once where others told what the store says

Cause: a box lost its own way to the store for 11 s and was told by another box meanwhile. When its way came back it took that for the store's return, after which a removed endpoint is kept for 2 s as one whose entry may have lapsed with the store. The removal came in the same millisecond (store_regained away_ms=10655, endpoint_unlisted, the request 1.5 s later). Change: a return of the store counts only where the list was not known to be whole within the last 2 s, the shortest time after which an entry lapses.

--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -198,6 +198,10 @@
 
 void ControlRecords::store_returned(Instant now)
 {
+    // NOTE: Where others told what the store says, only this box's own way to it was away, and no entry can have lapsed
+    // for that. Taken for a return of the store it kept endpoints in use that had left, 52 ms past a bound of 2 s.
+    if (this->endpoints_confirmed_at && now - *this->endpoints_confirmed_at < shortest_lapse)
+        return;
     this->returned_at = now;
     this->state.router.store_returned(now);
 }
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -32,6 +32,8 @@
     void confirm_configuration(Core::Instant asked_at);
     void take_endpoint_records(
         std::vector<Adapter::KeyedRecord> const& records, Core::Instant asked_at, Coverage coverage);
+    /// The store answered again at that moment. Entries may have lapsed while it was away, unless the list was known to
+    /// be whole shortly before.
     void store_returned(Core::Instant now);
 
     /// Where to go on reading a topic; nothing until it was read whole.
@@ -71,6 +73,10 @@
     void take_relayed_endpoints(Membership::ControlAnswer const& answer, Core::Instant vouched_at);
     [[nodiscard]] std::uint64_t version() const;
 
+    /// An entry lapses after three heartbeats without one, a second or more each; the one before the gap may be as old
+    /// as one.
+    static constexpr Core::Duration shortest_lapse { std::chrono::seconds(2) };
+
     GatewayState& state;
     std::string box_name;
     std::string failure_domain;
--- a/Tests/LibGateway/TestControlRecords.cpp
+++ b/Tests/LibGateway/TestControlRecords.cpp
@@ -286,3 +286,32 @@
     CHECK(box.records.take_relayed(*answer, "a", at(1100)));
     CHECK(box.state.router.answer_shares(at(1200)).at("s") == answer->answer_shares.at("s"));
 }
+
+// What users saw: a request reached a server 2,052 ms after the store had acknowledged its leaving (bound 2,000 ms).
+// Order of events: a box lost its own way to the store for 11 s and was told by another box all that time; an endpoint
+// left; 0.5 s later the box's own way was back and brought the removal. Cause: the box took its return for the store's,
+// and kept the endpoint for 2 s as one whose entry had lapsed meanwhile. Evidence: store_regained topic=endpoints with
+// away_ms=10655 and endpoint_unlisted in the same millisecond, the request 1.5 s later; the same day keeps the rule
+// where boxes of so small a deployment ask nobody.
+TEST_CASE("a box that knew all along what the store says takes a removal at once when its own way is back")
+{
+    Box relay(1);
+    Box box(2);
+    auto const now = Core::monotonic_now();
+    auto const removal = std::vector<Adapter::KeyedRecord> { { "a", std::nullopt } };
+    relay.read(7, { endpoint("a"), endpoint("b") }, now);
+    box.read(7, { endpoint("a"), endpoint("b") }, now - std::chrono::seconds(11));
+    SUBCASE("told by another box")
+    {
+        CHECK(ask(box, relay, now));
+        box.records.store_returned(now);
+        box.records.take_endpoint_records(removal, now, Coverage::UpToEnd);
+        CHECK(box.state.router.endpoint_count() == 1);
+    }
+    SUBCASE("told by nobody: the entry may have lapsed while the store was away")
+    {
+        box.records.store_returned(now);
+        box.records.take_endpoint_records(removal, now, Coverage::UpToEnd);
+        CHECK(box.state.router.endpoint_count() == 2);
+    }
+}
