Tests/LibGateway: Write the scripted servers' accepting and reading once

The scripted store and the scripted relay each had the same loops that accept connections and read requests. ScriptedServer has them; the two say only what they answer. The relay now serves connections side by side as the store did, where it took one after the other; its asker has one at a time. Ruled out: one class for both answers (one counts pieces, the other connections given up). Conclusion: one copy.

--- a/Tests/LibGateway/ScriptedStore.h
+++ b/Tests/LibGateway/ScriptedStore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LoopbackPair.h"
+#include "ScriptedServer.h"
 #include <LibGateway/StoreFollower.h>
 #include <boost/beast/core/detail/base64.hpp>
 #include <functional>
@@ -27,45 +27,23 @@
     using Script = std::function<std::optional<Answer>(std::string const& target)>;
 
     FakeStore(asio::io_context& context, Script script)
-        : acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-        , script(std::move(script))
+        : script(std::move(script))
+        , server(
+              context, [this](tcp::socket& socket, std::string const& target) { return this->answer(socket, target); })
     {
-        asio::co_spawn(
-            context, [this] { return this->run(); }, asio::detached);
     }
 
-    [[nodiscard]] Routing::SocketAddress address() const
-    {
-        return { "127.0.0.1", this->acceptor.local_endpoint().port() };
-    }
+    [[nodiscard]] Routing::SocketAddress address() const { return { "127.0.0.1", this->server.port() }; }
     std::vector<std::string> targets;
 
 private:
-    Task<void> run()
-    {
-        for (;;) {
-            auto [error, socket] = co_await this->acceptor.async_accept(as_value);
-            if (error)
-                co_return;
-            asio::co_spawn(this->acceptor.get_executor(), this->serve(std::move(socket)), asio::detached);
-        }
-    }
-
-    Task<void> serve(tcp::socket socket)
+    Task<bool> answer(tcp::socket& socket, std::string const& target)
     {
-        flat_buffer buffer;
-        for (;;) {
-            http::request<http::string_body> request;
-            auto const [read_error, read] = co_await http::async_read(socket, buffer, request, as_value);
-            if (read_error)
-                co_return;
-            this->targets.emplace_back(request.target());
-            auto const answer = this->script(this->targets.back());
-            if (!answer)
-                co_return;
-            if (!co_await send(socket, *answer))
-                co_return;
-        }
+        this->targets.push_back(target);
+        auto const answer = this->script(target);
+        if (!answer)
+            co_return false;
+        co_return co_await send(socket, *answer);
     }
 
     /// False if the client is gone.
@@ -85,8 +63,8 @@
         co_return !error;
     }
 
-    tcp::acceptor acceptor;
     Script script;
+    ScriptedServer server;
 };
 
 inline std::string bytes_of(std::uint64_t number, int size)
--- a/Tests/LibGateway/TestRelayFollower.cpp
+++ b/Tests/LibGateway/TestRelayFollower.cpp
@@ -1,6 +1,6 @@
 #include <TestMain.h>
 
-#include "LoopbackPair.h"
+#include "ScriptedServer.h"
 #include <LibGateway/ProbeListener.h>
 #include <LibGateway/RelayFollower.h>
 
@@ -19,15 +19,13 @@
 class SlowRelay {
 public:
     SlowRelay(asio::io_context& context, std::string body, std::size_t piece_size)
-        : acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-        , body(std::move(body))
+        : body(std::move(body))
         , piece_size(piece_size)
+        , server(context, [this](tcp::socket& socket, std::string const&) { return this->answer(socket); })
     {
-        asio::co_spawn(
-            context, [this] { return this->run(); }, asio::detached);
     }
 
-    [[nodiscard]] std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
+    [[nodiscard]] std::uint16_t port() const { return this->server.port(); }
 
     int questions { 0 };
     /// Pieces after which it says nothing more.
@@ -36,31 +34,13 @@
     int given_up { 0 };
 
 private:
-    Task<void> run()
+    Task<bool> answer(tcp::socket& socket)
     {
-        for (;;) {
-            auto [error, socket] = co_await this->acceptor.async_accept(as_value);
-            if (error)
-                co_return;
-            co_await this->serve(std::move(socket));
-        }
-    }
-
-    Task<void> serve(tcp::socket socket)
-    {
-        flat_buffer buffer;
-        for (;;) {
-            http::request<http::string_body> request;
-            auto const [read_error, read] = co_await http::async_read(socket, buffer, request, as_value);
-            if (read_error)
-                co_return;
-            ++this->questions;
-            bool const is_sent = co_await this->send(socket);
-            if (!is_sent) {
-                ++this->given_up;
-                co_return;
-            }
-        }
+        ++this->questions;
+        bool const is_sent = co_await this->send(socket);
+        if (!is_sent)
+            ++this->given_up;
+        co_return is_sent;
     }
 
     Task<bool> send(tcp::socket& socket)
@@ -78,9 +58,9 @@
         co_return true;
     }
 
-    tcp::acceptor acceptor;
     std::string body;
     std::size_t piece_size;
+    Scripted::ScriptedServer server;
 };
 
 /// What a relay answers that read the store just when it was asked: a configuration, and a list of many endpoints.
