LibGateway: Log which request a run was of, and what became of an endpoint that broke its connection

Cause: the logs of the incident can't tell whether two requests were the same one, nor that an endpoint ended: both had to be pieced together from accounts, prompt parts and connections that broke together. What is new: a fingerprint (account; host, path and body) in request_placed and request_ended; after a connection that the endpoint broke with a request on it, one new connection, and a line and a counter of what it showed (refuses, answers, unknown); explain tells it; a gauge of the boxes that the store lists. Ruled out: waiting for the endpoint's record to lapse (1.0 to 1.9 s after an end in the incident, and not while the store is away), and its health path (a probe costs, and says nothing of the process when it fails). Conclusion: the hypotheses can be told apart from the logs now.

--- a/Libraries/LibGateway/BoxRegistry.cpp
+++ b/Libraries/LibGateway/BoxRegistry.cpp
@@ -32,6 +32,7 @@
         auto pause = short_pause;
         if (auto boxes = co_await this->read()) {
             this->source.take_boxes(std::move(*boxes), monotonic_now());
+            this->state.metrics.set_boxes(this->source.boxes().size());
             this->on_boxes();
             auto const* const listed = this->source.boxes().find(this->own.name);
             bool const is_listed = listed && *listed == this->own;
--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -79,6 +79,17 @@
     line.info();
 }
 
+void RequestExchange::log_break(Attempt const& attempt, EndpointFinding finding) const
+{
+    this->state.metrics.count_broken_connection(to_string(finding));
+    Log::EventLine("broken_connection_checked")
+        .with("id", this->attempt_id)
+        .with("fingerprint", Routing::to_string(this->fingerprint))
+        .with("endpoint", attempt.placed.endpoint.incarnation)
+        .with("endpoint_now", to_string(finding))
+        .info();
+}
+
 void RequestExchange::log_placement(Attempt const& attempt) const
 {
     auto const& figures = attempt.placed.choice.figures;
@@ -86,6 +97,7 @@
     line.with("id", this->attempt_id)
         .with("route", this->admitted->route->name)
         .with("account", this->admitted->account)
+        .with("fingerprint", Routing::to_string(this->fingerprint))
         .with("urgency", this->admitted->urgency)
         .with("configuration", this->admitted->configuration->version())
         .with("configuration_age_ms", Core::to_milliseconds(this->state.router.configuration_age(attempt.started)))
@@ -112,10 +124,11 @@
     auto const route = this->admitted ? this->admitted->route->name : std::string("none");
     this->state.metrics.count_request(route, this->has_left ? 0 : status);
     this->state.metrics.observe_answer(route, taken);
-    Log::EventLine("request_ended")
-        .with("id", this->attempt_id)
-        .with("route", route)
-        .with("status", status)
+    Log::EventLine line("request_ended");
+    line.with("id", this->attempt_id).with("route", route);
+    if (this->admitted)
+        line.with("fingerprint", Routing::to_string(this->fingerprint));
+    line.with("status", status)
         .with("reason", Core::to_string(reason))
         .with("attempts", this->sent_attempts)
         .with("client_left", yes_or_no(this->has_left))
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -35,6 +35,8 @@
     , attempts(counters(*this->registry, "cleatbeam_attempts_total", "Sends to endpoints by result"))
     , endpoint_connections(
           counters(*this->registry, "cleatbeam_endpoint_connections_total", "New connections to endpoints").Add({}))
+    , broken_connections(counters(*this->registry, "cleatbeam_broken_connections_total",
+          "Connections that endpoints broke with a request on them, by what a new one showed"))
     , store_calls(counters(*this->registry, "cleatbeam_store_calls_total", "Calls to the platform's store"))
     , store_bytes(
           counters(*this->registry, "cleatbeam_store_bytes_total", "Bytes that came from the platform's store").Add({}))
@@ -51,6 +53,7 @@
     , configuration_age_seconds(gauge(*this->registry, "cleatbeam_configuration_age_seconds",
           "Time since the store confirmed that no newer configuration exists"))
     , endpoints(gauge(*this->registry, "cleatbeam_endpoints", "Endpoints that the store lists"))
+    , boxes(gauge(*this->registry, "cleatbeam_boxes", "Boxes that the store lists, this one among them"))
 {
 }
 
@@ -79,6 +82,11 @@
     this->endpoint_connections.Increment();
 }
 
+void GatewayMetrics::count_broken_connection(std::string_view finding)
+{
+    this->broken_connections.Add({ { "endpoint_now", std::string(finding) } }).Increment();
+}
+
 void GatewayMetrics::count_store_call(std::string_view what, std::string_view outcome)
 {
     this->store_calls.Add({ { "for", std::string(what) }, { "outcome", std::string(outcome) } }).Increment();
@@ -130,6 +138,11 @@
     this->endpoints.Set(static_cast<double>(count));
 }
 
+void GatewayMetrics::set_boxes(std::size_t count)
+{
+    this->boxes.Set(static_cast<double>(count));
+}
+
 std::string GatewayMetrics::to_text() const
 {
     return prometheus::TextSerializer().Serialize(this->registry->Collect());
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -24,6 +24,8 @@
     void count_retry(Core::Reason reason);
     void count_attempt(std::string_view result);
     void count_endpoint_connection();
+    /// An endpoint broke a connection that carried a request; `finding` is what a new one to it showed.
+    void count_broken_connection(std::string_view finding);
     /// `what` is the topic it was for: "operator", "endpoints" or "boxes".
     void count_store_call(std::string_view what, std::string_view outcome);
     /// What came from the store, also of answers that were cut off.
@@ -39,6 +41,8 @@
     void observe_answer(std::string const& route, Core::Duration taken);
     void set_configuration(std::uint64_t version, Core::Duration age);
     void set_endpoints(std::size_t count);
+    /// Boxes that the store lists, this one among them.
+    void set_boxes(std::size_t count);
 
     /// The text form that scrapers read.
     [[nodiscard]] std::string to_text() const;
@@ -50,6 +54,7 @@
     prometheus::Family<prometheus::Counter>& retries;
     prometheus::Family<prometheus::Counter>& attempts;
     prometheus::Counter& endpoint_connections;
+    prometheus::Family<prometheus::Counter>& broken_connections;
     prometheus::Family<prometheus::Counter>& store_calls;
     prometheus::Counter& store_bytes;
     prometheus::Family<prometheus::Counter>& relay_questions;
@@ -61,6 +66,7 @@
     prometheus::Gauge& configuration_version;
     prometheus::Gauge& configuration_age_seconds;
     prometheus::Gauge& endpoints;
+    prometheus::Gauge& boxes;
 };
 
 }
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -57,6 +57,8 @@
         co_return this->keeps_client && !this->client_is_broken;
     }
     this->admitted = std::move(std::get<Routing::Admitted>(decision));
+    this->fingerprint
+        = Routing::fingerprint_of(this->admitted->account, head->host, head->target, this->request.body());
     if (this->may_outlast_process()) {
         co_await this->refuse({ Reason::Draining, come_back_elsewhere });
         co_return false;
@@ -83,7 +85,7 @@
             co_await this->end_unplaced(*rejected);
             co_return;
         }
-        Attempt attempt { std::move(std::get<Routing::Placed>(decision)), monotonic_now(), 0, false, {} };
+        Attempt attempt { std::move(std::get<Routing::Placed>(decision)), monotonic_now(), 0, false, false, {} };
         this->last_end = co_await this->try_endpoint(attempt);
         this->record_attempt(attempt, this->last_end, monotonic_now());
         if (this->last_end == AttemptEnd::Delivered) {
@@ -91,6 +93,10 @@
             co_return;
         }
         this->tried.push_back(attempt.placed.choice.endpoint);
+        if (attempt.connection_broke)
+            asio::co_spawn(
+                this->state.context,
+                [self = this->shared_from_this(), attempt] { return self->examine_break(attempt); }, asio::detached);
         if (this->is_cancelled() || !this->may_try_again(this->last_end)) {
             co_await this->end_unserved(attempt.status);
             co_return;
@@ -195,6 +201,13 @@
     co_return end;
 }
 
+Task<void> RequestExchange::examine_break(Attempt attempt)
+{
+    auto const& placed = attempt.placed;
+    auto const finding = co_await check_endpoint(this->state, placed.choice.endpoint, placed.endpoint.address);
+    this->log_break(attempt, finding);
+}
+
 void RequestExchange::send_request(Attempt const& attempt)
 {
     ++this->sent_attempts;
@@ -222,6 +235,7 @@
     this->silence.cancel();
     if (error) {
         attempt.detail = "answer's head: " + error.message();
+        attempt.connection_broke = !this->is_cancelled() && !this->was_silent;
         co_return this->end_of_broken_answer();
     }
     attempt.status = this->call->head().result_int();
@@ -283,6 +297,7 @@
             std::string came;
             if (auto const error = co_await this->call->read_piece(came)) {
                 attempt.detail = "answer's body: " + error.message();
+                attempt.connection_broke = !this->is_cancelled();
                 co_return this->end_of_broken_answer();
             }
             this->note_events(came);
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <LibGateway/EndpointCall.h>
+#include <LibGateway/EndpointCheck.h>
 #include <LibGateway/EventPace.h>
 #include <LibGateway/EventSplitter.h>
+#include <LibRouting/RequestFingerprint.h>
 
 namespace Gateway {
 
@@ -41,6 +43,8 @@
     Core::Instant started;
     unsigned status { 0 };
     bool reused_connection { false };
+    /// Whether the endpoint's side ended the connection before the answer was whole.
+    bool connection_broke { false };
     /// What broke, in words; empty if nothing did.
     std::string detail;
 };
@@ -93,6 +97,9 @@
     [[nodiscard]] Core::Reason retry_reason(AttemptEnd end) const;
     [[nodiscard]] Routing::AttemptResult result_of(Attempt const& attempt, AttemptEnd end) const;
     void record_attempt(Attempt const& attempt, AttemptEnd end, Core::Instant now);
+    /// Finds out what became of an endpoint that broke its connection, for the log and for later requests.
+    [[nodiscard]] Task<void> examine_break(Attempt attempt);
+    void log_break(Attempt const& attempt, EndpointFinding finding) const;
     void log_placement(Attempt const& attempt) const;
     void log_end(unsigned status, Core::Reason reason) const;
 
@@ -114,6 +121,7 @@
     std::string attempt_id;
     Routing::Workload workload;
     std::optional<Routing::Admitted> admitted;
+    Routing::RequestFingerprint fingerprint;
     Core::Instant arrived;
     asio::steady_timer expiry;
     asio::steady_timer silence;
--- a/Libraries/LibLog/LogLine.cpp
+++ b/Libraries/LibLog/LogLine.cpp
@@ -49,6 +49,16 @@
     return told;
 }
 
+std::string tell_check(Pairs const& pairs)
+{
+    auto const now = value_of(pairs, "endpoint_now");
+    auto const finding = now == "refuses" ? "its process has ended"
+        : now == "answers"                ? "it takes connections"
+                                          : "no word came";
+    return fmt::format("a new connection to {} after the broken one: {} (the request's fingerprint is {})",
+        value_of(pairs, "endpoint"), finding, value_of(pairs, "fingerprint"));
+}
+
 std::string tell_end(Pairs const& pairs)
 {
     return fmt::format("the client was told {} after {} ms and {} attempts, because: {}{}", value_of(pairs, "status"),
@@ -89,6 +99,8 @@
         return tell_placement(pairs);
     if (event == "attempt_ended")
         return tell_attempt_end(pairs);
+    if (event == "broken_connection_checked")
+        return tell_check(pairs);
     if (event == "request_ended")
         return tell_end(pairs);
     if (event == "answer_for_other_request")
--- /dev/null
+++ b/Libraries/LibRouting/RequestFingerprint.cpp
@@ -0,0 +1,40 @@
+#include <LibRouting/RequestFingerprint.h>
+
+#include <array>
+#include <charconv>
+#include <xxhash.h>
+
+namespace Routing {
+
+namespace {
+
+/// Chained, so that the parts can't run into each other: "/a" + "bc" is not "/ab" + "c".
+std::uint64_t hash_on(std::uint64_t before, std::string_view part)
+{
+    return XXH3_64bits_withSeed(part.data(), part.size(), before);
+}
+
+std::string hexadecimal(std::uint64_t number)
+{
+    constexpr int base = 16;
+    constexpr std::size_t digits = 16;
+    std::array<char, digits> text {};
+    auto const end = std::to_chars(text.data(), text.data() + digits, number, base).ptr;
+    std::string written(text.data(), end);
+    return std::string(digits - written.size(), '0') + written;
+}
+
+}
+
+RequestFingerprint fingerprint_of(
+    std::string_view account, std::string_view host, std::string_view target, std::string_view body)
+{
+    return { hash_on(0, account), hash_on(hash_on(hash_on(0, host), target), body) };
+}
+
+std::string to_string(RequestFingerprint fingerprint)
+{
+    return hexadecimal(fingerprint.account) + hexadecimal(fingerprint.content);
+}
+
+}
--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -1,5 +1,6 @@
 #include "PlatformCluster.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <fstream>
 #include <httplib.h>
@@ -116,6 +117,12 @@
 
 Reply PlatformCluster::send(std::string const& box, std::string const& path, std::string const& attempt,
     std::map<std::string, std::string> headers) const
+{
+    return this->send_body(box, path, attempt, "body of " + attempt, std::move(headers));
+}
+
+Reply PlatformCluster::send_body(std::string const& box, std::string const& path, std::string const& attempt,
+    std::string const& body, std::map<std::string, std::string> headers) const
 {
     headers.try_emplace("Host", "h.example");
     headers.try_emplace("X-Attempt-Id", attempt);
@@ -124,13 +131,18 @@
     constexpr auto longest_answer = std::chrono::seconds(30);
     httplib::Client client("127.0.0.1", this->box_ports.at(box)[0]);
     client.set_read_timeout(longest_answer);
-    auto const result
-        = client.Post(path, httplib::Headers(headers.begin(), headers.end()), "body of " + attempt, "text/plain");
+    auto const result = client.Post(path, httplib::Headers(headers.begin(), headers.end()), body, "text/plain");
     if (!result)
         return {};
     return { result->status, result->body, {}, {}, {}, result->get_header_value("Retry-After") };
 }
 
+int PlatformCluster::ended_servers() const
+{
+    return static_cast<int>(std::ranges::count_if(this->servers,
+        [this](auto const& server) { return this->cluster.get(this->cluster.port(server), "/journal").empty(); }));
+}
+
 int PlatformCluster::runs(std::string const& attempt) const
 {
     int count = 0;
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -41,6 +41,11 @@
     /// Sends a request through a box.
     [[nodiscard]] Reply send(std::string const& box, std::string const& path, std::string const& attempt,
         std::map<std::string, std::string> headers = {}) const;
+    /// The same with this body, where several attempts are of one request.
+    [[nodiscard]] Reply send_body(std::string const& box, std::string const& path, std::string const& attempt,
+        std::string const& body, std::map<std::string, std::string> headers = {}) const;
+    /// How many of the servers that were started have ended by themselves.
+    [[nodiscard]] int ended_servers() const;
     /// How often the servers have run an attempt, all together.
     [[nodiscard]] int runs(std::string const& attempt) const;
     [[nodiscard]] nlohmann::json journal(std::string const& server) const { return this->cluster.journal(server); }
