LibRouting, LibGateway: Refuse a request under which three endpoints crashed, at all boxes

Cause: nothing outlived one try of a request. Each box placed each return as if it were the first, so one client's request took endpoint after endpoint with it, and all other answers there. Class: a bound that is kept for each arrival though it stands for the whole. What is new: CrashLedger (pure) counts crashes of a request one after another, forgives what ends well or was seen wrong, and is bounded; CrashNews tells all boxes in datagrams and keeps refused requests in the store among the boxes' records; a box goes on to a second endpoint by itself after a first crash only, and knows of it before it chooses. Ruled out: counting all breaks (resets of connections are none), all crashes at once (a popular request under a lost rack would be refused), a few boxes that count for all (no box would know what a run that ended well clears), a call to the store a crash. Found on the way: this compiler runs an awaited operand of || even when the first one is true (a test counted two checks where one was asked for); awaits stand in statements of their own there.

--- a/Libraries/LibCore/Reason.cpp
+++ b/Libraries/LibCore/Reason.cpp
@@ -65,6 +65,7 @@
     "endpoint-failed",
     "endpoint-silent",
     "stream-resumed",
+    "request-crashes-endpoints",
     "attempts-spent",
     "memory-limit",
 };
--- a/Libraries/LibCore/Reason.h
+++ b/Libraries/LibCore/Reason.h
@@ -82,6 +82,7 @@
     EndpointFailed,
     EndpointSilent,
     StreamResumed,
+    RequestCrashesEndpoints,
     AttemptsSpent,
     MemoryLimit,
     Count,
--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -22,7 +22,8 @@
 /// Monotonic time of this process, for the shell only.
 [[nodiscard]] Instant monotonic_now();
 
-/// Milliseconds since 1970 by this box's wall clock, for idempotency keys only.
+/// Milliseconds since 1970 by this box's wall clock, which may step either way. For idempotency keys, and for records
+/// that outlive the process.
 [[nodiscard]] std::int64_t wall_clock_milliseconds();
 
 /// Reads "250ms", "1.5s", "10m" or "2h"; nothing for any other text, negative or not finite.
--- a/Libraries/LibGateway/BoxRegistry.cpp
+++ b/Libraries/LibGateway/BoxRegistry.cpp
@@ -3,6 +3,7 @@
 #include <LibGateway/HttpStatus.h>
 #include <LibGateway/WholeTopic.h>
 #include <LibLog/EventLog.h>
+#include <LibMembership/CrashMessages.h>
 
 namespace Gateway {
 
@@ -15,6 +16,7 @@
     , connection(state.context, std::move(store))
     , own(std::move(own))
     , on_boxes(std::move(on_boxes))
+    , pause(state.context)
     , random(seed)
 {
 }
@@ -24,7 +26,7 @@
     // NOTE: The compiler destroys a temporary twice that is made of braces in the expression awaited, so it has a name.
     Adapter::KeyedRecord const own_record { this->own.name, Membership::encode(this->own) };
     if (start == Start::OfAllBoxes) {
-        co_await this->write(own_record);
+        static_cast<void>(co_await this->write(own_record));
         co_await sleep_for(settling_time);
     }
     unsigned readings = 0;
@@ -39,13 +41,34 @@
             if (is_listed)
                 pause = this->source.list_pause(readings++, monotonic_now());
             else
-                co_await this->write(own_record);
+                static_cast<void>(co_await this->write(own_record));
             co_await this->drop_left_over_records();
         } else {
             this->source.boxes_unknown();
             this->on_boxes();
         }
-        co_await sleep_for(this->spread(pause));
+        co_await this->write_kept(monotonic_now() + this->spread(pause));
+    }
+}
+
+void BoxRegistry::keep(Adapter::KeyedRecord record)
+{
+    this->kept.push_back(std::move(record));
+    this->pause.end();
+}
+
+Task<void> BoxRegistry::write_kept(Core::Instant until)
+{
+    bool is_refused = false;
+    for (auto now = monotonic_now(); now < until; now = monotonic_now()) {
+        if (this->kept.empty() || is_refused)
+            co_await this->pause.wait(this->kept.empty() ? until - now : std::min(short_pause, until - now));
+        if (this->kept.empty())
+            continue;
+        auto const record = this->kept.front();
+        is_refused = !co_await this->write(record);
+        if (!is_refused)
+            this->kept.pop_front();
     }
 }
 
@@ -64,6 +87,11 @@
     }
     std::vector<Membership::BoxRecord> boxes;
     for (auto const& record : topic->records) {
+        if (Membership::is_crash_key(record.key)) {
+            if (this->on_other && record.value)
+                this->on_other(record.key, *record.value);
+            continue;
+        }
         auto box = Membership::decode_box(record.key, record.value.value_or(""));
         if (box)
             boxes.push_back(std::move(*box));
@@ -73,7 +101,7 @@
     co_return boxes;
 }
 
-Task<void> BoxRegistry::write(Adapter::KeyedRecord const& record)
+Task<bool> BoxRegistry::write(Adapter::KeyedRecord const& record)
 {
     Core::LastReason reason;
     auto answer = co_await this->connection.post(
@@ -84,13 +112,14 @@
         .with("box", record.key)
         .with("outcome", answer ? "done" : "unknown")
         .info();
+    co_return answer.has_value();
 }
 
 Task<void> BoxRegistry::drop_left_over_records()
 {
     for (auto const& name : this->source.long_gone(monotonic_now())) {
         Adapter::KeyedRecord const dropped { name, std::nullopt };
-        co_await this->write(dropped);
+        static_cast<void>(co_await this->write(dropped));
     }
 }
 
--- a/Libraries/LibGateway/BoxRegistry.h
+++ b/Libraries/LibGateway/BoxRegistry.h
@@ -6,6 +6,7 @@
 #include <LibMembership/RelayMessages.h>
 #include <platform/StoreRecords.h>
 
+#include <deque>
 #include <functional>
 #include <pcg_random.hpp>
 #include <random>
@@ -33,6 +34,12 @@
         return start == Start::OfAllBoxes ? settling_time + usual_call_time : usual_call_time;
     }
 
+    /// Called with each record that is not of a box.
+    using OnOther = std::function<void(std::string const& key, std::string const& value)>;
+    void set_on_other(OnOther taker) { this->on_other = std::move(taker); }
+    /// Writes the record among those of boxes, and again until the store has taken it.
+    void keep(Adapter::KeyedRecord record);
+
     /// Runs until the process ends.
     [[nodiscard]] Task<void> run(Start start);
     void set_address(Routing::SocketAddress address) { this->connection.set_address(std::move(address)); }
@@ -40,7 +47,10 @@
 private:
     /// The records of all boxes; nothing if the store could not be read.
     [[nodiscard]] Task<std::optional<std::vector<Membership::BoxRecord>>> read();
-    [[nodiscard]] Task<void> write(Adapter::KeyedRecord const& record);
+    /// True if the store has taken it.
+    [[nodiscard]] Task<bool> write(Adapter::KeyedRecord const& record);
+    /// Writes what keep() was given, in order. Until `until`, whenever there is something to write.
+    [[nodiscard]] Task<void> write_kept(Core::Instant until);
     [[nodiscard]] Task<void> drop_left_over_records();
     /// Counts the call; nothing, with a log line, for any answer but a success.
     [[nodiscard]] std::optional<StoreAnswer> accepted(std::optional<StoreAnswer> answer, std::string const& reason);
@@ -61,6 +71,9 @@
     StoreConnection connection;
     Membership::BoxRecord own;
     OnBoxes on_boxes;
+    OnOther on_other;
+    std::deque<Adapter::KeyedRecord> kept;
+    Pause pause;
     pcg32 random;
 };
 
--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -75,14 +75,41 @@
         [this](std::string_view path, std::string const& body) { return this->answer_box(path, body); }, most_askers);
     Membership::BoxRecord own { this->box_name, { this->ports->host, this->listener->port() }, this->failure_domain,
         this->link_bytes_per_second };
-    this->loads.emplace(this->state, this->source.boxes(), own.address, source_id(this->seed));
+    this->loads.emplace(this->state, this->source.boxes(), own.address, source_id(this->seed),
+        [this](std::string_view bytes) { return this->take_crash_news(bytes); });
     if (!this->loads->open(last_reason))
         return false;
     this->registry.emplace(
         this->state, this->source, this->store, std::move(own), [this] { this->wake_all(); }, this->seed);
+    this->connect_crash_news();
     return true;
 }
 
+void ControlPlane::connect_crash_news()
+{
+    /// A request that is refused is told on to so many boxes a second by each that knows it, so that a box that missed
+    /// the news knows within a second or two, however many there are.
+    constexpr std::size_t some_boxes = 3;
+    this->state.crash_news.set_ways(
+        [this](std::string const& bytes, CrashNews::Audience audience) {
+            auto const all = this->source.boxes().size();
+            this->loads->send(bytes, audience == CrashNews::Audience::AllBoxes ? all : some_boxes);
+        },
+        [this](std::string const& key, std::optional<std::string> value) {
+            this->registry->keep({ key, std::move(value) });
+        });
+    this->registry->set_on_other(
+        [this](std::string const& key, std::string const& value) { this->state.crash_news.take_stored(key, value); });
+}
+
+bool ControlPlane::take_crash_news(std::string_view bytes)
+{
+    auto const message = Membership::decode_crashes(bytes);
+    if (message)
+        this->state.crash_news.hear(*message);
+    return message.has_value();
+}
+
 void ControlPlane::start()
 {
     auto& context = this->state.context;
@@ -98,6 +125,7 @@
     asio::co_spawn(context, this->relay_follower.run(), asio::detached);
     asio::co_spawn(context, this->loads->tell(), asio::detached);
     asio::co_spawn(context, this->loads->hear(), asio::detached);
+    asio::co_spawn(context, this->state.crash_news.run(), asio::detached);
 }
 
 void ControlPlane::set_environment(Adapter::BoxEnvironment const& environment)
--- a/Libraries/LibGateway/ControlPlane.h
+++ b/Libraries/LibGateway/ControlPlane.h
@@ -27,6 +27,9 @@
     [[nodiscard]] StoreFollower::Paces operator_paces() const;
     [[nodiscard]] StoreFollower::Paces endpoints_paces(Core::Duration drain_within) const;
     [[nodiscard]] ProbeAnswer answer_box(std::string_view path, std::string const& body);
+    void connect_crash_news();
+    /// False for bytes that hold none.
+    [[nodiscard]] bool take_crash_news(std::string_view bytes);
     void wake_followers();
     /// The list of boxes is known now, or known to be out of reach.
     void wake_all();
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -194,6 +194,7 @@
     auto const configuration = this->state.router.configuration();
     this->state.metrics.set_configuration(
         configuration ? configuration->version() : 0, this->state.router.configuration_age(monotonic_now()));
+    this->state.metrics.set_refused_requests(this->state.crash_news.refused_count());
     return { status_ok, this->state.metrics.to_text() };
 }
 
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -44,6 +44,8 @@
     , relay_answers(
           counters(*this->registry, "cleatbeam_relay_answers_total", "Questions of other boxes answered").Add({}))
     , load_reports(counters(*this->registry, "cleatbeam_load_reports_total", "Reports of load between boxes"))
+    , crash_reports(counters(
+          *this->registry, "cleatbeam_crash_reports_total", "What is known of requests under which endpoints crashed"))
     , bad_records(counters(*this->registry, "cleatbeam_bad_records_total", "Records that could not be read"))
     , first_byte_seconds(
           histograms(*this->registry, "cleatbeam_first_byte_seconds", "From a request's arrival to its first byte"))
@@ -54,6 +56,8 @@
           "Time since the store confirmed that no newer configuration exists"))
     , endpoints(gauge(*this->registry, "cleatbeam_endpoints", "Endpoints that the store lists"))
     , boxes(gauge(*this->registry, "cleatbeam_boxes", "Boxes that the store lists, this one among them"))
+    , refused_requests(gauge(*this->registry, "cleatbeam_refused_requests",
+          "Requests that are refused since endpoints crashed under them"))
 {
 }
 
@@ -112,6 +116,11 @@
     this->load_reports.Add({ { "what", std::string(what) } }).Increment(static_cast<double>(count));
 }
 
+void GatewayMetrics::count_crash_report(std::string_view what)
+{
+    this->crash_reports.Add({ { "what", std::string(what) } }).Increment();
+}
+
 void GatewayMetrics::count_bad_record(std::string_view kind)
 {
     this->bad_records.Add({ { "kind", std::string(kind) } }).Increment();
@@ -138,6 +147,11 @@
     this->endpoints.Set(static_cast<double>(count));
 }
 
+void GatewayMetrics::set_refused_requests(std::size_t count)
+{
+    this->refused_requests.Set(static_cast<double>(count));
+}
+
 void GatewayMetrics::set_boxes(std::size_t count)
 {
     this->boxes.Set(static_cast<double>(count));
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -36,11 +36,16 @@
     void count_relay_answer();
     /// Load reports between boxes: "told", "heard", "overtaken" by a newer one, or "unreadable".
     void count_load_reports(std::string_view what, std::size_t count);
+    /// Requests under which endpoints crashed: "noted" here, "heard" from another box, "read" from the store, "cleared"
+    /// by a run that ended well, "taken-back" since the endpoint answers.
+    void count_crash_report(std::string_view what);
     void count_bad_record(std::string_view kind);
     void observe_first_byte(std::string const& route, Core::Duration taken);
     void observe_answer(std::string const& route, Core::Duration taken);
     void set_configuration(std::uint64_t version, Core::Duration age);
     void set_endpoints(std::size_t count);
+    /// Requests that are refused since endpoints crashed under them.
+    void set_refused_requests(std::size_t count);
     /// Boxes that the store lists, this one among them.
     void set_boxes(std::size_t count);
 
@@ -60,6 +65,7 @@
     prometheus::Family<prometheus::Counter>& relay_questions;
     prometheus::Counter& relay_answers;
     prometheus::Family<prometheus::Counter>& load_reports;
+    prometheus::Family<prometheus::Counter>& crash_reports;
     prometheus::Family<prometheus::Counter>& bad_records;
     prometheus::Family<prometheus::Histogram>& first_byte_seconds;
     prometheus::Family<prometheus::Histogram>& answer_seconds;
@@ -67,6 +73,7 @@
     prometheus::Gauge& configuration_age_seconds;
     prometheus::Gauge& endpoints;
     prometheus::Gauge& boxes;
+    prometheus::Gauge& refused_requests;
 };
 
 }
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/CrashNews.h>
 #include <LibGateway/EndpointConnections.h>
 #include <LibGateway/GatewayMetrics.h>
 #include <LibRouting/RequestRouter.h>
@@ -13,6 +14,7 @@
         : context(context)
         , router(std::move(settings), seed)
         , connections(context)
+        , crash_news(context, this->metrics)
     {
     }
 
@@ -20,6 +22,7 @@
     Routing::RequestRouter router;
     EndpointConnections connections;
     GatewayMetrics metrics;
+    CrashNews crash_news;
     /// Set once the process has been told to stop.
     bool is_stopping { false };
     /// When this process ends at the latest; known once it takes no new connections.
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -6,12 +6,13 @@
 
 using Core::monotonic_now;
 
-LoadExchange::LoadExchange(
-    GatewayState& state, Membership::BoxDirectory const& boxes, Routing::SocketAddress own, std::uint64_t sender)
+LoadExchange::LoadExchange(GatewayState& state, Membership::BoxDirectory const& boxes, Routing::SocketAddress own,
+    std::uint64_t sender, OnOther on_other)
     : state(state)
     , boxes(boxes)
     , own(std::move(own))
     , sender(sender)
+    , on_other(std::move(on_other))
     , socket(state.context)
 {
 }
@@ -48,12 +49,7 @@
         auto const bytes = Membership::encode(message);
         auto const plan = Membership::plan_reports(places.size(), bytes.size());
         this->state.router.set_report_interval(plan.interval);
-        for (std::size_t told = 0; told < plan.receivers; ++told) {
-            error_code ignored;
-            // NOTE: What the network does not take now is as good as lost on the way; the next report replaces it.
-            this->socket.send_to(asio::buffer(bytes), places[this->next_receiver++ % places.size()],
-                udp::socket::message_flags(MSG_DONTWAIT), ignored);
-        }
+        this->send_to(places, bytes, plan.receivers);
         this->state.metrics.count_load_reports("told", plan.receivers);
         told_something = has_load;
         this->ages.expire(now);
@@ -61,6 +57,21 @@
     }
 }
 
+void LoadExchange::send(std::string const& bytes, std::size_t receivers)
+{
+    this->send_to(this->others(), bytes, receivers);
+}
+
+void LoadExchange::send_to(std::vector<udp::endpoint> const& places, std::string const& bytes, std::size_t receivers)
+{
+    for (std::size_t sent = 0; sent < std::min(receivers, places.size()); ++sent) {
+        error_code ignored;
+        // NOTE: What the network does not take now is as good as lost on the way; whoever sends tells it again.
+        this->socket.send_to(asio::buffer(bytes), places[this->next_receiver++ % places.size()],
+            udp::socket::message_flags(MSG_DONTWAIT), ignored);
+    }
+}
+
 Task<void> LoadExchange::hear()
 {
     std::string bytes;
@@ -93,6 +104,8 @@
 void LoadExchange::take(std::string_view bytes, udp::endpoint const& from)
 {
     auto const message = Membership::decode_load(bytes);
+    if (!message && this->on_other(bytes))
+        return;
     if (!message) {
         this->state.metrics.count_load_reports("unreadable", 1);
         Log::EventLine("load_report_unreadable").with("from", from.address().to_string()).info();
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -5,6 +5,7 @@
 #include <LibMembership/LoadMessages.h>
 
 #include <boost/asio/ip/udp.hpp>
+#include <functional>
 
 namespace Gateway {
 
@@ -12,20 +13,26 @@
 /// them. Only advice: a datagram that is lost, late or missing makes a choice worse and nothing wrong.
 class LoadExchange {
 public:
+    /// What came on this port and is no load report; false if it is nothing else either.
+    using OnOther = std::function<bool(std::string_view bytes)>;
+
     /// `own` is the address that other boxes know this one by. `sender` names this process.
-    LoadExchange(
-        GatewayState& state, Membership::BoxDirectory const& boxes, Routing::SocketAddress own, std::uint64_t sender);
+    LoadExchange(GatewayState& state, Membership::BoxDirectory const& boxes, Routing::SocketAddress own,
+        std::uint64_t sender, OnOther on_other);
 
     /// False, with a reason, where datagrams can't be received.
     [[nodiscard]] bool open(Core::LastReason& last_reason);
     /// Run until the event loop is stopped.
     [[nodiscard]] Task<void> tell();
     [[nodiscard]] Task<void> hear();
+    /// Sends these bytes to so many other boxes, in turn; to all if there are no more.
+    void send(std::string const& bytes, std::size_t receivers);
 
 private:
     using udp = asio::ip::udp;
 
     [[nodiscard]] std::vector<udp::endpoint> others() const;
+    void send_to(std::vector<udp::endpoint> const& places, std::string const& bytes, std::size_t receivers);
     void take(std::string_view bytes, udp::endpoint const& from);
 
     /// Where there is nobody to tell, or nothing new.
@@ -37,6 +44,7 @@
     Membership::BoxDirectory const& boxes;
     Routing::SocketAddress own;
     std::uint64_t sender;
+    OnOther on_other;
     udp::socket socket;
     Membership::MessageAges ages;
     /// Where the next report begins among the others, so that all are told in turn where not all are each time.
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -80,24 +80,32 @@
 Task<void> RequestExchange::serve()
 {
     for (;;) {
+        auto const verdict = this->state.crash_news.verdict(this->fingerprint);
+        if (verdict.refused_for) {
+            co_await this->end_unplaced({ Reason::RequestCrashesEndpoints, verdict.refused_for });
+            co_return;
+        }
         auto decision = this->state.router.place(*this->admitted, this->workload, this->tried, monotonic_now());
         if (auto const* const rejected = std::get_if<Routing::Rejected>(&decision)) {
             co_await this->end_unplaced(*rejected);
             co_return;
         }
-        Attempt attempt { std::move(std::get<Routing::Placed>(decision)), monotonic_now(), 0, false, false, {} };
+        Attempt attempt { std::move(std::get<Routing::Placed>(decision)), monotonic_now(), 0, false, false,
+            verdict.crashes, {} };
         this->last_end = co_await this->try_endpoint(attempt);
         this->record_attempt(attempt, this->last_end, monotonic_now());
+        this->note_run(attempt, this->last_end);
         if (this->last_end == AttemptEnd::Delivered) {
             this->log_end(attempt.status, Reason::AnswerComplete);
             co_return;
         }
         this->tried.push_back(attempt.placed.choice.endpoint);
-        if (attempt.connection_broke)
-            asio::co_spawn(
-                this->state.context,
-                [self = this->shared_from_this(), attempt] { return self->examine_break(attempt); }, asio::detached);
-        if (this->is_cancelled() || !this->may_try_again(this->last_end)) {
+        bool ends_here = this->is_cancelled() || !this->may_try_again(this->last_end);
+        if (ends_here)
+            this->examine_break_later(attempt);
+        else
+            ends_here = co_await this->has_crashed_again(attempt) || this->is_cancelled();
+        if (ends_here) {
             co_await this->end_unserved(attempt.status);
             co_return;
         }
@@ -154,6 +162,8 @@
         return Reason::CallerGone;
     if (this->has_expired)
         return this->admitted->expiry;
+    if (this->crashes_endpoints)
+        return Reason::RequestCrashesEndpoints;
     if (this->sent_attempts >= this->admitted->route->max_attempts)
         return Reason::AttemptsSpent;
     if (this->last_end == AttemptEnd::Unknown && !this->admitted->route->is_repeatable())
@@ -201,11 +211,53 @@
     co_return end;
 }
 
-Task<void> RequestExchange::examine_break(Attempt attempt)
+Task<bool> RequestExchange::examine_break(Attempt attempt)
 {
     auto const& placed = attempt.placed;
+    // NOTE: An endpoint that leaves ends as planned; what it broke off says nothing of the request.
+    bool const was_in_use = this->state.router.may_receive(placed.choice.endpoint, monotonic_now());
     auto const finding = co_await check_endpoint(this->state, placed.choice.endpoint, placed.endpoint.address);
     this->log_break(attempt, finding);
+    bool const has_crashed = was_in_use && finding == EndpointFinding::Refuses;
+    if (has_crashed)
+        this->state.crash_news.crashed(
+            { this->fingerprint, Routing::life_of(placed.endpoint), attempt.known_crashes + 1 });
+    co_return has_crashed;
+}
+
+void RequestExchange::examine_break_later(Attempt const& attempt)
+{
+    if (!attempt.connection_broke)
+        return;
+    // NOTE: Not awaited, since the client is told at once.
+    asio::co_spawn(
+        this->state.context,
+        [self = this->shared_from_this(), attempt]() -> Task<void> {
+            static_cast<void>(co_await self->examine_break(attempt));
+        },
+        asio::detached);
+}
+
+Task<bool> RequestExchange::has_crashed_again(Attempt const& attempt)
+{
+    if (!attempt.connection_broke)
+        co_return false;
+    // NOTE: Known before the next endpoint is chosen, a round trip later: without that a call that may be repeated
+    // takes two endpoints with it each time it comes.
+    bool const has_crashed = co_await this->examine_break(attempt);
+    this->crashes_endpoints = has_crashed && attempt.known_crashes > 0;
+    co_return this->crashes_endpoints;
+}
+
+void RequestExchange::note_run(Attempt const& attempt, AttemptEnd end)
+{
+    constexpr unsigned first_no_success = 300;
+    if (attempt.status != 0)
+        this->state.crash_news.answered(Routing::life_of(attempt.placed.endpoint), attempt.started);
+    bool const ended_well
+        = end == AttemptEnd::Delivered && attempt.status >= status_ok && attempt.status < first_no_success;
+    if (ended_well)
+        this->state.crash_news.ran_well(this->fingerprint);
 }
 
 void RequestExchange::send_request(Attempt const& attempt)
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -45,6 +45,8 @@
     bool reused_connection { false };
     /// Whether the endpoint's side ended the connection before the answer was whole.
     bool connection_broke { false };
+    /// Crashes of the request that were known when this run began.
+    unsigned known_crashes { 0 };
     /// What broke, in words; empty if nothing did.
     std::string detail;
 };
@@ -97,8 +99,14 @@
     [[nodiscard]] Core::Reason retry_reason(AttemptEnd end) const;
     [[nodiscard]] Routing::AttemptResult result_of(Attempt const& attempt, AttemptEnd end) const;
     void record_attempt(Attempt const& attempt, AttemptEnd end, Core::Instant now);
-    /// Finds out what became of an endpoint that broke its connection, for the log and for later requests.
-    [[nodiscard]] Task<void> examine_break(Attempt attempt);
+    /// Finds out what became of an endpoint that broke its connection, and notes it if it crashed. True if it did.
+    [[nodiscard]] Task<bool> examine_break(Attempt attempt);
+    /// The same beside the answer to the client.
+    void examine_break_later(Attempt const& attempt);
+    /// Whether the request is left alone after this attempt, since another endpoint crashed under it before.
+    [[nodiscard]] Task<bool> has_crashed_again(Attempt const& attempt);
+    /// Tells what the run says of the request and of the endpoint, for later requests.
+    void note_run(Attempt const& attempt, AttemptEnd end);
     void log_break(Attempt const& attempt, EndpointFinding finding) const;
     void log_placement(Attempt const& attempt) const;
     void log_end(unsigned status, Core::Reason reason) const;
@@ -138,6 +146,8 @@
     bool has_expired { false };
     bool has_left { false };
     bool was_silent { false };
+    /// Endpoints crashed under this request, so it goes to no other one.
+    bool crashes_endpoints { false };
     /// Whether the limit on the endpoint's silence still holds.
     bool awaits_head { false };
     bool client_is_broken { false };
--- /dev/null
+++ b/Libraries/LibRouting/CrashLedger.cpp
@@ -0,0 +1,106 @@
+#include <LibRouting/CrashLedger.h>
+
+#include <algorithm>
+
+namespace Routing {
+
+CrashVerdict CrashLedger::verdict(RequestFingerprint request, Instant now) const
+{
+    auto const found = this->entries.find(request);
+    if (found == this->entries.end())
+        return {};
+    CrashVerdict verdict { crashes_of(found->second, now), {} };
+    if (verdict.crashes >= most_crashes)
+        verdict.refused_for = quarantine - (now - found->second.last_crash);
+    return verdict;
+}
+
+unsigned CrashLedger::crashes_of(Entry const& entry, Instant now)
+{
+    // NOTE: After the quarantine one crash is missing to the next, so a single run decides.
+    if (now - entry.last_crash >= quarantine)
+        return std::min(entry.crashes, most_crashes - 1);
+    return entry.crashes;
+}
+
+CrashLedger::Taken CrashLedger::take(CrashReport const& report, Duration age, Instant now)
+{
+    if (report.count == 0 || age >= memory)
+        return Taken::Known;
+    auto const position = this->entries.try_emplace(report.request).first;
+    auto& entry = position->second;
+    bool const was_cleared = entry.cleared_at && now - *entry.cleared_at < late_reports;
+    if (was_cleared && report.count > entry.crashes + 1)
+        return Taken::Cleared;
+    auto const count = std::min(report.count, most_crashes);
+    auto const crashed_at = now - age;
+    if (count <= crashes_of(entry, crashed_at))
+        return Taken::Known;
+    entry.crashes = count;
+    entry.endpoints.push_back(report.endpoint);
+    if (entry.endpoints.size() > most_crashes)
+        entry.endpoints.erase(entry.endpoints.begin());
+    entry.last_crash = crashed_at;
+    this->crashed.try_emplace(report.endpoint, now);
+    this->make_room();
+    return Taken::New;
+}
+
+bool CrashLedger::clear(RequestFingerprint request, Instant now)
+{
+    auto const found = this->entries.find(request);
+    if (found == this->entries.end() || found->second.crashes == 0)
+        return false;
+    found->second = Entry { 0, {}, now, now };
+    return true;
+}
+
+bool CrashLedger::endpoint_answered(EndpointLife const& endpoint, Instant sent_at)
+{
+    if (this->crashed.empty())
+        return false;
+    auto const found = this->crashed.find(endpoint);
+    // NOTE: An answer may have been under way when the endpoint crashed; one to a later request was not.
+    return found != this->crashed.end() && sent_at > found->second && this->take_back(endpoint);
+}
+
+bool CrashLedger::take_back(EndpointLife const& endpoint)
+{
+    if (this->crashed.erase(endpoint) == 0)
+        return false;
+    for (auto& [request, entry] : this->entries) {
+        auto const taken_back = std::erase(entry.endpoints, endpoint);
+        entry.crashes -= std::min<unsigned>(entry.crashes, static_cast<unsigned>(taken_back));
+    }
+    return true;
+}
+
+std::vector<CrashReport> CrashLedger::refused(Instant now) const
+{
+    std::vector<CrashReport> reports;
+    for (auto const& [request, entry] : this->entries) {
+        if (crashes_of(entry, now) >= most_crashes)
+            reports.push_back({ request, entry.endpoints.back(), entry.crashes });
+    }
+    return reports;
+}
+
+void CrashLedger::expire(Instant now)
+{
+    std::erase_if(this->entries, [now](auto const& known) { return now - known.second.last_crash >= memory; });
+    std::erase_if(this->crashed, [now](auto const& known) { return now - known.second >= memory; });
+}
+
+void CrashLedger::make_room()
+{
+    if (this->crashed.size() > most_requests)
+        this->crashed.erase(
+            std::ranges::min_element(this->crashed, {}, [](auto const& known) { return known.second; }));
+    if (this->entries.size() <= most_requests)
+        return;
+    auto const least = std::ranges::min_element(
+        this->entries, {}, [](auto const& known) { return std::pair(known.second.crashes, known.second.last_crash); });
+    this->entries.erase(least);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/CrashLedger.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <LibRouting/EndpointDirectory.h>
+#include <LibRouting/RequestFingerprint.h>
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace Routing {
+
+/// One run of a request that ended with the process of its endpoint.
+struct CrashReport {
+    RequestFingerprint request;
+    EndpointLife endpoint;
+    /// This crash, and those of the request that were known when the run began.
+    unsigned count { 1 };
+
+    bool operator==(CrashReport const&) const = default;
+};
+
+/// What is held against a request.
+struct CrashVerdict {
+    /// Crashes, each of a run that began when the one before was known.
+    unsigned crashes { 0 };
+    /// How long the request is still refused; nothing if it may run.
+    std::optional<Duration> refused_for;
+
+    bool operator==(CrashVerdict const&) const = default;
+};
+
+/// Requests under which endpoints crashed, as far as this box saw it or was told (pure).
+///
+/// Answers the load of a client whose request ends every endpoint that runs it and who comes back with it: each return
+/// costs an endpoint and all other answers on it. From the third crash on the request is refused.
+///
+/// All requests at an endpoint go down with it, and nearly all of them are harmless. So crashes count one after
+/// another: only a run that began when the crash before was known raises the count. A popular request that was under a
+/// hundred endpoints of a lost rack counts one. A run that ends well clears its request, and an endpoint that answers
+/// after all takes its crash back, so that a box that is cut off can't get requests refused.
+class CrashLedger {
+public:
+    /// What take() made of a report.
+    enum class Taken {
+        New,
+        Known,
+        /// A run of the request has ended well since; whoever told this has not heard of it.
+        Cleared,
+    };
+
+    [[nodiscard]] CrashVerdict verdict(RequestFingerprint request, Instant now) const;
+    /// A run of the request ended with its endpoint, `age` ago.
+    Taken take(CrashReport const& report, Duration age, Instant now);
+    /// A run of the request ended well, here or at another box. True if anything was held against it.
+    bool clear(RequestFingerprint request, Instant now);
+    /// The endpoint answered a request that was sent at `sent_at`. True if it was said to have crashed before that.
+    bool endpoint_answered(EndpointLife const& endpoint, Instant sent_at);
+    /// Takes back what was held against requests for this endpoint's crash. True if there was anything.
+    bool take_back(EndpointLife const& endpoint);
+    /// The last crash of each request that is refused now.
+    [[nodiscard]] std::vector<CrashReport> refused(Instant now) const;
+    [[nodiscard]] std::size_t size() const { return this->entries.size(); }
+    [[nodiscard]] std::size_t crashed_endpoints() const { return this->crashed.size(); }
+    /// Forgets what is old.
+    void expire(Instant now);
+
+    /// From so many crashes on a request is refused. Two can be bad luck: the client of an answer that was lost with
+    /// its endpoint tries once more, and may meet the harmful request again.
+    static constexpr unsigned most_crashes = 3;
+    /// How long a request is refused after its last crash. Then one run decides anew, since the endpoints may have been
+    /// repaired: a client that never stops costs an endpoint each ten minutes in place of one a second.
+    static constexpr Duration quarantine { std::chrono::minutes(10) };
+    /// Crashes are forgotten after this.
+    static constexpr Duration memory { std::chrono::hours(1) };
+    /// Requests that are remembered. A crash leaves as many as ran at the endpoint, 64 at the largest engines, so these
+    /// are 32 crashes within the hour. When there are more, those with the fewest crashes go first: a caller who makes
+    /// up requests can't push out one that has crashed twice.
+    static constexpr std::size_t most_requests = 2048;
+
+private:
+    struct Entry {
+        unsigned crashes { 0 };
+        /// Of the crashes, the last one behind.
+        std::vector<EndpointLife> endpoints;
+        Instant last_crash;
+        std::optional<Instant> cleared_at;
+    };
+    using Entries = std::unordered_map<RequestFingerprint, Entry>;
+
+    /// For so long reports that were sent before a run ended well may still arrive.
+    static constexpr Duration late_reports { std::chrono::seconds(60) };
+
+    [[nodiscard]] static unsigned crashes_of(Entry const& entry, Instant now);
+    void make_room();
+
+    Entries entries;
+    /// Endpoints that are said to have crashed, and since when this box knows. As many as there are requests, at most.
+    std::map<EndpointLife, Instant> crashed;
+};
+
+}
--- a/Libraries/LibRouting/EndpointDirectory.h
+++ b/Libraries/LibRouting/EndpointDirectory.h
@@ -17,6 +17,15 @@
     auto operator<=>(SocketAddress const&) const = default;
 };
 
+/// One life of an endpoint's process, from its start to its end.
+struct EndpointLife {
+    std::string incarnation;
+    /// Unix milliseconds of its start by its own clock; 0 if it doesn't say.
+    std::uint64_t started_at { 0 };
+
+    auto operator<=>(EndpointLife const&) const = default;
+};
+
 /// What an endpoint says of itself.
 struct EndpointRecord {
     /// New with every start of the endpoint.
@@ -30,6 +39,11 @@
     bool operator==(EndpointRecord const&) const = default;
 };
 
+[[nodiscard]] inline EndpointLife life_of(EndpointRecord const& record)
+{
+    return { record.incarnation, 0 };
+}
+
 /// An endpoint as this box knows it. The id is never used again for another one.
 struct KnownEndpoint {
     EndpointId id;
--- /dev/null
+++ b/Tests/LibRouting/TestCrashLedger.cpp
@@ -0,0 +1,287 @@
+#include <TestMain.h>
+
+#include <LibRouting/CrashLedger.h>
+#include <pcg_random.hpp>
+
+using namespace Routing;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+using Taken = CrashLedger::Taken;
+
+constexpr auto start = Instant {} + minutes(5);
+constexpr Duration just_now { 0 };
+constexpr RequestFingerprint harmful { 1, 7 };
+
+EndpointLife endpoint(int number)
+{
+    return { "e" + std::to_string(number), 1000 };
+}
+
+CrashReport crash(int number, unsigned count, RequestFingerprint request = harmful)
+{
+    return { request, endpoint(number), count };
+}
+
+/// Three crashes, each of a run that began when the one before was known.
+CrashLedger ledger_with_refused_request()
+{
+    CrashLedger ledger;
+    for (unsigned count = 1; count <= CrashLedger::most_crashes; ++count)
+        CHECK(ledger.take(crash(static_cast<int>(count), count), just_now, start) == Taken::New);
+    return ledger;
+}
+
+}
+
+TEST_CASE("a fingerprint tells requests apart by account, host, path and body, and by where one part ends")
+{
+    auto const request = fingerprint_of("account", "host", "/path", "body");
+    CHECK(request == fingerprint_of("account", "host", "/path", "body"));
+    CHECK(request.account == fingerprint_of("account", "other", "/other", "").account);
+    CHECK(request.content == fingerprint_of("other", "host", "/path", "body").content);
+    for (auto const& other :
+        { fingerprint_of("other", "host", "/path", "body"), fingerprint_of("account", "hos", "t/path", "body"),
+            fingerprint_of("account", "host", "/pathb", "ody"), fingerprint_of("account", "host", "/path", "") })
+        CHECK(other != request);
+    CHECK(to_string(RequestFingerprint { 1, 255 }) == "000000000000000100000000000000ff");
+}
+
+TEST_CASE("a request is refused from the third crash on, for ten minutes, and then one run decides")
+{
+    CrashLedger ledger;
+    ledger.take(crash(1, 1), just_now, start);
+    ledger.take(crash(2, 2), just_now, start);
+    CHECK(ledger.verdict(harmful, start) == CrashVerdict { 2, {} });
+    ledger.take(crash(3, 3), just_now, start);
+    CHECK(ledger.verdict(harmful, start + seconds(1)) == CrashVerdict { 3, CrashLedger::quarantine - seconds(1) });
+    CHECK(ledger.refused(start).size() == 1);
+    CHECK(ledger.verdict({ 1, 8 }, start) == CrashVerdict {});
+
+    auto const later = start + CrashLedger::quarantine;
+    CHECK(ledger.verdict(harmful, later) == CrashVerdict { 2, {} });
+    CHECK(ledger.refused(later).empty());
+    CHECK(ledger.take(crash(4, 3), just_now, later) == Taken::New);
+    CHECK(ledger.verdict(harmful, later) == CrashVerdict { 3, CrashLedger::quarantine });
+
+    ledger.expire(later + CrashLedger::memory);
+    CHECK(ledger.size() == 0);
+}
+
+TEST_CASE("a popular request that is under all endpoints of a lost rack counts one crash")
+{
+    CrashLedger ledger;
+    constexpr int rack = 40;
+    for (int number = 0; number < rack; ++number)
+        ledger.take(crash(number, 1), just_now, start);
+    CHECK(ledger.verdict(harmful, start) == CrashVerdict { 1, {} });
+}
+
+TEST_CASE("a run that ends well clears its request, also against what is told late")
+{
+    auto ledger = ledger_with_refused_request();
+    CHECK(ledger.clear(harmful, start + seconds(1)));
+    CHECK_FALSE(ledger.clear(harmful, start + seconds(1)));
+    CHECK(ledger.verdict(harmful, start + seconds(1)) == CrashVerdict {});
+    CHECK(ledger.take(crash(3, 3), seconds(1), start + seconds(2)) == Taken::Cleared);
+    CHECK(ledger.verdict(harmful, start + seconds(2)) == CrashVerdict {});
+    // What comes after it counts anew.
+    for (unsigned count = 1; count <= CrashLedger::most_crashes; ++count)
+        CHECK(ledger.take(crash(9, count), just_now, start + seconds(3)) == Taken::New);
+    CHECK(ledger.verdict(harmful, start + seconds(3)).refused_for.has_value());
+}
+
+TEST_CASE("an endpoint that answers after all takes its crash back")
+{
+    auto ledger = ledger_with_refused_request();
+    SUBCASE("an answer to a request that was sent before the crash was known says nothing")
+    {
+        CHECK_FALSE(ledger.endpoint_answered(endpoint(2), start));
+        CHECK(ledger.verdict(harmful, start).crashes == 3);
+    }
+    SUBCASE("an answer to a later one does")
+    {
+        CHECK(ledger.endpoint_answered(endpoint(2), start + milliseconds(1)));
+        CHECK_FALSE(ledger.endpoint_answered(endpoint(2), start + milliseconds(2)));
+        CHECK(ledger.verdict(harmful, start + seconds(1)) == CrashVerdict { 2, {} });
+    }
+    SUBCASE("another life of the endpoint says nothing")
+    {
+        CHECK_FALSE(ledger.endpoint_answered({ "e2", 2000 }, start + milliseconds(1)));
+        CHECK(ledger.verdict(harmful, start).crashes == 3);
+    }
+    SUBCASE("another box tells it")
+    {
+        CHECK(ledger.take_back(endpoint(3)));
+    }
+}
+
+TEST_CASE("a report that is told twice, late or out of order changes nothing that is known")
+{
+    auto ledger = ledger_with_refused_request();
+    for (unsigned count = 1; count <= CrashLedger::most_crashes; ++count)
+        CHECK(ledger.take(crash(static_cast<int>(count), count), seconds(30), start + seconds(30)) == Taken::Known);
+    CHECK(ledger.verdict(harmful, start + seconds(30)).refused_for == CrashLedger::quarantine - seconds(30));
+    CHECK(ledger.take(crash(1, 0), just_now, start) == Taken::Known);
+    CHECK(ledger.take(crash(1, 3, { 5, 5 }), CrashLedger::memory, start) == Taken::Known);
+}
+
+TEST_CASE("a caller who makes up requests pushes out none that crashed twice, and memory stays bounded")
+{
+    CrashLedger ledger;
+    ledger.take(crash(1, 1), just_now, start);
+    ledger.take(crash(2, 2), just_now, start);
+    constexpr std::uint64_t made_up = 3 * CrashLedger::most_requests;
+    for (std::uint64_t number = 0; number < made_up; ++number)
+        ledger.take(crash(3, 1, { 2, number }), just_now, start + milliseconds(number));
+    CHECK(ledger.size() <= CrashLedger::most_requests);
+    CHECK(ledger.verdict(harmful, start + seconds(9)).crashes == 2);
+    CHECK(ledger.crashed_endpoints() <= CrashLedger::most_requests);
+}
+
+namespace {
+
+/// Six boxes before nine engines, virtual time. One client comes back with a harmful request; each engine that begins
+/// to run it ends 100 ms later with all that runs there, and is back after 3 s as another life. Other clients try
+/// twice, and all boxes serve one popular request. A crash is known at all boxes some milliseconds later.
+class HarmfulClientPlay {
+public:
+    explicit HarmfulClientPlay(std::uint64_t seed)
+        : random(seed)
+    {
+    }
+
+    void play()
+    {
+        for (this->now = start; this->now < start + minutes(2); this->now += tick)
+            this->step();
+    }
+
+    unsigned ends { 0 };
+    unsigned harmless_refused { 0 };
+    unsigned popular_refused { 0 };
+
+private:
+    struct Run {
+        RequestFingerprint request;
+        std::size_t box;
+        unsigned known;
+        Instant ends_at;
+        unsigned tries_left;
+    };
+    struct Engine {
+        std::uint64_t life { 1 };
+        Instant up_at;
+        std::optional<Instant> ends_at;
+        std::vector<Run> runs;
+    };
+    struct News {
+        std::size_t box;
+        /// Without an endpoint, that a run of the request has ended well.
+        CrashReport report;
+        Instant comes_at;
+    };
+    static constexpr RequestFingerprint popular { 9, 9 };
+    static constexpr Duration tick { milliseconds(4) };
+
+    void step()
+    {
+        std::erase_if(this->news, [this](auto const& told) {
+            if (told.comes_at > this->now)
+                return false;
+            auto& ledger = this->ledgers[told.box];
+            if (told.report.endpoint.incarnation.empty())
+                ledger.clear(told.report.request, this->now);
+            else
+                ledger.take(told.report, just_now, this->now);
+            return true;
+        });
+        for (std::size_t index = 0; index < this->engines.size(); ++index)
+            this->run_engine(index);
+        // Every 0.7 s, 8 ms and 40 ms.
+        if (this->random(175) == 0)
+            this->place(harmful, 0);
+        if (this->random(2) == 0)
+            this->place({ 3, ++this->next_request }, 1);
+        if (this->random(10) == 0)
+            this->place(popular, 1);
+    }
+
+    void place(RequestFingerprint request, unsigned tries_left)
+    {
+        auto const box = this->random(this->ledgers.size());
+        auto const verdict = this->ledgers[box].verdict(request, this->now);
+        if (verdict.refused_for) {
+            this->harmless_refused += request.account == 3 ? 1 : 0;
+            this->popular_refused += request == popular ? 1 : 0;
+            return;
+        }
+        auto& engine = this->engines[this->random(this->engines.size())];
+        if (engine.up_at > this->now)
+            return;
+        auto const lasts = request == harmful ? seconds(60) : Duration { milliseconds(200 + this->random(1000)) };
+        engine.runs.push_back({ request, box, verdict.crashes, this->now + lasts, tries_left });
+        if (request == harmful && !engine.ends_at)
+            engine.ends_at = this->now + milliseconds(100);
+    }
+
+    void run_engine(std::size_t index)
+    {
+        auto& engine = this->engines[index];
+        std::erase_if(engine.runs, [this](auto const& run) {
+            if (run.ends_at > this->now)
+                return false;
+            if (this->ledgers[run.box].clear(run.request, this->now))
+                this->tell({ run.request, {}, 0 });
+            return true;
+        });
+        if (!engine.ends_at || *engine.ends_at > this->now)
+            return;
+        ++this->ends;
+        engine.ends_at.reset();
+        engine.up_at = this->now + seconds(3);
+        EndpointLife const life { "e" + std::to_string(index), engine.life++ };
+        auto const broken = std::exchange(engine.runs, {});
+        for (auto const& run : broken) {
+            this->tell({ run.request, life, run.known + 1 });
+            if (run.tries_left > 0)
+                this->place(run.request, run.tries_left - 1);
+        }
+    }
+
+    void tell(CrashReport const& report)
+    {
+        for (std::size_t box = 0; box < this->ledgers.size(); ++box) {
+            // One telling in ten is lost, and the next comes a quarter of a second later.
+            auto const delay = this->random(10) == 0 ? 260 : 5 + this->random(10);
+            this->news.push_back({ box, report, this->now + milliseconds(delay) });
+        }
+    }
+
+    pcg32 random;
+    Instant now;
+    std::array<CrashLedger, 6> ledgers;
+    std::array<Engine, 9> engines;
+    std::vector<News> news;
+    std::uint64_t next_request { 0 };
+};
+
+}
+
+TEST_CASE(
+    "a client that comes back with a harmful request takes few engines with it, and no harmless request is refused")
+{
+    // Without a ledger the play ends an engine with every request that finds one: some 130 in two minutes.
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        HarmfulClientPlay play(seed);
+        play.play();
+        CHECK(play.ends >= CrashLedger::most_crashes);
+        CHECK(play.ends <= CrashLedger::most_crashes + 3);
+        CHECK(play.harmless_refused == 0);
+        CHECK(play.popular_refused == 0);
+    }
+}
