LibRouting, LibMembership: Take an endpoint that starts again under its id for another one

Cause: an endpoint was its id. Load, prompt memory, connections and 'another endpoint has the address' outlived its process; that mark was never taken back while the id was listed, so the endpoint got no work for good. What is new: a record tells the start of its process; another start is another endpoint inside the box, and what hangs on the old one ends; a life that another one followed never comes back; relays pass the start on (field 8), and a box that tells none changes none. Ruled out: comparing starts (a clock that is set back would shut an endpoint out for ever); the order of the store decides.

--- a/Libraries/LibMembership/RelayMessages.cpp
+++ b/Libraries/LibMembership/RelayMessages.cpp
@@ -39,6 +39,7 @@
     message.set_failure_domain(change.record->failure_domain);
     message.set_slots(change.record->slots);
     message.set_is_draining(change.record->draining);
+    message.set_started_at_ms(change.record->started_at);
 }
 
 std::optional<EndpointChange> endpoint_from(wire::Endpoint const& message)
@@ -52,7 +53,7 @@
         return {};
     return EndpointChange { message.incarnation(),
         Routing::EndpointRecord { message.incarnation(), message.service(), std::move(*address),
-            message.failure_domain(), message.slots(), message.is_draining() } };
+            message.failure_domain(), message.slots(), message.is_draining(), message.started_at_ms() } };
 }
 
 std::uint64_t to_wire(Duration duration)
--- a/Libraries/LibRouting/EndpointDirectory.cpp
+++ b/Libraries/LibRouting/EndpointDirectory.cpp
@@ -1,12 +1,20 @@
 #include <LibRouting/EndpointDirectory.h>
 
-#include <set>
 #include <utility>
 
 namespace Routing {
 
-bool EndpointDirectory::put(EndpointRecord const& record)
+bool EndpointDirectory::put(EndpointRecord record)
 {
+    if (this->is_earlier_life(record))
+        return false;
+    if (auto const known = this->endpoints.find(record.incarnation); known != this->endpoints.end()) {
+        auto const known_start = known->second.record.started_at;
+        if (record.started_at == 0)
+            record.started_at = known_start;
+        if (known_start != 0 && record.started_at != known_start)
+            this->erase(known);
+    }
     auto const [position, is_new] = this->endpoints.try_emplace(record.incarnation);
     auto& endpoint = position->second;
     if (is_new) {
@@ -14,11 +22,29 @@
         this->incarnations.emplace(endpoint.id, record.incarnation);
     }
     endpoint.missing_since.reset();
+    if (is_new || endpoint.record.started_at != record.started_at)
+        this->remember_life(record);
     bool const has_changed = is_new || endpoint.record != record;
-    endpoint.record = record;
+    endpoint.record = std::move(record);
     return has_changed;
 }
 
+void EndpointDirectory::remember_life(EndpointRecord const& record)
+{
+    if (record.started_at == 0)
+        return;
+    auto const [newest, is_first] = this->newest_starts.try_emplace(record.incarnation, record.started_at);
+    if (!is_first && newest->second != record.started_at) {
+        this->followed.insert({ record.incarnation, newest->second });
+        newest->second = record.started_at;
+    }
+    if (this->followed.size() > most_remembered)
+        this->followed.erase(this->followed.begin());
+    if (this->newest_starts.size() > this->endpoints.size() + most_remembered)
+        std::erase_if(
+            this->newest_starts, [this](auto const& known) { return !this->endpoints.contains(known.first); });
+}
+
 void EndpointDirectory::remove(std::string const& incarnation, Instant now)
 {
     auto const position = this->endpoints.find(incarnation);
--- a/Libraries/LibRouting/EndpointDirectory.h
+++ b/Libraries/LibRouting/EndpointDirectory.h
@@ -4,6 +4,7 @@
 #include <LibRouting/Configuration.h>
 
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace Routing {
@@ -28,23 +29,26 @@
 
 /// What an endpoint says of itself.
 struct EndpointRecord {
-    /// New with every start of the endpoint.
+    /// The endpoint's id. One that starts again may come back under it.
     std::string incarnation;
     std::string service;
     SocketAddress address;
     std::string failure_domain;
     unsigned slots { 1 };
     bool draining { false };
+    /// Unix milliseconds of its process's start by its own clock, which may be wrong: only tells lives apart, not which
+    /// was first. 0 if it doesn't say.
+    std::uint64_t started_at { 0 };
 
     bool operator==(EndpointRecord const&) const = default;
 };
 
 [[nodiscard]] inline EndpointLife life_of(EndpointRecord const& record)
 {
-    return { record.incarnation, 0 };
+    return { record.incarnation, record.started_at };
 }
 
-/// An endpoint as this box knows it. The id is never used again for another one.
+/// One life of an endpoint as this box knows it. The id is never used again for another one.
 struct KnownEndpoint {
     EndpointId id;
     EndpointRecord record;
@@ -58,12 +62,23 @@
 
 /// The endpoints that keep themselves in the platform's store.
 ///
+/// An endpoint that starts again holds nothing of before. So another life gets an id of its own here, and all that
+/// hangs on the id ends with the old one: load, prompt memory, connections, what was said of its address. The order in
+/// which the store tells of lives decides which is the newer one, since clocks of endpoints may go back; a life that
+/// another one followed never comes back, however late somebody tells of it.
+///
 /// An entry may lapse while the store is away though its endpoint lives, and is back soon after the store is. So an
 /// entry that vanishes just after such a gap is kept for a short time; at any other time it goes at once.
 class EndpointDirectory {
 public:
-    /// True if the endpoint is new or its record changed.
-    bool put(EndpointRecord const& record);
+    /// True if the endpoint is new or its record changed. A record that doesn't tell its life is taken for one of the
+    /// life that is known.
+    bool put(EndpointRecord record);
+    /// Whether another life of the endpoint is known to have followed this one.
+    [[nodiscard]] bool is_earlier_life(EndpointRecord const& record) const
+    {
+        return this->followed.contains(life_of(record));
+    }
     void remove(std::string const& incarnation, Instant now);
     /// Takes a whole list in place of what was known.
     void replace_all(std::vector<EndpointRecord> const& records, Instant now);
@@ -80,6 +95,8 @@
     /// Ids of the endpoints of a service that may get new work, in the order of their incarnations.
     [[nodiscard]] std::vector<EndpointId> usable(std::string_view service, Instant now) const;
     [[nodiscard]] std::size_t size() const { return this->endpoints.size(); }
+    /// What is kept of lives beyond the endpoints themselves.
+    [[nodiscard]] std::size_t remembered_lives() const { return this->followed.size() + this->newest_starts.size(); }
     /// Ids that are gone since the last call, so that connections to them can be closed once they are idle.
     [[nodiscard]] std::vector<EndpointId> take_removed();
 
@@ -88,12 +105,21 @@
     /// seconds.
     static constexpr Duration return_grace { std::chrono::seconds(2) };
 
+    /// Lives that are remembered beyond their end, and endpoints beyond those listed. Some 100 bytes each; each is a
+    /// start of an endpoint, and late word of a life comes within seconds.
+    static constexpr std::size_t most_remembered = 1024;
+
     using Endpoints = std::map<std::string, KnownEndpoint>;
     void erase(Endpoints::iterator position);
+    /// Takes note that this life is the endpoint's newest.
+    void remember_life(EndpointRecord const& record);
 
     Endpoints endpoints;
     std::unordered_map<EndpointId, std::string> incarnations;
     std::vector<EndpointId> removed;
+    /// The start of the newest life of each endpoint that tells one, also of some that are gone.
+    std::map<std::string, std::uint64_t> newest_starts;
+    std::set<EndpointLife> followed;
     std::optional<Instant> returned_at;
     std::uint32_t next_id { 1 };
 };
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -89,6 +89,12 @@
     return this->directory.put(record);
 }
 
+bool RequestRouter::is_earlier_life(EndpointRecord const& record) const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    return this->directory.is_earlier_life(record);
+}
+
 void RequestRouter::remove_endpoint(std::string const& incarnation, Instant now)
 {
     std::scoped_lock const guard(this->endpoints_lock);
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -107,6 +107,8 @@
 
     /// True if the endpoint is new or its record changed.
     bool put_endpoint(EndpointRecord const& record);
+    /// As EndpointDirectory::is_earlier_life.
+    [[nodiscard]] bool is_earlier_life(EndpointRecord const& record) const;
     void remove_endpoint(std::string const& incarnation, Instant now);
     void replace_endpoints(std::vector<EndpointRecord> const& records, Instant now);
     void store_returned(Instant now);
