platform: Take an entry of the list of endpoints whole or not at all

Cause: a missing state was taken for ready, an unknown one for draining, missing slots for one; fractions and negative figures passed; one item that could not be read cost its whole page; and an entry that turned bad left the endpoint in use that it had named. A warning was logged for each heartbeat of a bad entry, unbounded. What is new: all fields that endpoints write are required and typed, keys must be visible ASCII, addresses numeric; a page loses only the record that is broken; a bad entry takes its endpoint away until it is good again; one line for each reason. The sound entries of three tests got the fields that every endpoint writes.

--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -144,13 +144,13 @@
     bool const is_whole_list = coverage == Coverage::WholeList;
     std::vector<Routing::EndpointRecord> listed;
     for (auto const& record : records) {
-        if (!record.value) {
-            this->remove_endpoint(record.key);
-            continue;
-        }
         auto decoded = this->decode_endpoint(record);
-        if (!decoded)
+        if (!decoded) {
+            // NOTE: An entry that can't be read names no endpoint, also where it took the place of one that did.
+            if (!is_whole_list)
+                this->remove_endpoint(record.key);
             continue;
+        }
         if (is_whole_list)
             listed.push_back(std::move(*decoded));
         else
@@ -166,22 +166,46 @@
 
 std::optional<Routing::EndpointRecord> ControlRecords::decode_endpoint(Adapter::KeyedRecord const& record)
 {
+    if (!record.value) {
+        this->rejected_endpoints.erase(record.key);
+        return {};
+    }
     Core::LastReason reason;
     auto decoded = Adapter::decode_endpoint(record.key, *record.value, reason);
-    if (!decoded) {
-        this->state.metrics.count_bad_record("endpoint");
-        Log::EventLine("endpoint_rejected").with("endpoint", record.key).with("reason", reason.text).warning();
-    }
+    if (decoded)
+        this->rejected_endpoints.erase(record.key);
+    else
+        this->note_rejected(record.key, reason.text);
     return decoded;
 }
 
+void ControlRecords::note_rejected(std::string const& key, std::string const& reason)
+{
+    this->state.metrics.count_bad_record("endpoint");
+    auto const [position, is_new] = this->rejected_endpoints.try_emplace(key, reason);
+    if (!is_new && position->second == reason)
+        return;
+    position->second = reason;
+    Log::EventLine("endpoint_rejected").with("endpoint", key).with("reason", reason).info();
+    if (this->rejected_endpoints.size() > most_rejected_remembered)
+        this->rejected_endpoints.erase(this->rejected_endpoints.begin());
+}
+
 void ControlRecords::put_endpoint(Routing::EndpointRecord const& record)
 {
+    if (this->state.router.is_earlier_life(record)) {
+        Log::EventLine("endpoint_outdated")
+            .with("endpoint", record.incarnation)
+            .with("started_at_ms", record.started_at)
+            .info();
+        return;
+    }
     this->journal.put(record);
     if (!this->state.router.put_endpoint(record))
         return;
     Log::EventLine("endpoint_changed")
         .with("endpoint", record.incarnation)
+        .with("started_at_ms", record.started_at)
         .with("service", record.service)
         .with("state", record.draining ? "draining" : "ready")
         .with("address", record.address.host + ":" + std::to_string(record.address.port))
@@ -190,7 +214,8 @@
 
 void ControlRecords::remove_endpoint(std::string const& incarnation)
 {
-    this->journal.remove(incarnation);
+    if (!this->journal.remove(incarnation))
+        return;
     this->state.router.remove_endpoint(incarnation, monotonic_now());
     Log::EventLine("endpoint_unlisted").with("endpoint", incarnation).info();
 }
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -66,7 +66,10 @@
     /// The record in force; nothing if it is longer than any that is passed on.
     [[nodiscard]] std::optional<Membership::CompressedText> compressed_configuration();
     [[nodiscard]] std::optional<Membership::CompressedText> compress(std::string const& text) const;
+    /// Nothing for an entry that was dropped or names no endpoint.
     [[nodiscard]] std::optional<Routing::EndpointRecord> decode_endpoint(Adapter::KeyedRecord const& record);
+    /// Logs an entry that can't be read once for each reason, however often it is written again.
+    void note_rejected(std::string const& key, std::string const& reason);
     void put_endpoint(Routing::EndpointRecord const& record);
     void remove_endpoint(std::string const& incarnation);
     void replace_endpoints(std::vector<Routing::EndpointRecord> const& records);
@@ -79,11 +82,16 @@
     /// as one.
     static constexpr Core::Duration shortest_lapse { std::chrono::seconds(2) };
 
+    /// Entries that can't be read of which the reason is remembered, so that each is logged once.
+    static constexpr std::size_t most_rejected_remembered = 1024;
+
     GatewayState& state;
     std::string box_name;
     std::string failure_domain;
     std::uint64_t source;
     Membership::EndpointJournal journal;
+    /// Why entries of the store name no endpoint, by their keys.
+    std::map<std::string, std::string> rejected_endpoints;
     /// Of this failure domain alone: each divides the engines for itself.
     Membership::DemandPool demand_of_askers;
     /// The moment that the list of endpoints vouches for; nothing until it was known whole.
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -126,6 +126,7 @@
         }
         co_return false;
     }
+    this->note_unreadable(topic->unreadable);
     this->records.set_next(this->topic, topic->end);
     this->is_behind = false;
     this->asks_at_once = monotonic_now() - asked_at > this->pace().wait;
@@ -149,6 +150,7 @@
         this->records.set_next(this->topic, std::nullopt);
         co_return false;
     }
+    this->note_unreadable(page->unreadable);
     this->records.set_next(this->topic, page->next);
     bool const more_follows = page->next < page->end;
     // NOTE: A page that brought nothing though more follows is not asked for again without a pause.
@@ -204,6 +206,14 @@
         this->records.take_operator_records(records, asked_at, coverage);
 }
 
+void StoreFollower::note_unreadable(std::size_t count)
+{
+    if (count == 0)
+        return;
+    this->state.metrics.count_bad_record("record");
+    Log::EventLine("store_records_unreadable").with("topic", to_string(this->topic)).with("count", count).info();
+}
+
 void StoreFollower::note_failure(std::string const& reason)
 {
     this->source.store_failed(monotonic_now());
--- a/Libraries/LibGateway/StoreFollower.h
+++ b/Libraries/LibGateway/StoreFollower.h
@@ -76,6 +76,8 @@
     void take(std::vector<Adapter::KeyedRecord> const& records, Core::Instant asked_at, Coverage coverage);
     /// Whether the newest records are read in place of those that follow.
     [[nodiscard]] bool skips_to_newest() const;
+    /// An answer held records that can't be read; the others were taken.
+    void note_unreadable(std::size_t count);
     void note_failure(std::string const& reason);
     void note_answer();
 
--- a/Libraries/LibGateway/WholeTopic.h
+++ b/Libraries/LibGateway/WholeTopic.h
@@ -13,6 +13,8 @@
     std::vector<Adapter::KeyedRecord> records;
     /// Where to read on: nothing that was appended after the first page was made is missed.
     std::uint64_t end { 0 };
+    /// Records that can't be read.
+    std::size_t unreadable { 0 };
 };
 
 /// Reads a topic page by page. `call` takes a path with its query and gives the answer, or nothing after a failure that
@@ -36,6 +38,7 @@
         if (std::exchange(is_first, false))
             whole.end = page->end;
         after = page->continue_after;
+        whole.unreadable += page->unreadable;
         std::ranges::move(page->records, std::back_inserter(whole.records));
     } while (after);
     co_return whole;
--- a/Libraries/LibMembership/EndpointJournal.cpp
+++ b/Libraries/LibMembership/EndpointJournal.cpp
@@ -15,15 +15,16 @@
     entry.changed_at = ++this->last_revision;
 }
 
-void EndpointJournal::remove(std::string const& incarnation)
+bool EndpointJournal::remove(std::string const& incarnation)
 {
     auto const found = this->entries.find(incarnation);
     if (found == this->entries.end() || !found->second.record)
-        return;
+        return false;
     found->second.record.reset();
     found->second.changed_at = ++this->last_revision;
     ++this->removals;
     this->forget_old_removals();
+    return true;
 }
 
 void EndpointJournal::replace_all(std::vector<Routing::EndpointRecord> const& records)
@@ -39,7 +40,7 @@
             missing.push_back(incarnation);
     }
     for (auto const& incarnation : missing)
-        this->remove(incarnation);
+        static_cast<void>(this->remove(incarnation));
 }
 
 EndpointChanges EndpointJournal::changes_since(std::uint64_t revision) const
--- a/Libraries/LibMembership/EndpointJournal.h
+++ b/Libraries/LibMembership/EndpointJournal.h
@@ -27,7 +27,8 @@
 class EndpointJournal {
 public:
     void put(Routing::EndpointRecord const& record);
-    void remove(std::string const& incarnation);
+    /// False if it was not listed.
+    bool remove(std::string const& incarnation);
     /// Takes a whole list in place of what was known.
     void replace_all(std::vector<Routing::EndpointRecord> const& records);
 
--- a/Tests/LibGateway/TestControlRecords.cpp
+++ b/Tests/LibGateway/TestControlRecords.cpp
@@ -19,7 +19,9 @@
 
 Adapter::KeyedRecord endpoint(std::string const& name, std::string const& state = "ready")
 {
-    return { name, R"({"service":"s","address":"10.0.0.1:80","slots":4,"state":")" + state + "\"}" };
+    return { name,
+        R"({"service":"s","address":"10.0.0.1:80","zone":"","version":"v1","slots":4,"cold_left_ms":0,"call_seq":1,"state":")"
+            + state + "\"}" };
 }
 
 constexpr std::size_t any_length = 1'000'000;
@@ -339,3 +341,78 @@
     CHECK(box.state.router.trust(after(known, 2000)) == Routing::ConfigurationTrust::Aging);
     CHECK(box.state.router.trust(after(known, 2001)) == Routing::ConfigurationTrust::Expired);
 }
+
+namespace {
+
+/// An endpoint's record with the start of its process.
+Adapter::KeyedRecord started_at(std::string const& name, std::uint64_t start)
+{
+    auto record = endpoint(name);
+    record.value->insert(1, "\"born\":" + std::to_string(start) + ",");
+    return record;
+}
+
+/// What the box tells others of its endpoints, all that it knows.
+std::vector<Membership::EndpointChange> told_by(Box& box, Instant now)
+{
+    auto const answer = box.records.answer({}, any_length, now);
+    REQUIRE(answer);
+    return answer->endpoints.changes;
+}
+
+/// The answer as a box tells it that doesn't know of lives.
+Membership::ControlAnswer without_lives(Membership::ControlAnswer answer)
+{
+    for (auto& change : answer.endpoints.changes) {
+        if (change.record)
+            change.record->started_at = 0;
+    }
+    return answer;
+}
+
+}
+
+TEST_CASE("a relay passes the life of an endpoint on, and a box that doesn't know of lives takes none back")
+{
+    Box relay(1);
+    Box asker(2);
+    relay.read(7, { started_at("a", 1000) }, at(100));
+    asker.read(7, {}, at(50));
+    auto const ask = [&](std::int64_t milliseconds) {
+        auto const answer
+            = relay.records.answer(asker.records.question(at(milliseconds)), any_length, at(milliseconds));
+        REQUIRE(answer);
+        return *answer;
+    };
+    REQUIRE(asker.records.take_relayed(ask(200), "a", at(200)));
+    CHECK(told_by(asker, at(200)).front().record->started_at == 1000);
+
+    relay.records.take_endpoint_records({ started_at("a", 2000) }, at(300), Coverage::UpToEnd);
+    REQUIRE(asker.records.take_relayed(ask(400), "a", at(400)));
+    CHECK(told_by(asker, at(400)).front().record->started_at == 2000);
+
+    // The same from a relay of an older version, and late word of the life before.
+    relay.records.take_endpoint_records({ endpoint("b") }, at(500), Coverage::UpToEnd);
+    REQUIRE(asker.records.take_relayed(without_lives(ask(600)), "a", at(600)));
+    asker.records.take_endpoint_records({ started_at("a", 1000) }, at(700), Coverage::UpToEnd);
+    CHECK(told_by(asker, at(700)).front().record->started_at == 2000);
+    CHECK(asker.state.router.endpoint_count() == 2);
+}
+
+TEST_CASE("an entry that can't be read takes the endpoint away that it named, and the others hold")
+{
+    Box box(1);
+    box.read(7, { endpoint("a"), endpoint("b") }, at(100));
+    Adapter::KeyedRecord const broken { "a", R"({"service":"s"})" };
+    box.records.take_endpoint_records({ broken, endpoint("c") }, at(200), Coverage::UpToEnd);
+    CHECK(box.state.router.endpoint_count() == 2);
+    auto const rejected = [&box] {
+        auto const text = box.state.metrics.to_text();
+        return text.find("cleatbeam_bad_records_total{kind=\"endpoint\"} 1") != std::string::npos;
+    };
+    CHECK(rejected());
+    box.records.take_endpoint_records({ endpoint("a") }, at(300), Coverage::UpToEnd);
+    CHECK(box.state.router.endpoint_count() == 3);
+    box.records.take_endpoint_records({ broken, endpoint("b") }, at(400), Coverage::WholeList);
+    CHECK(box.state.router.endpoint_count() == 1);
+}
--- a/Tests/LibGateway/TestStoreFollower.cpp
+++ b/Tests/LibGateway/TestStoreFollower.cpp
@@ -64,7 +64,8 @@
 TEST_CASE("endpoints come and go with their records, and a broken record harms no other")
 {
     bool is_second_page = false;
-    std::string const good = R"({"service":"s","address":"10.0.0.1:80","slots":4,"state":"ready"})";
+    std::string const good
+        = R"({"service":"s","address":"10.0.0.1:80","zone":"","version":"v1","slots":4,"cold_left_ms":0,"call_seq":1,"state":"ready"})";
     Follower box(Adapter::Topic::Endpoints, [&](std::string const& target) -> std::optional<Answer> {
         if (begins_with(target, "/log-newest"))
             return Answer { 200, nothing_newest };
