LibGateway: Ask the store at once after a suspension only

Cause: a read that took far longer than its wait was taken for one during which the box was suspended, and the next one did not wait at the store. Over a narrow link reads take as long without that, and calls without a wait kept the link busy. Found by: TestLargeConfiguration, once red in a run of all tests (a box was not ready for 0.1 s: version 3 took its link 3.0 s where 2 s are usual, at a bound of 3 s). Ruled out: a suspension that was none (no such line in the box's log). Conclusion: the suspension itself tells which reads were asked for before it.

--- a/Fuzz/FuzzRecords.cpp
+++ b/Fuzz/FuzzRecords.cpp
@@ -1,5 +1,5 @@
-/// Feeds the readers of what endpoints and boxes write, in the store and to one another, with whatever the fuzzer makes up.
-/// The first byte chooses the reader.
+/// Feeds the readers of what endpoints and boxes write, in the store and to one another, with whatever the fuzzer makes
+/// up. The first byte chooses the reader.
 
 #include <LibMembership/CrashMessages.h>
 #include <LibMembership/LoadMessages.h>
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -101,6 +101,7 @@
 void StoreFollower::woke()
 {
     this->asks_at_once = true;
+    this->woke_at = monotonic_now();
     this->wake();
 }
 
@@ -156,9 +157,11 @@
     // NOTE: A page that brought nothing though more follows is not asked for again without a pause.
     this->is_behind = more_follows && (!page->records.empty() || this->topic == Adapter::Topic::Operator);
     bool const took_long = monotonic_now() - asked_at > this->pace().wait;
-    // NOTE: Far longer than the wait is a suspension; what the answer vouches for is as old.
-    bool const was_suspended = monotonic_now() - asked_at > this->pace().wait + first_byte_timeout;
-    this->asks_at_once = was_suspended || (took_long && !page->records.empty());
+    // NOTE: Told by the suspension, not by how long the read took: one over a narrow link takes as long, and boxes that
+    // asked again at once kept their links busy until a new version came too late (3 of 30 runs of a test beside
+    // others).
+    bool const was_asked_before_waking = this->woke_at && asked_at < *this->woke_at;
+    this->asks_at_once = was_asked_before_waking || (took_long && !page->records.empty());
     this->take(page->records, asked_at, more_follows ? Coverage::Part : Coverage::UpToEnd);
     co_return true;
 }
--- a/Libraries/LibGateway/StoreFollower.h
+++ b/Libraries/LibGateway/StoreFollower.h
@@ -100,6 +100,8 @@
     /// The next read doesn't wait at the store: what this box knows is old already, after a rest or a long transfer.
     /// With the wait, a box whose transfer had taken its lease refused for 1.46 s more, the new version in force.
     bool asks_at_once { false };
+    /// When the box was last suspended until.
+    std::optional<Core::Instant> woke_at;
     bool is_read_wanted { false };
     /// The last page ended before the end of the log.
     bool is_behind { false };
