LibMembership, LibGateway: Read a store that came back from a copy anew

Cause: a position in a topic's log was taken for one of the log as it is, whatever history of the store it was of. The era in the store's answers now stands beside each position, in relays' answers too.

A box that starts meanwhile is told by others, beside their load, which version they hold.

Ruled out: taking the copy's configuration (a key that was taken away would work again); refusing at once (the lease covers what may be lost for 0.9 of the revocation bound); telling the era itself by datagrams (all boxes would read the store at once).

--- a/Libraries/LibGateway/BoxRegistry.cpp
+++ b/Libraries/LibGateway/BoxRegistry.cpp
@@ -32,6 +32,9 @@
     unsigned readings = 0;
     for (;;) {
         auto pause = short_pause;
+        // NOTE: All boxes learn of it within a second, so they don't all ask in the same moment.
+        if (std::exchange(this->has_to_read, false))
+            co_await sleep_for(this->spread(short_pause) - short_pause);
         if (auto boxes = co_await this->read()) {
             this->source.take_boxes(std::move(*boxes), monotonic_now());
             this->state.metrics.set_boxes(this->source.boxes().size());
@@ -60,15 +63,34 @@
 Task<void> BoxRegistry::write_kept(Core::Instant until)
 {
     bool is_refused = false;
-    for (auto now = monotonic_now(); now < until; now = monotonic_now()) {
+    for (auto now = monotonic_now(); now < until && !this->has_to_read; now = monotonic_now()) {
         if (this->kept.empty() || is_refused)
             co_await this->pause.wait(this->kept.empty() ? until - now : std::min(short_pause, until - now));
         if (this->kept.empty())
             continue;
         auto const record = this->kept.front();
         is_refused = !co_await this->write(record);
-        if (!is_refused)
-            this->kept.pop_front();
+        if (is_refused)
+            continue;
+        if (!record.value)
+            this->written.erase(record.key);
+        else if (this->written.size() < most_written_remembered)
+            this->written.insert_or_assign(record.key, *record.value);
+        this->kept.pop_front();
+    }
+}
+
+void BoxRegistry::store_restored()
+{
+    this->has_to_read = true;
+    this->pause.end();
+}
+
+void BoxRegistry::keep_what_is_missing(std::set<std::string> const& listed)
+{
+    for (auto const& [key, value] : this->written) {
+        if (!listed.contains(key))
+            this->keep({ key, value });
     }
 }
 
@@ -86,7 +108,9 @@
         co_return std::nullopt;
     }
     std::vector<Membership::BoxRecord> boxes;
+    std::set<std::string> listed;
     for (auto const& record : topic->records) {
+        listed.insert(record.key);
         if (Membership::is_crash_key(record.key)) {
             if (this->on_other && record.value)
                 this->on_other(record.key, *record.value);
@@ -98,6 +122,7 @@
         else
             this->state.metrics.count_bad_record("box");
     }
+    this->keep_what_is_missing(listed);
     co_return boxes;
 }
 
--- a/Libraries/LibGateway/BoxRegistry.h
+++ b/Libraries/LibGateway/BoxRegistry.h
@@ -8,8 +8,10 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <pcg_random.hpp>
 #include <random>
+#include <set>
 
 namespace Gateway {
 
@@ -40,6 +42,10 @@
     /// Writes the record among those of boxes, and again until the store has taken it.
     void keep(Adapter::KeyedRecord record);
 
+    /// The store has come back from a copy: the list is read anew, and what this box wrote and the copy lacks is
+    /// written again.
+    void store_restored();
+
     /// Runs until the process ends.
     [[nodiscard]] Task<void> run(Start start);
     void set_address(Routing::SocketAddress address) { this->connection.set_address(std::move(address)); }
@@ -52,6 +58,8 @@
     /// Writes what keep() was given, in order. Until `until`, whenever there is something to write.
     [[nodiscard]] Task<void> write_kept(Core::Instant until);
     [[nodiscard]] Task<void> drop_left_over_records();
+    /// Keeps what this box once wrote and the store no longer lists.
+    void keep_what_is_missing(std::set<std::string> const& listed);
     /// Counts the call; nothing, with a log line, for any answer but a success.
     [[nodiscard]] std::optional<StoreAnswer> accepted(std::optional<StoreAnswer> answer, std::string const& reason);
     [[nodiscard]] Core::Duration spread(Core::Duration pause);
@@ -66,6 +74,9 @@
     /// For a read of the list, with the start of a slow box.
     static constexpr Core::Duration usual_call_time { std::chrono::milliseconds(300) };
 
+    /// What a process may have written beside its own record, some 100 bytes each.
+    static constexpr std::size_t most_written_remembered = 256;
+
     GatewayState& state;
     Membership::ControlSource& source;
     StoreConnection connection;
@@ -73,6 +84,9 @@
     OnBoxes on_boxes;
     OnOther on_other;
     std::deque<Adapter::KeyedRecord> kept;
+    /// Records of this process, beside its own, that the store has taken.
+    std::map<std::string, std::string> written;
+    bool has_to_read { false };
     Pause pause;
     pcg32 random;
 };
--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -44,6 +44,11 @@
 {
     // NOTE: Not the other way round: records of endpoints are short, and must not wait for a long configuration.
     this->operator_follower.leave_retries_to(this->endpoints_follower);
+    this->records.set_on_new_era([this] {
+        this->wake_all();
+        if (this->registry)
+            this->registry->store_restored();
+    });
 }
 
 StoreFollower::Paces ControlPlane::operator_paces() const
@@ -75,7 +80,11 @@
         [this](std::string_view path, std::string const& body) { return this->answer_box(path, body); }, most_askers);
     Membership::BoxRecord own { this->box_name, { this->ports->host, this->listener->port() }, this->failure_domain,
         this->link_bytes_per_second };
-    this->loads.emplace(this->state, this->source.boxes(), own.address, source_id(this->seed),
+    LoadExchange::Knowledge knowledge {
+        [this](Core::Instant now) { return this->records.knowledge(now); },
+        [this](auto const& told, Core::Instant told_at) { this->records.take_knowledge(told, told_at); },
+    };
+    this->loads.emplace(this->state, this->source.boxes(), own.address, source_id(this->seed), std::move(knowledge),
         [this](std::string_view bytes) { return this->take_crash_news(bytes); });
     if (!this->loads->open(last_reason))
         return false;
--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -35,22 +35,57 @@
 void ControlRecords::take_operator_records(
     std::vector<Adapter::KeyedRecord> const& records, Instant asked_at, Coverage coverage)
 {
-    bool const vouches = coverage != Coverage::Part;
-    auto const vouched_at = vouches ? std::optional(asked_at) : std::nullopt;
+    auto const now = monotonic_now();
+    this->is_written_again |= coverage != Coverage::WholeList && !records.empty();
+    bool const is_whole = coverage != Coverage::Part;
+    bool const may_vouch = is_whole && (!this->history.is_settling(now) || this->is_written_again);
+    auto const vouched_at = may_vouch ? std::optional(asked_at) : std::nullopt;
     // NOTE: Only the last version matters to a box that catches up; an earlier one does if the last can't be read.
     bool is_taken = false;
     for (auto record = records.rbegin(); record != records.rend() && !is_taken; ++record) {
         if (!Adapter::is_configuration(*record) || !record->value)
             continue;
-        auto const taken = this->take_configuration(*record->value, asked_at, vouched_at);
-        if (taken == Taken::InForce)
+        auto const reading = this->take_configuration(*record->value, asked_at, vouched_at);
+        if (reading.taken == Taken::InForce)
             this->configuration_record = *record->value;
-        is_taken = taken != Taken::Unreadable;
+        is_taken = reading.taken != Taken::Unreadable;
+        this->version_in_store = std::max(this->version_in_store, reading.version);
     }
-    if (vouches && this->state.router.configuration())
+    if (!is_whole)
+        this->note_read_version(this->version() + 1, now);
+    else if (this->state.router.configuration() && this->is_vouched_for(now))
         this->confirm_configuration(asked_at);
-    else if (!vouches)
-        this->note_read_version(this->version() + 1, monotonic_now());
+}
+
+bool ControlRecords::is_vouched_for(Instant now) const
+{
+    if (!this->history.risen_at())
+        return true;
+    // NOTE: A copy may lack the version that took a key away. What this box holds is the newest that was known before,
+    // so it is served until its lease ends; after that only what the operator has written again is proof.
+    bool const is_settled = this->is_written_again || !this->history.is_settling(now);
+    return is_settled && this->version_in_store >= this->version();
+}
+
+bool ControlRecords::hear_era(std::uint64_t era, std::optional<Instant> risen_at, Instant now)
+{
+    auto const heard = this->history.hear(era, risen_at, now);
+    if (heard == Membership::StoreHistory::Heard::LaterHistory)
+        this->begin_era(now);
+    return heard != Membership::StoreHistory::Heard::EarlierHistory;
+}
+
+void ControlRecords::begin_era(Instant now)
+{
+    this->version_in_store = 0;
+    this->is_written_again = false;
+    // NOTE: Entries that are missing may be of endpoints that live, as after any return of the store.
+    this->returned_at = now;
+    this->state.router.store_returned(now);
+    this->state.metrics.count_store_restored();
+    Log::EventLine("store_restored_from_copy").with("era", this->era()).with("version", this->version()).warning();
+    if (this->on_new_era)
+        this->on_new_era();
 }
 
 void ControlRecords::note_read_version(std::uint64_t version, Instant now)
@@ -63,7 +98,7 @@
     this->state.router.confirm_configuration(asked_at);
 }
 
-ControlRecords::Taken ControlRecords::take_configuration(
+ControlRecords::Reading ControlRecords::take_configuration(
     std::string const& text, Instant asked_at, std::optional<Instant> vouched_at)
 {
     auto const began = monotonic_now();
@@ -72,7 +107,7 @@
     if (!decoded) {
         this->state.metrics.count_bad_record("configuration");
         Log::EventLine("configuration_rejected").with("reason", reason.text).with("bytes", text.size()).error();
-        return Taken::Unreadable;
+        return {};
     }
     auto const version = decoded->version;
     auto const routes = decoded->routes.size();
@@ -92,7 +127,7 @@
         .with("asked_ms_ago", Core::to_milliseconds(began - asked_at))
         .with("decode_ms", Core::to_milliseconds(monotonic_now() - began))
         .info();
-    return is_newer ? Taken::InForce : Taken::NotNewer;
+    return { is_newer ? Taken::InForce : Taken::NotNewer, version };
 }
 
 void ControlRecords::take_relayed_configuration(Membership::ConfigurationRecord const& record, Instant vouched_at)
@@ -104,7 +139,7 @@
         Log::EventLine("configuration_rejected").with("reason", reason.text).error();
         return;
     }
-    if (this->take_configuration(*text, vouched_at, vouched_at) == Taken::InForce)
+    if (this->take_configuration(*text, vouched_at, vouched_at).taken == Taken::InForce)
         this->configuration_record = record;
 }
 
@@ -157,7 +192,7 @@
             this->put_endpoint(*decoded);
     }
     if (is_whole_list)
-        this->replace_endpoints(listed);
+        this->replace_endpoints(std::move(listed));
     if (is_whole_list || (coverage == Coverage::UpToEnd && this->endpoints_confirmed_at))
         this->endpoints_confirmed_at = std::max(this->endpoints_confirmed_at.value_or(asked_at), asked_at);
     this->relayed_source = 0;
@@ -200,6 +235,10 @@
             .info();
         return;
     }
+    if (record.draining)
+        this->departed.left(Routing::life_of(record), monotonic_now());
+    else
+        this->departed.came_back(Routing::life_of(record));
     this->journal.put(record);
     if (!this->state.router.put_endpoint(record))
         return;
@@ -214,14 +253,23 @@
 
 void ControlRecords::remove_endpoint(std::string const& incarnation)
 {
+    // NOTE: What is missing just after a return of the store may live and be listed again.
+    auto const now = monotonic_now();
+    bool const may_come_back = this->returned_at && now - *this->returned_at <= stale_list_time;
+    auto const* const known = this->journal.find(incarnation);
+    if (known != nullptr && !may_come_back)
+        this->departed.left(Routing::life_of(*known), now);
     if (!this->journal.remove(incarnation))
         return;
     this->state.router.remove_endpoint(incarnation, monotonic_now());
     Log::EventLine("endpoint_unlisted").with("endpoint", incarnation).info();
 }
 
-void ControlRecords::replace_endpoints(std::vector<Routing::EndpointRecord> const& records)
+void ControlRecords::replace_endpoints(std::vector<Routing::EndpointRecord> records)
 {
+    auto const now = monotonic_now();
+    if (this->history.risen_at() && now - *this->history.risen_at() <= stale_list_time)
+        this->departed.remove_from(records, now);
     this->journal.replace_all(records);
     this->state.router.replace_endpoints(records, monotonic_now());
     Log::EventLine("endpoints_listed").with("count", records.size()).info();
@@ -239,12 +287,13 @@
 
 std::optional<std::uint64_t> ControlRecords::next(Adapter::Topic topic) const
 {
-    return topic == Adapter::Topic::Operator ? this->operator_next : this->endpoints_next;
+    auto const& position = this->position(topic);
+    return position.era == this->era() ? position.offset : std::nullopt;
 }
 
 void ControlRecords::set_next(Adapter::Topic topic, std::optional<std::uint64_t> offset)
 {
-    (topic == Adapter::Topic::Operator ? this->operator_next : this->endpoints_next) = offset;
+    this->position(topic) = { offset, this->era() };
 }
 
 std::uint64_t ControlRecords::version() const
@@ -262,13 +311,19 @@
 std::optional<Membership::ControlAnswer> ControlRecords::answer(
     Membership::ControlQuestion const& question, std::size_t longest_configuration, Instant now)
 {
-    if (!this->endpoints_confirmed_at || !this->endpoints_next || !this->operator_next || this->version() == 0)
+    auto const& endpoints_next = this->endpoints_position.offset;
+    auto const& operator_next = this->operator_position.offset;
+    if (!this->endpoints_confirmed_at || !endpoints_next || !operator_next || this->version() == 0)
         return {};
     Membership::ControlAnswer answer;
     answer.source = this->source;
     answer.endpoints = this->journal.changes_since(question.source == this->source ? question.revision : 0);
     answer.endpoints_age = now - *this->endpoints_confirmed_at;
-    answer.endpoints_next = *this->endpoints_next;
+    answer.endpoints_next = *endpoints_next;
+    // NOTE: Until both topics were read anew this box knows the earlier history, and says so.
+    answer.store_era = std::min(this->endpoints_position.era, this->operator_position.era);
+    if (auto const& risen_at = this->history.risen_at(); risen_at && answer.store_era == this->era())
+        answer.store_era_risen_ago = now - *risen_at;
     answer.configuration_version = this->version();
     if (question.configuration_version < this->version()) {
         auto compressed = this->compressed_configuration();
@@ -278,7 +333,7 @@
             answer.configuration_known_for = now - *since;
     }
     answer.configuration_age = this->state.router.configuration_age(now);
-    answer.configuration_next = *this->operator_next;
+    answer.configuration_next = *operator_next;
     if (this->returned_at)
         answer.store_returned_ago = now - *this->returned_at;
     if (question.asker_domain.empty() || question.asker_domain == this->failure_domain)
@@ -316,10 +371,27 @@
     if (answer.configuration_version != this->version())
         return answer.configuration_version < this->version();
     this->confirm_configuration(configuration_vouched_at);
-    this->operator_next = std::max(this->operator_next.value_or(0), answer.configuration_next);
+    this->set_next(Adapter::Topic::Operator,
+        std::max(this->next(Adapter::Topic::Operator).value_or(0), answer.configuration_next));
     return true;
 }
 
+Membership::StoreKnowledge ControlRecords::knowledge(Instant now) const
+{
+    auto const& risen_at = this->history.risen_at();
+    return { this->version(), this->era(), risen_at ? std::optional(now - *risen_at) : std::nullopt };
+}
+
+void ControlRecords::take_knowledge(Membership::StoreKnowledge const& told, Instant told_at)
+{
+    // NOTE: Only what the store can't be asked: what it lost. A box learns all else from the store or its relay.
+    if (told.store_era == 0 || told.store_era != this->era() || !told.era_risen_ago)
+        return;
+    static_cast<void>(this->hear_era(told.store_era, told_at - *told.era_risen_ago, told_at));
+    if (told.configuration_version > this->version())
+        this->state.router.note_configuration(told.configuration_version, told_at, told_at);
+}
+
 void ControlRecords::take_relayed_endpoints(Membership::ControlAnswer const& answer, Instant vouched_at)
 {
     if (answer.endpoints.is_whole) {
@@ -328,7 +400,7 @@
             if (change.record)
                 records.push_back(*change.record);
         }
-        this->replace_endpoints(records);
+        this->replace_endpoints(std::move(records));
     } else {
         for (auto const& change : answer.endpoints.changes) {
             if (change.record)
@@ -340,7 +412,7 @@
     this->relayed_source = answer.source;
     this->relayed_revision = answer.endpoints.revision;
     this->endpoints_confirmed_at = vouched_at;
-    this->endpoints_next = answer.endpoints_next;
+    this->set_next(Adapter::Topic::Endpoints, answer.endpoints_next);
     this->state.metrics.set_endpoints(this->state.router.endpoint_count());
 }
 
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -2,9 +2,14 @@
 
 #include <LibGateway/GatewayState.h>
 #include <LibMembership/DemandPool.h>
+#include <LibMembership/DepartedEndpoints.h>
+#include <LibMembership/LoadMessages.h>
 #include <LibMembership/RelayMessages.h>
+#include <LibMembership/StoreHistory.h>
 #include <platform/StoreRecords.h>
 
+#include <functional>
+
 namespace Gateway {
 
 /// What of a topic a read brought.
@@ -36,9 +41,20 @@
     /// be whole shortly before.
     void store_returned(Core::Instant now);
 
-    /// Where to go on reading a topic; nothing until it was read whole.
+    /// Called when the store has come back from a copy, so that it is read anew.
+    using OnNewEra = std::function<void()>;
+    void set_on_new_era(OnNewEra handler) { this->on_new_era = std::move(handler); }
+    /// The store, or a box that heard of the era's beginning at `risen_at`, gave an answer of this era. False if it is
+    /// of an earlier one than this box knows, so that nothing in it holds.
+    [[nodiscard]] bool hear_era(std::uint64_t era, std::optional<Core::Instant> risen_at, Core::Instant now);
+    /// The history of the store that this box knows of; 0 for none.
+    [[nodiscard]] std::uint64_t era() const { return this->history.era(); }
+
+    /// Where to go on reading a topic; nothing until it was read whole, in the history of the store that is known.
     [[nodiscard]] std::optional<std::uint64_t> next(Adapter::Topic topic) const;
     void set_next(Adapter::Topic topic, std::optional<std::uint64_t> offset);
+    /// Whether the topic was read whole at least once, in whatever history.
+    [[nodiscard]] bool knows(Adapter::Topic topic) const { return this->position(topic).offset.has_value(); }
 
     // Between boxes.
     [[nodiscard]] Membership::ControlQuestion question(Core::Instant now) const;
@@ -51,6 +67,10 @@
     /// if it knows of a configuration that it did not pass on.
     bool take_relayed(Membership::ControlAnswer const& answer, std::string const& relay_domain, Core::Instant asked_at);
 
+    // Between all boxes, beside their load.
+    [[nodiscard]] Membership::StoreKnowledge knowledge(Core::Instant now) const;
+    void take_knowledge(Membership::StoreKnowledge const& told, Core::Instant told_at);
+
     /// Whether the endpoints were read whole at least once.
     [[nodiscard]] bool knows_endpoints() const { return this->endpoints_confirmed_at.has_value(); }
 
@@ -60,8 +80,28 @@
         NotNewer,
         InForce,
     };
+    struct Reading {
+        Taken taken { Taken::Unreadable };
+        std::uint64_t version { 0 };
+    };
+    /// A place in a topic's log, which means nothing in another history of the store.
+    struct Position {
+        std::optional<std::uint64_t> offset;
+        std::uint64_t era { 0 };
+    };
 
-    Taken take_configuration(std::string const& text, Core::Instant asked_at, std::optional<Core::Instant> vouched_at);
+    [[nodiscard]] Position const& position(Adapter::Topic topic) const
+    {
+        return topic == Adapter::Topic::Operator ? this->operator_position : this->endpoints_position;
+    }
+    [[nodiscard]] Position& position(Adapter::Topic topic)
+    {
+        return topic == Adapter::Topic::Operator ? this->operator_position : this->endpoints_position;
+    }
+    void begin_era(Core::Instant now);
+    /// Whether the store's word that nothing newer exists may be relied on. Not while it lacks what it has told.
+    [[nodiscard]] bool is_vouched_for(Core::Instant now) const;
+    Reading take_configuration(std::string const& text, Core::Instant asked_at, std::optional<Core::Instant> vouched_at);
     void take_relayed_configuration(Membership::ConfigurationRecord const& record, Core::Instant vouched_at);
     /// The record in force; nothing if it is longer than any that is passed on.
     [[nodiscard]] std::optional<Membership::CompressedText> compressed_configuration();
@@ -72,12 +112,16 @@
     void note_rejected(std::string const& key, std::string const& reason);
     void put_endpoint(Routing::EndpointRecord const& record);
     void remove_endpoint(std::string const& incarnation);
-    void replace_endpoints(std::vector<Routing::EndpointRecord> const& records);
+    void replace_endpoints(std::vector<Routing::EndpointRecord> records);
     /// A version that this box itself has read of.
     void note_read_version(std::uint64_t version, Core::Instant now);
     void take_relayed_endpoints(Membership::ControlAnswer const& answer, Core::Instant vouched_at);
     [[nodiscard]] std::uint64_t version() const;
 
+    /// For so long after the store came back from a copy its list of endpoints may hold entries that had gone or
+    /// changed: until then they have lapsed again, or were written again.
+    static constexpr Core::Duration stale_list_time { std::chrono::seconds(5) };
+
     /// An entry lapses after three heartbeats without one, a second or more each; the one before the gap may be as old
     /// as one.
     static constexpr Core::Duration shortest_lapse { std::chrono::seconds(2) };
@@ -96,8 +140,15 @@
     Membership::DemandPool demand_of_askers;
     /// The moment that the list of endpoints vouches for; nothing until it was known whole.
     std::optional<Core::Instant> endpoints_confirmed_at;
-    std::optional<std::uint64_t> endpoints_next;
-    std::optional<std::uint64_t> operator_next;
+    Membership::StoreHistory history;
+    OnNewEra on_new_era;
+    Position endpoints_position;
+    Position operator_position;
+    /// The newest version that this box itself has read in the store's present history.
+    std::uint64_t version_in_store { 0 };
+    /// Whether the operator has written since the store came back from a copy.
+    bool is_written_again { false };
+    Membership::DepartedEndpoints departed;
     /// The operator's record in force, which is kept to be passed on: as the store holds it until another box asks for
     /// it, compressed from then on. Nothing if it can't be.
     std::optional<Membership::ConfigurationRecord> configuration_record;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -42,6 +42,9 @@
     , store_calls(counters(*this->registry, "cleatbeam_store_calls_total", "Calls to the platform's store"))
     , store_bytes(
           counters(*this->registry, "cleatbeam_store_bytes_total", "Bytes that came from the platform's store").Add({}))
+    , store_restorations(counters(*this->registry, "cleatbeam_store_restorations_total",
+          "Times that the platform's store came back from a copy")
+                             .Add({}))
     , relay_questions(counters(*this->registry, "cleatbeam_relay_questions_total", "Questions to a relay by outcome"))
     , relay_answers(
           counters(*this->registry, "cleatbeam_relay_answers_total", "Questions of other boxes answered").Add({}))
@@ -101,6 +104,11 @@
     this->store_calls.Add({ { "for", std::string(what) }, { "outcome", std::string(outcome) } }).Increment();
 }
 
+void GatewayMetrics::count_store_restored()
+{
+    this->store_restorations.Increment();
+}
+
 void GatewayMetrics::count_store_bytes(std::size_t bytes)
 {
     this->store_bytes.Increment(static_cast<double>(bytes));
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -28,6 +28,8 @@
     void count_broken_connection(std::string_view finding);
     /// `what` is the topic it was for: "operator", "endpoints" or "boxes".
     void count_store_call(std::string_view what, std::string_view outcome);
+    /// The store came back from a copy that lacks what was written last.
+    void count_store_restored();
     /// What came from the store, also of answers that were cut off.
     void count_store_bytes(std::size_t bytes);
     /// This box asked a relay: "answered", "old" for an answer that is not recent enough, or "failed".
@@ -63,6 +65,7 @@
     prometheus::Family<prometheus::Counter>& broken_connections;
     prometheus::Family<prometheus::Counter>& store_calls;
     prometheus::Counter& store_bytes;
+    prometheus::Counter& store_restorations;
     prometheus::Family<prometheus::Counter>& relay_questions;
     prometheus::Counter& relay_answers;
     prometheus::Family<prometheus::Counter>& load_reports;
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -7,11 +7,12 @@
 using Core::monotonic_now;
 
 LoadExchange::LoadExchange(GatewayState& state, Membership::BoxDirectory const& boxes, Routing::SocketAddress own,
-    std::uint64_t sender, OnOther on_other)
+    std::uint64_t sender, Knowledge knowledge, OnOther on_other)
     : state(state)
     , boxes(boxes)
     , own(std::move(own))
     , sender(sender)
+    , knowledge(std::move(knowledge))
     , on_other(std::move(on_other))
     , socket(state.context)
 {
@@ -38,7 +39,8 @@
     bool told_something = false;
     for (;;) {
         auto const now = monotonic_now();
-        Membership::LoadMessage const message { this->sender, now, this->state.router.load_report(now) };
+        Membership::LoadMessage const message { this->sender, now, this->state.router.load_report(now),
+            this->knowledge.own(now) };
         bool const has_load = !message.report.endpoints.empty();
         auto const places = this->others();
         // NOTE: The first report without load is told too, since it takes back what was told before.
@@ -114,8 +116,10 @@
     auto const now = monotonic_now();
     auto const age = this->ages.age(*message, now);
     this->state.metrics.count_load_reports(age ? "heard" : "overtaken", 1);
-    if (age)
-        this->state.router.take_load_report(message->sender, message->report, now - *age);
+    if (!age)
+        return;
+    this->state.router.take_load_report(message->sender, message->report, now - *age);
+    this->knowledge.take(message->knowledge, now - *age);
 }
 
 }
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -16,9 +16,15 @@
     /// What came on this port and is no load report; false if it is nothing else either.
     using OnOther = std::function<bool(std::string_view bytes)>;
 
+    /// What this box tells the others beside its load, and takes from them.
+    struct Knowledge {
+        std::function<Membership::StoreKnowledge(Core::Instant now)> own;
+        std::function<void(Membership::StoreKnowledge const& told, Core::Instant told_at)> take;
+    };
+
     /// `own` is the address that other boxes know this one by. `sender` names this process.
     LoadExchange(GatewayState& state, Membership::BoxDirectory const& boxes, Routing::SocketAddress own,
-        std::uint64_t sender, OnOther on_other);
+        std::uint64_t sender, Knowledge knowledge, OnOther on_other);
 
     /// False, with a reason, where datagrams can't be received.
     [[nodiscard]] bool open(Core::LastReason& last_reason);
@@ -46,6 +52,7 @@
     std::uint64_t sender;
     OnOther on_other;
     udp::socket socket;
+    Knowledge knowledge;
     Membership::MessageAges ages;
     /// Where the next report begins among the others, so that all are told in turn where not all are each time.
     std::size_t next_receiver { 0 };
--- a/Libraries/LibGateway/RelayFollower.cpp
+++ b/Libraries/LibGateway/RelayFollower.cpp
@@ -7,6 +7,16 @@
 
 using Core::monotonic_now;
 
+namespace {
+
+/// When the relay heard of the beginning of the store's present history; nothing if it heard of no earlier one.
+std::optional<Core::Instant> risen_at(Membership::ControlAnswer const& answer, Core::Instant asked_at)
+{
+    return answer.store_era_risen_ago ? std::optional(asked_at - *answer.store_era_risen_ago) : std::nullopt;
+}
+
+}
+
 RelayFollower::RelayFollower(GatewayState& state, ControlRecords& records, Membership::ControlSource& source,
     OnChange on_change, OnMissingConfiguration on_missing_configuration)
     : state(state)
@@ -67,6 +77,10 @@
         this->note_failure(relay, "unreadable answer");
         co_return false;
     }
+    if (!this->records.hear_era(answer->store_era, risen_at(*answer, asked_at), monotonic_now())) {
+        this->note_failure(relay, "knows an earlier history of the store");
+        co_return false;
+    }
     auto const vouched_at = asked_at - std::max(answer->endpoints_age, answer->configuration_age);
     bool const is_recent = this->source.is_recent(vouched_at, monotonic_now());
     this->source.relay_answered(relay.name, vouched_at, monotonic_now());
--- a/Libraries/LibGateway/StoreConnection.cpp
+++ b/Libraries/LibGateway/StoreConnection.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/StoreConnection.h>
 
 #include <fmt/format.h>
+#include <platform/RequestCodec.h>
 
 namespace Gateway {
 
@@ -104,6 +105,7 @@
             this->progress.body_bytes = *length;
     }
     answer.status = parser.get().result_int();
+    answer.era = Adapter::decode_store_era(parser.get().base());
     bool const keeps_connection = parser.get().keep_alive() && this->buffer.size() == 0;
     answer.body = std::move(parser.get().body());
     if (!keeps_connection)
--- a/Libraries/LibGateway/StoreConnection.h
+++ b/Libraries/LibGateway/StoreConnection.h
@@ -7,6 +7,8 @@
 struct StoreAnswer {
     unsigned status { 0 };
     std::string body;
+    /// Which history of the store it is of; 0 if the answer doesn't say.
+    std::uint64_t era { 0 };
 
     bool operator==(StoreAnswer const&) const = default;
 };
@@ -21,7 +23,7 @@
     bool operator==(AnswerProgress const&) const = default;
 };
 
-/// Calls the platform's store, or another box, over one kept connection, one call at a time.
+/// Calls the platform, its store, or another box, over one kept connection, one call at a time.
 class StoreConnection {
 public:
     StoreConnection(asio::io_context& context, Routing::SocketAddress address)
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -71,7 +71,7 @@
 {
     // NOTE: A box that knows nothing can serve nobody, so it waits for a relay only as long as a start takes anyway.
     auto const now = monotonic_now();
-    bool const knows_nothing = !this->records.next(this->topic);
+    bool const knows_nothing = !this->records.knows(this->topic);
     if (knows_nothing)
         return !this->source.awaits_first_answer(now);
     return this->is_behind || this->is_read_wanted || this->source.reads_store(now);
@@ -83,7 +83,7 @@
         return false;
     // NOTE: Only while the other one has the same reason to read; else it rests, and nobody would try the store.
     auto const now = monotonic_now();
-    bool const have_same_reason = this->records.next(this->topic) && !this->is_behind && !this->is_read_wanted;
+    bool const have_same_reason = this->records.knows(this->topic) && !this->is_behind && !this->is_read_wanted;
     return have_same_reason && this->source.reads_store(now) && this->source.tries_one_topic(now);
 }
 
@@ -116,10 +116,17 @@
 {
     auto const asked_at = monotonic_now();
     Core::LastReason reason;
+    std::optional<std::uint64_t> era_of_first_page;
     auto const topic = co_await read_whole_topic(
-        this->topic, reason, [this](std::string const& target) -> Task<std::optional<StoreAnswer>> {
-            co_return co_await this->call(target, Core::Duration { 0 });
+        this->topic, reason, [&, this](std::string const& target) -> Task<std::optional<StoreAnswer>> {
+            auto answer = co_await this->call(target, Core::Duration { 0 });
+            if (answer && !era_of_first_page)
+                era_of_first_page = answer->era;
+            co_return answer;
         });
+    // NOTE: Pages of two histories make no list. It is read anew at once.
+    if (topic && era_of_first_page != this->records.era() && this->records.era() != 0)
+        co_return true;
     if (!topic) {
         if (!reason.text.empty()) {
             this->state.metrics.count_bad_record("newest");
@@ -139,10 +146,14 @@
 {
     auto const asked_at = monotonic_now();
     auto const from = *this->records.next(this->topic);
+    auto const era = this->records.era();
     auto const wait = this->asks_at_once ? Core::Duration { 0 } : this->pace().wait;
     auto const answer = co_await this->call(Adapter::records_target(this->topic, from, wait), wait);
     if (!answer)
         co_return false;
+    // NOTE: The offset is of an earlier history: what follows it now may be anything. The newest records are read next.
+    if (this->records.era() != era)
+        co_return true;
     Core::LastReason reason;
     auto const page = Adapter::decode_records(answer->body, from, reason);
     if (!page) {
@@ -188,6 +199,10 @@
         co_return std::nullopt;
     }
     this->state.metrics.count_store_call(to_string(this->topic), std::to_string(answer->status));
+    if (!this->records.hear_era(answer->era, std::nullopt, monotonic_now())) {
+        this->note_failure("answer of an earlier history of the store");
+        co_return std::nullopt;
+    }
     if (answer->status == status_ok) {
         this->note_answer();
         co_return answer;
--- /dev/null
+++ b/Libraries/LibMembership/DepartedEndpoints.cpp
@@ -0,0 +1,27 @@
+#include <LibMembership/DepartedEndpoints.h>
+
+#include <algorithm>
+
+namespace Membership {
+
+void DepartedEndpoints::left(Routing::EndpointLife const& life, Instant now)
+{
+    this->departures.insert_or_assign(life, now);
+    if (this->departures.size() <= most_remembered)
+        return;
+    std::erase_if(this->departures, [now](auto const& departure) { return now - departure.second > memory; });
+    if (this->departures.size() > most_remembered)
+        this->departures.erase(std::ranges::min_element(this->departures, {}, [](auto const& departure) {
+            return departure.second;
+        }));
+}
+
+void DepartedEndpoints::remove_from(std::vector<Routing::EndpointRecord>& records, Instant now) const
+{
+    std::erase_if(records, [&](auto const& record) {
+        auto const found = this->departures.find(Routing::life_of(record));
+        return found != this->departures.end() && now - found->second <= memory;
+    });
+}
+
+}
--- a/Libraries/LibMembership/EndpointJournal.cpp
+++ b/Libraries/LibMembership/EndpointJournal.cpp
@@ -43,6 +43,12 @@
         static_cast<void>(this->remove(incarnation));
 }
 
+Routing::EndpointRecord const* EndpointJournal::find(std::string const& incarnation) const
+{
+    auto const found = this->entries.find(incarnation);
+    return found == this->entries.end() || !found->second.record ? nullptr : &*found->second.record;
+}
+
 EndpointChanges EndpointJournal::changes_since(std::uint64_t revision) const
 {
     bool const is_whole = revision == 0 || revision < this->forgotten_up_to || revision > this->last_revision;
--- a/Libraries/LibMembership/EndpointJournal.h
+++ b/Libraries/LibMembership/EndpointJournal.h
@@ -32,6 +32,8 @@
     /// Takes a whole list in place of what was known.
     void replace_all(std::vector<Routing::EndpointRecord> const& records);
 
+    /// Null for one that is not listed.
+    [[nodiscard]] Routing::EndpointRecord const* find(std::string const& incarnation) const;
     /// What is new since `revision`; the whole list if that can't be told any more.
     [[nodiscard]] EndpointChanges changes_since(std::uint64_t revision) const;
     [[nodiscard]] std::uint64_t revision() const { return this->last_revision; }
--- a/Libraries/LibMembership/LoadMessages.cpp
+++ b/Libraries/LibMembership/LoadMessages.cpp
@@ -46,6 +46,10 @@
     wire::LoadMessage encoded;
     encoded.set_sender(message.sender);
     encoded.set_sent_at_us(static_cast<std::uint64_t>(message.sent_at.time_since_epoch().count()));
+    encoded.set_configuration_version(message.knowledge.configuration_version);
+    encoded.set_store_era(message.knowledge.store_era);
+    if (message.knowledge.era_risen_ago)
+        encoded.set_store_era_risen_us_ago(static_cast<std::uint64_t>(message.knowledge.era_risen_ago->count()));
     for (auto const& share : busiest(message.report.endpoints)) {
         auto& told = *encoded.add_endpoints();
         told.set_incarnation(share.incarnation);
@@ -78,7 +82,14 @@
     if (told.endpoints_size() > static_cast<int>(most_endpoints)
         || told.services_size() > static_cast<int>(most_services))
         return {};
-    LoadMessage message { told.sender(), Instant { Duration { static_cast<Duration::rep>(told.sent_at_us()) } }, {} };
+    LoadMessage message { told.sender(), Instant { Duration { static_cast<Duration::rep>(told.sent_at_us()) } }, {}, {} };
+    message.knowledge.configuration_version = told.configuration_version();
+    message.knowledge.store_era = told.store_era();
+    if (told.has_store_era_risen_us_ago()) {
+        constexpr std::uint64_t longest = std::chrono::duration_cast<Duration>(std::chrono::hours(24)).count();
+        message.knowledge.era_risen_ago
+            = Duration { static_cast<Duration::rep>(std::min(told.store_era_risen_us_ago(), longest)) };
+    }
     for (auto const& share : told.endpoints())
         message.report.endpoints.push_back({ share.incarnation(), Duration { share.backlog_us() }, share.running() });
     for (auto const& service : told.services()) {
--- a/Libraries/LibMembership/LoadMessages.h
+++ b/Libraries/LibMembership/LoadMessages.h
@@ -10,6 +10,17 @@
 
 namespace Membership {
 
+/// What a box knows from the store, told beside its load: a box that starts just after the store came back from a copy
+/// reads an older configuration there than others know.
+struct StoreKnowledge {
+    std::uint64_t configuration_version { 0 };
+    std::uint64_t store_era { 0 };
+    /// How long ago the box heard that the era began; nothing if it heard of no earlier one.
+    std::optional<Duration> era_risen_ago;
+
+    bool operator==(StoreKnowledge const&) const = default;
+};
+
 /// A load report as it goes from box to box.
 struct LoadMessage {
     /// The process that tells it, drawn at random when it started; never 0.
@@ -17,6 +28,7 @@
     /// By the sender's steady clock, which has nothing to do with that of the box that hears it.
     Instant sent_at;
     Routing::LoadReport report;
+    StoreKnowledge knowledge {};
 
     bool operator==(LoadMessage const&) const = default;
 };
--- a/Libraries/LibMembership/RelayMessages.cpp
+++ b/Libraries/LibMembership/RelayMessages.cpp
@@ -180,6 +180,9 @@
         message.set_store_returned_us_ago(to_wire(*answer.store_returned_ago));
     for (auto const& [service, share] : answer.answer_shares) {
         auto& told = *message.add_answer_shares();
+    message.set_store_era(answer.store_era);
+    if (answer.store_era_risen_ago)
+        message.set_store_era_risen_us_ago(to_wire(*answer.store_era_risen_ago));
         told.set_service(service);
         told.set_share(share);
     }
@@ -217,6 +220,9 @@
         answer.store_returned_ago = duration_from(message.store_returned_us_ago());
     for (auto const& told : message.answer_shares())
         answer.answer_shares.emplace(told.service(), std::min(amount(told.share()), 1.0));
+    answer.store_era = message.store_era();
+    if (message.has_store_era_risen_us_ago())
+        answer.store_era_risen_ago = duration_from(message.store_era_risen_us_ago());
     return answer;
 }
 
--- a/Libraries/LibMembership/RelayMessages.h
+++ b/Libraries/LibMembership/RelayMessages.h
@@ -47,6 +47,10 @@
     std::optional<Duration> configuration_known_for;
     /// How long ago the store answered the relay again after a loss.
     std::optional<Duration> store_returned_ago;
+    /// Which history of the store all of this is of; 0 if the relay doesn't know.
+    std::uint64_t store_era { 0 };
+    /// How long ago the relay heard that the era began; nothing if it heard of no earlier one.
+    std::optional<Duration> store_era_risen_ago;
     /// The part of each service's engines that long answers get at all boxes that ask this relay.
     std::map<std::string, double> answer_shares;
 
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -129,6 +129,12 @@
     return this->directory.size();
 }
 
+std::size_t RequestRouter::usable_endpoints(std::string_view service, Instant now) const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    return this->directory.usable(service, now).size();
+}
+
 std::variant<Admitted, Rejected> RequestRouter::admit(RequestHead const& head, Instant now)
 {
     auto configuration = this->configuration();
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -115,6 +115,8 @@
     /// Ids of endpoints that are gone since the last call.
     [[nodiscard]] std::vector<EndpointId> expire_endpoints(Instant now);
     [[nodiscard]] std::size_t endpoint_count() const;
+    /// Endpoints of a service that may get new work.
+    [[nodiscard]] std::size_t usable_endpoints(std::string_view service, Instant now) const;
 
     [[nodiscard]] std::variant<Admitted, Rejected> admit(RequestHead const& head, Instant now);
     /// Chooses an endpoint that is not in `tried`. Checks anew that the request may still run.
