platform, LibRouting: Decode what one box does for all, and which servers may be taken away

Cause: the settings name an address for usage reports and orders of servers, the configuration how many servers of a service there may be at which price, endpoints whether they may be taken away; nothing read them. EngineDemand tells the work that comes in a second.

Nothing acts on it yet.

--- a/Libraries/LibMembership/DepartedEndpoints.cpp
+++ b/Libraries/LibMembership/DepartedEndpoints.cpp
@@ -11,9 +11,8 @@
         return;
     std::erase_if(this->departures, [now](auto const& departure) { return now - departure.second > memory; });
     if (this->departures.size() > most_remembered)
-        this->departures.erase(std::ranges::min_element(this->departures, {}, [](auto const& departure) {
-            return departure.second;
-        }));
+        this->departures.erase(
+            std::ranges::min_element(this->departures, {}, [](auto const& departure) { return departure.second; }));
 }
 
 void DepartedEndpoints::remove_from(std::vector<Routing::EndpointRecord>& records, Instant now) const
--- a/Libraries/LibMembership/LoadMessages.cpp
+++ b/Libraries/LibMembership/LoadMessages.cpp
@@ -82,7 +82,8 @@
     if (told.endpoints_size() > static_cast<int>(most_endpoints)
         || told.services_size() > static_cast<int>(most_services))
         return {};
-    LoadMessage message { told.sender(), Instant { Duration { static_cast<Duration::rep>(told.sent_at_us()) } }, {}, {} };
+    LoadMessage message { told.sender(), Instant { Duration { static_cast<Duration::rep>(told.sent_at_us()) } }, {},
+        {} };
     message.knowledge.configuration_version = told.configuration_version();
     message.knowledge.store_era = told.store_era();
     if (told.has_store_era_risen_us_ago()) {
--- a/Libraries/LibMembership/RelayMessages.cpp
+++ b/Libraries/LibMembership/RelayMessages.cpp
@@ -40,6 +40,7 @@
     message.set_slots(change.record->slots);
     message.set_is_draining(change.record->draining);
     message.set_started_at_ms(change.record->started_at);
+    message.set_is_revocable(change.record->is_revocable);
 }
 
 std::optional<EndpointChange> endpoint_from(wire::Endpoint const& message)
@@ -53,7 +54,8 @@
         return {};
     return EndpointChange { message.incarnation(),
         Routing::EndpointRecord { message.incarnation(), message.service(), std::move(*address),
-            message.failure_domain(), message.slots(), message.is_draining(), message.started_at_ms() } };
+            message.failure_domain(), message.slots(), message.is_draining(), message.started_at_ms(),
+            message.is_revocable() } };
 }
 
 std::uint64_t to_wire(Duration duration)
@@ -178,11 +180,13 @@
         message.set_configuration_known_us(to_wire(*answer.configuration_known_for));
     if (answer.store_returned_ago)
         message.set_store_returned_us_ago(to_wire(*answer.store_returned_ago));
-    for (auto const& [service, share] : answer.answer_shares) {
-        auto& told = *message.add_answer_shares();
+    message.set_leader_news(answer.leader_news);
+    message.set_leader_news_age_us(to_wire(answer.leader_news_age));
     message.set_store_era(answer.store_era);
     if (answer.store_era_risen_ago)
         message.set_store_era_risen_us_ago(to_wire(*answer.store_era_risen_ago));
+    for (auto const& [service, share] : answer.answer_shares) {
+        auto& told = *message.add_answer_shares();
         told.set_service(service);
         told.set_share(share);
     }
@@ -218,11 +222,13 @@
         answer.configuration_known_for = duration_from(message.configuration_known_us());
     if (message.has_store_returned_us_ago())
         answer.store_returned_ago = duration_from(message.store_returned_us_ago());
-    for (auto const& told : message.answer_shares())
-        answer.answer_shares.emplace(told.service(), std::min(amount(told.share()), 1.0));
+    answer.leader_news = message.leader_news();
+    answer.leader_news_age = duration_from(message.leader_news_age_us());
     answer.store_era = message.store_era();
     if (message.has_store_era_risen_us_ago())
         answer.store_era_risen_ago = duration_from(message.store_era_risen_us_ago());
+    for (auto const& told : message.answer_shares())
+        answer.answer_shares.emplace(told.service(), std::min(amount(told.share()), 1.0));
     return answer;
 }
 
--- a/Libraries/LibMembership/RelayMessages.h
+++ b/Libraries/LibMembership/RelayMessages.h
@@ -51,6 +51,9 @@
     std::uint64_t store_era { 0 };
     /// How long ago the relay heard that the era began; nothing if it heard of no earlier one.
     std::optional<Duration> store_era_risen_ago;
+    /// The leader's last word that the relay has, as the leader told it, and how old it is; empty without any.
+    std::string leader_news;
+    Duration leader_news_age { 0 };
     /// The part of each service's engines that long answers get at all boxes that ask this relay.
     std::map<std::string, double> answer_shares;
 
--- a/Libraries/LibMembership/StoreHistory.h
+++ b/Libraries/LibMembership/StoreHistory.h
@@ -13,8 +13,8 @@
 /// Which history of the platform's store a box knows.
 ///
 /// The store may come back from a copy some seconds old. What was written since is gone until its writers write it
-/// again, offsets are given out again, and a number in all its answers, the era, rises. So a position in a log is of one
-/// era, and for a short time after a rise the store's silence about something says nothing.
+/// again, offsets are given out again, and a number in all its answers, the era, rises. So a position in a log is of
+/// one era, and for a short time after a rise the store's silence about something says nothing.
 class StoreHistory {
 public:
     /// What was heard against what is known.
--- a/Libraries/LibRouting/Configuration.h
+++ b/Libraries/LibRouting/Configuration.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -70,11 +71,29 @@
     bool operator==(EngineTraits const&) const = default;
 };
 
+/// How many servers of a service may be ordered from the platform.
+struct ServerScaling {
+    /// In each failure domain, of all kinds together.
+    unsigned fewest { 0 };
+    unsigned most { 0 };
+    /// From the order until a server takes requests.
+    Duration start_time { 0 };
+    /// Price of a server that the platform may take away again, as a part of the price of others; nothing where there
+    /// are none.
+    std::optional<double> revocable_price;
+    /// Price of a server by failure domain, of those in which there may be any.
+    std::map<std::string, double> domain_prices;
+
+    bool operator==(ServerScaling const&) const = default;
+};
+
 struct Service {
     std::string name;
     /// Connections that one endpoint accepts from all boxes together.
     unsigned max_connections { 0 };
     std::optional<EngineTraits> engine;
+    /// Nothing where the number of servers isn't the system's to choose.
+    std::optional<ServerScaling> scaling {};
 
     bool operator==(Service const&) const = default;
 };
--- a/Libraries/LibRouting/EndpointDirectory.cpp
+++ b/Libraries/LibRouting/EndpointDirectory.cpp
@@ -119,6 +119,16 @@
     return ids;
 }
 
+std::vector<EndpointRecord const*> EndpointDirectory::usable_records(std::string_view service, Instant now) const
+{
+    std::vector<EndpointRecord const*> records;
+    for (auto const& [incarnation, endpoint] : this->endpoints) {
+        if (endpoint.record.service == service && this->is_usable(endpoint, now))
+            records.push_back(&endpoint.record);
+    }
+    return records;
+}
+
 std::vector<EndpointId> EndpointDirectory::take_removed()
 {
     return std::exchange(this->removed, {});
--- a/Libraries/LibRouting/EndpointDirectory.h
+++ b/Libraries/LibRouting/EndpointDirectory.h
@@ -39,6 +39,8 @@
     /// Unix milliseconds of its process's start by its own clock, which may be wrong: only tells lives apart, not which
     /// was first. 0 if it doesn't say.
     std::uint64_t started_at { 0 };
+    /// Whether the platform may take it away at short notice.
+    bool is_revocable { false };
 
     bool operator==(EndpointRecord const&) const = default;
 };
@@ -92,6 +94,8 @@
     [[nodiscard]] KnownEndpoint const* find(std::string const& incarnation) const;
     /// Whether the endpoint may get new work.
     [[nodiscard]] bool is_usable(KnownEndpoint const& endpoint, Instant now) const;
+    /// The endpoints of a service that may get new work.
+    [[nodiscard]] std::vector<EndpointRecord const*> usable_records(std::string_view service, Instant now) const;
     /// Ids of the endpoints of a service that may get new work, in the order of their incarnations.
     [[nodiscard]] std::vector<EndpointId> usable(std::string_view service, Instant now) const;
     [[nodiscard]] std::size_t size() const { return this->endpoints.size(); }
--- a/Libraries/LibRouting/EngineDemand.cpp
+++ b/Libraries/LibRouting/EngineDemand.cpp
@@ -70,7 +70,15 @@
     return static_cast<double>(this->given) / static_cast<double>(this->given_of);
 }
 
-double EngineDemand::share_of_answers(Core::Instant now) const
+double EngineDemand::tokens_per_second(Core::Instant now) const
+{
+    // NOTE: A sum that is halved with every half-life holds what comes in this time.
+    auto const seconds_held = Core::to_seconds(half_life) / std::log(2.0);
+    auto const totals = this->all_totals(now);
+    return (totals.answer_work + totals.prompt_work) / seconds_held;
+}
+
+WorkTotals EngineDemand::all_totals(Core::Instant now) const
 {
     auto totals = this->own_totals(now);
     if (this->others && this->others->is_recent(now)) {
@@ -83,6 +91,12 @@
         totals.answer_work += told.value.answer_work;
         totals.prompt_work += told.value.prompt_work;
     }
+    return totals;
+}
+
+double EngineDemand::share_of_answers(Core::Instant now) const
+{
+    auto const totals = this->all_totals(now);
     auto const all = totals.answer_work + totals.prompt_work;
     if (all <= 0)
         return least_share;
--- a/Libraries/LibRouting/EngineDemand.h
+++ b/Libraries/LibRouting/EngineDemand.h
@@ -43,6 +43,10 @@
 
     /// What this box itself has lately seen.
     [[nodiscard]] WorkTotals own_totals(Core::Instant now) const;
+    /// What this box and those that told have lately seen, all together.
+    [[nodiscard]] WorkTotals all_totals(Core::Instant now) const;
+    /// The same as work that comes in a second, in prompt tokens.
+    [[nodiscard]] double tokens_per_second(Core::Instant now) const;
     /// What another box has lately seen, as of `at`, in place of what it told before.
     void take_peer(std::uint64_t box, WorkTotals totals, Core::Instant at);
     /// What other boxes have lately seen, all together.
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -382,6 +382,26 @@
         this->demands[service].take_told_share(share, now);
 }
 
+std::optional<double> RequestRouter::engines_needed(std::string const& service, Instant now) const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    auto const demand = this->demands.find(service);
+    if (demand == this->demands.end())
+        return {};
+    auto const speed = this->speeds.find(service);
+    auto const known = speed == this->speeds.end() ? EngineSpeed {} : speed->second.speed();
+    return demand->second.tokens_per_second(now) / (known.prefill_tokens_per_millisecond * milliseconds_per_second);
+}
+
+std::vector<EndpointRecord> RequestRouter::usable_records(std::string_view service, Instant now) const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    std::vector<EndpointRecord> records;
+    for (auto const* record : this->directory.usable_records(service, now))
+        records.push_back(*record);
+    return records;
+}
+
 void RequestRouter::set_report_interval(Duration interval)
 {
     std::scoped_lock const guard(this->endpoints_lock);
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -144,6 +144,11 @@
     /// What another box told, as of `at`, in place of what it told before.
     void take_load_report(std::uint64_t box, LoadReport const& report, Instant at);
 
+    /// How many of a service's engines the recent requests of all boxes would keep busy; nothing before any came.
+    [[nodiscard]] std::optional<double> engines_needed(std::string const& service, Instant now) const;
+    /// The endpoints of a service that may get new work.
+    [[nodiscard]] std::vector<EndpointRecord> usable_records(std::string_view service, Instant now) const;
+
     /// What this box's recent requests ask of engines, by service.
     [[nodiscard]] std::map<std::string, WorkTotals> work_totals(Instant now) const;
     /// The same of other boxes of the failure domain, all together.
