LibLeader: Decide who leads, what usage is reported, and how many servers are ordered

Who leads is decided by the leader's log in the store: each append names the end of the log that its writer knows; the fencing token is the history of the store and the claim's offset, so it rises across a return from a copy.

Weighed for the lead: a lease renewed in the store (56 calls a minute at one a second; this way a quiet minute takes 24 for usage and 2 for a claim), the store's groups (each box joins every few seconds), the producer's epoch as fence (counts for one partition only and says nothing of who holds it).

Found by the property test over 300 random histories (boxes that die and stand still, lost answers, appends carried out late, returns from a copy): an append without an answer, carried out after a return from a copy, was taken for the report of a window whose other counts had been sent. So a report of an earlier history only leaves its window out; a leader that knows what it sent writes it again.

Servers: FleetPlan with two policies, all that may be ordered and as demand needs; cheap ones that may be taken away first, in all failure domains, dear ones given back once those take requests.

--- /dev/null
+++ b/Libraries/LibLeader/LeaderLog.cpp
@@ -0,0 +1,133 @@
+#include <LibLeader/LeaderLog.h>
+
+#include <LibLeader/Leader.pb.h>
+#include <LibLeader/LeaderMessages.h>
+#include <algorithm>
+
+namespace Leader {
+
+namespace {
+
+namespace wire = cleatbeam::leader;
+
+constexpr std::string_view claim_key = "claim";
+constexpr std::string_view report_key_prefix = "usage/";
+
+std::string encode(Claim const& claim)
+{
+    wire::Claim message;
+    message.set_box(claim.box);
+    message.set_process(claim.process);
+    message.set_era(claim.era);
+    return message.SerializeAsString();
+}
+
+std::optional<Claim> decode_claim(std::string const& bytes)
+{
+    wire::Claim message;
+    if (!message.ParseFromString(bytes) || message.process() == 0)
+        return {};
+    return Claim { message.box(), message.process(), message.era() };
+}
+
+/// The history of the store is part of the key: a leader that wrote before a return from a copy must not replace what
+/// its successor wrote after it.
+std::string report_key(std::uint64_t window, std::uint64_t era)
+{
+    return std::string(report_key_prefix) + std::to_string(window) + "/" + std::to_string(era);
+}
+
+}
+
+LeaderLog LeaderLog::from(std::vector<LogRecord> const& newest, std::uint64_t end, std::uint64_t era)
+{
+    LeaderLog log;
+    log.log_end = end;
+    log.log_era = era;
+    for (auto const& record : newest)
+        log.take(record);
+    return log;
+}
+
+void LeaderLog::take(LogRecord const& record)
+{
+    if (record.key == claim_key && record.value) {
+        if (auto claim = decode_claim(*record.value)) {
+            this->last_claim = std::move(*claim);
+            this->claim_offset = record.offset;
+        }
+        return;
+    }
+    if (!record.key.starts_with(report_key_prefix))
+        return;
+    auto const report = record.value ? decode_report(*record.value) : std::nullopt;
+    if (!report) {
+        this->report_keys.erase(record.key);
+        return;
+    }
+    auto const& [window, counts] = *report;
+    this->report_keys.insert_or_assign(record.key, window);
+    if (record.key == report_key(window, this->log_era))
+        this->written.insert_or_assign(window, counts);
+    else
+        this->newest_earlier = std::max(this->newest_earlier.value_or(window), window);
+}
+
+std::optional<FencingToken> LeaderLog::token() const
+{
+    if (!this->last_claim)
+        return {};
+    return FencingToken { this->log_era, this->claim_offset };
+}
+
+LeaderLog::Standing LeaderLog::standing(std::uint64_t process) const
+{
+    if (!this->last_claim || this->last_claim->era < this->log_era)
+        return Standing::Vacant;
+    return this->last_claim->process == process ? Standing::Leads : Standing::OtherLeads;
+}
+
+std::uint64_t LeaderLog::first_window(std::uint64_t current) const
+{
+    bool const may_lack_reports = this->last_claim && this->last_claim->era < this->log_era;
+    auto const first = may_lack_reports ? current : current - std::min(current, windows_looked_back);
+    auto const after_earlier = this->newest_earlier ? *this->newest_earlier + 1 : 0;
+    auto const after_written = this->written.empty() ? 0 : this->written.rbegin()->first + 1;
+    return std::max({ first, after_earlier, after_written });
+}
+
+std::vector<LogRecord> LeaderLog::records_of_claim(
+    Claim const& claim, std::map<std::uint64_t, AccountCounts> const& known_reports) const
+{
+    std::vector<LogRecord> records { { std::string(claim_key), encode(claim), 0 } };
+    for (auto const& [window, counts] : known_reports) {
+        if (!this->written.contains(window))
+            records.push_back({ report_key(window, this->log_era), encode_report(window, counts), 0 });
+    }
+    return records;
+}
+
+std::vector<LogRecord> LeaderLog::records_of_report(std::uint64_t window, AccountCounts const& counts) const
+{
+    std::vector<LogRecord> records { { report_key(window, this->log_era), encode_report(window, counts), 0 } };
+    for (auto const& [key, old_window] : this->report_keys) {
+        if (old_window + windows_kept < window)
+            records.push_back({ key, std::nullopt, 0 });
+    }
+    return records;
+}
+
+void LeaderLog::appended(std::vector<LogRecord> const& records, std::uint64_t offset)
+{
+    for (auto record : records) {
+        record.offset = offset++;
+        this->take(record);
+    }
+    this->log_end = offset;
+    if (this->written.empty())
+        return;
+    auto const newest = this->written.rbegin()->first;
+    std::erase_if(this->written, [&](auto const& report) { return report.first + 2 * windows_kept < newest; });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLeader/UsageCounts.cpp
@@ -0,0 +1,49 @@
+#include <LibLeader/UsageCounts.h>
+
+#include <algorithm>
+
+namespace Leader {
+
+void UsageCounts::add(std::string const& account, std::uint64_t window)
+{
+    ++this->counts[window][account];
+    if (this->counts.size() > most_windows)
+        this->counts.erase(this->counts.begin());
+}
+
+void UsageLedger::take(std::uint64_t process, std::map<std::uint64_t, AccountCounts> const& told)
+{
+    for (auto const& [window, accounts] : told) {
+        auto& known = this->by_window[window][process];
+        for (auto const& [account, requests] : accounts) {
+            auto& sum = known[account];
+            sum = std::max(sum, requests);
+        }
+    }
+}
+
+AccountCounts UsageLedger::total(std::uint64_t window) const
+{
+    AccountCounts sums;
+    auto const found = this->by_window.find(window);
+    if (found == this->by_window.end())
+        return sums;
+    for (auto const& [process, accounts] : found->second) {
+        for (auto const& [account, requests] : accounts)
+            sums[account] += requests;
+    }
+    return sums;
+}
+
+void UsageLedger::forget_before(std::uint64_t window)
+{
+    this->by_window.erase(this->by_window.begin(), this->by_window.lower_bound(window));
+}
+
+std::size_t UsageLedger::processes(std::uint64_t window) const
+{
+    auto const found = this->by_window.find(window);
+    return found == this->by_window.end() ? 0 : found->second.size();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLeader/UsageCounts.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace Leader {
+
+using Core::Duration;
+using Core::Instant;
+
+/// Requests by client account.
+using AccountCounts = std::map<std::string, std::uint64_t>;
+
+/// The usage window that a moment lies in; windows follow one another since the start of 1970.
+[[nodiscard]] constexpr std::uint64_t window_at(std::uint64_t unix_microseconds, Duration window_length)
+{
+    return window_length > Duration { 0 } ? unix_microseconds / static_cast<std::uint64_t>(window_length.count()) : 0;
+}
+
+/// The moment at which a window ends, in Unix microseconds.
+[[nodiscard]] constexpr std::uint64_t end_of_window(std::uint64_t window, Duration window_length)
+{
+    return (window + 1) * static_cast<std::uint64_t>(window_length.count());
+}
+
+/// Requests that endpoints began for this box, by usage window and client account.
+class UsageCounts {
+public:
+    void add(std::string const& account, std::uint64_t window);
+    [[nodiscard]] std::map<std::uint64_t, AccountCounts> const& windows() const { return this->counts; }
+
+private:
+    /// Longer than a report may be late, so that a new leader can be told all that is not reported yet.
+    static constexpr std::size_t most_windows = 8;
+
+    std::map<std::uint64_t, AccountCounts> counts;
+};
+
+/// What all boxes have counted, as they tell it: sums for each process and window. Telling twice counts once, and what
+/// comes late or out of order takes nothing back.
+class UsageLedger {
+public:
+    void take(std::uint64_t process, std::map<std::uint64_t, AccountCounts> const& told);
+    [[nodiscard]] AccountCounts total(std::uint64_t window) const;
+    /// Forgets earlier windows.
+    void forget_before(std::uint64_t window);
+    /// Processes that told of a window.
+    [[nodiscard]] std::size_t processes(std::uint64_t window) const;
+
+private:
+    std::map<std::uint64_t, std::map<std::uint64_t, AccountCounts>> by_window;
+};
+
+}
--- a/Meta/generate.sh
+++ b/Meta/generate.sh
@@ -3,4 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/../Libraries"
 protoc --cpp_out=../Generated LibFate/Fate.proto
+protoc --cpp_out=../Generated LibLeader/Leader.proto
 protoc --cpp_out=../Generated LibMembership/Relay.proto
--- /dev/null
+++ b/Tests/LibLeader/TestFleetPlan.cpp
@@ -0,0 +1,193 @@
+#include <TestMain.h>
+
+#include <LibLeader/FleetPlan.h>
+
+#include <algorithm>
+
+using namespace Leader;
+
+namespace {
+
+Instant at(std::int64_t milliseconds)
+{
+    return Instant { std::chrono::milliseconds(milliseconds) };
+}
+
+Routing::ServerScaling scaling(std::optional<double> revocable_price = 0.15)
+{
+    return { 1, 40, std::chrono::seconds(4), revocable_price, { { "a", 0.8 }, { "b", 1.2 }, { "c", 1.0 } } };
+}
+
+unsigned total(Fleet const& fleet, ServerKind kind)
+{
+    unsigned sum = 0;
+    for (auto const& [domain, counts] : fleet)
+        sum += counts.of(kind);
+    return sum;
+}
+
+/// A platform that starts and takes away servers as it is told, in virtual time.
+struct Platform {
+    Fleet running;
+    Fleet ordered;
+    std::vector<std::pair<Instant, ServerOrder>> starting;
+    std::optional<std::string> dry;
+    unsigned calls { 0 };
+
+    void take(FleetPlan& plan, ServerOrder const& order, Instant now)
+    {
+        ++this->calls;
+        auto& counts = this->running[order.domain];
+        bool const is_more = order.count > counts.of(order.kind);
+        if (is_more && this->dry && order.kind == ServerKind::Revocable && *this->dry == order.domain) {
+            plan.refused(order, now);
+            return;
+        }
+        plan.accepted(order, now);
+        if (is_more)
+            this->starting.emplace_back(now + std::chrono::seconds(4), order);
+        else
+            set(counts, order);
+    }
+
+    static void set(ServerCounts& counts, ServerOrder const& order)
+    {
+        (order.kind == ServerKind::Permanent ? counts.permanent : counts.revocable) = order.count;
+    }
+
+    void play(FleetPlan& plan, Instant now, std::optional<double> demand)
+    {
+        for (auto const& [ready_at, order] : this->starting) {
+            if (ready_at == now)
+                set(this->running[order.domain], order);
+        }
+        plan.observe_demand(demand, now);
+        for (auto const& order : plan.orders_due(scaling(), this->running, now))
+            this->take(plan, order, now);
+    }
+
+    /// From one moment to another, in half seconds.
+    void play(FleetPlan& plan, std::int64_t from, std::int64_t until, std::optional<double> demand)
+    {
+        for (auto now = from; now < until; now += 500)
+            this->play(plan, at(now), demand);
+    }
+};
+
+Platform with_permanent(unsigned count)
+{
+    Platform platform;
+    for (auto const* domain : { "a", "b", "c" })
+        platform.running[domain] = { count, 0 };
+    return platform;
+}
+
+}
+
+TEST_CASE("cheap servers come first, and dear ones go only when those take requests")
+{
+    FleetPlan plan(WholeFleet {});
+    auto platform = with_permanent(20);
+    platform.play(plan, 0, 4000, {});
+    CHECK(total(platform.running, ServerKind::Permanent) == 60);
+    platform.play(plan, 4000, 5000, {});
+    CHECK(total(platform.running, ServerKind::Permanent) == 3);
+    CHECK(total(platform.running, ServerKind::Revocable) == 60);
+    platform.play(plan, 5000, 10'000, {});
+    CHECK(total(platform.running, ServerKind::Revocable) == 117);
+}
+
+TEST_CASE("never more servers are wanted in a failure domain than may be there")
+{
+    FleetPlan plan(WholeFleet {});
+    for (auto const permanent : { 0U, 1U, 20U, 39U, 40U }) {
+        auto const fleet = plan.wanted(scaling(), with_permanent(permanent).running, at(0));
+        for (auto const& [domain, counts] : fleet) {
+            CHECK(counts.all() <= 40);
+            CHECK(counts.all() >= 1);
+        }
+    }
+}
+
+TEST_CASE("where no servers can be taken away the dear ones carry all")
+{
+    FleetPlan plan(WholeFleet {});
+    auto const fleet = plan.wanted(scaling({}), with_permanent(20).running, at(0));
+    CHECK(total(fleet, ServerKind::Permanent) == 120);
+    CHECK(total(fleet, ServerKind::Revocable) == 0);
+}
+
+TEST_CASE("with one failure domain half of the servers can't be taken away")
+{
+    FleetPlan plan(WholeFleet {});
+    Routing::ServerScaling const alone { 1, 40, std::chrono::seconds(4), 0.15, { { "a", 1.0 } } };
+    auto const fleet = plan.wanted(alone, { { "a", { 20, 20 } } }, at(0));
+    CHECK(fleet.at("a").permanent == 20);
+    CHECK(fleet.at("a").revocable == 20);
+}
+
+TEST_CASE("as demand needs: the largest demand of the last while decides, and calm hours cost less")
+{
+    FleetPlan plan(FollowDemand { 2, std::chrono::seconds(30) });
+    auto platform = with_permanent(20);
+    platform.play(plan, 0, 10'000, {});
+    CHECK(total(platform.running, ServerKind::Revocable) == 117);
+    // The first demand is that of a calm moment; nothing is given back for it.
+    platform.play(plan, 10'000, 39'500, 15.0);
+    CHECK(total(platform.running, ServerKind::Revocable) == 117);
+    platform.play(plan, 39'500, 42'000, 15.0);
+    CHECK(total(platform.running, ServerKind::Revocable) + 3 == 30);
+    platform.play(plan, 42'000, 50'000, 40.0);
+    CHECK(total(platform.running, ServerKind::Revocable) + 3 == 81);
+    platform.play(plan, 50'000, 75'000, 15.0);
+    CHECK(total(platform.running, ServerKind::Revocable) + 3 == 81);
+    platform.play(plan, 75'000, 85'000, 15.0);
+    CHECK(total(platform.running, ServerKind::Revocable) + 3 == 30);
+}
+
+// The load: all cheap servers of one failure domain are taken away, and none is to be had there for ten seconds, while
+// the demand needs more than the other domains hold.
+TEST_CASE("while a failure domain has no cheap servers dear ones make up what the demand lacks, and go afterwards")
+{
+    FleetPlan plan(FollowDemand { 1.5, std::chrono::seconds(30) });
+    auto platform = with_permanent(20);
+    platform.play(plan, 0, 20'000, 75.0);
+    REQUIRE(total(platform.running, ServerKind::Revocable) + 3 >= 113);
+    platform.running["a"].revocable = 0;
+    platform.dry = "a";
+    platform.play(plan, 20'000, 26'000, 75.0);
+    CHECK(total(platform.running, ServerKind::Permanent) + total(platform.running, ServerKind::Revocable) >= 75);
+    auto const calls = platform.calls;
+    platform.play(plan, 26'000, 30'000, 75.0);
+    CHECK(platform.calls - calls <= 4);
+    platform.dry.reset();
+    platform.play(plan, 30'000, 50'000, 75.0);
+    CHECK(total(platform.running, ServerKind::Permanent) == 3);
+    CHECK(platform.running.at("a").revocable >= 36);
+}
+
+TEST_CASE("an order whose servers did not come is given again, ever less often")
+{
+    FleetPlan plan(WholeFleet {});
+    Fleet const running { { "a", { 1, 0 } }, { "b", { 1, 0 } }, { "c", { 1, 0 } } };
+    unsigned orders = 0;
+    for (std::int64_t now = 0; now < 60'000; now += 500) {
+        for (auto const& order : plan.orders_due(scaling(), running, at(now))) {
+            plan.accepted(order, at(now));
+            ++orders;
+        }
+    }
+    CHECK(orders >= 6 + 3);
+    CHECK(orders <= 6 + 3 * 9);
+}
+
+TEST_CASE("a leader that takes over gives all its orders once")
+{
+    FleetPlan plan(WholeFleet {});
+    Fleet const running { { "a", { 1, 39 } }, { "b", { 1, 39 } }, { "c", { 1, 39 } } };
+    auto const due = plan.orders_due(scaling(), running, at(0));
+    CHECK(due.size() == 6);
+    for (auto const& order : due)
+        plan.accepted(order, at(0));
+    CHECK(plan.orders_due(scaling(), running, at(60'000)).empty());
+}
--- /dev/null
+++ b/Tests/LibLeader/TestLeaderElection.cpp
@@ -0,0 +1,100 @@
+#include <TestMain.h>
+
+#include <LibLeader/LeaderElection.h>
+
+using namespace Leader;
+
+namespace {
+
+constexpr Duration lease { std::chrono::seconds(3) };
+
+Instant at(std::int64_t milliseconds)
+{
+    return Instant { std::chrono::milliseconds(milliseconds) };
+}
+
+LeaderElection started_at(std::int64_t milliseconds)
+{
+    LeaderElection election(lease);
+    election.started(at(milliseconds));
+    return election;
+}
+
+Announcement leader(std::uint64_t token, bool has_resigned = false)
+{
+    return { token, "leader", 0, 0, 0, has_resigned };
+}
+
+}
+
+TEST_CASE("a box claims after a whole lease of silence, and the first of the order before the next")
+{
+    auto const election = started_at(1000);
+    CHECK_FALSE(election.may_claim(0, at(3999)));
+    CHECK(election.may_claim(0, at(4000)));
+    CHECK_FALSE(election.may_claim(1, at(4000)));
+    CHECK(election.may_claim(1, at(4300)));
+}
+
+TEST_CASE("where all boxes start for the first time nobody waits for a leader")
+{
+    LeaderElection election(lease);
+    election.started(at(1000), true);
+    CHECK_FALSE(election.may_claim(0, at(2200)));
+    CHECK(election.may_claim(0, at(2300)));
+    CHECK_FALSE(election.may_claim(3, at(3100)));
+}
+
+TEST_CASE("word of a leader takes the claim back")
+{
+    auto election = started_at(0);
+    REQUIRE(election.hear(leader(5), at(2900)));
+    CHECK_FALSE(election.may_claim(0, at(5800)));
+    CHECK(election.may_claim(0, at(5900)));
+}
+
+TEST_CASE("word of an earlier leader counts for nothing")
+{
+    auto election = started_at(0);
+    REQUIRE(election.hear(leader(5), at(1000)));
+    CHECK_FALSE(election.hear(leader(4), at(3900)));
+    CHECK(election.may_claim(0, at(4000)));
+    CHECK(election.leader()->token == 5);
+}
+
+TEST_CASE("a leader that steps down is followed at once, box after box")
+{
+    auto election = started_at(0);
+    REQUIRE(election.hear(leader(5, true), at(1000)));
+    CHECK(election.may_claim(0, at(1000)));
+    CHECK_FALSE(election.may_claim(2, at(1500)));
+    CHECK(election.may_claim(2, at(1600)));
+}
+
+TEST_CASE("a box that led stands back, so that no other one's time lies between two of its own within a lease")
+{
+    auto election = started_at(0);
+    election.won(leader(5), at(4000));
+    election.stepped_down(at(5000));
+    CHECK_FALSE(election.may_claim(0, at(10'999)));
+    CHECK(election.may_claim(0, at(11'000)));
+}
+
+TEST_CASE("claims that fail are tried ever less often")
+{
+    auto election = started_at(0);
+    election.claim_failed(at(4000));
+    CHECK_FALSE(election.may_claim(0, at(4999)));
+    CHECK(election.may_claim(0, at(5000)));
+    election.claim_failed(at(5000));
+    CHECK_FALSE(election.may_claim(0, at(6999)));
+    CHECK(election.may_claim(0, at(7000)));
+}
+
+TEST_CASE("a box that was suspended listens for a lease before it claims")
+{
+    auto election = started_at(0);
+    election.woke(at(9000));
+    CHECK_FALSE(election.may_claim(0, at(11'999)));
+    CHECK(election.may_claim(0, at(12'000)));
+}
--- /dev/null
+++ b/Tests/LibLeader/TestUsage.cpp
@@ -0,0 +1,95 @@
+#include <TestMain.h>
+
+#include <LibLeader/SharedClock.h>
+#include <LibLeader/UsageCounts.h>
+
+using namespace Leader;
+
+namespace {
+
+Instant at(std::int64_t milliseconds)
+{
+    return Instant { std::chrono::milliseconds(milliseconds) };
+}
+
+constexpr std::uint64_t second = 1'000'000;
+constexpr std::uint64_t some_day = 1'790'000'000 * second;
+
+}
+
+TEST_CASE("windows follow one another since 1970")
+{
+    constexpr Duration length { std::chrono::seconds(5) };
+    CHECK(window_at(0, length) == 0);
+    CHECK(window_at(5 * second - 1, length) == 0);
+    CHECK(window_at(5 * second, length) == 1);
+    CHECK(end_of_window(1, length) == 10 * second);
+    CHECK(window_at(5 * second, Duration { 0 }) == 0);
+}
+
+TEST_CASE("sums that are told twice, late or out of order count once")
+{
+    UsageLedger ledger;
+    ledger.take(1, { { 7, { { "a", 4 }, { "b", 1 } } } });
+    ledger.take(1, { { 7, { { "a", 2 } } } });
+    ledger.take(1, { { 7, { { "a", 4 } } }, { 8, { { "a", 1 } } } });
+    ledger.take(2, { { 7, { { "a", 3 } } } });
+    CHECK(ledger.total(7) == AccountCounts { { "a", 7 }, { "b", 1 } });
+    CHECK(ledger.total(8) == AccountCounts { { "a", 1 } });
+    CHECK(ledger.total(9).empty());
+    CHECK(ledger.processes(7) == 2);
+}
+
+TEST_CASE("a box that starts again counts as another process beside its earlier life")
+{
+    UsageLedger ledger;
+    ledger.take(1, { { 7, { { "a", 4 } } } });
+    ledger.take(11, { { 7, { { "a", 2 } } } });
+    CHECK(ledger.total(7).at("a") == 6);
+}
+
+TEST_CASE("a box keeps the counts of the last windows, so that a new leader can be told")
+{
+    UsageCounts counts;
+    for (std::uint64_t window = 1; window <= 20; ++window)
+        counts.add("a", window);
+    CHECK(counts.windows().size() == 8);
+    CHECK(counts.windows().begin()->first == 13);
+}
+
+TEST_CASE("a clock that steps moves no box's windows while most clocks are right")
+{
+    SharedClock clock;
+    clock.start(some_day, at(0));
+    for (std::uint64_t process = 1; process <= 6; ++process) {
+        auto const step = process <= 2 ? 2 * second : 0;
+        clock.hear(process, some_day + second + step, at(1000));
+    }
+    // The leader's own clock has stepped back by three seconds.
+    clock.agree(some_day - 2 * second, at(1000));
+    CHECK(clock.unix_microseconds(at(1000)) == some_day + second);
+    CHECK(clock.clocks() == 7);
+}
+
+TEST_CASE("few clocks have no median worth following")
+{
+    SharedClock clock;
+    clock.start(some_day, at(0));
+    clock.hear(1, some_day + 5 * second, at(0));
+    clock.agree(some_day + 9 * second, at(0));
+    CHECK(clock.unix_microseconds(at(0)) == some_day);
+    clock.follow(some_day + 9 * second, 2, at(0));
+    CHECK(clock.unix_microseconds(at(0)) == some_day);
+    clock.follow(some_day + 9 * second, 5, at(0));
+    CHECK(clock.unix_microseconds(at(500)) == some_day + 9 * second + second / 2);
+}
+
+TEST_CASE("clocks of boxes that have gone silent are forgotten")
+{
+    SharedClock clock;
+    clock.start(some_day, at(0));
+    for (std::uint64_t process = 1; process <= 6; ++process)
+        clock.hear(process, some_day + 7 * second, at(0));
+    clock.agree(some_day + 20 * second, at(20'000));
+    CHECK(clock.unix_microseconds(at(20'000)) == some_day + 20 * second);
+}
