LibGateway: Lead only where other boxes are heard, and be found by those that don't list the leader

A box that no other one asks or answers neither claims nor goes on leading (ControlSource::hears_others); the leader's word holds its address; a box that comes back in touch listens for 0.8 s before it claims; a leader in doubt looks again each 0.8 s at most, not 1.6.

Ruled out: withholding a report until most boxes have told (after a loss of all, boxes that are gone would hold it up for ever).

--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -94,22 +94,24 @@
     if (!this->loads->open(last_reason))
         return false;
     this->registry.emplace(
-        this->state, this->source, this->store, std::move(own), [this] { this->wake_all(); }, this->seed);
+        this->state, this->source, this->store, own, [this] { this->wake_all(); }, this->seed);
     this->connect_crash_news();
-    this->open_leadership();
+    this->open_leadership(own);
     return true;
 }
 
-void ControlPlane::open_leadership()
+void ControlPlane::open_leadership(Membership::BoxRecord const& own)
 {
     if (!this->leader_settings)
         return;
     auto const& settings = *this->leader_settings;
     auto const process = source_id(this->seed);
-    auto const to_box = [this](auto const& box, auto const& bytes) { this->loads->send_to_box(box, bytes); };
+    auto const to_box
+        = [this](auto const& address, auto const& bytes) { this->loads->send_to_address(address, bytes); };
     auto const to_some = [this](auto const& bytes, std::size_t boxes) { this->loads->send(bytes, boxes); };
-    this->leadership.emplace(this->state, this->source.boxes(), this->box_name, process, this->store, settings.lease,
-        this->is_first_start, Leadership::Ways { to_box, to_some });
+    this->leadership.emplace(this->state, this->source.boxes(), own, process, this->store, settings.lease,
+        this->is_first_start,
+        Leadership::Ways { to_box, to_some, [this](Core::Instant now) { return this->source.hears_others(now); } });
     this->records.set_leader_news({ [this](Core::Instant now) { return this->leadership->news(now); },
         [this](Leadership::News const& news) { this->leadership->take_news(news); } });
     if (settings.reports_usage)
--- a/Libraries/LibGateway/ControlPlane.h
+++ b/Libraries/LibGateway/ControlPlane.h
@@ -36,7 +36,7 @@
     [[nodiscard]] StoreFollower::Paces endpoints_paces(Core::Duration drain_within) const;
     [[nodiscard]] ProbeAnswer answer_box(std::string_view path, std::string const& body);
     void connect_crash_news();
-    void open_leadership();
+    void open_leadership(Membership::BoxRecord const& own);
     /// Takes what came from another box and is no load report. False for bytes that are nothing that it knows.
     [[nodiscard]] bool take_message(std::string_view bytes);
     void take_leader_message(Leader::LeaderMessage const& message);
--- a/Libraries/LibGateway/Leadership.cpp
+++ b/Libraries/LibGateway/Leadership.cpp
@@ -12,16 +12,18 @@
 using Core::monotonic_now;
 using Leader::LeaderLog;
 
-Leadership::Leadership(GatewayState& state, Membership::BoxDirectory const& boxes, std::string box_name,
+Leadership::Leadership(GatewayState& state, Membership::BoxDirectory const& boxes, Membership::BoxRecord own,
     std::uint64_t process, Routing::SocketAddress store, Core::Duration lease, bool is_first_start, Ways ways)
     : state(state)
     , boxes(boxes)
-    , box_name(std::move(box_name))
+    , box_name(std::move(own.name))
+    , own_address(std::move(own.address))
     , process(process)
     , connection(state.context, std::move(store))
     , ways(std::move(ways))
     , election(lease)
     , ticked_at(monotonic_now())
+    , lease(lease)
 {
     this->election.started(this->ticked_at, is_first_start);
 }
@@ -50,13 +52,21 @@
         this->note_time(now);
         if (this->leads() && this->state.is_stopping)
             this->step_down("stopping");
+        this->step_down_if_cut_off(now);
         if (this->leads()) {
             static_cast<void>(co_await this->may_act());
             continue;
         }
         this->must_claim_again = false;
         // NOTE: The place in the order is looked up only when it matters, since boxes have little processor time.
-        if (!this->may_stand(now) || !this->election.may_claim(0, now) || !this->election.may_claim(this->rank(), now))
+        if (!this->may_stand(now)) {
+            this->in_touch_since.reset();
+            continue;
+        }
+        if (!this->in_touch_since)
+            this->in_touch_since = now;
+        if (now - *this->in_touch_since < listening_time || !this->election.may_claim(0, now)
+            || !this->election.may_claim(this->rank(), now))
             continue;
         co_await this->acquire();
         co_await this->claim({});
@@ -68,7 +78,15 @@
 {
     // NOTE: Where what this box knows from the store is old, the store answers nobody, and a claim would fail too.
     bool const is_in_touch = this->state.router.trust(now) == Routing::ConfigurationTrust::Fresh;
-    return is_in_touch && !this->state.is_stopping && this->boxes.size() > 0;
+    return is_in_touch && !this->state.is_stopping && this->boxes.size() > 0 && this->ways.hears_others(now);
+}
+
+void Leadership::step_down_if_cut_off(Instant now)
+{
+    if (!this->leads() || this->ways.hears_others(now))
+        this->others_heard_at = now;
+    else if (now - this->others_heard_at > this->lease)
+        this->step_down("no other box is heard");
 }
 
 std::size_t Leadership::rank() const
@@ -118,7 +136,7 @@
     if (known && known->token >= token)
         return false;
     // NOTE: Its first word may be on its way, or lost. Heard of now, it has a lease to be heard again.
-    return this->election.hear({ token, last->box, 0, 0, 0, false }, monotonic_now());
+    return this->election.hear({ token, last->box, 0, 0, 0, false, {} }, monotonic_now());
 }
 
 void Leadership::take_lead()
@@ -309,7 +327,7 @@
 Leader::Announcement Leadership::announcement(Instant now) const
 {
     return { this->own_token->value(), this->box_name, this->next_window, this->state.clock.unix_microseconds(now),
-        this->state.clock.clocks(), false };
+        this->state.clock.clocks(), false, this->own_address };
 }
 
 Task<void> Leadership::announce()
@@ -333,7 +351,7 @@
     auto const ordered = Membership::BoxDirectory::in_order(std::move(all));
     for (std::size_t index = 0; index < std::min(boxes_told_always, ordered.size()); ++index) {
         if (ordered[index].name != this->box_name)
-            this->ways.to_box(ordered[index].name, bytes);
+            this->ways.to_box(ordered[index].address, bytes);
     }
     this->ways.to_some(bytes, boxes_told_in_turn);
 }
--- a/Libraries/LibGateway/Leadership.h
+++ b/Libraries/LibGateway/Leadership.h
@@ -19,19 +19,21 @@
 /// followed can write nothing, and learns it by that.
 class Leadership {
 public:
-    /// Sends bytes to one box; nothing happens for one that is not known.
-    using SendToBox = std::function<void(std::string const& box, std::string const& bytes)>;
+    /// Sends bytes to the box at this address.
+    using SendToBox = std::function<void(Routing::SocketAddress const& address, std::string const& bytes)>;
     /// Sends bytes to so many other boxes, others each time.
     using SendToSome = std::function<void(std::string const& bytes, std::size_t boxes)>;
 
     struct Ways {
         SendToBox to_box;
         SendToSome to_some;
+        /// Whether this box hears from others at that moment.
+        std::function<bool(Core::Instant now)> hears_others;
     };
 
-    /// `process` names this process to the others; not 0.
-    Leadership(GatewayState& state, Membership::BoxDirectory const& boxes, std::string box_name, std::uint64_t process,
-        Routing::SocketAddress store, Core::Duration lease, bool is_first_start, Ways ways);
+    /// `own` is this box as others know it, `process` names this process to them; not 0.
+    Leadership(GatewayState& state, Membership::BoxDirectory const& boxes, Membership::BoxRecord own,
+        std::uint64_t process, Routing::SocketAddress store, Core::Duration lease, bool is_first_start, Ways ways);
 
     /// Run until the event loop is stopped.
     [[nodiscard]] Task<void> stand();
@@ -102,6 +104,8 @@
     void take_lead();
     void lose_lead(std::string_view why);
     [[nodiscard]] bool may_stand(Core::Instant now) const;
+    /// Steps down once this box has heard no other one for a lease: it would report what it counted itself for all.
+    void step_down_if_cut_off(Core::Instant now);
     [[nodiscard]] std::size_t rank() const;
     [[nodiscard]] Leader::Announcement announcement(Core::Instant now) const;
     void tell(Core::Instant now);
@@ -119,17 +123,21 @@
     static constexpr Core::Duration longest_store_loss { std::chrono::seconds(2) };
     /// Between two looks at the clock; a box that stood still for longer looks whether it still leads before it acts.
     static constexpr Core::Duration standstill { std::chrono::milliseconds(800) };
+    /// A box that has just come back in touch listens for so long before it claims: where the store was away for all,
+    /// the leader is back as soon.
+    static constexpr Core::Duration listening_time { std::chrono::milliseconds(800) };
     /// Word of a leader is good for so long.
     static constexpr Core::Duration announcement_memory { std::chrono::seconds(12) };
     /// Pause after a failed read of the log by a leader in doubt, doubled up to the longest.
     static constexpr Core::Duration first_look_pause { std::chrono::milliseconds(200) };
-    static constexpr Core::Duration longest_look_pause { std::chrono::milliseconds(1600) };
+    static constexpr Core::Duration longest_look_pause { std::chrono::milliseconds(800) };
     /// The store usually takes 4 ms, and up to 60 times as long when it is slow.
     static constexpr CallTimeouts timeouts { std::chrono::milliseconds(700), std::chrono::milliseconds(1000) };
 
     GatewayState& state;
     Membership::BoxDirectory const& boxes;
     std::string box_name;
+    Routing::SocketAddress own_address;
     std::uint64_t process;
     StoreConnection connection;
     Ways ways;
@@ -143,6 +151,11 @@
     Core::Instant led_since;
     Core::Instant ticked_at;
     std::optional<Core::Instant> store_lost_since;
+    /// Since when this box has been in touch with the store and the others; nothing while it is not.
+    std::optional<Core::Instant> in_touch_since;
+    /// When other boxes were last heard, or this box took the lead.
+    Core::Instant others_heard_at;
+    Core::Duration lease;
     std::uint64_t first_own_window { 0 };
     std::uint64_t next_window { 0 };
     /// Whether this box has to read the log before it acts as leader.
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -64,11 +64,9 @@
     this->send_to(this->others(), bytes, receivers);
 }
 
-void LoadExchange::send_to_box(std::string const& box, std::string const& bytes)
+void LoadExchange::send_to_address(Routing::SocketAddress const& address, std::string const& bytes)
 {
-    auto const* const record = this->boxes.find(box);
-    auto const place = record ? to_socket_address(record->address) : std::nullopt;
-    if (place)
+    if (auto const place = to_socket_address(address))
         this->send_to({ udp::endpoint(place->address(), place->port()) }, bytes, 1);
 }
 
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -31,8 +31,8 @@
     /// Run until the event loop is stopped.
     [[nodiscard]] Task<void> tell();
     [[nodiscard]] Task<void> hear();
-    /// Sends these bytes to one box; nothing happens for one that is not known.
-    void send_to_box(std::string const& box, std::string const& bytes);
+    /// Sends these bytes to the box at this address; nothing happens for one that is no address.
+    void send_to_address(Routing::SocketAddress const& address, std::string const& bytes);
     /// Sends these bytes to so many other boxes, in turn; to all if there are no more.
     void send(std::string const& bytes, std::size_t receivers);
 
--- a/Libraries/LibGateway/UsageReporter.cpp
+++ b/Libraries/LibGateway/UsageReporter.cpp
@@ -74,7 +74,7 @@
     Leader::UsageMessage message { this->process, {}, wall_clock_microseconds() };
     auto const& windows = this->state.usage.windows();
     message.windows.insert(windows.lower_bound(leader->next_window), windows.end());
-    this->send_to_box(leader->box, Leader::encode(message));
+    this->send_to_box(leader->address, Leader::encode(message));
 }
 
 void UsageReporter::hear(Leader::UsageMessage const& message)
--- a/Libraries/LibLeader/FencingToken.h
+++ b/Libraries/LibLeader/FencingToken.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 
 /// What one box does for all of them: which box that is, the usage that it reports, and the servers that it orders
--- a/Libraries/LibLeader/LeaderElection.h
+++ b/Libraries/LibLeader/LeaderElection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibRouting/EndpointDirectory.h>
 
 #include <cstdint>
 #include <optional>
@@ -22,6 +23,8 @@
     std::uint64_t unix_microseconds { 0 };
     unsigned clocks { 0 };
     bool has_resigned { false };
+    /// Where the leader takes datagrams: one that has just come is in nobody's list of boxes yet.
+    Routing::SocketAddress address {};
 
     bool operator==(Announcement const&) const = default;
 };
--- a/Libraries/LibLeader/LeaderMessages.cpp
+++ b/Libraries/LibLeader/LeaderMessages.cpp
@@ -48,6 +48,8 @@
         told.set_unix_us(announcement.unix_microseconds);
         told.set_clocks(announcement.clocks);
         told.set_has_resigned(announcement.has_resigned);
+        told.set_host(announcement.address.host);
+        told.set_port(announcement.address.port);
     }
     void operator()(UsageMessage const& usage) const
     {
@@ -64,10 +66,12 @@
 
 std::optional<LeaderMessage> announcement_from(wire::Announcement const& told)
 {
-    if (told.token() == 0 || told.box().empty() || told.box().size() > longest_name)
+    constexpr std::uint32_t highest_port = 65535;
+    if (told.token() == 0 || told.box().empty() || told.box().size() > longest_name || told.host().size() > longest_name
+        || told.port() > highest_port)
         return {};
     return Announcement { told.token(), told.box(), told.next_window(), told.unix_us(), told.clocks(),
-        told.has_resigned() };
+        told.has_resigned(), { told.host(), static_cast<std::uint16_t>(told.port()) } };
 }
 
 std::optional<LeaderMessage> usage_from(wire::UsageCounts const& told)
--- a/Libraries/LibMembership/ControlSource.cpp
+++ b/Libraries/LibMembership/ControlSource.cpp
@@ -140,6 +140,7 @@
 
 void ControlSource::relay_answered(std::string const& name, Instant vouched, Instant now)
 {
+    this->heard_at = now;
     if (!this->is_recent(vouched, now)) {
         this->note_stale_answer(name, now);
         return;
@@ -178,6 +179,7 @@
 
 void ControlSource::was_asked(std::string const& asker_domain, Instant now)
 {
+    this->heard_at = now;
     bool const is_own = asker_domain.empty() || asker_domain == this->failure_domain;
     (is_own ? this->asked_at : this->asked_by_domain_at) = now;
 }
@@ -214,6 +216,13 @@
         && std::ranges::all_of(before, [&](BoxRecord const& box) { return this->is_in_trouble(box, now); });
 }
 
+bool ControlSource::hears_others(Instant now) const
+{
+    if (this->order.size() < fewest_boxes)
+        return true;
+    return this->heard_at && now - *this->heard_at <= asked_memory;
+}
+
 bool ControlSource::is_relay(Instant now) const
 {
     return this->is_asked_by_domains(now) || (this->asked_at && now - *this->asked_at <= asked_memory);
--- a/Libraries/LibMembership/ControlSource.h
+++ b/Libraries/LibMembership/ControlSource.h
@@ -60,6 +60,9 @@
     [[nodiscard]] bool awaits_first_answer(Instant now) const;
     /// Whether this box is the one that its failure domain asks, as far as it knows.
     [[nodiscard]] bool leads_domain(Instant now) const;
+    /// Whether other boxes answered this one or asked it lately. Where failure domains are too small for relays nothing
+    /// is known of that, and it is taken to be so.
+    [[nodiscard]] bool hears_others(Instant now) const;
     /// Whether other boxes take what the store says from this one.
     [[nodiscard]] bool is_relay(Instant now) const;
     /// Whether what a relay vouches for up to this moment is recent enough.
@@ -194,6 +197,8 @@
     std::optional<Instant> asked_at;
     std::optional<Instant> asked_by_domain_at;
     std::optional<Instant> store_failed_at;
+    /// When another box last asked this one or answered it.
+    std::optional<Instant> heard_at;
     /// Whether the directory was read or could not be. Until then a box waits, since a relay would save its first
     /// reads.
     bool is_started { false };
--- a/Tests/LibLeader/TestLeaderElection.cpp
+++ b/Tests/LibLeader/TestLeaderElection.cpp
@@ -22,7 +22,7 @@
 
 Announcement leader(std::uint64_t token, bool has_resigned = false)
 {
-    return { token, "leader", 0, 0, 0, has_resigned };
+    return { token, "leader", 0, 0, 0, has_resigned, {} };
 }
 
 }
--- a/Tests/LibLeader/TestLeaderLog.cpp
+++ b/Tests/LibLeader/TestLeaderLog.cpp
@@ -39,6 +39,7 @@
                 newest.emplace(record.key, record);
         }
         std::vector<LogRecord> list;
+        list.reserve(newest.size());
         for (auto const& [key, record] : newest)
             list.push_back(record);
         return LeaderLog::from(list, this->records.size(), this->era);
--- a/Tests/LibLeader/TestLeaderMessages.cpp
+++ b/Tests/LibLeader/TestLeaderMessages.cpp
@@ -6,7 +6,7 @@
 
 TEST_CASE("what boxes tell each other comes back as it was")
 {
-    Announcement const announcement { 77, "box", 12, 1'790'000'000'000'000, 5, true };
+    Announcement const announcement { 77, "box", 12, 1'790'000'000'000'000, 5, true, { "10.0.0.1", 7000 } };
     UsageMessage const usage { 9, { { 12, { { "a", 3 }, { "b", 4 } } }, { 13, {} } }, 42 };
     CHECK(decode_leader_message(encode(announcement)) == std::optional<LeaderMessage>(announcement));
     CHECK(decode_leader_message(encode(usage)) == std::optional<LeaderMessage>(usage));
@@ -16,9 +16,9 @@
 {
     CHECK_FALSE(decode_leader_message(""));
     CHECK_FALSE(decode_leader_message("\xff\xfe garbage"));
-    CHECK_FALSE(decode_leader_message(encode(Announcement { 0, "box", 0, 0, 0, false })));
-    CHECK_FALSE(decode_leader_message(encode(Announcement { 5, "", 0, 0, 0, false })));
-    CHECK_FALSE(decode_leader_message(encode(Announcement { 5, std::string(500, 'x'), 0, 0, 0, false })));
+    CHECK_FALSE(decode_leader_message(encode(Announcement { 0, "box", 0, 0, 0, false, {} })));
+    CHECK_FALSE(decode_leader_message(encode(Announcement { 5, "", 0, 0, 0, false, {} })));
+    CHECK_FALSE(decode_leader_message(encode(Announcement { 5, std::string(500, 'x'), 0, 0, 0, false, {} })));
     CHECK_FALSE(decode_leader_message(encode(UsageMessage { 0, {}, 0 })));
 }
 
--- a/Tests/LibMembership/TestControlSource.cpp
+++ b/Tests/LibMembership/TestControlSource.cpp
@@ -147,6 +147,21 @@
     CHECK(source.relay(at(3200)));
 }
 
+TEST_CASE("a box that no other one asks or answers hears nobody, unless its failure domain is too small to tell")
+{
+    auto source = source_of("b1");
+    CHECK_FALSE(source.hears_others(at(0)));
+    source.relay_answered("b2", at(1000), at(1000));
+    CHECK(source.hears_others(at(3000)));
+    CHECK_FALSE(source.hears_others(at(3001)));
+    // An answer that is too old to be used comes from a box that lives all the same.
+    source.relay_answered("b2", at(1000), at(9000));
+    CHECK(source.hears_others(at(9500)));
+    source.was_asked("a", at(20'000));
+    CHECK(source.hears_others(at(21'000)));
+    CHECK(source_of("b1", { box("b1"), box("b2") }).hears_others(at(0)));
+}
+
 TEST_CASE("the record of a box that never answers is taken to be left over after minutes")
 {
     auto source = source_of(order().back());
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -3,13 +3,15 @@
 #include "Clients.h"
 #include <Harness/FaultProxy.h>
 #include <Harness/PlatformCluster.h>
+#include <algorithm>
 #include <cstdlib>
 #include <pcg_random.hpp>
 
 /// Real boxes before stand-ins of the users' store and servers, under faults drawn from a seed: boxes are killed,
 /// paused and stopped, the store fails in its ways, and the ways from clients to boxes and from boxes to the store are
 /// delayed, cut, narrowed and reset; the operator writes large configurations one after another. What clients were told
-/// is compared with what servers ran, and the last configuration has to come into force everywhere.
+/// is compared with what servers ran, and the last configuration has to come into force everywhere. A second play adds
+/// a store that comes back from copies, and a platform to which one box reports usage.
 namespace {
 
 using namespace Soak;
@@ -34,11 +36,23 @@
     return text != nullptr ? std::stoull(text) : otherwise;
 }
 
+/// What is played beside the faults of all seeds.
+enum class Play {
+    Plain,
+    /// The store comes back from a copy now and then, and its writers write again; one box reports usage and orders
+    /// servers, from a platform that fails at times.
+    CopiesAndLeader,
+};
+
 class Site {
 public:
-    explicit Site(std::uint64_t seed)
+    Site(std::uint64_t seed, Play play)
         : random(seed)
+        , random_of_play(seed + 1000)
+        , play(play)
     {
+        if (this->play == Play::CopiesAndLeader)
+            this->cluster.start_cloud();
         for (auto const* name : server_names)
             this->cluster.start_server(name, name[0] == 'm' ? "model" : "desk");
         this->write_configuration(0);
@@ -61,6 +75,8 @@
     /// One fault more; those drawn before may still last.
     void strike()
     {
+        if (this->play == Play::CopiesAndLeader)
+            this->strike_leader_or_history();
         auto const index = this->random(static_cast<std::uint32_t>(box_names.size()));
         auto const* const name = box_names[index];
         switch (this->random(10)) {
@@ -100,9 +116,28 @@
         }
     }
 
+    /// What the platform took: never two reports of one window that differ, and no token of two boxes.
+    void check_leader_calls() const
+    {
+        if (this->play != Play::CopiesAndLeader)
+            return;
+        auto const is_report = [](auto const& call) { return call["call"] == "/usage"; };
+        wait_until("usage is reported", [&] { return std::ranges::any_of(this->cluster.taken_calls(), is_report); });
+        std::map<std::uint64_t, nlohmann::json> reports;
+        std::map<std::uint64_t, std::string> boxes;
+        for (auto const& call : this->cluster.taken_calls()) {
+            CHECK(boxes.try_emplace(call["token"], call["box"]).first->second == call["box"]);
+            if (is_report(call))
+                CHECK(reports.try_emplace(call["window_id"], call["counts"]).first->second == call["counts"]);
+        }
+        MESSAGE(reports.size() << " windows reported by " << boxes.size() << " terms");
+    }
+
     void heal()
     {
         this->cluster.set_store_mode("");
+        if (this->play == Play::CopiesAndLeader)
+            this->cluster.set_cloud_mode("");
         for (std::size_t index = 0; index < box_names.size(); ++index) {
             this->thaw(index);
             this->to_store[index].set_fault(Fault::None);
@@ -141,9 +176,28 @@
     Harness::PlatformCluster cluster;
 
 private:
+    void strike_leader_or_history()
+    {
+        switch (this->random_of_play(8)) {
+        case 0: {
+            constexpr std::uint32_t most_lost_milliseconds = 2000;
+            this->cluster.set_store_mode("");
+            this->cluster.restore_store(static_cast<int>(this->random_of_play(most_lost_milliseconds)));
+            this->cluster.configure(this->version, this->keys, this->further_routes);
+            break;
+        }
+        case 1:
+            this->cluster.set_cloud_mode(std::array { "", "reset", "busy", "" }[this->random_of_play(4)]);
+            break;
+        default:
+            break;
+        }
+    }
+
     void start_box(std::size_t index)
     {
         auto settings = bounds;
+        settings.has_leader = this->play == Play::CopiesAndLeader;
         settings.store_port = this->to_store[index].port();
         this->cluster.start_box(box_names[index], settings);
         this->to_box[index].set_target(this->cluster.client_port(box_names[index]));
@@ -159,9 +213,10 @@
             this->write_configuration(std::array { 0, many_routes / 2, many_routes, many_routes }[this->random(4)]);
     }
 
-    void write_configuration(int further_routes)
+    void write_configuration(int routes)
     {
-        this->cluster.configure(++this->version, this->keys, further_routes);
+        this->further_routes = routes;
+        this->cluster.configure(++this->version, this->keys, routes);
     }
 
     void wait_in_force() const
@@ -184,7 +239,11 @@
     }
 
     pcg32 random;
+    /// Apart, so that a seed's faults are the same in both plays.
+    pcg32 random_of_play;
+    Play play;
     int version { 0 };
+    int further_routes { 0 };
     std::vector<std::string> keys { "key", "other" };
     std::array<FaultProxy, box_names.size()> to_store;
     std::array<FaultProxy, box_names.size()> to_box;
@@ -236,14 +295,12 @@
         CHECK(runs == 0);
 }
 
-}
-
-TEST_CASE("what clients are told is true under faults of all kinds")
+void play(Play kind)
 {
     auto const seed = from_environment("CLEATBEAM_SOAK_SEED", 1);
     auto const strikes = from_environment("CLEATBEAM_SOAK_STRIKES", 24);
     CAPTURE(seed);
-    Site site(seed);
+    Site site(seed, kind);
     Clients clients(site.client_ports(), seed);
     constexpr auto between_strikes = std::chrono::milliseconds(250);
     Clock::time_point revoked_at;
@@ -271,5 +328,18 @@
     MESSAGE("seed " << seed << ": " << exchanges.size() << " requests, " << served << " served, " << site.versions()
                     << " versions");
     CHECK(served > 0);
+    site.check_leader_calls();
     site.configure_over_narrow_links();
 }
+
+}
+
+TEST_CASE("what clients are told is true under faults of all kinds")
+{
+    play(Play::Plain);
+}
+
+TEST_CASE("and where the store comes back from copies, while one box reports usage for all")
+{
+    play(Play::CopiesAndLeader);
+}
