--- a/Libraries/LibGateway/CallWatch.h
+++ b/Libraries/LibGateway/CallWatch.h
@@ -8,8 +8,7 @@
 
 /// How long a call may go without progress. The whole transfer of an answer has no such limit: an answer that is given
 /// up has to be asked for again from its first byte, so a limit on the whole keeps away for ever what is longer than
-/// link times limit. 541 KB over a link of 10 Mbit/s took 0.5 s and more, and boxes that gave up after 0.5 s were
-/// without a configuration for 6 s.
+/// link times limit.
 struct CallTimeouts {
     /// From the call to the first byte of its answer.
     Core::Duration first_byte { 0 };
--- a/Libraries/LibGateway/ControlPlane.h
+++ b/Libraries/LibGateway/ControlPlane.h
@@ -55,7 +55,7 @@
     static constexpr Core::Duration relay_operator_pause { std::chrono::milliseconds(50) };
     /// Endpoints write about every second each, so waiting would make a call of each write. The pause leaves room for a
     /// read that gets no answer and for the next one inside the time in which an endpoint that drains must be left
-    /// alone. At 0.6 of the bound one lost answer let a request through 94 ms too late.
+    /// alone.
     static constexpr double share_of_drain_bound = 0.4;
     /// A configuration is passed on if, compressed, it takes this box's link no longer than this. Passed on to twenty
     /// boxes it then takes the link 0.2 s, as long as the link of an asker that is twenty times narrower takes for one.
--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -278,7 +278,7 @@
 void ControlRecords::store_returned(Instant now)
 {
     // NOTE: Where others told what the store says, only this box's own way to it was away, and no entry can have lapsed
-    // for that. Taken for a return of the store it kept endpoints in use that had left, 52 ms past a bound of 2 s.
+    // for that. Taken for a return of the store it would keep endpoints in use that have left.
     if (this->endpoints_confirmed_at && now - *this->endpoints_confirmed_at < shortest_lapse)
         return;
     this->returned_at = now;
@@ -361,10 +361,8 @@
         if (!this->returned_at || moment > *this->returned_at + same_return)
             this->store_returned(moment);
     }
-    // NOTE: Each failure domain divides the engines by its own demand. One division for all came too late in bursts,
-    // when who asks whom had just changed: 26 engines for a burst of long answers where three domains used 41, and
-    // worth 0.54 in place of 0.66 on a day with two bursts beside boxes that are cut off (80 boxes, processor time not
-    // counted).
+    // NOTE: Each failure domain divides the engines by its own demand. One division for all comes too late in bursts,
+    // when who asks whom has just changed: long answers then get too few engines for seconds.
     if (relay_domain == this->failure_domain)
         this->state.router.take_answer_shares(answer.answer_shares, asked_at);
     // NOTE: What this box read itself a moment ago may be newer than what the relay knows.
--- /dev/null
+++ b/Libraries/LibGateway/ExchangeRetries.cpp
@@ -0,0 +1,126 @@
+// What RequestExchange does after an attempt: whether another endpoint is tried, and what the run says of the request
+// and of its endpoint.
+
+#include <LibGateway/RequestExchange.h>
+
+#include <LibGateway/HttpStatus.h>
+
+namespace Gateway {
+
+using Core::monotonic_now;
+using Core::Reason;
+
+Reason RequestExchange::retry_reason(AttemptEnd end) const
+{
+    if (this->was_silent)
+        return Reason::EndpointSilent;
+    switch (end) {
+    case AttemptEnd::NotSent:
+        return Reason::RetryConnectionRefused;
+    case AttemptEnd::NotRun:
+        return Reason::EndpointFull;
+    case AttemptEnd::Interrupted:
+        return Reason::StreamResumed;
+    default:
+        return Reason::RetryAttemptFailed;
+    }
+}
+
+Reason RequestExchange::reason_for_giving_up() const
+{
+    if (this->has_left)
+        return Reason::CallerGone;
+    if (this->has_expired)
+        return this->admitted->expiry;
+    if (this->crashes_endpoints)
+        return Reason::RequestCrashesEndpoints;
+    if (this->sent_attempts >= this->admitted->route->max_attempts)
+        return Reason::AttemptsSpent;
+    if (this->last_end == AttemptEnd::Unknown && !this->admitted->route->is_repeatable())
+        return Reason::RetryNotAllowed;
+    return Reason::RetryBudgetSpent;
+}
+
+bool RequestExchange::may_try_again(AttemptEnd end)
+{
+    // NOTE: Asked first: the last attempt may have left no trace while an earlier one ran.
+    if (this->may_have_run && !this->admitted->route->is_repeatable())
+        return false;
+    if (end == AttemptEnd::NotSent)
+        return this->unsent_attempts <= most_unsent_attempts;
+    if (end == AttemptEnd::BrokenAfterDelivery)
+        return false;
+    // NOTE: The budget was asked when the endpoint's failure was held back.
+    if (end == AttemptEnd::EndpointError)
+        return true;
+    return this->sent_attempts < this->admitted->route->max_attempts
+        && this->state.router.may_repeat(*this->admitted, monotonic_now());
+}
+
+bool RequestExchange::failure_may_be_withheld()
+{
+    return !this->has_left && this->admitted->route->is_repeatable()
+        && this->sent_attempts < this->admitted->route->max_attempts
+        && this->state.router.may_repeat(*this->admitted, monotonic_now());
+}
+
+Task<bool> RequestExchange::examine_break(Attempt attempt)
+{
+    auto const& placed = attempt.placed;
+    // NOTE: An endpoint that leaves ends as planned; what it broke off says nothing of the request.
+    bool const was_in_use = this->state.router.may_receive(placed.choice.endpoint, monotonic_now());
+    auto const finding = co_await check_endpoint(this->state, placed.choice.endpoint, placed.endpoint.address);
+    this->log_break(attempt, finding);
+    bool const has_crashed = was_in_use && finding == EndpointFinding::Refuses;
+    if (has_crashed)
+        this->state.crash_news.crashed(
+            { this->fingerprint, Routing::life_of(placed.endpoint), attempt.known_crashes + 1 });
+    co_return has_crashed;
+}
+
+void RequestExchange::examine_break_later(Attempt const& attempt)
+{
+    if (!attempt.connection_broke)
+        return;
+    // NOTE: Not awaited, since the client is told at once.
+    asio::co_spawn(
+        this->state.context,
+        [self = this->shared_from_this(), attempt]() -> Task<void> {
+            static_cast<void>(co_await self->examine_break(attempt));
+        },
+        asio::detached);
+}
+
+Task<bool> RequestExchange::has_crashed_again(Attempt const& attempt)
+{
+    if (!attempt.connection_broke)
+        co_return false;
+    // NOTE: Known before the next endpoint is chosen, a round trip later: without that a call that may be repeated
+    // takes two endpoints with it each time it comes.
+    bool const has_crashed = co_await this->examine_break(attempt);
+    this->crashes_endpoints = has_crashed && attempt.known_crashes > 0;
+    co_return this->crashes_endpoints;
+}
+
+void RequestExchange::note_run(Attempt const& attempt, AttemptEnd end)
+{
+    constexpr unsigned first_no_success = 300;
+    // NOTE: A plain service that broke its connection may have run the request; an engine shows no token of it.
+    bool const has_run = end == AttemptEnd::EndpointError || (end == AttemptEnd::Unknown && !this->admitted->is_engine);
+    if (has_run)
+        this->count_begun(attempt.started);
+    if (attempt.status != 0)
+        this->state.crash_news.answered(Routing::life_of(attempt.placed.endpoint), attempt.started);
+    bool const ended_well
+        = end == AttemptEnd::Delivered && attempt.status >= status_ok && attempt.status < first_no_success;
+    if (ended_well)
+        this->state.crash_news.ran_well(this->fingerprint);
+}
+
+void RequestExchange::count_begun(Core::Instant at)
+{
+    if (!std::exchange(this->is_counted, true))
+        this->state.note_begun(this->admitted->account, at);
+}
+
+}
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -169,8 +169,7 @@
     this->is_behind = more_follows && (!page->records.empty() || this->topic == Adapter::Topic::Operator);
     bool const took_long = monotonic_now() - asked_at > this->pace().wait;
     // NOTE: Told by the suspension, not by how long the read took: one over a narrow link takes as long, and boxes that
-    // asked again at once kept their links busy until a new version came too late (3 of 30 runs of a test beside
-    // others).
+    // ask again at once keep their links busy until a new version comes too late.
     bool const was_asked_before_waking = this->woke_at && asked_at < *this->woke_at;
     this->asks_at_once = was_asked_before_waking || (took_long && !page->records.empty());
     this->take(page->records, asked_at, more_follows ? Coverage::Part : Coverage::UpToEnd);
--- a/Libraries/LibGateway/StoreFollower.h
+++ b/Libraries/LibGateway/StoreFollower.h
@@ -98,7 +98,7 @@
     StoreLink link;
     Pause pause;
     /// The next read doesn't wait at the store: what this box knows is old already, after a rest or a long transfer.
-    /// With the wait, a box whose transfer had taken its lease refused for 1.46 s more, the new version in force.
+    /// With the wait, a box whose transfer took its lease would refuse on although the new version is in force.
     bool asks_at_once { false };
     /// When the box was last suspended until.
     std::optional<Core::Instant> woke_at;
--- a/Libraries/LibMembership/ControlSource.h
+++ b/Libraries/LibMembership/ControlSource.h
@@ -82,9 +82,8 @@
     /// store.
     [[nodiscard]] Duration patience() const { return this->tightest() * 3 / 20; }
     /// The same with this relay. One of another domain stands before a whole domain, so it is left sooner. A box that
-    /// knows nothing yet leaves a relay sooner still, 75 ms at a bound of 3 s: one that lives answers within 10 ms, and
-    /// one that has no power yet says nothing. With the usual patience a third of 87 boxes that lost power together
-    /// refused their clients for 0.46 s in place of 0.02 s.
+    /// knows nothing yet leaves a relay sooner still: one that lives answers within some 10 ms, one that has no power
+    /// yet says nothing, and the box refuses its clients until it knows something.
     [[nodiscard]] Duration patience_with(BoxRecord const& relay, Instant now) const;
     /// Pause after so many readings of a list of boxes that holds this one. A box that has a relay reads it seldom, and
     /// the more seldom the more boxes there are. One that reads the store itself looks soon, since it may have started
@@ -93,8 +92,8 @@
     /// Pause after so many failed reads of the store in a row.
     [[nodiscard]] Duration retry_pause(unsigned failures, Instant now) const;
     /// Whether a box that gets no answer from the store goes on trying it for the endpoints alone, and for the
-    /// configuration when that was answered: 295 boxes make 958 calls in 8 s without the store, and 1,246 with both
-    /// (played in virtual time). The boxes that others wait for try it for both.
+    /// configuration when that was answered, which spares the store a part of the calls of hundreds of boxes. The boxes
+    /// that others wait for try it for both.
     [[nodiscard]] bool tries_one_topic(Instant now) const { return this->is_one_of_many(now); }
     /// Longest time for a relay's whole answer: one that takes longer is too old to be used when it has come, since it
     /// vouches for no later moment than its question.
@@ -171,9 +170,8 @@
     static constexpr Duration first_store_pause { std::chrono::milliseconds(100) };
     /// Of a box that its domain relies on, and of each where there are few.
     static constexpr Duration longest_store_pause { std::chrono::milliseconds(800) };
-    /// So many boxes may try the store that often; with more, each but the first of a domain pauses as much longer. In
-    /// 8 s without the store 295 boxes that try it for both topics make 1,246 calls, and 3,290 without this (played in
-    /// virtual time).
+    /// So many boxes may try the store that often; with more, each but the first of a domain pauses as much longer, so
+    /// that the calls of all don't grow with their number.
     static constexpr std::size_t boxes_with_short_pauses = 16;
     /// A box that no relay helps is without the store for so long at most: a little more than the time for which
     /// configurations are good.
--- a/Libraries/LibMembership/LoadMessages.cpp
+++ b/Libraries/LibMembership/LoadMessages.cpp
@@ -124,8 +124,7 @@
 
 ReportPlan plan_reports(std::size_t others, std::size_t message_bytes)
 {
-    /// What a box may send to others for this. The users allow 15 KB a second for control in all. Five days with faults
-    /// and nine boxes, three seeds: mean worth 0.644 at 6 KB and 0.653 at 12 KB, where reports go out every 100 ms.
+    /// What a box may send to others for this. The users allow 15 KB a second for control in all.
     constexpr double bytes_per_second = 12'000;
     /// Addresses and checksums of a datagram.
     constexpr std::size_t packet_bytes = 28;
--- a/Libraries/LibRouting/ConfigurationLease.cpp
+++ b/Libraries/LibRouting/ConfigurationLease.cpp
@@ -60,8 +60,8 @@
     if (this->unconfirmed_since && held > this->bounds.apply_within)
         return ConfigurationTrust::Expired;
     // NOTE: Counted from when the first box that passed it on knew of the version, which is seldom long after its
-    // acknowledgement. Counted from when this box was told, one behind two relays served the old version for up to
-    // 1.55 times the bound. Counted from the last confirmation, boxes refused during transfers of 1.5 s that came in
+    // acknowledgement. Counted from when this box was told, one behind two relays would serve the old version for
+    // longer than the bound. Counted from the last confirmation, boxes would refuse during long transfers that come in
     // time.
     if (this->is_superseded()) {
         bool const is_due = now - this->superseded_since > this->bounds.apply_within;
--- a/Libraries/LibRouting/ConfigurationSnapshot.h
+++ b/Libraries/LibRouting/ConfigurationSnapshot.h
@@ -52,9 +52,8 @@
     Configuration contents;
     /// In lower case, without port. Routes have few hosts.
     std::unordered_map<std::string, std::uint32_t> hosts;
-    /// One piece of memory that refers to the prefixes of the routes themselves. With a text and a node for each of
-    /// 10,000 routes a snapshot's indexes took 1,045 KB in place of 514 and its end 0.96 ms in place of 0.23
-    /// (processor time, middle of five runs; bytes by an allocator that counts).
+    /// One piece of memory that refers to the prefixes of the routes themselves: a text and a node for each of 10,000
+    /// routes take twice the memory, and the event loop stands still while they are freed.
     boost::unordered_flat_map<RouteKey, std::uint32_t, RouteKeyHash> routes_by_key;
     std::unordered_map<std::string_view, std::size_t> accounts_by_key;
     std::unordered_map<std::string_view, std::size_t> services_by_name;
--- a/Libraries/LibRouting/EngineDemand.h
+++ b/Libraries/LibRouting/EngineDemand.h
@@ -14,9 +14,8 @@
     LongAnswer,
 };
 
-/// Prompt tokens that an engine reads in the time of one step: 176 and 236 at the engines known. The kinds of work and
-/// the division rest on this and not on learnt speeds, which differ between boxes: with those, boxes divided the
-/// engines differently, and the mean worth of five days with faults was 0.570 in place of 0.584.
+/// Prompt tokens that an engine reads in the time of one step, about. The kinds of work and the division rest on this
+/// and not on learnt speeds, which differ between boxes: with those, boxes would divide the engines differently.
 inline constexpr double prompt_tokens_per_step = 200;
 
 /// By the numbers of tokens alone, so that all boxes agree.
--- a/Libraries/LibRouting/EngineSpeed.h
+++ b/Libraries/LibRouting/EngineSpeed.h
@@ -90,8 +90,7 @@
     static constexpr double fewest_tokens = 256;
     /// Fewer tokens than this come in one or two events, whose distance the network decides.
     static constexpr double fewest_answer_tokens = 12;
-    /// Under load nine of ten samples have met other work: at 0.3 and 0.2 engines that read 43 tokens a millisecond
-    /// were taken for 13, and steps of 5.6 ms for 17.
+    /// Under load nine of ten samples have met other work and are slower than the engine.
     static constexpr double fast_side = 0.1;
 
     FollowedQuantile reading { fast_side, 1 / EngineSpeed {}.prefill_tokens_per_millisecond };
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -11,7 +11,7 @@
 
 /// Penalties that placement reckons with.
 struct PlacementModel {
-    /// What a call of a plain service takes, where nothing was measured yet.
+    /// What a call of a plain service takes, where nothing is known yet.
     double plain_call_milliseconds { 20 };
     /// Cost of leaving the failure domain: the way there and back, and the price of the bytes.
     double other_domain_milliseconds { 4 };
@@ -20,16 +20,14 @@
     /// Part of a shared prompt part that the part's usual endpoint is believed to keep though this box did not send it.
     double kept_at_home { 0.8 };
     /// How many times its reading time a shared part costs where it is read again: it holds up others, and the users
-    /// price it at about the worth of a request for 7,000 tokens. Five days with bursts: mean worth 0.594 at 4, 0.607
-    /// at 8.
+    /// price it at about the worth of a request for 7,000 tokens.
     double read_again_factor { 8 };
     /// Cost of placing a request on an engine that is meant for the other kind.
     double wrong_side_milliseconds { 400 };
     /// How many times the silence of an endpoint beyond the expected counts: it has most likely failed.
     double overdue_factor { 4 };
     /// Cost of an engine all of whose slots are taken; half of them are free of cost. A dear engine sends requests away
-    /// from what it keeps of their prompts: at 1000, 400, 150 the mean worth of five days was 0.592, 0.616, 0.627 where
-    /// engines have 12 slots, and 0.640, 0.643, 0.643 where they have 64.
+    /// from what it keeps of their prompts.
     double full_engine_milliseconds { 150 };
 
     bool operator==(PlacementModel const&) const = default;
@@ -79,8 +77,7 @@
     /// compared.
     ///
     /// Boxes that hear of each other's load at the same moments all find the same engine the emptiest, and send there
-    /// until the next reports: with 87 boxes and reports each 2 s one engine got 102 short questions in a second while
-    /// others had room. So the older what boxes know of each other, the fewer engines each compares.
+    /// until the next reports. So the older what boxes know of each other, the fewer engines each compares.
     double compared_share { 1 };
     std::uint64_t draw { 0 };
 };
--- a/Libraries/LibRouting/WaitLimit.cpp
+++ b/Libraries/LibRouting/WaitLimit.cpp
@@ -7,10 +7,10 @@
 std::optional<Core::Duration> longest_wait(Core::Duration goal, Core::Duration prefill)
 {
     /// Part of the goal that waiting and reading may take as predicted. The rest is for what the prediction does not
-    /// see: 2 lost 0.026 of worth against 0.6, and 0.35 lost 0.039.
+    /// see.
     constexpr double share_for_first_piece = 0.6;
-    /// Part of the goal that any request may wait, however long its own prompt. Without it the largest prompts were
-    /// refused whenever anything was queued, and their worth fell from 0.58 to 0.53.
+    /// Part of the goal that any request may wait, however long its own prompt. Without it the largest prompts would be
+    /// refused whenever anything is queued.
     constexpr double share_for_waiting = 0.25;
     if (goal <= Core::Duration { 0 })
         return {};
--- a/Libraries/LibRouting/WaitLimit.h
+++ b/Libraries/LibRouting/WaitLimit.h
@@ -10,8 +10,7 @@
 /// goal.
 ///
 /// What would wait longer comes late in any case, and it makes what comes after it late too. So it is refused at once,
-/// while it has not run. Five days with bursts of long prompts, three seeds each: mean worth 0.607 without a limit and
-/// 0.642 with it; long prompts in time 0.63 and 0.71, answers to short questions 0.74 and 0.78.
+/// while it has not run. It answers bursts of long prompts beyond what the engines read.
 [[nodiscard]] std::optional<Core::Duration> longest_wait(Core::Duration goal, Core::Duration prefill);
 
 /// When a client may come back that was refused since the wait is longer than the limit: once the engine has worked off
