LibGateway: Write no report of a window that a later claim of the same box leaves out

Cause, found by reading the change: a report waits for its turn at the store; if this box claimed anew meanwhile, since the store came back from a copy, the window may be one that the new claim leaves out because its report may have been sent and lost. A second report with other counts would break a rule.

Ruled out: the same for reports that are sent again (they are the log's, which the claim has written again). A deployment that asks for a leader and gives no ports between boxes says so in its log.

--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -72,6 +72,8 @@
     if (!this->ports) {
         // NOTE: Without an address of its own a box is asked by nobody, and it asks nobody either.
         this->source.boxes_unknown();
+        if (this->leader_settings)
+            Log::EventLine("leader_impossible").with("reason", "the settings give no ports between boxes").warning();
         return true;
     }
     std::optional<tcp::acceptor> acceptor;
--- a/Libraries/LibGateway/Leadership.cpp
+++ b/Libraries/LibGateway/Leadership.cpp
@@ -241,7 +241,9 @@
 {
     co_await this->acquire();
     bool is_written = this->leads() && this->leader_log.reports().contains(window);
-    if (this->leads() && !is_written) {
+    // NOTE: This box may have claimed anew while it waited for its turn, in another history of the store.
+    bool const is_left_out = window < this->first_own_window;
+    if (this->leads() && !is_written && !is_left_out) {
         auto const outcome = co_await this->append(this->leader_log.records_of_report(window, counts));
         if (outcome != Appended::Done) {
             this->is_in_doubt = true;
