--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -8,7 +8,7 @@
 trap 'rm -rf "$folder"' EXIT
 libraries=(Libraries/LibCore/*.cpp Libraries/LibSettings/*.cpp Libraries/LibPlatform/{Digest,HttpAddress}.cpp Libraries/LibFate/FateTypes.cpp
     Generated/LibFate/Fate.pb.cc Libraries/LibServer/{BoxSettings,RequestReader,RoutingTable,Credentials}.cpp
-    Libraries/LibRouting/*.cpp Libraries/LibMembership/*.cpp Generated/LibMembership/Relay.pb.cc platform/{JsonParser,JsonReader,StoreRecords,BoxEnvironment}.cpp)
+    Libraries/LibRouting/*.cpp Libraries/LibMembership/*.cpp Generated/LibMembership/Relay.pb.cc platform/{ConfigurationRecord,JsonParser,JsonReader,StoreRecords,BoxEnvironment}.cpp)
 mkdir "$folder/libraries" "$folder/targets"
 compile() {
     xargs -P "$(nproc)" -I{} sh -c \
