--- a/Libraries/LibGateway/CrashNews.cpp
+++ b/Libraries/LibGateway/CrashNews.cpp
@@ -18,6 +18,7 @@
     line.with("fingerprint", Routing::to_string(report.request))
         .with("endpoint", report.endpoint.incarnation)
         .with("endpoint_started_at_ms", report.endpoint.started_at)
+        .with("known_when_run_began", report.count - 1)
         .with("crashes", verdict.crashes);
     if (verdict.refused_for)
         line.with("refused_for_s", Core::to_seconds(*verdict.refused_for));
@@ -78,10 +79,18 @@
     Log::EventLine("crash_cleared").with("fingerprint", Routing::to_string(request)).with("told_by", from).info();
 }
 
-void CrashNews::answered(Routing::EndpointLife const& endpoint, Instant sent_at)
+void CrashNews::answered(Routing::EndpointLife const& endpoint, Instant connected_at, Instant sent_at)
 {
+    auto const known_since = this->ledger.crash_known_since(endpoint);
     if (!this->ledger.endpoint_answered(endpoint, sent_at))
         return;
+    auto const now = monotonic_now();
+    Log::EventLine("crashed_endpoint_answered")
+        .with("endpoint", endpoint.incarnation)
+        .with("crash_known_ms_ago", Core::to_milliseconds(now - known_since.value_or(now)))
+        .with("connection_opened_ms_ago", Core::to_milliseconds(now - connected_at))
+        .with("sent_ms_ago", Core::to_milliseconds(now - sent_at))
+        .info();
     this->take_back(endpoint, "own");
     this->announce(Answering { endpoint });
 }
--- a/Libraries/LibGateway/EndpointCall.cpp
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -9,11 +9,15 @@
 {
     this->connection = this->state.connections.take_idle(endpoint, Core::monotonic_now());
     this->reused = this->connection != nullptr;
-    if (this->reused)
+    if (this->reused) {
+        this->opened_at = this->connection->opened_at;
         co_return error_code {};
+    }
     error_code error;
     this->state.metrics.count_endpoint_connection();
     this->connection = co_await this->state.connections.connect(endpoint, std::move(address), error);
+    if (this->connection)
+        this->opened_at = this->connection->opened_at;
     if (!error && this->is_aborted)
         error = asio::error::operation_aborted;
     co_return error;
--- a/Libraries/LibGateway/EndpointCall.h
+++ b/Libraries/LibGateway/EndpointCall.h
@@ -36,6 +36,8 @@
     /// Whether the whole answer was read.
     [[nodiscard]] bool is_done() const { return this->parser && this->parser->is_done(); }
     [[nodiscard]] bool is_reused() const { return this->reused; }
+    /// When the connection came up. Only once open() has succeeded.
+    [[nodiscard]] Core::Instant connection_opened_at() const { return this->opened_at; }
 
 private:
     using AnswerParser = http::response_parser<http::buffer_body>;
@@ -49,6 +51,7 @@
     SharedConnection connection;
     std::unique_ptr<AnswerParser> parser;
     bool reused { false };
+    Core::Instant opened_at;
     bool is_aborted { false };
     /// Whether the endpoint has taken all of the request.
     bool is_written { false };
--- a/Libraries/LibGateway/EndpointConnections.cpp
+++ b/Libraries/LibGateway/EndpointConnections.cpp
@@ -59,6 +59,7 @@
     if (error)
         co_return nullptr;
     this->set_options(connection->socket);
+    connection->opened_at = Core::monotonic_now();
     co_return connection;
 }
 
--- a/Libraries/LibGateway/EndpointConnections.h
+++ b/Libraries/LibGateway/EndpointConnections.h
@@ -23,6 +23,7 @@
     tcp::socket socket;
     flat_buffer buffer;
     EndpointId endpoint;
+    Core::Instant opened_at;
     /// Whether it carried a request before.
     bool is_reused { false };
     /// How long the endpoint keeps it idle, as far as it told.
--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -86,6 +86,7 @@
         .with("id", this->attempt_id)
         .with("fingerprint", Routing::to_string(this->fingerprint))
         .with("endpoint", attempt.placed.endpoint.incarnation)
+        .with("run_began_ms_ago", Core::to_milliseconds(Core::monotonic_now() - attempt.started))
         .with("endpoint_now", to_string(finding))
         .info();
 }
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -92,8 +92,10 @@
             co_await this->end_unplaced(*rejected);
             co_return;
         }
-        Attempt attempt { std::move(std::get<Routing::Placed>(decision)), monotonic_now(), 0, false, false,
-            verdict.crashes, {} };
+        Attempt attempt;
+        attempt.placed = std::move(std::get<Routing::Placed>(decision));
+        attempt.started = monotonic_now();
+        attempt.known_crashes = verdict.crashes;
         this->last_end = co_await this->try_endpoint(attempt);
         this->record_attempt(attempt, this->last_end, monotonic_now());
         this->note_run(attempt, this->last_end);
@@ -151,6 +153,7 @@
         = std::make_shared<EndpointCall>(this->state, this->attempt_id, this->request.method() == http::verb::head);
     auto const error = co_await this->call->open(endpoint, attempt.placed.endpoint.address);
     attempt.reused_connection = this->call->is_reused();
+    attempt.connection_opened = this->call->connection_opened_at();
     bool const has_left = !error && !this->state.router.may_receive(endpoint, monotonic_now());
     if (error || has_left || this->is_cancelled()) {
         ++this->unsent_attempts;
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -43,6 +43,7 @@
     Core::Instant started;
     unsigned status { 0 };
     bool reused_connection { false };
+    Core::Instant connection_opened;
     /// Whether the endpoint's side ended the connection before the answer was whole.
     bool connection_broke { false };
     /// Crashes of the request that were known when this run began.
--- a/Libraries/LibRouting/CrashLedger.cpp
+++ b/Libraries/LibRouting/CrashLedger.cpp
@@ -64,6 +64,14 @@
     return found != this->crashed.end() && sent_at > found->second && this->take_back(endpoint);
 }
 
+std::optional<Instant> CrashLedger::crash_known_since(EndpointLife const& endpoint) const
+{
+    auto const found = this->crashed.find(endpoint);
+    if (found == this->crashed.end())
+        return {};
+    return found->second;
+}
+
 bool CrashLedger::take_back(EndpointLife const& endpoint)
 {
     if (this->crashed.erase(endpoint) == 0)
--- a/Libraries/LibRouting/CrashLedger.h
+++ b/Libraries/LibRouting/CrashLedger.h
@@ -55,6 +55,8 @@
     bool clear(RequestFingerprint request, Instant now);
     /// The endpoint answered a request that was sent at `sent_at`. True if it was said to have crashed before that.
     bool endpoint_answered(EndpointLife const& endpoint, Instant sent_at);
+    /// Since when this box knows that the endpoint crashed; nothing if it doesn't.
+    [[nodiscard]] std::optional<Instant> crash_known_since(EndpointLife const& endpoint) const;
     /// Takes back what was held against requests for this endpoint's crash. True if there was anything.
     bool take_back(EndpointLife const& endpoint);
     /// The last crash of each request that is refused now.
--- a/Tests/LibGateway/TestCrashNews.cpp
+++ b/Tests/LibGateway/TestCrashNews.cpp
@@ -153,7 +153,7 @@
 {
     Boxes boxes(3);
     boxes.crash_three_times();
-    boxes.news(2).answered(endpoint(3), Core::monotonic_now() + std::chrono::seconds(1));
+    boxes.news(2).answered(endpoint(3), {}, Core::monotonic_now() + std::chrono::seconds(1));
     CHECK(run_until(boxes.context, [&] { return boxes.all_know(2); }));
     CHECK_FALSE(boxes.refused_at(0));
 }
