--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -17,7 +17,8 @@
 DEFINE_int32(server_slots, 64, "requests at once");
 DEFINE_int32(work_ms, 5, "time for a plain call, and between two events of a stream");
 DEFINE_int32(heartbeat_ms, 200, "time between two records in the store");
-DEFINE_string(crash_on, "", "the process ends at once when it begins to run a request whose body holds this text");
+DEFINE_string(crash_on, "", "the process ends when it runs a request whose body holds this text");
+DEFINE_int32(crash_after_ms, 0, "how long it runs such a request before it ends");
 
 /// A server of the users' platform as their pages tell it: keeps itself in the store, checks who a request is for,
 /// streams events, says what it did not run, and keeps a journal of what it ran.
@@ -56,8 +57,10 @@
             co_return co_await session->answer(503, "", "X-Not-Executed: 1\r\n");
         ++this->running;
         this->note_run(request, attempt);
-        if (!FLAGS_crash_on.empty() && request.body().find(FLAGS_crash_on) != std::string::npos)
+        if (!FLAGS_crash_on.empty() && request.body().find(FLAGS_crash_on) != std::string::npos) {
+            co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_crash_after_ms));
             std::_Exit(EXIT_FAILURE);
+        }
         bool const is_open = co_await this->run(*session, request, attempt);
         --this->running;
         co_return is_open && !this->is_draining;
--- a/Tests/Harness/Cluster.cpp
+++ b/Tests/Harness/Cluster.cpp
@@ -52,6 +52,7 @@
 void Cluster::start_standin(std::string const& name, std::string const& role, std::vector<std::string> const& flags)
 {
     auto const port_file = this->folder / (name + ".port");
+    std::filesystem::remove(port_file);
     std::vector<std::string> arguments { role, "--port_file=" + port_file.string() };
     arguments.insert(arguments.end(), flags.begin(), flags.end());
     this->processes[name]
--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -95,6 +95,19 @@
     all.insert(all.end(), flags.begin(), flags.end());
     this->cluster.start_standin(name, "server", all);
     this->servers.push_back(name);
+    this->server_flags[name] = std::move(all);
+}
+
+std::vector<std::string> PlatformCluster::restart_ended_servers()
+{
+    std::vector<std::string> restarted;
+    for (auto const& server : this->servers) {
+        if (!this->has_ended(server))
+            continue;
+        this->cluster.start_standin(server, "server", this->server_flags.at(server));
+        restarted.push_back(server);
+    }
+    return restarted;
 }
 
 void PlatformCluster::start_box(std::string const& name, BoxBounds const& bounds)
@@ -195,9 +208,14 @@
 }
 
 int PlatformCluster::runs(std::string const& attempt) const
+{
+    return this->runs(attempt, this->servers);
+}
+
+int PlatformCluster::runs(std::string const& attempt, std::vector<std::string> const& of) const
 {
     int count = 0;
-    for (auto const& server : this->servers) {
+    for (auto const& server : of) {
         auto const text = this->cluster.get(this->cluster.port(server), "/journal");
         auto const journal = json::parse(text, nullptr, false);
         if (journal.is_object() && journal.contains(attempt))
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -33,6 +33,8 @@
 
     /// Starts a server of a service; its id is its name.
     void start_server(std::string const& name, std::string const& service, std::vector<std::string> const& flags = {});
+    /// Starts the servers that have ended again, each under its id, as before. Returns which.
+    std::vector<std::string> restart_ended_servers();
     void start_box(std::string const& name, BoxBounds const& bounds = {});
     /// Starts the stand-in that takes usage reports and orders of servers.
     void start_cloud();
@@ -61,6 +63,8 @@
     void drop_ended_servers() const;
     /// How often the servers have run an attempt, all together.
     [[nodiscard]] int runs(std::string const& attempt) const;
+    /// The same for these servers.
+    [[nodiscard]] int runs(std::string const& attempt, std::vector<std::string> const& of) const;
     [[nodiscard]] nlohmann::json journal(std::string const& server) const { return this->cluster.journal(server); }
     [[nodiscard]] int store_port() const { return this->cluster.port("store"); }
     [[nodiscard]] int client_port(std::string const& box) const { return this->box_ports.at(box)[0]; }
@@ -79,6 +83,7 @@
 
     Cluster cluster;
     std::vector<std::string> servers;
+    std::map<std::string, std::vector<std::string>> server_flags;
     std::map<std::string, std::array<int, 3>> box_ports;
 };
 
