LibRouting: Take a crash back only where an answer came on a connection older than it

Cause: an answer from an endpoint that was said to have crashed took the crash back, to spare requests that a box which is cut off sees wrong. An endpoint that starts again under its id tells no life in most deployments, so each restart was taken for a survivor. Class: a name that outlives what it names, used as proof that the thing lives.

Now the answer must come on a connection that came up before the crash, to a request sent after it was known: no other process can give it. Another crash of the same endpoint moves that moment on. So a box that sees wrong is still corrected, and a restart is not.

The ledger's cases on answers are stricter: what took a crash back before must not now, unless on an older connection.

--- a/Libraries/LibGateway/CrashNews.cpp
+++ b/Libraries/LibGateway/CrashNews.cpp
@@ -79,17 +79,15 @@
     Log::EventLine("crash_cleared").with("fingerprint", Routing::to_string(request)).with("told_by", from).info();
 }
 
-void CrashNews::answered(Routing::EndpointLife const& endpoint, Instant connected_at, Instant sent_at)
+void CrashNews::answered(Routing::EndpointLife const& endpoint, Routing::AnswerEvidence const& evidence)
 {
-    auto const known_since = this->ledger.crash_known_since(endpoint);
-    if (!this->ledger.endpoint_answered(endpoint, sent_at))
+    if (!this->ledger.endpoint_answered(endpoint, evidence))
         return;
     auto const now = monotonic_now();
     Log::EventLine("crashed_endpoint_answered")
         .with("endpoint", endpoint.incarnation)
-        .with("crash_known_ms_ago", Core::to_milliseconds(now - known_since.value_or(now)))
-        .with("connection_opened_ms_ago", Core::to_milliseconds(now - connected_at))
-        .with("sent_ms_ago", Core::to_milliseconds(now - sent_at))
+        .with("connection_opened_ms_ago", Core::to_milliseconds(now - evidence.connected_at))
+        .with("sent_ms_ago", Core::to_milliseconds(now - evidence.sent_at))
         .info();
     this->take_back(endpoint, "own");
     this->announce(Answering { endpoint });
--- a/Libraries/LibGateway/CrashNews.h
+++ b/Libraries/LibGateway/CrashNews.h
@@ -43,8 +43,8 @@
     /// This box saw it.
     void crashed(Routing::CrashReport const& report);
     void ran_well(Routing::RequestFingerprint request);
-    /// The endpoint answered a request that was sent at `sent_at` on a connection that came up at `connected_at`.
-    void answered(Routing::EndpointLife const& endpoint, Core::Instant connected_at, Core::Instant sent_at);
+    /// The endpoint answered this box.
+    void answered(Routing::EndpointLife const& endpoint, Routing::AnswerEvidence const& evidence);
     /// Another box told it.
     void hear(Membership::CrashMessage const& message);
     /// The store holds it, under the key.
--- a/Libraries/LibGateway/ExchangeRetries.cpp
+++ b/Libraries/LibGateway/ExchangeRetries.cpp
@@ -111,7 +111,7 @@
         this->count_begun(attempt.started);
     if (attempt.status != 0)
         this->state.crash_news.answered(
-            Routing::life_of(attempt.placed.endpoint), attempt.connection_opened, attempt.started);
+            Routing::life_of(attempt.placed.endpoint), { attempt.connection_opened, attempt.started });
     bool const ended_well
         = end == AttemptEnd::Delivered && attempt.status >= status_ok && attempt.status < first_no_success;
     if (ended_well)
--- a/Libraries/LibRouting/CrashLedger.cpp
+++ b/Libraries/LibRouting/CrashLedger.cpp
@@ -41,7 +41,7 @@
     if (entry.endpoints.size() > most_crashes)
         entry.endpoints.erase(entry.endpoints.begin());
     entry.last_crash = crashed_at;
-    this->crashed.try_emplace(report.endpoint, now);
+    this->note_crashed_endpoint(report.endpoint, crashed_at, now);
     this->make_room();
     return Taken::New;
 }
@@ -55,21 +55,25 @@
     return true;
 }
 
-bool CrashLedger::endpoint_answered(EndpointLife const& endpoint, Instant sent_at)
+void CrashLedger::note_crashed_endpoint(EndpointLife const& endpoint, Instant crashed_at, Instant now)
 {
-    if (this->crashed.empty())
-        return false;
-    auto const found = this->crashed.find(endpoint);
-    // NOTE: An answer may have been under way when the endpoint crashed; one to a later request was not.
-    return found != this->crashed.end() && sent_at > found->second && this->take_back(endpoint);
+    auto const [position, is_new] = this->crashed.try_emplace(endpoint, crashed_at, now);
+    // NOTE: Where lives aren't told, another crash of the endpoint may be one of another process.
+    if (!is_new && crashed_at > position->second.at)
+        position->second = { crashed_at, now };
 }
 
-std::optional<Instant> CrashLedger::crash_known_since(EndpointLife const& endpoint) const
+bool CrashLedger::endpoint_answered(EndpointLife const& endpoint, AnswerEvidence const& evidence)
 {
+    if (this->crashed.empty())
+        return false;
     auto const found = this->crashed.find(endpoint);
     if (found == this->crashed.end())
-        return {};
-    return found->second;
+        return false;
+    // NOTE: An answer may have been under way when the endpoint crashed; one to a later request was not.
+    bool const is_later = evidence.sent_at > found->second.known_since;
+    bool const is_same_process = evidence.connected_at < found->second.at;
+    return is_later && is_same_process && this->take_back(endpoint);
 }
 
 bool CrashLedger::take_back(EndpointLife const& endpoint)
@@ -96,14 +100,14 @@
 void CrashLedger::expire(Instant now)
 {
     std::erase_if(this->entries, [now](auto const& known) { return now - known.second.last_crash >= memory; });
-    std::erase_if(this->crashed, [now](auto const& known) { return now - known.second >= memory; });
+    std::erase_if(this->crashed, [now](auto const& known) { return now - known.second.known_since >= memory; });
 }
 
 void CrashLedger::make_room()
 {
     if (this->crashed.size() > most_requests)
         this->crashed.erase(
-            std::ranges::min_element(this->crashed, {}, [](auto const& known) { return known.second; }));
+            std::ranges::min_element(this->crashed, {}, [](auto const& known) { return known.second.known_since; }));
     if (this->entries.size() <= most_requests)
         return;
     auto const least = std::ranges::min_element(
--- a/Libraries/LibRouting/CrashLedger.h
+++ b/Libraries/LibRouting/CrashLedger.h
@@ -19,6 +19,15 @@
     bool operator==(CrashReport const&) const = default;
 };
 
+/// When an endpoint's answer to this box was asked for, and on what.
+struct AnswerEvidence {
+    /// When the connection came up.
+    Instant connected_at;
+    Instant sent_at;
+
+    bool operator==(AnswerEvidence const&) const = default;
+};
+
 /// What is held against a request.
 struct CrashVerdict {
     /// Crashes, each of a run that began when the one before was known.
@@ -36,8 +45,9 @@
 ///
 /// All requests at an endpoint go down with it, and nearly all of them are harmless. So crashes count one after
 /// another: only a run that began when the crash before was known raises the count. A popular request that was under a
-/// hundred endpoints of a lost rack counts one. A run that ends well clears its request, and an endpoint that answers
-/// after all takes its crash back, so that a box that is cut off can't get requests refused.
+/// hundred endpoints of a lost rack counts one. A run that ends well clears its request. An endpoint that answers on a
+/// connection older than its crash takes the crash back, so that a box that is cut off can't get requests refused; any
+/// other answer may come from a process that was started since, which many endpoints don't tell.
 class CrashLedger {
 public:
     /// What take() made of a report.
@@ -53,10 +63,8 @@
     Taken take(CrashReport const& report, Duration age, Instant now);
     /// A run of the request ended well, here or at another box. True if anything was held against it.
     bool clear(RequestFingerprint request, Instant now);
-    /// The endpoint answered a request that was sent at `sent_at`. True if it was said to have crashed before that.
-    bool endpoint_answered(EndpointLife const& endpoint, Instant sent_at);
-    /// Since when this box knows that the endpoint crashed; nothing if it doesn't.
-    [[nodiscard]] std::optional<Instant> crash_known_since(EndpointLife const& endpoint) const;
+    /// The endpoint answered. True if that shows that it did not crash, though it was said to.
+    bool endpoint_answered(EndpointLife const& endpoint, AnswerEvidence const& evidence);
     /// Takes back what was held against requests for this endpoint's crash. True if there was anything.
     bool take_back(EndpointLife const& endpoint);
     /// The last crash of each request that is refused now.
@@ -93,11 +101,19 @@
     static constexpr Duration late_reports { std::chrono::seconds(60) };
 
     [[nodiscard]] static unsigned crashes_of(Entry const& entry, Instant now);
+    void note_crashed_endpoint(EndpointLife const& endpoint, Instant crashed_at, Instant now);
     void make_room();
 
     Entries entries;
-    /// Endpoints that are said to have crashed, and since when this box knows. As many as there are requests, at most.
-    std::map<EndpointLife, Instant> crashed;
+    /// The last crash of an endpoint.
+    struct KnownCrash {
+        Instant at;
+        /// Since when this box knows.
+        Instant known_since;
+    };
+
+    /// Endpoints that are said to have crashed. As many as there are requests, at most.
+    std::map<EndpointLife, KnownCrash> crashed;
 };
 
 }
--- a/Tests/LibGateway/TestCrashNews.cpp
+++ b/Tests/LibGateway/TestCrashNews.cpp
@@ -153,7 +153,8 @@
 {
     Boxes boxes(3);
     boxes.crash_three_times();
-    boxes.news(2).answered(endpoint(3), {}, Core::monotonic_now() + std::chrono::seconds(1));
+    auto const now = Core::monotonic_now();
+    boxes.news(2).answered(endpoint(3), { now - std::chrono::minutes(1), now + std::chrono::seconds(1) });
     CHECK(run_until(boxes.context, [&] { return boxes.all_know(2); }));
     CHECK_FALSE(boxes.refused_at(0));
 }
--- a/Tests/LibRouting/TestCrashLedger.cpp
+++ b/Tests/LibRouting/TestCrashLedger.cpp
@@ -94,23 +94,37 @@
     CHECK(ledger.verdict(harmful, start + seconds(3)).refused_for.has_value());
 }
 
-TEST_CASE("an endpoint that answers after all takes its crash back")
+TEST_CASE("only an answer on a connection older than the crash takes it back: any other may come from a new process")
 {
     auto ledger = ledger_with_refused_request();
+    constexpr auto before = start - seconds(1);
+    constexpr auto later = start + milliseconds(1);
     SUBCASE("an answer to a request that was sent before the crash was known says nothing")
     {
-        CHECK_FALSE(ledger.endpoint_answered(endpoint(2), start));
+        CHECK_FALSE(ledger.endpoint_answered(endpoint(2), { before, start }));
         CHECK(ledger.verdict(harmful, start).crashes == 3);
     }
-    SUBCASE("an answer to a later one does")
+    SUBCASE("an answer to a later one on a connection that came up after the crash says nothing")
     {
-        CHECK(ledger.endpoint_answered(endpoint(2), start + milliseconds(1)));
-        CHECK_FALSE(ledger.endpoint_answered(endpoint(2), start + milliseconds(2)));
+        CHECK_FALSE(ledger.endpoint_answered(endpoint(2), { start, later }));
+        CHECK_FALSE(ledger.endpoint_answered(endpoint(2), { later, later + seconds(5) }));
+        CHECK(ledger.verdict(harmful, start).crashes == 3);
+    }
+    SUBCASE("an answer to a later one on an older connection takes it back")
+    {
+        CHECK(ledger.endpoint_answered(endpoint(2), { before, later }));
+        CHECK_FALSE(ledger.endpoint_answered(endpoint(2), { before, later + milliseconds(1) }));
         CHECK(ledger.verdict(harmful, start + seconds(1)) == CrashVerdict { 2, {} });
     }
+    SUBCASE("an answer on a connection older than the last crash of several is of the process that ended last")
+    {
+        ledger.take(crash(2, 1, { 8, 8 }), just_now, start + seconds(10));
+        CHECK_FALSE(ledger.endpoint_answered(endpoint(2), { start + seconds(5), start + seconds(9) }));
+        CHECK(ledger.endpoint_answered(endpoint(2), { start + seconds(5), start + seconds(11) }));
+    }
     SUBCASE("another life of the endpoint says nothing")
     {
-        CHECK_FALSE(ledger.endpoint_answered({ "e2", 2000 }, start + milliseconds(1)));
+        CHECK_FALSE(ledger.endpoint_answered({ "e2", 2000 }, { before, later }));
         CHECK(ledger.verdict(harmful, start).crashes == 3);
     }
     SUBCASE("another box tells it")
