LibRouting, LibGateway: Let one run at a time decide about a request that crashed an endpoint

Cause: crashes count one after another, so that a popular request under a lost rack isn't refused; but nothing kept copies from running side by side meanwhile, at all boxes. Class: a bound on a sequence that nothing makes a sequence.

Now the circuit is half open from the first crash on: a box that begins a run of such a request tells all others at once and each second; the others refuse copies with 503, request-probed and a Retry-After of 0.3 s until the run's crash, its good end or its end without either is told, or nothing was heard for 3.5 s. Late word of crashes from before a good end no longer counts, or the runs of a popular request would add up.

--- a/Libraries/LibCore/Reason.cpp
+++ b/Libraries/LibCore/Reason.cpp
@@ -66,6 +66,7 @@
     "endpoint-silent",
     "stream-resumed",
     "request-crashes-endpoints",
+    "request-probed",
     "attempts-spent",
     "memory-limit",
 };
--- a/Libraries/LibCore/Reason.h
+++ b/Libraries/LibCore/Reason.h
@@ -83,6 +83,7 @@
     EndpointSilent,
     StreamResumed,
     RequestCrashesEndpoints,
+    RequestProbed,
     AttemptsSpent,
     MemoryLimit,
     Count,
--- a/Libraries/LibGateway/CrashNews.cpp
+++ b/Libraries/LibGateway/CrashNews.cpp
@@ -35,7 +35,25 @@
 
 Routing::CrashVerdict CrashNews::verdict(Routing::RequestFingerprint request) const
 {
-    return this->ledger.verdict(request, monotonic_now());
+    auto verdict = this->ledger.verdict(request, monotonic_now());
+    verdict.is_probed |= this->own_probes.contains(request);
+    return verdict;
+}
+
+void CrashNews::probe_began(Routing::RequestFingerprint request)
+{
+    this->own_probes.insert(request);
+    this->announce(Probing { request });
+}
+
+void CrashNews::probe_ended(Routing::RequestFingerprint request)
+{
+    this->own_probes.erase(request);
+    std::erase_if(this->pending, [request](auto const& waiting) {
+        auto const* const probing = std::get_if<Probing>(&waiting.news);
+        return probing != nullptr && probing->request == request;
+    });
+    this->announce(ProbeOver { request });
 }
 
 std::size_t CrashNews::refused_count() const
@@ -55,7 +73,8 @@
     // NOTE: Only the box that saw the last crash writes it: one call to the store for a refused request.
     if (verdict.refused_for && this->to_store)
         this->to_store(Membership::crash_key(report.request),
-            Membership::encode_record({ report, Core::Duration { 0 } }, Core::wall_clock_milliseconds()));
+            Membership::encode_record({ { report.request, report.endpoint, verdict.crashes }, Core::Duration { 0 } },
+                Core::wall_clock_milliseconds()));
 }
 
 void CrashNews::ran_well(Routing::RequestFingerprint request)
@@ -124,6 +143,10 @@
         if (this->ledger.take_back(endpoint))
             this->take_back(endpoint, "box");
     }
+    for (auto const& request : message.probed)
+        this->ledger.probe_goes_on(request, now);
+    for (auto const& request : message.probes_ended)
+        this->ledger.probe_ended(request);
 }
 
 void CrashNews::take_stored(std::string const& key, std::string const& value)
@@ -146,14 +169,25 @@
     this->pause.end();
 }
 
-void CrashNews::announce(std::variant<Crashed, Cleared, Answering> news)
+void CrashNews::announce(News news)
 {
     if (!this->to_boxes)
         return;
-    this->pending.push_back({ std::move(news), 0, monotonic_now() + gathering });
+    // NOTE: Until the others know of a probe they may begin one of their own.
+    bool const is_urgent = std::holds_alternative<Probing>(news);
+    this->pending.push_back({ std::move(news), 0, monotonic_now() + (is_urgent ? Core::Duration { 0 } : gathering) });
     this->pause.end();
 }
 
+std::optional<Core::Duration> CrashNews::time_until_told_again(Pending& waiting)
+{
+    if (std::holds_alternative<Probing>(waiting.news))
+        return probe_interval;
+    if (std::holds_alternative<ProbeOver>(waiting.news) || waiting.times_told == told_again.size())
+        return {};
+    return told_again.at(waiting.times_told++);
+}
+
 Task<void> CrashNews::run()
 {
     for (;;) {
@@ -187,6 +221,8 @@
         }
         void operator()(Cleared const& cleared) const { this->message.cleared.push_back(cleared.request); }
         void operator()(Answering const& answering) const { this->message.answering.push_back(answering.endpoint); }
+        void operator()(Probing const& probing) const { this->message.probed.push_back(probing.request); }
+        void operator()(ProbeOver const& over) const { this->message.probes_ended.push_back(over.request); }
     };
     CrashMessage message;
     std::size_t count = 0;
@@ -196,10 +232,10 @@
             continue;
         ++count;
         std::visit(AddTo { message, now }, current->news);
-        if (current->times_told == told_again.size())
-            this->pending.erase(current);
+        if (auto const pause = time_until_told_again(*current))
+            current->due = now + *pause;
         else
-            current->due = now + told_again.at(current->times_told++);
+            this->pending.erase(current);
     }
     if (!message.is_empty())
         this->to_boxes(Membership::encode(message), Audience::AllBoxes);
--- a/Libraries/LibGateway/CrashNews.h
+++ b/Libraries/LibGateway/CrashNews.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <list>
+#include <unordered_set>
 #include <variant>
 
 namespace Gateway {
@@ -40,6 +41,9 @@
     [[nodiscard]] Task<void> run();
 
     [[nodiscard]] Routing::CrashVerdict verdict(Routing::RequestFingerprint request) const;
+    /// This box begins a run of a request under which endpoints crashed. No other box begins one until it has ended.
+    void probe_began(Routing::RequestFingerprint request);
+    void probe_ended(Routing::RequestFingerprint request);
     /// This box saw it.
     void crashed(Routing::CrashReport const& report);
     void ran_well(Routing::RequestFingerprint request);
@@ -63,13 +67,24 @@
         Routing::CrashReport report;
         Core::Instant at;
     };
+    /// Told again for as long as the run is under way.
+    struct Probing {
+        Routing::RequestFingerprint request;
+    };
+    /// Told once: told again it might be taken for the end of the next one.
+    struct ProbeOver {
+        Routing::RequestFingerprint request;
+    };
+    using News = std::variant<Crashed, Cleared, Answering, Probing, ProbeOver>;
     struct Pending {
-        std::variant<Crashed, Cleared, Answering> news;
+        News news;
         unsigned times_told { 0 };
         Core::Instant due;
     };
 
-    void announce(std::variant<Crashed, Cleared, Answering> news);
+    void announce(News news);
+    /// When the news is told again after now; nothing if it was told for the last time.
+    [[nodiscard]] static std::optional<Core::Duration> time_until_told_again(Pending& waiting);
     void tell_due(Core::Instant now);
     void tell_refused(Core::Instant now);
     void clear(Routing::RequestFingerprint request, std::string_view from);
@@ -81,6 +96,8 @@
     /// After each telling. With one datagram in ten lost, one box in a thousand misses the news.
     static constexpr std::array<Core::Duration, 2> told_again { std::chrono::milliseconds(250),
         std::chrono::milliseconds(1000) };
+    /// Three tellings within a probe's lease.
+    static constexpr Core::Duration probe_interval { std::chrono::seconds(1) };
     static constexpr Core::Duration refused_interval { std::chrono::seconds(1) };
     static constexpr Core::Duration idle_interval { std::chrono::minutes(1) };
 
@@ -90,6 +107,8 @@
     Keep to_store;
     Routing::CrashLedger ledger;
     std::list<Pending> pending;
+    /// Requests of which this box has a run under way that decides.
+    std::unordered_set<Routing::RequestFingerprint> own_probes;
     Core::Instant refused_told_at;
     /// Which of the refused requests is told next, where they are more than a message holds.
     std::size_t next_refused { 0 };
--- a/Libraries/LibGateway/ExchangeRetries.cpp
+++ b/Libraries/LibGateway/ExchangeRetries.cpp
@@ -82,11 +82,13 @@
 {
     if (!attempt.connection_broke)
         return;
+    this->examines_break = true;
     // NOTE: Not awaited, since the client is told at once.
     asio::co_spawn(
         this->state.context,
         [self = this->shared_from_this(), attempt]() -> Task<void> {
             static_cast<void>(co_await self->examine_break(attempt));
+            self->end_probe();
         },
         asio::detached);
 }
@@ -102,6 +104,18 @@
     co_return this->crashes_endpoints;
 }
 
+void RequestExchange::begin_probe()
+{
+    if (!std::exchange(this->is_probe, true))
+        this->state.crash_news.probe_began(this->fingerprint);
+}
+
+void RequestExchange::end_probe()
+{
+    if (std::exchange(this->is_probe, false))
+        this->state.crash_news.probe_ended(this->fingerprint);
+}
+
 void RequestExchange::note_run(Attempt const& attempt, AttemptEnd end)
 {
     constexpr unsigned first_no_success = 300;
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -66,6 +66,8 @@
     }
     this->arm_expiry();
     co_await this->serve();
+    if (!this->examines_break)
+        this->end_probe();
     this->is_finished = true;
     this->expiry.cancel();
     co_return this->keeps_client && !this->client_is_broken && !this->has_left;
@@ -87,6 +89,10 @@
             co_await this->end_unplaced({ Reason::RequestCrashesEndpoints, verdict.refused_for });
             co_return;
         }
+        if (verdict.is_probed && !this->is_probe) {
+            co_await this->end_unplaced({ Reason::RequestProbed, come_back_after_probe });
+            co_return;
+        }
         auto decision = this->state.router.place(*this->admitted, this->workload, this->tried, monotonic_now());
         if (auto const* const rejected = std::get_if<Routing::Rejected>(&decision)) {
             co_await this->end_unplaced(*rejected);
@@ -96,6 +102,8 @@
         attempt.placed = std::move(std::get<Routing::Placed>(decision));
         attempt.started = monotonic_now();
         attempt.known_crashes = verdict.crashes;
+        if (verdict.crashes > 0)
+            this->begin_probe();
         this->last_end = co_await this->try_endpoint(attempt);
         this->record_attempt(attempt, this->last_end, monotonic_now());
         this->note_run(attempt, this->last_end);
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -110,6 +110,9 @@
     void examine_break_later(Attempt const& attempt);
     /// Whether the request is left alone after this attempt, since another endpoint crashed under it before.
     [[nodiscard]] Task<bool> has_crashed_again(Attempt const& attempt);
+    /// Keeps other runs of a request under which endpoints crashed from beginning until this one has shown something.
+    void begin_probe();
+    void end_probe();
     /// Tells what the run says of the request and of the endpoint, for later requests.
     void note_run(Attempt const& attempt, AttemptEnd end);
     void log_break(Attempt const& attempt, EndpointFinding finding) const;
@@ -125,6 +128,8 @@
     static constexpr double silence_in_targets = 1.5;
     /// When a client may come back that this box sends to another one: at once, as far as this box is concerned.
     static constexpr Core::Duration come_back_elsewhere { std::chrono::milliseconds(20) };
+    /// When a client may come back whose request another run of it decides about: about the time of a run.
+    static constexpr Core::Duration come_back_after_probe { std::chrono::milliseconds(300) };
     /// When a client may come back after an endpoint refused its request: a few service times.
     static constexpr Core::Duration come_back_after_refusal { std::chrono::milliseconds(150) };
 
@@ -153,6 +158,10 @@
     bool was_silent { false };
     /// Endpoints crashed under this request, so it goes to no other one.
     bool crashes_endpoints { false };
+    /// Whether this run decides about the request, and no other one begins.
+    bool is_probe { false };
+    /// Whether a broken connection is being examined beside the answer to the client.
+    bool examines_break { false };
     /// Whether the limit on the endpoint's silence still holds.
     bool awaits_head { false };
     bool client_is_broken { false };
--- a/Libraries/LibMembership/CrashMessages.cpp
+++ b/Libraries/LibMembership/CrashMessages.cpp
@@ -62,7 +62,8 @@
 bool is_sound(wire::CrashMessage const& told)
 {
     constexpr int most = static_cast<int>(most_news_in_message);
-    if (told.crashes_size() > most || told.cleared_size() > most || told.answering_size() > most)
+    if (told.crashes_size() > most || told.cleared_size() > most || told.answering_size() > most
+        || told.probed_size() > most || told.probes_ended_size() > most)
         return false;
     return std::ranges::all_of(told.crashes(), [](auto const& crash) { return is_sound(crash); })
         && std::ranges::all_of(told.answering(), [](auto const& endpoint) { return is_sound(endpoint); });
@@ -84,6 +85,10 @@
         write(*encoded.add_cleared(), request);
     for (auto const& endpoint : message.answering)
         write(*encoded.add_answering(), endpoint);
+    for (auto const& request : message.probed)
+        write(*encoded.add_probed(), request);
+    for (auto const& request : message.probes_ended)
+        write(*encoded.add_probes_ended(), request);
     return encoded.SerializeAsString();
 }
 
@@ -100,6 +105,10 @@
         message.cleared.push_back(read(request));
     for (auto const& endpoint : told.answering())
         message.answering.push_back(read(endpoint));
+    for (auto const& request : told.probed())
+        message.probed.push_back(read(request));
+    for (auto const& request : told.probes_ended())
+        message.probes_ended.push_back(read(request));
     if (message.is_empty())
         return {};
     return message;
--- a/Libraries/LibMembership/CrashMessages.h
+++ b/Libraries/LibMembership/CrashMessages.h
@@ -26,11 +26,16 @@
     std::vector<Routing::RequestFingerprint> cleared;
     /// Endpoints that were said to have crashed and answer.
     std::vector<Routing::EndpointLife> answering;
+    /// Requests under which endpoints crashed, of which the teller has a run under way.
+    std::vector<Routing::RequestFingerprint> probed;
+    /// Requests of which the teller's run is over.
+    std::vector<Routing::RequestFingerprint> probes_ended;
 
     bool operator==(CrashMessage const&) const = default;
     [[nodiscard]] bool is_empty() const
     {
-        return this->crashes.empty() && this->cleared.empty() && this->answering.empty();
+        return this->crashes.empty() && this->cleared.empty() && this->answering.empty() && this->probed.empty()
+            && this->probes_ended.empty();
     }
 };
 
--- a/Libraries/LibRouting/CrashLedger.cpp
+++ b/Libraries/LibRouting/CrashLedger.cpp
@@ -6,15 +6,30 @@
 
 CrashVerdict CrashLedger::verdict(RequestFingerprint request, Instant now) const
 {
+    CrashVerdict verdict;
+    auto const probe = this->probes.find(request);
+    verdict.is_probed = probe != this->probes.end() && now < probe->second.until;
     auto const found = this->entries.find(request);
     if (found == this->entries.end())
-        return {};
-    CrashVerdict verdict { crashes_of(found->second, now), {} };
+        return verdict;
+    verdict.crashes = crashes_of(found->second, now);
     if (verdict.crashes >= most_crashes)
         verdict.refused_for = quarantine - (now - found->second.last_crash);
     return verdict;
 }
 
+void CrashLedger::probe_goes_on(RequestFingerprint request, Instant now)
+{
+    auto const [position, is_new] = this->probes.try_emplace(request);
+    auto& probe = position->second;
+    if (is_new || probe.until <= now)
+        probe.crashes_before = this->verdict(request, now).crashes;
+    probe.until = now + probe_lease;
+    if (this->probes.size() > most_requests)
+        this->probes.erase(
+            std::ranges::min_element(this->probes, {}, [](auto const& known) { return known.second.until; }));
+}
+
 unsigned CrashLedger::crashes_of(Entry const& entry, Instant now)
 {
     // NOTE: After the quarantine one crash is missing to the next, so a single run decides.
@@ -27,13 +42,15 @@
 {
     if (report.count == 0 || age >= memory)
         return Taken::Known;
-    auto const position = this->entries.try_emplace(report.request).first;
-    auto& entry = position->second;
+    auto& entry = this->entries.try_emplace(report.request).first->second;
     bool const was_cleared = entry.cleared_at && now - *entry.cleared_at < late_reports;
     if (was_cleared && report.count > entry.crashes + 1)
         return Taken::Cleared;
-    auto const count = std::min(report.count, most_crashes);
     auto const crashed_at = now - age;
+    // NOTE: Told late or once more: runs of a popular request that broke before others ended well must not add up.
+    if (entry.cleared_at && crashed_at <= *entry.cleared_at)
+        return Taken::Known;
+    auto const count = std::min(report.count, most_crashes);
     if (count <= crashes_of(entry, crashed_at))
         return Taken::Known;
     entry.crashes = count;
@@ -42,12 +59,21 @@
         entry.endpoints.erase(entry.endpoints.begin());
     entry.last_crash = crashed_at;
     this->note_crashed_endpoint(report.endpoint, crashed_at, now);
+    this->end_earlier_probe(report.request, count);
     this->make_room();
     return Taken::New;
 }
 
+void CrashLedger::end_earlier_probe(RequestFingerprint request, unsigned crashes)
+{
+    auto const probe = this->probes.find(request);
+    if (probe != this->probes.end() && probe->second.crashes_before < crashes)
+        this->probes.erase(probe);
+}
+
 bool CrashLedger::clear(RequestFingerprint request, Instant now)
 {
+    this->probes.erase(request);
     auto const found = this->entries.find(request);
     if (found == this->entries.end() || found->second.crashes == 0)
         return false;
@@ -100,6 +126,7 @@
 void CrashLedger::expire(Instant now)
 {
     std::erase_if(this->entries, [now](auto const& known) { return now - known.second.last_crash >= memory; });
+    std::erase_if(this->probes, [now](auto const& known) { return known.second.until <= now; });
     std::erase_if(this->crashed, [now](auto const& known) { return now - known.second.known_since >= memory; });
 }
 
--- a/Libraries/LibRouting/CrashLedger.h
+++ b/Libraries/LibRouting/CrashLedger.h
@@ -34,6 +34,8 @@
     unsigned crashes { 0 };
     /// How long the request is still refused; nothing if it may run.
     std::optional<Duration> refused_for;
+    /// A run of it is under way that shows whether it may run: no other one begins until then.
+    bool is_probed { false };
 
     bool operator==(CrashVerdict const&) const = default;
 };
@@ -48,6 +50,9 @@
 /// hundred endpoints of a lost rack counts one. A run that ends well clears its request. An endpoint that answers on a
 /// connection older than its crash takes the crash back, so that a box that is cut off can't get requests refused; any
 /// other answer may come from a process that was started since, which many endpoints don't tell.
+///
+/// Copies of a request come at many boxes at the same time, and each takes an endpoint with it before a crash is known.
+/// So once it has crashed one, a single run at a time is the probe that decides: others are told when to come back.
 class CrashLedger {
 public:
     /// What take() made of a report.
@@ -59,6 +64,10 @@
     };
 
     [[nodiscard]] CrashVerdict verdict(RequestFingerprint request, Instant now) const;
+    /// A run of a request under which endpoints crashed began or is still under way, here or at another box.
+    void probe_goes_on(RequestFingerprint request, Instant now);
+    /// That run showed nothing, or what it showed has been taken.
+    void probe_ended(RequestFingerprint request) { this->probes.erase(request); }
     /// A run of the request ended with its endpoint, `age` ago.
     Taken take(CrashReport const& report, Duration age, Instant now);
     /// A run of the request ended well, here or at another box. True if anything was held against it.
@@ -70,6 +79,7 @@
     /// The last crash of each request that is refused now.
     [[nodiscard]] std::vector<CrashReport> refused(Instant now) const;
     [[nodiscard]] std::size_t size() const { return this->entries.size(); }
+    [[nodiscard]] std::size_t probe_count() const { return this->probes.size(); }
     [[nodiscard]] std::size_t crashed_endpoints() const { return this->crashed.size(); }
     /// Forgets what is old.
     void expire(Instant now);
@@ -80,6 +90,8 @@
     /// How long a request is refused after its last crash. Then one run decides anew, since the endpoints may have been
     /// repaired: a client that never stops costs an endpoint each ten minutes in place of one a second.
     static constexpr Duration quarantine { std::chrono::minutes(10) };
+    /// A probe of which nothing was heard for so long is over: the box that ran it may be gone.
+    static constexpr Duration probe_lease { std::chrono::milliseconds(3500) };
     /// Crashes are forgotten after this.
     static constexpr Duration memory { std::chrono::hours(1) };
     /// Requests that are remembered. A crash leaves as many as ran at the endpoint, 64 at the largest engines, so these
@@ -95,16 +107,23 @@
         Instant last_crash;
         std::optional<Instant> cleared_at;
     };
+    struct Probe {
+        Instant until;
+        unsigned crashes_before { 0 };
+    };
     using Entries = std::unordered_map<RequestFingerprint, Entry>;
 
     /// For so long reports that were sent before a run ended well may still arrive.
     static constexpr Duration late_reports { std::chrono::seconds(60) };
 
     [[nodiscard]] static unsigned crashes_of(Entry const& entry, Instant now);
+    /// Another crash is known than when the request's probe began: that probe is over.
+    void end_earlier_probe(RequestFingerprint request, unsigned crashes);
     void note_crashed_endpoint(EndpointLife const& endpoint, Instant crashed_at, Instant now);
     void make_room();
 
     Entries entries;
+    std::unordered_map<RequestFingerprint, Probe> probes;
     /// The last crash of an endpoint.
     struct KnownCrash {
         Instant at;
--- a/Tests/LibGateway/TestCrashNews.cpp
+++ b/Tests/LibGateway/TestCrashNews.cpp
@@ -65,6 +65,15 @@
             this->store.erase(key);
     }
 
+    /// Lets them go on for a while.
+    void run_for(Core::Duration time)
+    {
+        asio::steady_timer timer(this->context, time);
+        bool is_over = false;
+        timer.async_wait([&](error_code) { is_over = true; });
+        REQUIRE(run_until(this->context, [&] { return is_over; }));
+    }
+
     CrashNews& news(std::size_t index) { return this->boxes.at(index)->news; }
 
     [[nodiscard]] unsigned crashes_known_at(std::size_t index) { return this->news(index).verdict(request).crashes; }
@@ -159,6 +168,34 @@
     CHECK_FALSE(boxes.refused_at(0));
 }
 
+TEST_CASE("a run that decides about a request keeps all boxes from beginning another one, for as long as it lasts")
+{
+    Boxes boxes(3);
+    boxes.news(0).crashed({ request, endpoint(1), 1 });
+    REQUIRE(run_until(boxes.context, [&] { return boxes.all_know(1); }));
+    boxes.news(1).probe_began(request);
+    CHECK(boxes.news(1).verdict(request).is_probed);
+    auto const all_wait = [&](bool expected) {
+        return std::ranges::all_of(
+            boxes.boxes, [&](auto& box) { return box->news.verdict(request).is_probed == expected; });
+    };
+    REQUIRE(run_until(boxes.context, [&] { return all_wait(true); }));
+    SUBCASE("also past the lease, and no longer than until it ends")
+    {
+        boxes.run_for(Routing::CrashLedger::probe_lease + std::chrono::milliseconds(500));
+        CHECK(all_wait(true));
+        boxes.news(1).probe_ended(request);
+        CHECK(run_until(boxes.context, [&] { return all_wait(false); }));
+    }
+    SUBCASE("not past the lease where its box is not heard any more")
+    {
+        boxes.boxes[0]->is_cut_off = true;
+        boxes.run_for(Routing::CrashLedger::probe_lease + std::chrono::milliseconds(500));
+        CHECK_FALSE(boxes.news(0).verdict(request).is_probed);
+        CHECK(boxes.news(2).verdict(request).is_probed);
+    }
+}
+
 TEST_CASE("records of the store that are no crash, or of another request than their key says, are not taken")
 {
     asio::io_context context;
--- a/Tests/LibGateway/TestCrashedEndpoint.cpp
+++ b/Tests/LibGateway/TestCrashedEndpoint.cpp
@@ -132,3 +132,54 @@
         CHECK(request.received.starts_with("HTTP/1.1 200 "));
     }
 }
+
+TEST_CASE("while another run of a request that crashed an endpoint decides, the request is told when to come back")
+{
+    Exchange request(RouteKind::NonIdempotent, 1, 2);
+    hold_against(request, "body", 1);
+    Membership::CrashMessage message;
+    message.probed.push_back(fingerprint("body"));
+    request.state.crash_news.hear(message);
+    SUBCASE("that request")
+    {
+        request.start("body");
+        REQUIRE(request.ends());
+        CHECK(request.received.starts_with("HTTP/1.1 503 "));
+        CHECK(request.received.find("Retry-After: 0.3") != std::string::npos);
+        CHECK(request.arrivals() == 0);
+    }
+    SUBCASE("another one of the same caller")
+    {
+        request.start("other body");
+        request.endpoints[request.arrival()]->answer(whole_answer);
+        REQUIRE(request.ends());
+        CHECK(request.received.starts_with("HTTP/1.1 200 "));
+    }
+}
+
+TEST_CASE("a run of a request that crashed an endpoint decides until it has ended and its break is examined")
+{
+    Exchange request(RouteKind::NonIdempotent, 1, 2);
+    hold_against(request, "body", 1);
+    request.start("body");
+    auto const index = request.arrival();
+    CHECK(request.state.crash_news.verdict(fingerprint("body")).is_probed);
+    SUBCASE("well")
+    {
+        request.endpoints[index]->answer(whole_answer);
+        REQUIRE(request.ends());
+        CHECK(crashes_known(request, "body") == 0);
+    }
+    SUBCASE("with the endpoint")
+    {
+        crash(*request.endpoints[index]);
+        REQUIRE(request.ends());
+        CHECK(request.reach([&] { return crashes_known(request, "body") == 2; }));
+    }
+    SUBCASE("with a failure that shows nothing")
+    {
+        request.endpoints[index]->close();
+        REQUIRE(request.ends());
+    }
+    CHECK(request.reach([&] { return !request.state.crash_news.verdict(fingerprint("body")).is_probed; }));
+}
--- a/Tests/LibMembership/TestCrashMessages.cpp
+++ b/Tests/LibMembership/TestCrashMessages.cpp
@@ -16,7 +16,7 @@
 
 CrashMessage some_message()
 {
-    return { { { { request, endpoint, 2 }, seconds(3) } }, { { 1, 2 } }, { { "i-2", 0 } } };
+    return { { { { request, endpoint, 2 }, seconds(3) } }, { { 1, 2 } }, { { "i-2", 0 } }, { { 3, 4 } }, { { 5, 6 } } };
 }
 
 }
@@ -69,6 +69,14 @@
     {
         message.cleared.resize(most_news_in_message + 1);
     }
+    SUBCASE("too many probes")
+    {
+        message.probed.resize(most_news_in_message + 1);
+    }
+    SUBCASE("too many probes that are over")
+    {
+        message.probes_ended.resize(most_news_in_message + 1);
+    }
     CHECK_FALSE(decode_crashes(encode(message)));
 }
 
--- a/Tests/LibRouting/TestCrashLedger.cpp
+++ b/Tests/LibRouting/TestCrashLedger.cpp
@@ -2,6 +2,7 @@
 
 #include <LibRouting/CrashLedger.h>
 #include <pcg_random.hpp>
+#include <variant>
 
 using namespace Routing;
 using std::chrono::milliseconds;
@@ -143,6 +144,49 @@
     CHECK(ledger.take(crash(1, 3, { 5, 5 }), CrashLedger::memory, start) == Taken::Known);
 }
 
+TEST_CASE("while one run of a request that crashed an endpoint decides, no other one begins")
+{
+    CrashLedger ledger;
+    CHECK_FALSE(ledger.verdict(harmful, start).is_probed);
+    ledger.take(crash(1, 1), just_now, start);
+    CHECK_FALSE(ledger.verdict(harmful, start).is_probed);
+    ledger.probe_goes_on(harmful, start);
+    CHECK(ledger.verdict(harmful, start).is_probed);
+    CHECK_FALSE(ledger.verdict({ 1, 8 }, start).is_probed);
+    SUBCASE("until its teller says that it is over")
+    {
+        ledger.probe_ended(harmful);
+    }
+    SUBCASE("until a run ends well")
+    {
+        ledger.clear(harmful, start);
+    }
+    SUBCASE("until its crash is told")
+    {
+        ledger.take(crash(2, 2), just_now, start);
+    }
+    SUBCASE("not until another run's crash is told that began before")
+    {
+        ledger.take(crash(2, 1), just_now, start);
+        CHECK(ledger.verdict(harmful, start).is_probed);
+        return;
+    }
+    CHECK_FALSE(ledger.verdict(harmful, start).is_probed);
+}
+
+TEST_CASE("a probe of which nothing is heard any more keeps nobody out for longer than its lease")
+{
+    CrashLedger ledger;
+    ledger.take(crash(1, 1), just_now, start);
+    ledger.probe_goes_on(harmful, start);
+    ledger.probe_goes_on(harmful, start + seconds(1));
+    CHECK(ledger.verdict(harmful, start + CrashLedger::probe_lease).is_probed);
+    CHECK_FALSE(ledger.verdict(harmful, start + seconds(1) + CrashLedger::probe_lease).is_probed);
+    for (std::uint64_t number = 0; number < 2 * CrashLedger::most_requests; ++number)
+        ledger.probe_goes_on({ 2, number }, start + milliseconds(number));
+    CHECK(ledger.probe_count() <= CrashLedger::most_requests);
+}
+
 TEST_CASE("a caller who makes up requests pushes out none that crashed twice, and memory stays bounded")
 {
     CrashLedger ledger;
@@ -158,13 +202,22 @@
 
 namespace {
 
-/// Six boxes before nine engines, virtual time. One client comes back with a harmful request; each engine that begins
-/// to run it ends 100 ms later with all that runs there, and is back after 3 s as another life. Other clients try
-/// twice, and all boxes serve one popular request. A crash is known at all boxes some milliseconds later.
+/// How often the harmful request comes, in ticks on average.
+struct HarmfulLoad {
+    std::uint32_t ticks_between { 1 };
+    /// Whether boxes keep to one run at a time of a request that has crashed an engine.
+    bool limits_runs { true };
+};
+
+/// Six boxes before nine engines, virtual time. Clients come with a harmful request; each engine that begins to run it
+/// ends 100 ms later with all that runs there, and is back after 3 s under its id, which tells no life. Other clients
+/// try twice, and all boxes serve one popular request. News is known at all boxes some milliseconds later. Boxes keep a
+/// connection to each engine from its start on.
 class HarmfulClientPlay {
 public:
-    explicit HarmfulClientPlay(std::uint64_t seed)
+    HarmfulClientPlay(std::uint64_t seed, HarmfulLoad load)
         : random(seed)
+        , load(load)
     {
     }
 
@@ -175,48 +228,70 @@
     }
 
     unsigned ends { 0 };
+    /// Runs of the harmful request that began when three engines had ended.
+    unsigned sends_too_many { 0 };
     unsigned harmless_refused { 0 };
     unsigned popular_refused { 0 };
+    /// Requests of others than the harmful client that were told to come back while another run decided.
+    unsigned harmless_put_off { 0 };
+    unsigned harmless_placed { 0 };
 
 private:
     struct Run {
         RequestFingerprint request;
         std::size_t box;
         unsigned known;
+        Instant began;
         Instant ends_at;
         unsigned tries_left;
+        bool is_probe { false };
+        Instant probe_told_at;
     };
     struct Engine {
-        std::uint64_t life { 1 };
         Instant up_at;
         std::optional<Instant> ends_at;
         std::vector<Run> runs;
     };
+    struct RanWell { };
+    struct Probed { };
+    struct ProbeOver { };
     struct News {
         std::size_t box;
-        /// Without an endpoint, that a run of the request has ended well.
-        CrashReport report;
+        RequestFingerprint request;
+        std::variant<CrashReport, RanWell, Probed, ProbeOver> what;
+        Instant told_at;
         Instant comes_at;
     };
     static constexpr RequestFingerprint popular { 9, 9 };
     static constexpr Duration tick { milliseconds(4) };
+    static constexpr Duration probe_interval { seconds(1) };
+
+    struct Hear {
+        CrashLedger& ledger;
+        News const& news;
+        Instant now;
+
+        void operator()(CrashReport const& report) const
+        {
+            this->ledger.take(report, this->now - this->news.told_at, this->now);
+        }
+        void operator()(RanWell) const { this->ledger.clear(this->news.request, this->now); }
+        void operator()(Probed) const { this->ledger.probe_goes_on(this->news.request, this->now); }
+        void operator()(ProbeOver) const { this->ledger.probe_ended(this->news.request); }
+    };
 
     void step()
     {
         std::erase_if(this->news, [this](auto const& told) {
             if (told.comes_at > this->now)
                 return false;
-            auto& ledger = this->ledgers[told.box];
-            if (told.report.endpoint.incarnation.empty())
-                ledger.clear(told.report.request, this->now);
-            else
-                ledger.take(told.report, just_now, this->now);
+            std::visit(Hear { this->ledgers[told.box], told, this->now }, told.what);
             return true;
         });
         for (std::size_t index = 0; index < this->engines.size(); ++index)
             this->run_engine(index);
-        // Every 0.7 s, 8 ms and 40 ms.
-        if (this->random(175) == 0)
+        // Every 8 ms and 40 ms.
+        if (this->random(this->load.ticks_between) == 0)
             this->place(harmful, 0);
         if (this->random(2) == 0)
             this->place({ 3, ++this->next_request }, 1);
@@ -227,29 +302,53 @@
     void place(RequestFingerprint request, unsigned tries_left)
     {
         auto const box = this->random(this->ledgers.size());
-        auto const verdict = this->ledgers[box].verdict(request, this->now);
+        auto& ledger = this->ledgers[box];
+        auto const verdict = ledger.verdict(request, this->now);
         if (verdict.refused_for) {
             this->harmless_refused += request.account == 3 ? 1 : 0;
             this->popular_refused += request == popular ? 1 : 0;
             return;
         }
-        auto& engine = this->engines[this->random(this->engines.size())];
+        bool const is_harmless = request != harmful;
+        if (this->load.limits_runs && verdict.is_probed) {
+            this->harmless_put_off += is_harmless ? 1 : 0;
+            return;
+        }
+        auto const index = this->random(this->engines.size());
+        auto& engine = this->engines[index];
         if (engine.up_at > this->now)
             return;
-        auto const lasts = request == harmful ? seconds(60) : Duration { milliseconds(200 + this->random(1000)) };
-        engine.runs.push_back({ request, box, verdict.crashes, this->now + lasts, tries_left });
-        if (request == harmful && !engine.ends_at)
+        this->harmless_placed += is_harmless ? 1 : 0;
+        this->sends_too_many += !is_harmless && this->ends >= CrashLedger::most_crashes ? 1 : 0;
+        auto const lasts = is_harmless ? Duration { milliseconds(200 + this->random(1000)) } : seconds(60);
+        Run run { request, box, verdict.crashes, this->now, this->now + lasts, tries_left, false, {} };
+        if (verdict.crashes > 0)
+            this->tell_probe(run);
+        engine.runs.push_back(run);
+        if (!is_harmless && !engine.ends_at)
             engine.ends_at = this->now + milliseconds(100);
     }
 
+    void tell_probe(Run& run)
+    {
+        run.is_probe = true;
+        run.probe_told_at = this->now;
+        this->tell(run, Probed {});
+    }
+
     void run_engine(std::size_t index)
     {
         auto& engine = this->engines[index];
-        std::erase_if(engine.runs, [this](auto const& run) {
+        EndpointLife const life { "e" + std::to_string(index), 0 };
+        for (auto& run : engine.runs) {
+            if (run.is_probe && this->now - run.probe_told_at >= probe_interval)
+                this->tell_probe(run);
+        }
+        std::erase_if(engine.runs, [&](auto const& run) {
             if (run.ends_at > this->now)
                 return false;
-            if (this->ledgers[run.box].clear(run.request, this->now))
-                this->tell({ run.request, {}, 0 });
+            this->ledgers[run.box].endpoint_answered(life, { engine.up_at, run.began });
+            this->tell(run, RanWell {});
             return true;
         });
         if (!engine.ends_at || *engine.ends_at > this->now)
@@ -257,25 +356,28 @@
         ++this->ends;
         engine.ends_at.reset();
         engine.up_at = this->now + seconds(3);
-        EndpointLife const life { "e" + std::to_string(index), engine.life++ };
         auto const broken = std::exchange(engine.runs, {});
         for (auto const& run : broken) {
-            this->tell({ run.request, life, run.known + 1 });
+            this->tell(run, CrashReport { run.request, life, run.known + 1 });
+            if (run.is_probe)
+                this->tell(run, ProbeOver {});
             if (run.tries_left > 0)
                 this->place(run.request, run.tries_left - 1);
         }
     }
 
-    void tell(CrashReport const& report)
+    /// Its own box knows at once.
+    void tell(Run const& run, decltype(News::what) const& what)
     {
         for (std::size_t box = 0; box < this->ledgers.size(); ++box) {
             // One telling in ten is lost, and the next comes a quarter of a second later.
-            auto const delay = this->random(10) == 0 ? 260 : 5 + this->random(10);
-            this->news.push_back({ box, report, this->now + milliseconds(delay) });
+            auto const delay = box == run.box ? 0 : this->random(10) == 0 ? 260 : 2 + this->random(10);
+            this->news.push_back({ box, run.request, what, this->now, this->now + milliseconds(delay) });
         }
     }
 
     pcg32 random;
+    HarmfulLoad load;
     Instant now;
     std::array<CrashLedger, 6> ledgers;
     std::array<Engine, 9> engines;
@@ -288,10 +390,10 @@
 TEST_CASE(
     "a client that comes back with a harmful request takes few engines with it, and no harmless request is refused")
 {
-    // Without a ledger the play ends an engine with every request that finds one: some 130 in two minutes.
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
         CAPTURE(seed);
-        HarmfulClientPlay play(seed);
+        // Each 0.7 s.
+        HarmfulClientPlay play(seed, { 175 });
         play.play();
         CHECK(play.ends >= CrashLedger::most_crashes);
         CHECK(play.ends <= CrashLedger::most_crashes + 3);
@@ -299,3 +401,18 @@
         CHECK(play.popular_refused == 0);
     }
 }
+
+TEST_CASE("a harmful request of which copies run at the same time is sent to few engines once three have ended")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        // Each 40 ms.
+        HarmfulClientPlay play(seed, { 10 });
+        play.play();
+        CHECK(play.ends >= CrashLedger::most_crashes);
+        CHECK(play.sends_too_many <= 3);
+        CHECK(play.harmless_refused == 0);
+        // Of the harmless requests one in a hundred, at the most, has to come back.
+        CHECK((play.harmless_put_off + play.popular_refused) * 100 <= play.harmless_placed);
+    }
+}
