LibGateway: Pass over any number of endpoints whose hosts refuse the connection

What was seen: TestCrashingRequest once, beside a second run of all tests: a harmless request got 503 in place of 200.

Cause: sends that fail before a byte left are tried elsewhere three times at the most; the fourth refused connection ended the request with 503 though other endpoints lived. Right after many processes end together most of those listed refuse (in that test up to six of ten, which the stand-in store keeps listed). A refused connection costs a round trip and proves that nothing runs there, so it no longer counts toward the limit; each endpoint is still tried once, and the request's time bounds the whole. Connections that time out count as before.

Shown: new cases of TestRequestRetries, one of eight endpoints lives: before, the request ends with 503; now it reaches that one. All ended: 503 with Retry-After. Its cause was suspected; the mechanism is what the new case shows.

--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -164,7 +164,10 @@
     attempt.connection_opened = this->call->connection_opened_at();
     bool const has_left = !error && !this->state.router.may_receive(endpoint, monotonic_now());
     if (error || has_left || this->is_cancelled()) {
-        ++this->unsent_attempts;
+        // NOTE: A host that refuses shows within a round trip that the process has ended. Right after a rack is lost
+        // most of those listed may, and each is tried once.
+        if (error != asio::error::connection_refused)
+            ++this->unsent_attempts;
         attempt.detail = error ? "connect: " + error.message()
             : has_left         ? "endpoint left before it was sent"
                                : "given up before it was sent";
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -119,7 +119,8 @@
     void log_placement(Attempt const& attempt) const;
     void log_end(unsigned status, Core::Reason reason) const;
 
-    /// Sends that failed before any byte left are tried elsewhere this often at the most.
+    /// Sends that failed before any byte left are tried elsewhere this often at the most, not counting endpoints whose
+    /// host refuses the connection.
     static constexpr unsigned most_unsent_attempts = 3;
     /// Answers up to this size are read whole before they are passed on, so that a broken one can be retried.
     static constexpr std::uint64_t largest_held_answer = 64 * 1024;
--- a/Tests/LibGateway/TestRequestRetries.cpp
+++ b/Tests/LibGateway/TestRequestRetries.cpp
@@ -208,6 +208,33 @@
     CHECK(request.received.find("Retry-After: ") != std::string::npos);
 }
 
+TEST_CASE("a request reaches the endpoint that lives, however many of those listed have ended")
+{
+    constexpr int endpoint_count = 8;
+    constexpr std::size_t alive = 5;
+    Exchange request(RouteKind::NonIdempotent, 1, endpoint_count);
+    for (std::size_t index = 0; index < endpoint_count; ++index) {
+        if (index != alive)
+            request.endpoints[index]->acceptor.close();
+    }
+    request.start("body");
+    REQUIRE(request.arrival() == alive);
+    request.endpoints[alive]->answer(whole_answer);
+    REQUIRE(request.ends());
+    CHECK(request.received.starts_with("HTTP/1.1 200 "));
+}
+
+TEST_CASE("a request is refused with when to come back where all endpoints listed have ended")
+{
+    Exchange request(RouteKind::NonIdempotent, 1, 6);
+    for (auto& endpoint : request.endpoints)
+        endpoint->acceptor.close();
+    request.start("body");
+    REQUIRE(request.ends());
+    CHECK(request.received.starts_with("HTTP/1.1 503 "));
+    CHECK(request.received.find("Retry-After: ") != std::string::npos);
+}
+
 TEST_CASE("an endpoint that leaves while this box connects to it gets no request")
 {
     for (int const leaving : { 0, 1 }) {
