LibGateway: Log a first crash only at the box that saw it

Cause: one request's crashes wrote 382 lines of crash_* from six boxes in a few seconds, most of them of bystanders, as warnings that the limit on lines doesn't bound; at 88 boxes each bystander of each crash would write 88 lines. A first crash is nearly always one of a bystander, and the box that saw it has logged it, so others log what they hear from the second crash on, and the clearing likewise. The counters still count each (cleatbeam_crash_reports_total).

Worked out, not measured: with b bystanders of a crash and n boxes b lines in place of b x n. Ruled out: leaving out the line of the box that saw it, since docs/OPERATIONS.md leads from a request's id to it. TestCrashNews and TestCrashedEndpoint pass.

--- a/Libraries/LibGateway/CrashNews.cpp
+++ b/Libraries/LibGateway/CrashNews.cpp
@@ -79,23 +79,28 @@
 
 void CrashNews::ran_well(Routing::RequestFingerprint request)
 {
-    auto const was_refused = this->ledger.verdict(request, monotonic_now()).refused_for.has_value();
+    auto const verdict = this->ledger.verdict(request, monotonic_now());
     if (!this->ledger.clear(request, monotonic_now()))
         return;
-    this->clear(request, "own");
-    if (was_refused && this->to_store)
+    this->clear(request, "own", verdict.crashes);
+    if (verdict.refused_for && this->to_store)
         this->to_store(Membership::crash_key(request), std::nullopt);
     this->announce(Cleared { request });
 }
 
-void CrashNews::clear(Routing::RequestFingerprint request, std::string_view from)
+void CrashNews::clear(Routing::RequestFingerprint request, std::string_view from, unsigned crashes)
 {
     std::erase_if(this->pending, [request](auto const& waiting) {
         auto const* const crash = std::get_if<Crashed>(&waiting.news);
         return crash != nullptr && crash->report.request == request;
     });
     this->metrics.count_crash_report("cleared");
-    Log::EventLine("crash_cleared").with("fingerprint", Routing::to_string(request)).with("told_by", from).info();
+    if (from == "own" || crashes > 1)
+        Log::EventLine("crash_cleared")
+            .with("fingerprint", Routing::to_string(request))
+            .with("told_by", from)
+            .with("crashes", crashes)
+            .info();
 }
 
 void CrashNews::answered(Routing::EndpointLife const& endpoint, Routing::AnswerEvidence const& evidence)
@@ -132,12 +137,15 @@
         if (taken != CrashLedger::Taken::New)
             continue;
         this->metrics.count_crash_report("heard");
-        log_crash("crash_heard", report, this->ledger.verdict(report.request, now));
+        // NOTE: First crashes are nearly all of bystanders; the box that saw one has logged it.
+        if (auto const verdict = this->ledger.verdict(report.request, now); verdict.crashes > 1)
+            log_crash("crash_heard", report, verdict);
         this->pause.end();
     }
     for (auto const& request : message.cleared) {
+        auto const crashes = this->ledger.verdict(request, now).crashes;
         if (this->ledger.clear(request, now))
-            this->clear(request, "box");
+            this->clear(request, "box", crashes);
     }
     for (auto const& endpoint : message.answering) {
         if (this->ledger.take_back(endpoint))
--- a/Libraries/LibGateway/CrashNews.h
+++ b/Libraries/LibGateway/CrashNews.h
@@ -87,7 +87,7 @@
     [[nodiscard]] static std::optional<Core::Duration> time_until_told_again(Pending& waiting);
     void tell_due(Core::Instant now);
     void tell_refused(Core::Instant now);
-    void clear(Routing::RequestFingerprint request, std::string_view from);
+    void clear(Routing::RequestFingerprint request, std::string_view from, unsigned crashes);
     void take_back(Routing::EndpointLife const& endpoint, std::string_view from);
     [[nodiscard]] Core::Duration time_to_next(Core::Instant now) const;
 
