LibRouting: Use an endpoint again at a new address that it tells under its id

An endpoint whose address another one answered at (421) was left out for as long as its entry stood, under the id. One that starts again under its id at another address before its entry lapses, and tells no life, was thus never used again by that box: capacity lost without a word.

Now a changed address lifts the mark; the same entry told again does not, and neither does the other endpoint. Shown: a case of TestEndpointDirectory that fails before.

--- a/Libraries/LibRouting/EndpointDirectory.cpp
+++ b/Libraries/LibRouting/EndpointDirectory.cpp
@@ -24,6 +24,9 @@
     endpoint.missing_since.reset();
     if (is_new || endpoint.record.started_at != record.started_at)
         this->remember_life(record);
+    // NOTE: What took the old address says nothing of the new one, also where the record tells no life.
+    if (endpoint.record.address != record.address)
+        endpoint.is_replaced = false;
     bool const has_changed = is_new || endpoint.record != record;
     endpoint.record = std::move(record);
     return has_changed;
--- a/Tests/LibRouting/TestEndpointDirectory.cpp
+++ b/Tests/LibRouting/TestEndpointDirectory.cpp
@@ -73,6 +73,20 @@
     CHECK(directory.usable("pool", at(seconds(0))).front() != id);
 }
 
+TEST_CASE("an endpoint that lost its address to another one is used again at the next address that it tells")
+{
+    EndpointDirectory directory;
+    directory.put(record("a"));
+    auto const id = directory.usable("pool", at(seconds(0))).front();
+    directory.mark_replaced(id);
+    directory.put(record("a"));
+    CHECK(directory.usable("pool", at(seconds(0))).empty());
+    auto moved = record("a");
+    ++moved.address.port;
+    directory.put(moved);
+    CHECK(directory.usable("pool", at(seconds(0))) == std::vector { id });
+}
+
 namespace {
 
 EndpointRecord life(std::uint64_t started_at)
