platform, LibGateway: Log the rate limit that an endpoint names in its answers

Change: the header is decoded once in platform/ into a typed limit (none, a figure, or unreadable), and attempt_ended carries it. No decision changes.

--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -74,6 +74,8 @@
         .with("status", attempt.status)
         .with("reused_connection", yes_or_no(attempt.reused_connection))
         .with("took_ms", Core::to_milliseconds(now - attempt.started));
+    if (attempt.told_per_second)
+        line.with("told_limit_per_s", *attempt.told_per_second);
     if (!attempt.detail.empty())
         line.with("detail", attempt.detail);
     line.info();
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -211,6 +211,8 @@
         co_return this->end_of_broken_answer();
     }
     attempt.status = this->call->head().result_int();
+    if (facts.rate_limit)
+        attempt.told_per_second = facts.rate_limit->per_second;
     auto const endpoint = attempt.placed.choice.endpoint;
     if (facts.load)
         this->state.router.take_told_load(endpoint, *facts.load, monotonic_now());
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -48,6 +48,8 @@
     bool connection_broke { false };
     /// Crashes of the request that were known when this run began.
     unsigned known_crashes { 0 };
+    /// What the endpoint said it takes; nothing where it said none or what can't be read.
+    std::optional<double> told_per_second;
     /// What broke, in words; empty if nothing did.
     std::string detail;
 };
--- a/Tests/PlatformAdapter/TestRequestCodec.cpp
+++ b/Tests/PlatformAdapter/TestRequestCodec.cpp
@@ -161,6 +161,19 @@
     CHECK_FALSE(facts("HTTP/1.1 200 OK\r\nX-Server-Load: 3,0\r\n").load);
 }
 
+TEST_CASE("the rate limit that an endpoint names is read from its answer's head")
+{
+    auto const limit = [](std::string const& line) {
+        return decode_answer(answer_head("HTTP/1.1 200 OK\r\n" + line + "\r\n"), "9c41").rate_limit;
+    };
+    CHECK(limit("") == Routing::RateLimit {});
+    CHECK(limit("Server-Limit: 1.1\r\n") == Routing::RateLimit { 1.1 });
+    CHECK(limit("server-limit:  20 \r\n") == Routing::RateLimit { 20 });
+    CHECK(limit("Server-Limit: 0\r\n") == Routing::RateLimit { 0 });
+    for (auto const* unreadable : { "", "few", "1.1x", "-1", "nan", "inf", "1e999", "1,1" })
+        CHECK_FALSE(limit(std::string("Server-Limit: ") + unreadable + "\r\n"));
+}
+
 TEST_CASE("an answer is passed on unchanged but for what concerns its connection")
 {
     auto const head
