Tests: Show that an endpoint that named a rate limit goes on getting requests

What users saw: an engine that had named 1.1 requests a second got 20 in 4 s.

The server counts arrivals by its own clock, so a slow machine can't make the test fail.

--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -50,7 +50,14 @@
             co_await this->tell_store(this->record());
             co_return co_await session->answer(200, "{}");
         }
+        if (target == "/arrivals")
+            co_return co_await session->answer(200, json(this->arrivals_ms).dump());
+        if (target.starts_with(limit_path)) {
+            this->limit = target.substr(limit_path.size());
+            co_return co_await session->answer(200, "{}");
+        }
         std::string const attempt(request["X-Attempt-Id"]);
+        this->arrivals_ms.push_back(Core::to_milliseconds(Core::monotonic_now() - this->started));
         if (request["X-Expect-Instance"] != FLAGS_incarnation)
             co_return co_await session->answer(421, "", "X-Instance-Id: " + FLAGS_incarnation + "\r\n");
         if (this->running >= FLAGS_server_slots)
@@ -80,9 +87,10 @@
     Task<bool> run(Session& session, Request const& request, std::string const& attempt)
     {
         auto const head = fmt::format(
-            "X-Attempt-Id: {}\r\nX-Response-Stamp: {}.{}\r\nX-Server-Load: {},0,{}\r\nKeep-Alive: timeout=5\r\n{}",
+            "X-Attempt-Id: {}\r\nX-Response-Stamp: {}.{}\r\nX-Server-Load: {},0,{}\r\nKeep-Alive: timeout=5\r\n{}{}",
             attempt, FLAGS_incarnation, attempt, this->running, FLAGS_server_slots,
-            this->is_draining ? "Connection: close\r\n" : "");
+            this->is_draining ? "Connection: close\r\n" : "",
+            this->limit.empty() ? "" : "Server-Limit: " + this->limit + "\r\n");
         auto const events = std::string(request["X-Standin-Events"]);
         if (events.empty()) {
             co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_work_ms));
@@ -144,8 +152,15 @@
             co_await http::async_read(socket, buffer, answer, Gateway::as_value);
     }
 
+    /// Behind it comes the limit that the server names from then on; nothing ends it.
+    static constexpr std::string_view limit_path = "/limit/";
+
     asio::io_context& context;
     std::string address;
+    Core::Instant started { Core::monotonic_now() };
+    /// When requests reached the server, run or not.
+    std::vector<double> arrivals_ms;
+    std::string limit;
     std::map<std::string, json> runs;
     int running { 0 };
     int heartbeats { 0 };
