--- /dev/null
+++ b/Benchmarks/CompareRateLimits.cpp
@@ -0,0 +1,44 @@
+// What an endpoint with a rate limit gets from boxes that deal with the limit in different ways: a table.
+
+#include <LibRouting/RateLimitPlay.h>
+#include <cstdio>
+
+namespace {
+
+using namespace RateLimitPlay;
+
+struct NamedWay {
+    char const* name;
+    Way way;
+};
+
+void print_row(NamedWay const& named, std::size_t boxes, double limit, double demand)
+{
+    constexpr std::uint64_t seeds = 5;
+    std::size_t most = 0;
+    double used = 0;
+    double used_after_loss = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto const result = Play({ boxes, limit, demand, named.way, seed }).run();
+        most = std::max(most, result.most_in_window);
+        used += result.used / seeds;
+        used_after_loss += result.used_after_loss / seeds;
+    }
+    std::printf("%-14s %5zu %6.1f %7.1f %6zu %8zu %7.2f %10.2f\n", named.name, boxes, limit, demand, most,
+        allowed(limit), used, used_after_loss);
+}
+
+}
+
+int main()
+{
+    std::printf("way            boxes limit/s demand/s  most  allowed   used  used-after\n");
+    for (std::size_t const boxes : { 6, 88, 300 })
+        for (double const limit : { 0.2, 1.0, 20.0 })
+            for (double const demand : { 1.0, 5.0 })
+                for (auto const& way :
+                    { NamedWay { "unheeded", Unheeded {} }, NamedWay { "equal shares", EqualShares {} },
+                        NamedWay { "few boxes", FewBoxes {} }, NamedWay { "timetable", Timetable {} } })
+                    print_row(way, boxes, limit, demand);
+    return 0;
+}
--- a/Fuzz/FuzzRecords.cpp
+++ b/Fuzz/FuzzRecords.cpp
@@ -2,6 +2,7 @@
 /// up. The first byte chooses the reader.
 
 #include <LibMembership/CrashMessages.h>
+#include <LibMembership/EndpointNewsMessage.h>
 #include <LibMembership/LoadMessages.h>
 #include <LibMembership/RelayMessages.h>
 #include <cstddef>
@@ -62,6 +63,12 @@
             std::abort();
         break;
     }
+    case 9: {
+        auto const news = Membership::decode_endpoint_news(text);
+        if (news && Membership::decode_endpoint_news(Membership::encode(*news)) != news)
+            std::abort();
+        break;
+    }
     default: {
         constexpr std::int64_t now = 1'790'000'000'000;
         auto const crash = Membership::decode_record(text, now);
@@ -78,7 +85,7 @@
 {
     if (size == 0)
         return 0;
-    constexpr std::uint8_t readers = 10;
+    constexpr std::uint8_t readers = 11;
     constexpr std::uint8_t first_of_boxes = 4;
     auto const reader = static_cast<std::uint8_t>(data[0] % readers);
     std::string const text(reinterpret_cast<char const*>(data) + 1, size - 1);
--- a/Libraries/LibCore/Reason.cpp
+++ b/Libraries/LibCore/Reason.cpp
@@ -61,6 +61,7 @@
     "deadline-passed",
     "route-timeout-passed",
     "endpoint-full",
+    "endpoints-at-limit",
     "endpoint-replaced",
     "endpoint-failed",
     "endpoint-silent",
--- a/Libraries/LibCore/Reason.h
+++ b/Libraries/LibCore/Reason.h
@@ -78,6 +78,7 @@
     DeadlinePassed,
     RouteTimeoutPassed,
     EndpointFull,
+    EndpointsAtLimit,
     EndpointReplaced,
     EndpointFailed,
     EndpointSilent,
--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -92,12 +92,14 @@
         [this](auto const& told, Core::Instant told_at) { this->records.take_knowledge(told, told_at); },
     };
     this->loads.emplace(this->state, this->source.boxes(), own.address, source_id(this->seed), std::move(knowledge),
-        [this](std::string_view bytes) { return this->take_message(bytes); });
+        [this](std::string_view bytes, auto const& from) { return this->take_message(bytes, from); });
     if (!this->loads->open(last_reason))
         return false;
     this->registry.emplace(
-        this->state, this->source, this->store, own, [this] { this->wake_all(); }, this->seed);
+        this->state, this->source, this->store, own, [this] { this->take_boxes(); }, this->seed);
     this->connect_crash_news();
+    this->state.endpoint_news.set_way(
+        [this](std::string const& bytes, std::size_t boxes) { this->loads->send(bytes, boxes); });
     this->open_leadership(own);
     return true;
 }
@@ -122,9 +124,9 @@
         this->fleet.emplace(this->state, *this->leadership, settings, *this->fleet_policy);
 }
 
-bool ControlPlane::take_message(std::string_view bytes)
+bool ControlPlane::take_message(std::string_view bytes, Routing::SocketAddress const& from)
 {
-    if (this->take_crash_news(bytes))
+    if (this->take_crash_news(bytes) || this->take_endpoint_news(bytes, from))
         return true;
     auto const message = Leader::decode_leader_message(bytes);
     if (message && this->leadership)
@@ -171,6 +173,27 @@
     return message.has_value();
 }
 
+bool ControlPlane::take_endpoint_news(std::string_view bytes, Routing::SocketAddress const& from)
+{
+    auto const message = Membership::decode_endpoint_news(bytes);
+    if (message)
+        this->state.endpoint_news.hear(
+            *message, [this, &from](std::string const& answer) { this->loads->send_to_address(from, answer); });
+    return message.has_value();
+}
+
+void ControlPlane::take_boxes()
+{
+    std::vector<std::string> names;
+    for (auto const& [name, box] : this->source.boxes().all())
+        names.push_back(name);
+    this->state.router.set_boxes(Routing::BoxGroup(this->box_name, names));
+    // NOTE: Before this box takes clients, so that it keeps to limits that endpoints named others.
+    if (!std::exchange(this->has_asked_for_news, true))
+        this->state.endpoint_news.ask();
+    this->wake_all();
+}
+
 void ControlPlane::start()
 {
     auto& context = this->state.context;
@@ -187,6 +210,7 @@
     asio::co_spawn(context, this->loads->tell(), asio::detached);
     asio::co_spawn(context, this->loads->hear(), asio::detached);
     asio::co_spawn(context, this->state.crash_news.run(), asio::detached);
+    asio::co_spawn(context, this->state.endpoint_news.run(), asio::detached);
     if (!this->leadership)
         return;
     asio::co_spawn(context, this->leadership->stand(), asio::detached);
--- a/Libraries/LibGateway/ControlPlane.h
+++ b/Libraries/LibGateway/ControlPlane.h
@@ -38,10 +38,14 @@
     void connect_crash_news();
     void open_leadership(Membership::BoxRecord const& own);
     /// Takes what came from another box and is no load report. False for bytes that are nothing that it knows.
-    [[nodiscard]] bool take_message(std::string_view bytes);
+    [[nodiscard]] bool take_message(std::string_view bytes, Routing::SocketAddress const& from);
     void take_leader_message(Leader::LeaderMessage const& message);
     /// False for bytes that hold none.
     [[nodiscard]] bool take_crash_news(std::string_view bytes);
+    /// The same.
+    [[nodiscard]] bool take_endpoint_news(std::string_view bytes, Routing::SocketAddress const& from);
+    /// The list of boxes was read, or could not be.
+    void take_boxes();
     void wake_followers();
     /// The list of boxes is known now, or known to be out of reach.
     void wake_all();
@@ -77,6 +81,7 @@
     std::uint64_t link_bytes_per_second;
     std::uint64_t seed;
     bool is_first_start;
+    bool has_asked_for_news { false };
     std::optional<ProbeListener> listener;
     /// Nothing where other boxes can't reach this one.
     std::optional<BoxRegistry> registry;
--- /dev/null
+++ b/Libraries/LibGateway/EndpointNews.cpp
@@ -0,0 +1,85 @@
+#include <LibGateway/EndpointNews.h>
+
+#include <LibLog/EventLog.h>
+#include <fmt/format.h>
+
+namespace Gateway {
+
+using Core::monotonic_now;
+using Membership::EndpointNewsMessage;
+using Membership::most_notices_in_message;
+
+namespace {
+
+void log_change(Routing::EndpointNotice const& notice, std::string_view told_by)
+{
+    Log::EventLine("rate_limit_changed")
+        .with("endpoint", notice.endpoint.incarnation)
+        .with("version", notice.version)
+        .with("limit_per_s", notice.limit.per_second ? fmt::format("{}", *notice.limit.per_second) : "none")
+        .with("told_by", told_by)
+        .info();
+}
+
+/// Calls `send` with messages that hold all of the notices.
+template <typename Send> void in_messages(std::vector<Routing::EndpointNotice> const& notices, Send send)
+{
+    for (std::size_t first = 0; first < notices.size(); first += most_notices_in_message) {
+        auto const end = std::min(first + most_notices_in_message, notices.size());
+        EndpointNewsMessage message;
+        message.notices.assign(
+            notices.begin() + static_cast<std::ptrdiff_t>(first), notices.begin() + static_cast<std::ptrdiff_t>(end));
+        send(Membership::encode(message));
+    }
+}
+
+}
+
+void EndpointNews::ask() const
+{
+    if (this->to_boxes)
+        this->to_boxes(Membership::encode({ {}, true }), some_boxes);
+}
+
+Task<void> EndpointNews::run()
+{
+    for (;;) {
+        co_await sleep_for(telling_interval);
+        this->tell_some();
+    }
+}
+
+void EndpointNews::tell_some()
+{
+    auto const notices = this->router.notices_worth_telling(monotonic_now());
+    if (notices.empty() || !this->to_boxes)
+        return;
+    EndpointNewsMessage message;
+    for (std::size_t number = 0; number < std::min(notices.size(), most_notices_in_message); ++number)
+        message.notices.push_back(notices[this->next_told++ % notices.size()]);
+    this->to_boxes(Membership::encode(message), some_boxes);
+}
+
+void EndpointNews::answered(Routing::Placed const& placed, Routing::RateLimit const& told, Core::Instant sent_at)
+{
+    auto const changed
+        = this->router.note_answer(placed.endpoint, placed.choice.endpoint, told, sent_at, monotonic_now());
+    if (!changed)
+        return;
+    log_change(*changed, "own");
+    if (this->to_boxes)
+        this->to_boxes(Membership::encode({ { *changed }, false }), all_boxes);
+}
+
+void EndpointNews::hear(EndpointNewsMessage const& message, Reply const& reply)
+{
+    auto const now = monotonic_now();
+    for (auto const& notice : message.notices) {
+        if (this->router.take_notice(notice, now))
+            log_change(notice, "box");
+    }
+    if (message.asks)
+        in_messages(this->router.notices_worth_telling(now), reply);
+}
+
+}
--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -115,7 +115,10 @@
         .with("step_ms", figures.speed.step_milliseconds)
         .with("subject", fmt::format("{:x}", figures.subject))
         .with("home", yes_or_no(figures.is_home))
-        .with("left_ms", Core::to_milliseconds(this->admitted->expires - attempt.started));
+        .with("left_ms", Core::to_milliseconds(this->admitted->expires - attempt.started))
+        .with("at_limit", attempt.placed.at_limit);
+    if (attempt.placed.limit.per_second)
+        line.with("limit_per_s", *attempt.placed.limit.per_second);
     if (this->answer_begun)
         line.with("goes_on_after", this->events.last_id().value_or(""));
     line.info();
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -143,8 +143,8 @@
 Task<void> Gateway::keep_house()
 {
     for (;;) {
-        co_await sleep_for(housekeeping_interval);
         auto const now = monotonic_now();
+        this->state.router.set_shared_clock(this->state.clock.ahead());
         for (auto const endpoint : this->state.router.expire_endpoints(now))
             this->state.connections.forget(endpoint);
         this->state.connections.close_old(now);
@@ -153,6 +153,7 @@
         if (auto const changed_at = change_time(this->options.settings_path); changed_at != this->settings_changed_at)
             this->reload_settings();
         spdlog::default_logger()->flush();
+        co_await sleep_for(housekeeping_interval);
     }
 }
 
@@ -245,6 +246,7 @@
     this->state.metrics.set_configuration(
         configuration ? configuration->version() : 0, this->state.router.configuration_age(monotonic_now()));
     this->state.metrics.set_refused_requests(this->state.crash_news.refused_count());
+    this->state.metrics.set_limited_endpoints(this->state.router.limited_endpoints());
     return { status_ok, this->state.metrics.to_text() };
 }
 
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -73,6 +73,8 @@
     , boxes(gauge(*this->registry, "cleatbeam_boxes", "Boxes that the store lists, this one among them"))
     , refused_requests(gauge(*this->registry, "cleatbeam_refused_requests",
           "Requests that are refused since endpoints crashed under them"))
+    , limited_endpoints(gauge(*this->registry, "cleatbeam_limited_endpoints",
+          "Endpoints that say how many requests a second they take from all boxes together"))
 {
 }
 
@@ -193,6 +195,11 @@
     this->endpoints.Set(static_cast<double>(count));
 }
 
+void GatewayMetrics::set_limited_endpoints(std::size_t count)
+{
+    this->limited_endpoints.Set(static_cast<double>(count));
+}
+
 void GatewayMetrics::set_refused_requests(std::size_t count)
 {
     this->refused_requests.Set(static_cast<double>(count));
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -57,6 +57,8 @@
     void set_endpoints(std::size_t count);
     /// Requests that are refused since endpoints crashed under them.
     void set_refused_requests(std::size_t count);
+    /// Endpoints that have named a rate limit.
+    void set_limited_endpoints(std::size_t count);
     /// Boxes that the store lists, this one among them.
     void set_boxes(std::size_t count);
 
@@ -91,6 +93,7 @@
     prometheus::Gauge& endpoints;
     prometheus::Gauge& boxes;
     prometheus::Gauge& refused_requests;
+    prometheus::Gauge& limited_endpoints;
 };
 
 }
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -3,6 +3,7 @@
 #include <LibCore/SuspensionMeter.h>
 #include <LibGateway/CrashNews.h>
 #include <LibGateway/EndpointConnections.h>
+#include <LibGateway/EndpointNews.h>
 #include <LibGateway/GatewayMetrics.h>
 #include <LibLeader/SharedClock.h>
 #include <LibLeader/UsageCounts.h>
@@ -18,6 +19,7 @@
         , router(std::move(settings), seed)
         , connections(context)
         , crash_news(context, this->metrics)
+        , endpoint_news(this->router)
     {
     }
 
@@ -48,6 +50,7 @@
     EndpointConnections connections;
     GatewayMetrics metrics;
     CrashNews crash_news;
+    EndpointNews endpoint_news;
     Leader::SharedClock clock;
     /// What is reported to the platform, by windows of this length; 0 where nothing is.
     Leader::UsageCounts usage;
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -112,7 +112,7 @@
 void LoadExchange::take(std::string_view bytes, udp::endpoint const& from)
 {
     auto const message = Membership::decode_load(bytes);
-    if (!message && this->on_other(bytes))
+    if (!message && this->on_other(bytes, { from.address().to_string(), from.port() }))
         return;
     if (!message) {
         this->state.metrics.count_load_reports("unreadable", 1);
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -13,8 +13,8 @@
 /// them. Only advice: a datagram that is lost, late or missing makes a choice worse and nothing wrong.
 class LoadExchange {
 public:
-    /// What came on this port and is no load report; false if it is nothing else either.
-    using OnOther = std::function<bool(std::string_view bytes)>;
+    /// What came on this port from a box at this address and is no load report; false if it is nothing else either.
+    using OnOther = std::function<bool(std::string_view bytes, Routing::SocketAddress const& from)>;
 
     /// What this box tells the others beside its load, and takes from them.
     struct Knowledge {
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -134,13 +134,13 @@
     else if (this->sent_attempts == 0 && this->unsent_attempts == 0)
         co_await this->refuse(rejected);
     else
-        co_await this->give_up(rejected.reason);
+        co_await this->give_up(rejected.reason, rejected.retry_after);
 }
 
 Task<void> RequestExchange::end_unserved(unsigned last_status)
 {
     if (!this->answer_begun) {
-        co_await this->give_up(this->reason_for_giving_up());
+        co_await this->give_up(this->reason_for_giving_up(), {});
         co_return;
     }
     // NOTE: The client sees that the answer is not whole, since its connection ends without the last chunk. Before
@@ -162,14 +162,17 @@
     auto const error = co_await this->call->open(endpoint, attempt.placed.endpoint.address);
     attempt.reused_connection = this->call->is_reused();
     attempt.connection_opened = this->call->connection_opened_at();
-    bool const has_left = !error && !this->state.router.may_receive(endpoint, monotonic_now());
-    if (error || has_left || this->is_cancelled()) {
+    auto const now = monotonic_now();
+    bool const has_left = !error && !this->state.router.may_receive(endpoint, now);
+    bool const is_at_limit = !error && !has_left && !this->state.router.may_send(attempt.placed, now);
+    if (error || has_left || is_at_limit || this->is_cancelled()) {
         // NOTE: A host that refuses shows within a round trip that the process has ended. Right after a rack is lost
         // most of those listed may, and each is tried once.
         if (error != asio::error::connection_refused)
             ++this->unsent_attempts;
         attempt.detail = error ? "connect: " + error.message()
             : has_left         ? "endpoint left before it was sent"
+            : is_at_limit      ? "endpoint named a rate limit before it was sent"
                                : "given up before it was sent";
         this->call->abort();
         co_return AttemptEnd::NotSent;
@@ -213,6 +216,8 @@
     attempt.status = this->call->head().result_int();
     if (facts.rate_limit)
         attempt.told_per_second = facts.rate_limit->per_second;
+    if (facts.rate_limit && !facts.is_other_endpoint)
+        this->state.endpoint_news.answered(attempt.placed, *facts.rate_limit, attempt.started);
     auto const endpoint = attempt.placed.choice.endpoint;
     if (facts.load)
         this->state.router.take_told_load(endpoint, *facts.load, monotonic_now());
@@ -352,10 +357,10 @@
     co_await this->answer(status_of(rejected.reason), rejected.reason, rejected.retry_after);
 }
 
-Task<void> RequestExchange::give_up(Reason why)
+Task<void> RequestExchange::give_up(Reason why, std::optional<Core::Duration> retry_after)
 {
     if (!this->may_have_run) {
-        co_await this->answer(status_unavailable, why, come_back_after_refusal);
+        co_await this->answer(status_unavailable, why, retry_after.value_or(come_back_after_refusal));
         co_return;
     }
     co_await this->answer(this->has_expired ? status_gateway_timeout : status_bad_gateway, why, {});
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -92,7 +92,8 @@
     [[nodiscard]] Task<bool> send_to_client(std::string const& bytes);
     [[nodiscard]] Task<void> answer(unsigned status, Core::Reason reason, std::optional<Core::Duration> retry_after);
     [[nodiscard]] Task<void> refuse(Routing::Rejected const& rejected);
-    [[nodiscard]] Task<void> give_up(Core::Reason why);
+    /// `retry_after` is when the client may come back if the request has not run; nothing for the usual time.
+    [[nodiscard]] Task<void> give_up(Core::Reason why, std::optional<Core::Duration> retry_after);
 
     void arm_expiry();
     /// Ends an attempt of which nothing has come after a while, if the request may go to another endpoint instead.
--- a/Libraries/LibLeader/SharedClock.h
+++ b/Libraries/LibLeader/SharedClock.h
@@ -26,6 +26,8 @@
     void follow(std::uint64_t unix_microseconds, unsigned clocks, Instant now);
 
     [[nodiscard]] std::uint64_t unix_microseconds(Instant now) const;
+    /// How far it is ahead of the clock since this box booted.
+    [[nodiscard]] Duration ahead() const { return Duration { this->offset }; }
     /// Clocks that the time is the median of.
     [[nodiscard]] unsigned clocks() const { return this->of_clocks; }
 
--- a/Libraries/LibMembership/CrashMessages.cpp
+++ b/Libraries/LibMembership/CrashMessages.cpp
@@ -1,6 +1,6 @@
 #include <LibMembership/CrashMessages.h>
 
-#include <LibMembership/Relay.pb.h>
+#include <LibMembership/EndpointLifeWire.h>
 #include <algorithm>
 #include <chrono>
 #include <limits>
@@ -12,8 +12,6 @@
 namespace wire = cleatbeam::membership;
 
 constexpr std::string_view crash_key_prefix = "crash/";
-/// Ids of endpoints are some 12 bytes.
-constexpr std::size_t longest_incarnation = 64;
 
 void write(wire::Fingerprint& told, Routing::RequestFingerprint request)
 {
@@ -21,27 +19,11 @@
     told.set_content(request.content);
 }
 
-void write(wire::EndpointLife& told, Routing::EndpointLife const& endpoint)
-{
-    told.set_incarnation(endpoint.incarnation);
-    told.set_started_at_ms(endpoint.started_at);
-}
-
 Routing::RequestFingerprint read(wire::Fingerprint const& told)
 {
     return { told.account(), told.content() };
 }
 
-Routing::EndpointLife read(wire::EndpointLife const& told)
-{
-    return { told.incarnation(), told.started_at_ms() };
-}
-
-bool is_sound(wire::EndpointLife const& told)
-{
-    return !told.incarnation().empty() && told.incarnation().size() <= longest_incarnation;
-}
-
 bool is_count(std::uint32_t count)
 {
     return count > 0 && count <= Routing::CrashLedger::most_crashes;
@@ -49,7 +31,7 @@
 
 bool is_sound(wire::Crash const& told)
 {
-    return is_count(told.count()) && is_sound(told.endpoint());
+    return is_count(told.count()) && is_sound_life(told.endpoint());
 }
 
 /// An age from another box, cut off where nothing depends on it any more.
@@ -66,7 +48,7 @@
         || told.probed_size() > most || told.probes_ended_size() > most)
         return false;
     return std::ranges::all_of(told.crashes(), [](auto const& crash) { return is_sound(crash); })
-        && std::ranges::all_of(told.answering(), [](auto const& endpoint) { return is_sound(endpoint); });
+        && std::ranges::all_of(told.answering(), [](auto const& endpoint) { return is_sound_life(endpoint); });
 }
 
 }
@@ -77,14 +59,14 @@
     for (auto const& crash : message.crashes) {
         auto& told = *encoded.add_crashes();
         write(*told.mutable_request(), crash.report.request);
-        write(*told.mutable_endpoint(), crash.report.endpoint);
+        write_life(*told.mutable_endpoint(), crash.report.endpoint);
         told.set_count(crash.report.count);
         told.set_age_us(static_cast<std::uint64_t>(std::max<Duration::rep>(crash.age.count(), 0)));
     }
     for (auto const& request : message.cleared)
         write(*encoded.add_cleared(), request);
     for (auto const& endpoint : message.answering)
-        write(*encoded.add_answering(), endpoint);
+        write_life(*encoded.add_answering(), endpoint);
     for (auto const& request : message.probed)
         write(*encoded.add_probed(), request);
     for (auto const& request : message.probes_ended)
@@ -100,11 +82,11 @@
     CrashMessage message;
     for (auto const& crash : told.crashes())
         message.crashes.push_back(
-            { { read(crash.request()), read(crash.endpoint()), crash.count() }, bounded_age(crash.age_us()) });
+            { { read(crash.request()), read_life(crash.endpoint()), crash.count() }, bounded_age(crash.age_us()) });
     for (auto const& request : told.cleared())
         message.cleared.push_back(read(request));
     for (auto const& endpoint : told.answering())
-        message.answering.push_back(read(endpoint));
+        message.answering.push_back(read_life(endpoint));
     for (auto const& request : told.probed())
         message.probed.push_back(read(request));
     for (auto const& request : told.probes_ended())
@@ -129,7 +111,7 @@
     auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(crash.age).count();
     wire::CrashRecord record;
     write(*record.mutable_request(), crash.report.request);
-    write(*record.mutable_endpoint(), crash.report.endpoint);
+    write_life(*record.mutable_endpoint(), crash.report.endpoint);
     record.set_count(crash.report.count);
     record.set_crashed_at_unix_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(now_unix_milliseconds - age, 0)));
     return record.SerializeAsString();
@@ -141,12 +123,12 @@
     wire::CrashRecord record;
     if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return {};
-    if (!is_count(record.count()) || !is_sound(record.endpoint()))
+    if (!is_count(record.count()) || !is_sound_life(record.endpoint()))
         return {};
     auto const now = static_cast<std::uint64_t>(std::max<std::int64_t>(now_unix_milliseconds, 0));
     auto const age = now - std::min(record.crashed_at_unix_ms(), now);
     auto const longest = std::numeric_limits<std::uint64_t>::max() / microseconds_per_millisecond;
-    return TimedCrash { { read(record.request()), read(record.endpoint()), record.count() },
+    return TimedCrash { { read(record.request()), read_life(record.endpoint()), record.count() },
         bounded_age(std::min(age, longest) * microseconds_per_millisecond) };
 }
 
--- /dev/null
+++ b/Libraries/LibMembership/EndpointNewsMessage.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibRouting/EndpointNotices.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Membership {
+
+/// What boxes tell each other of what endpoints say in their answers.
+struct EndpointNewsMessage {
+    std::vector<Routing::EndpointNotice> notices;
+    /// The sender wants to be told all.
+    bool asks { false };
+
+    bool operator==(EndpointNewsMessage const&) const = default;
+};
+
+/// In one message, at most. Some 40 bytes each, so a message fits into one packet of 1,500 bytes.
+inline constexpr std::size_t most_notices_in_message = 24;
+
+[[nodiscard]] std::string encode(EndpointNewsMessage const& message);
+/// Nothing for bytes that are no such message, or hold what no box tells.
+[[nodiscard]] std::optional<EndpointNewsMessage> decode_endpoint_news(std::string_view bytes);
+
+}
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -118,8 +118,10 @@
     std::scoped_lock const guard(this->endpoints_lock);
     this->directory.expire(now);
     auto removed = this->directory.take_removed();
-    for (auto const id : removed)
+    for (auto const id : removed) {
         this->loads.erase(id);
+        this->notices.forget(id);
+    }
     return removed;
 }
 
@@ -182,9 +184,15 @@
     std::scoped_lock const guard(this->endpoints_lock);
     std::vector<KnownEndpoint const*> candidates;
     std::vector<KnownEndpoint const*> distrusted;
+    std::vector<EndpointId> at_limit;
+    auto const rank = request.route->priority == 0 ? SendRank::First : SendRank::Later;
     for (auto const id : this->directory.usable(request.service, now)) {
         if (std::ranges::find(tried, id) != tried.end())
             continue;
+        if (!this->notices.may_send(id, rank, this->shared_time(now))) {
+            at_limit.push_back(id);
+            continue;
+        }
         auto const found = this->loads.find(id);
         bool const is_trusted = found == this->loads.end() || found->second.takes_work(now);
         (is_trusted ? candidates : distrusted).push_back(this->directory.find(id));
@@ -198,12 +206,95 @@
         this->random() };
     auto const choice = choose_endpoint(usable, this->loads, query, this->settings.placement);
     if (!choice)
-        return Rejected { Reason::NoEndpoint, tried.empty() ? come_back_after_gap : come_back_when_full };
+        return this->refuse_unplaced(request, at_limit, !tried.empty());
     if (request.is_engine && tried.empty()) {
         if (auto const refusal = this->refuse_by_wait(request, *choice))
             return *refusal;
     }
-    return Placed { *choice, this->directory.find(choice->endpoint)->record };
+    Placed placed { *choice, this->directory.find(choice->endpoint)->record };
+    placed.limit = this->notices.limit_of(choice->endpoint);
+    placed.is_counted_by_limit = this->notices.count_send(choice->endpoint, this->shared_time(now));
+    placed.at_limit = at_limit.size();
+    return placed;
+}
+
+Rejected RequestRouter::refuse_unplaced(
+    Admitted const& request, std::vector<EndpointId> const& at_limit, bool was_tried)
+{
+    if (at_limit.empty())
+        return { Reason::NoEndpoint, was_tried ? come_back_when_full : come_back_after_gap };
+    Duration longest_slot { 0 };
+    for (auto const id : at_limit)
+        longest_slot = std::max(longest_slot, RateSchedule(*this->notices.limit_of(id).per_second).slot_length());
+    auto const drawn = std::ldexp(static_cast<double>(this->random()), -32);
+    return { Reason::EndpointsAtLimit, come_back_after_limit(longest_slot, request.route->priority, drawn) };
+}
+
+SharedMicroseconds RequestRouter::shared_time(Instant now) const
+{
+    return static_cast<SharedMicroseconds>((now.time_since_epoch() + this->shared_clock_ahead).count());
+}
+
+bool RequestRouter::may_send(Placed const& placed, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    auto const id = placed.choice.endpoint;
+    auto const* const known = this->directory.find(id);
+    if (known == nullptr || !this->directory.is_usable(*known, now))
+        return false;
+    auto const shared_now = this->shared_time(now);
+    if (placed.is_counted_by_limit)
+        return true;
+    if (!this->notices.may_send(id, SendRank::First, shared_now))
+        return false;
+    static_cast<void>(this->notices.count_send(id, shared_now));
+    return true;
+}
+
+void RequestRouter::set_boxes(BoxGroup boxes)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    this->notices.set_boxes(std::move(boxes));
+}
+
+void RequestRouter::set_shared_clock(Duration ahead)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    this->shared_clock_ahead = ahead;
+}
+
+std::optional<EndpointNotice> RequestRouter::note_answer(
+    EndpointRecord const& endpoint, EndpointId id, RateLimit const& told, Instant sent_at, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    // NOTE: An answer may come after its endpoint was forgotten; what was known of it must not come back to life.
+    if (this->directory.find(id) == nullptr)
+        return {};
+    return this->notices.answered(id, life_of(endpoint), told, sent_at, now);
+}
+
+bool RequestRouter::take_notice(EndpointNotice const& notice, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    auto const* const known = this->directory.find(notice.endpoint.incarnation);
+    if (known == nullptr)
+        return false;
+    auto const started_at = known->record.started_at;
+    bool const is_other_life
+        = started_at != 0 && notice.endpoint.started_at != 0 && started_at != notice.endpoint.started_at;
+    return !is_other_life && this->notices.take(known->id, notice, now);
+}
+
+std::vector<EndpointNotice> RequestRouter::notices_worth_telling(Instant now) const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    return this->notices.worth_telling(now);
+}
+
+std::size_t RequestRouter::limited_endpoints() const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    return this->notices.limited();
 }
 
 bool RequestRouter::may_receive(EndpointId endpoint, Instant now) const
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Reason.h>
 #include <LibRouting/ConfigurationLease.h>
+#include <LibRouting/EndpointNotices.h>
 #include <LibRouting/LoadReport.h>
 #include <LibRouting/Placement.h>
 #include <LibRouting/RetryAllowance.h>
@@ -70,6 +71,12 @@
 struct Placed {
     PlacementChoice choice;
     EndpointRecord endpoint;
+    /// Whether it is counted against this box's part of the endpoint's rate limit.
+    bool is_counted_by_limit { false };
+    /// What the endpoint was known to take.
+    RateLimit limit {};
+    /// Other endpoints that were passed over since this box has sent them its part of what they take.
+    std::size_t at_limit { 0 };
 
     bool operator==(Placed const&) const = default;
 };
@@ -125,6 +132,9 @@
     /// Whether an endpoint that was chosen a moment ago may still get a request: it may have begun to leave while this
     /// box connected to it.
     [[nodiscard]] bool may_receive(EndpointId endpoint, Instant now) const;
+    /// The same of a request that is about to be sent, which the endpoint's rate limit has to allow as well: the
+    /// endpoint may have named one meanwhile.
+    [[nodiscard]] bool may_send(Placed const& placed, Instant now);
     /// Whether one more endpoint may get the request, by the budget of its service.
     [[nodiscard]] bool may_repeat(Admitted const& request, Instant now);
 
@@ -137,6 +147,20 @@
     void endpoint_replaced(EndpointId endpoint);
     void take_told_load(EndpointId endpoint, ToldLoad const& told, Instant now);
 
+    /// The boxes that share what endpoints take.
+    void set_boxes(BoxGroup boxes);
+    /// How far the clock that all boxes go by is ahead of this box's own, which runs from its boot.
+    void set_shared_clock(Duration ahead);
+    /// As EndpointNotices::answered.
+    [[nodiscard]] std::optional<EndpointNotice> note_answer(
+        EndpointRecord const& endpoint, EndpointId id, RateLimit const& told, Instant sent_at, Instant now);
+    /// Another box told it; true if it is news of an endpoint that is known here.
+    bool take_notice(EndpointNotice const& notice, Instant now);
+    /// As EndpointNotices::worth_telling.
+    [[nodiscard]] std::vector<EndpointNotice> notices_worth_telling(Instant now) const;
+    /// Endpoints that have a rate limit.
+    [[nodiscard]] std::size_t limited_endpoints() const;
+
     /// How old what boxes tell each other of their load is when the next report comes.
     void set_report_interval(Duration interval);
     /// What this box tells other boxes of its load.
@@ -177,6 +201,10 @@
     /// Refuses what even the best engine would begin to read too late.
     [[nodiscard]] std::optional<Rejected> refuse_by_wait(Admitted const& request, PlacementChoice const& choice);
     [[nodiscard]] Rejected refuse_unknown(Reason reason, Instant now) const;
+    /// Refuses since no endpoint is left; `at_limit` are those that take no more from this box for now.
+    [[nodiscard]] Rejected refuse_unplaced(
+        Admitted const& request, std::vector<EndpointId> const& at_limit, bool was_tried);
+    [[nodiscard]] SharedMicroseconds shared_time(Instant now) const;
     [[nodiscard]] std::string const& draw_service(Route const& route);
     /// The load of an endpoint that is still known; null for one that is gone.
     [[nodiscard]] EndpointLoad* load_of(EndpointId endpoint);
@@ -188,6 +216,8 @@
     mutable std::mutex endpoints_lock;
     EndpointDirectory directory;
     LoadTable loads;
+    EndpointNotices notices;
+    Duration shared_clock_ahead { 0 };
     std::unordered_map<std::string, RetryAllowance> allowances;
     std::map<std::string, EngineDemand> demands;
     std::map<std::string, EngineSpeedEstimate> speeds;
--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -28,13 +28,14 @@
 printf '\1{"items":[{"tls_key":"a","value":"e30=","offset":4}],"truncated":true,"end":6}' >"$folder/corpus-FuzzRecords/newest"
 printf '\2\0\0\0\0\0\0\0\1\0\0\0\0\0\0\0\0\0\0\0\4\1a{}' >"$folder/corpus-FuzzRecords/appended"
 printf '\3{"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/","kind":"streaming","timeout_ms":600,"goal_ms":9,"priority":0,"service":"s","max_attempts":2}],"services":[{"name":"s"}]}' >"$folder/corpus-FuzzRecords/configuration"
-# Box, question, answer, load report, news of crashes and record of one: some valid bytes of each.
+# Box, question, answer, load report, news of crashes, news of endpoints and record of a crash: some valid bytes of each.
 printf '\4\12\15\12\10127.0.0.\20\120\22\4hall' >"$folder/corpus-FuzzRecords/box"
 printf '\5\11\1\0\0\0\0\0\0\0\20\2\30\3\42\1b' >"$folder/corpus-FuzzRecords/question"
 printf '\6\11\1\0\0\0\0\0\0\0\20\2\30\1\42\20\12\1a\32\1s\42\6\12\1h\20\120' >"$folder/corpus-FuzzRecords/answer"
 printf '\7\11\1\0\0\0\0\0\0\0\20\2\32\5\12\1a\20\7' >"$folder/corpus-FuzzRecords/load"
 printf '\10\202\1\33\12\22\11\1\0\0\0\0\0\0\0\21\2\0\0\0\0\0\0\0\22\3\12\1a\30\2' >"$folder/corpus-FuzzRecords/crashes"
-printf '\11\202\1\22\11\1\0\0\0\0\0\0\0\21\2\0\0\0\0\0\0\0\212\1\3\12\1a\220\1\3' >"$folder/corpus-FuzzRecords/crash"
+printf '\11\202\2\13\12\3\12\1a\20\2\210\2\1' >"$folder/corpus-FuzzRecords/news"
+printf '\12\202\1\22\11\1\0\0\0\0\0\0\0\21\2\0\0\0\0\0\0\0\212\1\3\12\1a\220\1\3' >"$folder/corpus-FuzzRecords/crash"
 
 for target in FuzzSettings FuzzRequest FuzzRecords; do
     clang++ -fsanitize=fuzzer,address,undefined "$folder/targets/Fuzz_$target.cpp.o" "$folder/libraries.a" -o "$folder/$target" \
--- a/Tests/Integration/TestRateLimitedEndpoint.cpp
+++ b/Tests/Integration/TestRateLimitedEndpoint.cpp
@@ -82,6 +82,19 @@
     CHECK(most_arrivals(site.arrivals(), before) <= most_in_window);
 }
 
+TEST_CASE("a box that starts knows the limits that endpoints told others")
+{
+    LimitedSite site;
+    static_cast<void>(site.get(limited, "/limit/" + std::to_string(limit_per_second)));
+    Harness::wait_until("the limit is known", [&] {
+        static_cast<void>(site.runs_at_limited(boxes[0]));
+        return site.metric(boxes[0], "cleatbeam_limited_endpoints ") == 1;
+    });
+    site.start_box("b4", { 8000, 8000, 20000, true });
+    Harness::wait_until("the new box knows it too, without an answer of its own",
+        [&] { return site.metric("b4", "cleatbeam_limited_endpoints ") == 1; });
+}
+
 TEST_CASE("an endpoint gets its share again at every box once it names no limit any more")
 {
     LimitedSite site;
--- /dev/null
+++ b/Tests/LibMembership/TestEndpointNewsMessage.cpp
@@ -0,0 +1,78 @@
+#include <TestMain.h>
+
+#include <LibMembership/CrashMessages.h>
+#include <LibMembership/EndpointNewsMessage.h>
+#include <LibMembership/LoadMessages.h>
+#include <limits>
+
+using namespace Membership;
+using std::chrono::seconds;
+
+namespace {
+
+EndpointNewsMessage some_message()
+{
+    return { { { { "i-1", 1'790'000'000'000 }, 3, { 1.1 } }, { { "i-2", 0 }, 9, {} } }, true };
+}
+
+}
+
+TEST_CASE("news of endpoints is read as it was told")
+{
+    CHECK(decode_endpoint_news(encode(some_message())) == some_message());
+    EndpointNewsMessage const question { {}, true };
+    CHECK(decode_endpoint_news(encode(question)) == question);
+}
+
+TEST_CASE("a message of as many notices as there may be fits into a packet")
+{
+    EndpointNewsMessage message;
+    for (std::size_t count = 0; count < most_notices_in_message; ++count)
+        message.notices.push_back({ { "i-0123456789", 1'790'000'000'000 }, 1000, { 20.5 } });
+    constexpr std::size_t packet = 1400;
+    CHECK(encode(message).size() < packet);
+    CHECK(decode_endpoint_news(encode(message)) == message);
+}
+
+TEST_CASE("news of endpoints is not taken for another message, nor another one for it")
+{
+    auto const news = encode(some_message());
+    CHECK_FALSE(decode_load(news));
+    CHECK_FALSE(decode_crashes(news));
+    LoadMessage const report { 17, Core::Instant { seconds(1) }, { { { "i-1", seconds(1), 1 } }, {} } };
+    CHECK_FALSE(decode_endpoint_news(encode(report)));
+    CrashMessage const crashes { {}, { { 1, 2 } }, {}, {}, {} };
+    CHECK_FALSE(decode_endpoint_news(encode(crashes)));
+}
+
+TEST_CASE("notices that no box tells are not taken")
+{
+    CHECK_FALSE(decode_endpoint_news(""));
+    CHECK_FALSE(decode_endpoint_news("news"));
+    auto message = some_message();
+    SUBCASE("no version")
+    {
+        message.notices[0].version = 0;
+    }
+    SUBCASE("no endpoint")
+    {
+        message.notices[0].endpoint.incarnation.clear();
+    }
+    SUBCASE("an endpoint with an endless name")
+    {
+        message.notices[0].endpoint.incarnation.assign(65, 'i');
+    }
+    SUBCASE("a limit below nothing")
+    {
+        message.notices[0].limit.per_second = -1;
+    }
+    SUBCASE("a limit that is no number")
+    {
+        message.notices[0].limit.per_second = std::numeric_limits<double>::quiet_NaN();
+    }
+    SUBCASE("more notices than fit")
+    {
+        message.notices.resize(most_notices_in_message + 1, message.notices[0]);
+    }
+    CHECK_FALSE(decode_endpoint_news(encode(message)));
+}
--- /dev/null
+++ b/Tests/LibRouting/TestLimitedService.cpp
@@ -0,0 +1,173 @@
+#include <TestMain.h>
+
+#include <LibRouting/RequestRouter.h>
+#include <set>
+
+namespace {
+
+using namespace Routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr RateLimit one_per_second { 1 };
+
+Instant at(Duration since_start)
+{
+    return Instant {} + seconds(100) + since_start;
+}
+
+Route route_of(std::string prefix, unsigned priority)
+{
+    Route route;
+    route.name = prefix;
+    route.host = "h";
+    route.path_prefix = std::move(prefix);
+    route.kind = RouteKind::Idempotent;
+    route.timeout = seconds(3);
+    route.priority = priority;
+    route.services = { { "desk", 1 } };
+    route.max_attempts = 2;
+    return route;
+}
+
+/// A box before two endpoints of a service, with an urgent and a less urgent route.
+struct Site {
+    Site()
+    {
+        this->router.offer_configuration(configuration(), at(seconds(0)));
+        this->router.put_endpoint(record("a"));
+        this->router.put_endpoint(record("b"));
+    }
+
+    static SharedConfiguration configuration()
+    {
+        Configuration contents;
+        contents.version = 1;
+        contents.routes = { route_of("/urgent/", 0), route_of("/later/", 2) };
+        contents.services = { { "desk", 96, {} } };
+        return std::make_shared<ConfigurationSnapshot const>(std::move(contents));
+    }
+
+    static EndpointRecord record(std::string const& name, std::uint64_t started_at = 0)
+    {
+        return { name, "desk", { "10.0.0.1", 80 }, "hall", 6, false, started_at };
+    }
+
+    std::variant<Placed, Rejected> place(std::string const& path, Instant now)
+    {
+        RequestHead const head { "attempt", "h", path + "x", "", seconds(1), {} };
+        auto const admitted = std::get<Admitted>(this->router.admit(head, now));
+        return this->router.place(admitted, {}, {}, now);
+    }
+
+    /// Where the request goes; empty if it is refused.
+    std::string endpoint_for(std::string const& path, Instant now)
+    {
+        auto const decision = this->place(path, now);
+        auto const* const placed = std::get_if<Placed>(&decision);
+        return placed ? placed->endpoint.incarnation : "";
+    }
+
+    bool limit(std::string const& name, std::uint64_t version, RateLimit limit, std::uint64_t started_at = 0)
+    {
+        return this->router.take_notice({ { name, started_at }, version, limit }, at(seconds(0)));
+    }
+
+    RequestRouter router { { "hall", { seconds(20), seconds(50) }, {}, {} }, 7 };
+};
+
+/// Requests of a hundred, one each 10 ms, that go to the endpoint.
+int sent_in_a_second(Site& site, std::string const& name, Instant from)
+{
+    int sent = 0;
+    for (int number = 0; number < 100; ++number)
+        sent += site.endpoint_for("/urgent/", from + milliseconds(10 * number)) == name ? 1 : 0;
+    return sent;
+}
+
+}
+
+TEST_CASE("an endpoint that named a limit gets what it takes, and the others get the rest")
+{
+    Site site;
+    REQUIRE(site.limit("a", 1, one_per_second));
+    int sent = 0;
+    for (int second = 0; second < 4; ++second)
+        sent += sent_in_a_second(site, "a", at(seconds(second)));
+    CHECK(sent >= 2);
+    CHECK(sent <= 4);
+    CHECK(site.endpoint_for("/urgent/", at(seconds(4))) != "");
+}
+
+TEST_CASE(
+    "where all endpoints are at their limit the urgent go first, and refused callers come back at different times")
+{
+    Site site;
+    site.limit("a", 1, { 10 });
+    site.limit("b", 1, { 10 });
+    int urgent = 0;
+    int later = 0;
+    std::set<Duration> come_back;
+    for (int number = 0; number < 200; ++number) {
+        auto const now = at(milliseconds(10 * number));
+        urgent += site.endpoint_for("/urgent/", now).empty() ? 0 : 1;
+        auto const decision = site.place("/later/", now);
+        auto const* const rejected = std::get_if<Rejected>(&decision);
+        later += rejected ? 0 : 1;
+        if (rejected) {
+            CHECK(rejected->reason == Reason::EndpointsAtLimit);
+            REQUIRE(rejected->retry_after);
+            CHECK(*rejected->retry_after >= milliseconds(500));
+            come_back.insert(*rejected->retry_after);
+        }
+    }
+    CHECK(urgent >= 30);
+    CHECK(later <= 4);
+    CHECK(come_back.size() > 50);
+}
+
+TEST_CASE("a request that was placed before the limit was known is counted before it is sent")
+{
+    Site site;
+    std::vector<Placed> placed;
+    while (placed.size() < 5) {
+        auto const decision = site.place("/urgent/", at(seconds(0)));
+        auto const& choice = std::get<Placed>(decision);
+        if (choice.endpoint.incarnation == "a")
+            placed.push_back(choice);
+        site.router.attempt_started(
+            std::get<Admitted>(site.router.admit({ "x", "h", "/urgent/x", "", seconds(1), {} }, at(seconds(0)))), {},
+            choice.choice, at(seconds(0)));
+    }
+    site.limit("a", 1, one_per_second);
+    int sent = 0;
+    for (auto const& choice : placed)
+        sent += site.router.may_send(choice, at(milliseconds(5))) ? 1 : 0;
+    CHECK(sent <= 1);
+}
+
+TEST_CASE("another process under the endpoint's id has no limit of the one before")
+{
+    Site site;
+    site.router.put_endpoint(Site::record("a", 1000));
+    REQUIRE(site.limit("a", 4, one_per_second, 1000));
+    CHECK(site.router.limited_endpoints() == 1);
+    site.router.put_endpoint(Site::record("a", 2000));
+    static_cast<void>(site.router.expire_endpoints(at(seconds(1))));
+    CHECK(site.router.limited_endpoints() == 0);
+    CHECK_FALSE(site.limit("a", 9, one_per_second, 1000));
+    CHECK_FALSE(site.limit("gone", 1, one_per_second));
+    CHECK(site.router.limited_endpoints() == 0);
+}
+
+TEST_CASE("an answer that comes after its endpoint was forgotten says nothing of another one")
+{
+    Site site;
+    auto const placed = std::get<Placed>(site.place("/urgent/", at(seconds(0))));
+    site.router.remove_endpoint(placed.endpoint.incarnation, at(seconds(1)));
+    static_cast<void>(site.router.expire_endpoints(at(seconds(1))));
+    CHECK_FALSE(site.router.note_answer(
+        placed.endpoint, placed.choice.endpoint, one_per_second, at(seconds(0)), at(seconds(2))));
+    site.router.put_endpoint(placed.endpoint);
+    CHECK(site.router.limited_endpoints() == 0);
+}
--- /dev/null
+++ b/Tests/LibRouting/TestRateLimits.cpp
@@ -0,0 +1,179 @@
+#include <TestMain.h>
+
+#include "RateLimitPlay.h"
+#include <set>
+
+using namespace Routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr EndpointId endpoint { 1 };
+EndpointLife const life { "e1", 0 };
+constexpr RateLimit none {};
+constexpr Instant start = Instant {} + seconds(100);
+constexpr SharedMicroseconds slot_start = 1'000'000'000'000;
+
+std::vector<std::string> box_names(std::size_t count)
+{
+    std::vector<std::string> names;
+    for (std::size_t number = 0; number < count; ++number)
+        names.push_back("box-" + std::to_string(number));
+    return names;
+}
+
+/// What all boxes together may send in the slot.
+unsigned requests_in_slot(RateSchedule const& schedule, std::uint64_t slot, std::vector<std::string> const& names)
+{
+    unsigned all = 0;
+    for (auto const& name : names)
+        all += schedule.requests_of(slot, "e1", BoxGroup(name, names));
+    return all;
+}
+
+}
+
+TEST_CASE("the requests of a slot are dealt whole, to other boxes each time, and add up to no more than the limit")
+{
+    for (std::size_t const count : { 1, 6, 88, 300 }) {
+        auto const names = box_names(count);
+        for (double const limit : { 0.3, 1.0, 7.5, 20.0, 1000.0 }) {
+            RateSchedule const schedule(limit);
+            constexpr std::uint64_t slots = 20;
+            double sum = 0;
+            for (std::uint64_t slot = 5000; slot < 5000 + slots; ++slot)
+                sum += requests_in_slot(schedule, slot, names);
+            auto const seconds_dealt = static_cast<double>(slots) * Core::to_seconds(schedule.slot_length());
+            CHECK(sum <= limit * seconds_dealt + 1);
+            CHECK(sum >= 0.8 * limit * seconds_dealt - 1);
+        }
+    }
+}
+
+TEST_CASE("each box has its turn at an endpoint that takes little")
+{
+    auto const names = box_names(6);
+    RateSchedule const schedule(1);
+    for (auto const& name : names) {
+        unsigned of_box = 0;
+        for (std::uint64_t slot = 0; slot < 100; ++slot)
+            of_box += schedule.requests_of(slot, "e1", BoxGroup(name, names));
+        CHECK(of_box > 5);
+    }
+}
+
+TEST_CASE("an endpoint that takes nothing is asked seldom, since only its answers tell when that ends")
+{
+    RateSchedule const schedule(0);
+    CHECK(schedule.slot_length() == seconds(10));
+    CHECK(requests_in_slot(schedule, 7, box_names(6)) == 1);
+}
+
+TEST_CASE("a limit holds until an answer to a request that was sent under it says otherwise")
+{
+    EndpointNotices notices;
+    CHECK_FALSE(notices.answered(endpoint, life, none, start, start));
+    auto const limited = notices.answered(endpoint, life, { 2 }, start, start + seconds(1));
+    REQUIRE(limited);
+    CHECK(limited->version == 1);
+    // Sent before the limit was known: it may have been answered before it was named.
+    CHECK_FALSE(notices.answered(endpoint, life, none, start + milliseconds(999), start + seconds(2)));
+    CHECK(notices.limit_of(endpoint) == RateLimit { 2 });
+    CHECK(notices.answered(endpoint, life, { 1 }, start, start + seconds(2))->limit == RateLimit { 1 });
+    CHECK_FALSE(notices.answered(endpoint, life, { 2 }, start + seconds(1), start + seconds(3)));
+    auto const ended = notices.answered(endpoint, life, none, start + seconds(2), start + seconds(3));
+    REQUIRE(ended);
+    CHECK(ended->version == 3);
+    CHECK(notices.limit_of(endpoint) == none);
+    CHECK(notices.limited() == 0);
+}
+
+TEST_CASE("what another box told is taken if it is newer, however late it comes")
+{
+    EndpointNotices notices;
+    CHECK(notices.take(endpoint, { life, 3, { 1 } }, start));
+    CHECK_FALSE(notices.take(endpoint, { life, 3, { 1 } }, start));
+    CHECK_FALSE(notices.take(endpoint, { life, 2, none }, start + seconds(9)));
+    CHECK(notices.limit_of(endpoint) == RateLimit { 1 });
+    // Two boxes saw different changes of the same version: the tighter limit is the safer one.
+    CHECK_FALSE(notices.take(endpoint, { life, 3, { 5 } }, start));
+    CHECK(notices.take(endpoint, { life, 3, { 0.5 } }, start));
+    CHECK(notices.take(endpoint, { life, 4, none }, start + seconds(1)));
+    CHECK(notices.limit_of(endpoint) == none);
+    // An answer that names a limit was given under the old one if its request was sent before the end was known; a box
+    // keeps to it until the next answer.
+    CHECK(notices.answered(endpoint, life, { 1 }, start, start + seconds(2))->version == 5);
+}
+
+TEST_CASE("the end of a limit is told on for a while, a limit for as long as it holds")
+{
+    EndpointNotices notices;
+    notices.take(endpoint, { life, 1, { 1 } }, start);
+    CHECK(notices.worth_telling(start + seconds(3600)).size() == 1);
+    notices.take(endpoint, { life, 2, none }, start + seconds(3600));
+    CHECK(notices.worth_telling(start + seconds(3610)).size() == 1);
+    CHECK(notices.worth_telling(start + seconds(3640)).empty());
+}
+
+TEST_CASE("a box sends its part of a slot and no more, the most urgent requests first")
+{
+    EndpointNotices notices;
+    CHECK(notices.may_send(endpoint, SendRank::Later, slot_start));
+    CHECK_FALSE(notices.count_send(endpoint, slot_start));
+    notices.take(endpoint, { life, 1, { 4 } }, start);
+    for (int request = 0; request < 3; ++request) {
+        CHECK_FALSE(notices.may_send(endpoint, SendRank::Later, slot_start));
+        CHECK(notices.may_send(endpoint, SendRank::First, slot_start));
+        CHECK(notices.count_send(endpoint, slot_start));
+    }
+    auto const late = slot_start + 600'000;
+    bool const has_fourth = notices.may_send(endpoint, SendRank::Later, late);
+    if (has_fourth)
+        notices.count_send(endpoint, late);
+    CHECK_FALSE(notices.may_send(endpoint, SendRank::First, late));
+    CHECK(notices.may_send(endpoint, SendRank::First, slot_start + 1'000'000));
+}
+
+TEST_CASE("callers that find no room come back spread over time, the most urgent ones first")
+{
+    constexpr Duration slot = seconds(1);
+    CHECK(come_back_after_limit(slot, 0, 0) == milliseconds(500));
+    CHECK(come_back_after_limit(slot, 0, 1) == milliseconds(1500));
+    for (double const drawn : { 0.0, 0.5, 1.0 })
+        CHECK(come_back_after_limit(slot, 2, drawn) > come_back_after_limit(slot, 0, drawn));
+    CHECK(come_back_after_limit(slot, 1000, 0) == come_back_after_limit(slot, 3, 0));
+}
+
+TEST_CASE("an endpoint gets no more than its limit from any number of boxes that start, are lost and disagree on time")
+{
+    using namespace RateLimitPlay;
+    for (std::size_t const boxes : { 1, 6, 88, 300 }) {
+        for (double const limit : { 0.0, 0.2, 1.0, 20.0 }) {
+            for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+                auto const result = Play({ boxes, limit, 5, Timetable {}, seed }).run();
+                CAPTURE(boxes);
+                CAPTURE(limit);
+                CAPTURE(seed);
+                CHECK(result.most_in_window <= allowed(limit));
+            }
+        }
+    }
+}
+
+TEST_CASE("boxes use most of what an endpoint takes, also after some of them were lost")
+{
+    using namespace RateLimitPlay;
+    for (std::size_t const boxes : { 6, 88, 300 }) {
+        auto const result = Play({ boxes, 20, 5, Timetable {}, 1 }).run();
+        CHECK(result.used >= 0.8);
+        CHECK(result.used_after_loss >= 0.6);
+    }
+}
+
+TEST_CASE("the play shows ways that break the limit")
+{
+    using namespace RateLimitPlay;
+    CHECK(Play({ 6, 1, 5, Unheeded {}, 1 }).run().most_in_window > allowed(1));
+    CHECK(Play({ 300, 20, 5, EqualShares {}, 1 }).run().most_in_window > allowed(20));
+}
