platform, LibGateway: Log that an endpoint leaves, or for how long it wants nothing

Change: both are decoded once in platform/ (a rest from 503 and 429 with seconds; dates and unreadable figures are left out, ten minutes at most), and attempt_ended carries them. No decision changes.

--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -76,6 +76,10 @@
         .with("took_ms", Core::to_milliseconds(now - attempt.started));
     if (attempt.told_per_second)
         line.with("told_limit_per_s", *attempt.told_per_second);
+    if (attempt.told_leaving)
+        line.with("told_leaving", "yes");
+    if (attempt.told_rest)
+        line.with("told_rest_s", Core::to_seconds(*attempt.told_rest));
     if (!attempt.detail.empty())
         line.with("detail", attempt.detail);
     line.info();
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -214,6 +214,8 @@
         co_return this->end_of_broken_answer();
     }
     attempt.status = this->call->head().result_int();
+    attempt.told_leaving = facts.is_leaving;
+    attempt.told_rest = facts.rest;
     if (facts.rate_limit)
         attempt.told_per_second = facts.rate_limit->per_second;
     if (facts.rate_limit && !facts.is_other_endpoint)
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -50,6 +50,10 @@
     unsigned known_crashes { 0 };
     /// What the endpoint said it takes; nothing where it said none or what can't be read.
     std::optional<double> told_per_second;
+    /// The endpoint said that it is about to end.
+    bool told_leaving { false };
+    /// How long the endpoint wants nothing from this box, if it said so.
+    std::optional<Core::Duration> told_rest;
     /// What broke, in words; empty if nothing did.
     std::string detail;
 };
--- a/Tests/PlatformAdapter/TestRequestCodec.cpp
+++ b/Tests/PlatformAdapter/TestRequestCodec.cpp
@@ -174,6 +174,33 @@
         CHECK_FALSE(limit(std::string("Server-Limit: ") + unreadable + "\r\n"));
 }
 
+TEST_CASE("an endpoint that leaves is told by its answer's head")
+{
+    auto const leaving = [](std::string const& line) {
+        return decode_answer(answer_head("HTTP/1.1 200 OK\r\n" + line + "\r\n"), "9c41").is_leaving;
+    };
+    CHECK_FALSE(leaving(""));
+    CHECK(leaving("Server-Leaving: 1\r\n"));
+    CHECK(leaving("server-leaving:  1 \r\n"));
+    for (auto const* other : { "", "0", "no", "11" })
+        CHECK_FALSE(leaving(std::string("Server-Leaving: ") + other + "\r\n"));
+}
+
+TEST_CASE("how long an endpoint wants nothing is read from an answer that turns a request away")
+{
+    auto const rest = [](std::string const& status, std::string const& value) {
+        return decode_answer(answer_head("HTTP/1.1 " + status + "\r\nRetry-After: " + value + "\r\n\r\n"), "9c41").rest;
+    };
+    CHECK(rest("503 No", "3") == std::chrono::seconds(3));
+    CHECK(rest("429 No", "0.25") == milliseconds(250));
+    CHECK(rest("503 No", "1e9") == std::chrono::seconds(600));
+    CHECK_FALSE(rest("200 OK", "3"));
+    CHECK_FALSE(rest("500 No", "3"));
+    CHECK_FALSE(decode_answer(answer_head("HTTP/1.1 503 No\r\n\r\n"), "9c41").rest);
+    for (auto const* unreadable : { "", "soon", "3s", "-1", "0", "nan", "inf", "Thu, 03 Dec 2026 10:00:00 GMT" })
+        CHECK_FALSE(rest("503 No", unreadable));
+}
+
 TEST_CASE("an answer is passed on unchanged but for what concerns its connection")
 {
     auto const head
