--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -43,23 +43,19 @@
     Task<bool> handle(std::shared_ptr<Session> session, Request request)
     {
         std::string const target(request.target());
-        if (target == "/journal")
-            co_return co_await session->answer(200, json(this->runs).dump());
+        if (auto const answer = this->answer_test(target))
+            co_return co_await session->answer(200, *answer);
         if (target == "/drain") {
             this->is_draining = true;
             co_await this->tell_store(this->record());
             co_return co_await session->answer(200, "{}");
         }
-        if (target == "/arrivals")
-            co_return co_await session->answer(200, json(this->arrivals_ms).dump());
-        if (target.starts_with(limit_path)) {
-            this->limit = target.substr(limit_path.size());
-            co_return co_await session->answer(200, "{}");
-        }
         std::string const attempt(request["X-Attempt-Id"]);
         this->arrivals_ms.push_back(Core::to_milliseconds(Core::monotonic_now() - this->started));
         if (request["X-Expect-Instance"] != FLAGS_incarnation)
             co_return co_await session->answer(421, "", "X-Instance-Id: " + FLAGS_incarnation + "\r\n");
+        if (!this->rest.empty())
+            co_return co_await session->answer(503, "", "X-Not-Executed: 1\r\nRetry-After: " + this->rest + "\r\n");
         if (this->running >= FLAGS_server_slots)
             co_return co_await session->answer(503, "", "X-Not-Executed: 1\r\n");
         ++this->running;
@@ -74,6 +70,24 @@
     }
 
 private:
+    /// What a test asks of the server itself; nothing for a request that the server has to run.
+    std::optional<std::string> answer_test(std::string const& target)
+    {
+        if (target == "/journal")
+            return json(this->runs).dump();
+        if (target == "/arrivals")
+            return json(this->arrivals_ms).dump();
+        if (target.starts_with(limit_path))
+            this->limit = target.substr(limit_path.size());
+        else if (target.starts_with(rest_path))
+            this->rest = target.substr(rest_path.size());
+        else if (target == "/leave")
+            this->is_leaving = true;
+        else
+            return {};
+        return "{}";
+    }
+
     void note_run(Request const& request, std::string const& attempt)
     {
         auto& run = this->runs.try_emplace(attempt, json::object()).first->second;
@@ -87,10 +101,11 @@
     Task<bool> run(Session& session, Request const& request, std::string const& attempt)
     {
         auto const head = fmt::format(
-            "X-Attempt-Id: {}\r\nX-Response-Stamp: {}.{}\r\nX-Server-Load: {},0,{}\r\nKeep-Alive: timeout=5\r\n{}{}",
+            "X-Attempt-Id: {}\r\nX-Response-Stamp: {}.{}\r\nX-Server-Load: {},0,{}\r\nKeep-Alive: timeout=5\r\n{}{}{}",
             attempt, FLAGS_incarnation, attempt, this->running, FLAGS_server_slots,
             this->is_draining ? "Connection: close\r\n" : "",
-            this->limit.empty() ? "" : "Server-Limit: " + this->limit + "\r\n");
+            this->limit.empty() ? "" : "Server-Limit: " + this->limit + "\r\n",
+            this->is_leaving ? "Server-Leaving: 1\r\n" : "");
         auto const events = std::string(request["X-Standin-Events"]);
         if (events.empty()) {
             co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_work_ms));
@@ -154,6 +169,8 @@
 
     /// Behind it comes the limit that the server names from then on; nothing ends it.
     static constexpr std::string_view limit_path = "/limit/";
+    /// Behind it come the seconds of rest that the server asks for, turning all requests away; nothing ends it.
+    static constexpr std::string_view rest_path = "/rest/";
 
     asio::io_context& context;
     std::string address;
@@ -161,6 +178,9 @@
     /// When requests reached the server, run or not.
     std::vector<double> arrivals_ms;
     std::string limit;
+    std::string rest;
+    /// Whether answers say that the server leaves; its entry in the store doesn't.
+    bool is_leaving { false };
     std::map<std::string, json> runs;
     int running { 0 };
     int heartbeats { 0 };
