LibRouting, LibGateway: Send an endpoint nothing more once its answers say that it leaves

Cause: whether an endpoint leaves was taken from its entry in the store alone, and that entry came 12 s later. Class: only the list is believed, though the thing itself speaks. Ruled out: requests under way (sent 2.9 s later), and that the box knew and forgot (nothing decoded it); that no endpoint was trusted is not excluded for one of the two calls and needs no excluding, since an endpoint that leaves isn't tried then either.

Repair: the notice of an endpoint says whether it leaves; all boxes hear of it, and every choice and send asks for it. A process that is back under the id is not taken for the one that left: another life, another address, an entry that went, or one that was as usual for 15 s while the list could be read; word from before an entry went is not taken.

--- a/Fuzz/FuzzRecords.cpp
+++ b/Fuzz/FuzzRecords.cpp
@@ -64,8 +64,9 @@
         break;
     }
     case 9: {
-        auto const news = Membership::decode_endpoint_news(text);
-        if (news && Membership::decode_endpoint_news(Membership::encode(*news)) != news)
+        constexpr Core::Instant now = Core::Instant {} + std::chrono::hours(100);
+        auto const news = Membership::decode_endpoint_news(text, now);
+        if (news && Membership::decode_endpoint_news(Membership::encode(*news, now), now) != news)
             std::abort();
         break;
     }
--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -175,7 +175,7 @@
 
 bool ControlPlane::take_endpoint_news(std::string_view bytes, Routing::SocketAddress const& from)
 {
-    auto const message = Membership::decode_endpoint_news(bytes);
+    auto const message = Membership::decode_endpoint_news(bytes, monotonic_now());
     if (message)
         this->state.endpoint_news.hear(
             *message, [this, &from](std::string const& answer) { this->loads->send_to_address(from, answer); });
--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -82,6 +82,7 @@
     // NOTE: Entries that are missing may be of endpoints that live, as after any return of the store.
     this->returned_at = now;
     this->state.router.store_returned(now);
+    this->state.router.endpoints_in_doubt();
     this->state.metrics.count_store_restored();
     Log::EventLine("store_restored_from_copy").with("era", this->era()).with("version", this->version()).warning();
     if (this->on_new_era)
@@ -194,11 +195,17 @@
     if (is_whole_list)
         this->replace_endpoints(std::move(listed));
     if (is_whole_list || (coverage == Coverage::UpToEnd && this->endpoints_confirmed_at))
-        this->endpoints_confirmed_at = std::max(this->endpoints_confirmed_at.value_or(asked_at), asked_at);
+        this->confirm_endpoints(std::max(this->endpoints_confirmed_at.value_or(asked_at), asked_at));
     this->relayed_source = 0;
     this->state.metrics.set_endpoints(this->state.router.endpoint_count());
 }
 
+void ControlRecords::confirm_endpoints(Instant vouched_at)
+{
+    this->endpoints_confirmed_at = vouched_at;
+    this->state.router.endpoints_confirmed(vouched_at);
+}
+
 std::optional<Routing::EndpointRecord> ControlRecords::decode_endpoint(Adapter::KeyedRecord const& record)
 {
     if (!record.value) {
@@ -415,7 +422,7 @@
     }
     this->relayed_source = answer.source;
     this->relayed_revision = answer.endpoints.revision;
-    this->endpoints_confirmed_at = vouched_at;
+    this->confirm_endpoints(vouched_at);
     this->set_next(Adapter::Topic::Endpoints, answer.endpoints_next);
     this->state.metrics.set_endpoints(this->state.router.endpoint_count());
 }
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -118,6 +118,8 @@
     [[nodiscard]] std::optional<Routing::EndpointRecord> decode_endpoint(Adapter::KeyedRecord const& record);
     /// Logs an entry that can't be read once for each reason, however often it is written again.
     void note_rejected(std::string const& key, std::string const& reason);
+    /// The list of endpoints is known as of that moment.
+    void confirm_endpoints(Core::Instant vouched_at);
     void put_endpoint(Routing::EndpointRecord const& record);
     void remove_endpoint(std::string const& incarnation);
     void replace_endpoints(std::vector<Routing::EndpointRecord> records);
--- a/Libraries/LibGateway/EndpointNews.cpp
+++ b/Libraries/LibGateway/EndpointNews.cpp
@@ -13,10 +13,12 @@
 
 void log_change(Routing::EndpointNotice const& notice, std::string_view told_by)
 {
-    Log::EventLine("rate_limit_changed")
+    auto const& [limit, is_leaving] = notice.condition;
+    Log::EventLine("endpoint_notice")
         .with("endpoint", notice.endpoint.incarnation)
         .with("version", notice.version)
-        .with("limit_per_s", notice.limit.per_second ? fmt::format("{}", *notice.limit.per_second) : "none")
+        .with("limit_per_s", limit.per_second ? fmt::format("{}", *limit.per_second) : "none")
+        .with("leaving", is_leaving ? "yes" : "no")
         .with("told_by", told_by)
         .info();
 }
@@ -29,7 +31,7 @@
         EndpointNewsMessage message;
         message.notices.assign(
             notices.begin() + static_cast<std::ptrdiff_t>(first), notices.begin() + static_cast<std::ptrdiff_t>(end));
-        send(Membership::encode(message));
+        send(Membership::encode(message, monotonic_now()));
     }
 }
 
@@ -38,7 +40,7 @@
 void EndpointNews::ask() const
 {
     if (this->to_boxes)
-        this->to_boxes(Membership::encode({ {}, true }), some_boxes);
+        this->to_boxes(Membership::encode({ {}, true }, monotonic_now()), some_boxes);
 }
 
 Task<void> EndpointNews::run()
@@ -57,18 +59,18 @@
     EndpointNewsMessage message;
     for (std::size_t number = 0; number < std::min(notices.size(), most_notices_in_message); ++number)
         message.notices.push_back(notices[this->next_told++ % notices.size()]);
-    this->to_boxes(Membership::encode(message), some_boxes);
+    this->to_boxes(Membership::encode(message, monotonic_now()), some_boxes);
 }
 
-void EndpointNews::answered(Routing::Placed const& placed, Routing::RateLimit const& told, Core::Instant sent_at)
+void EndpointNews::answered(
+    Routing::Placed const& placed, Routing::RequestRouter::AnswerWord const& word, Core::Instant sent_at)
 {
-    auto const changed
-        = this->router.note_answer(placed.endpoint, placed.choice.endpoint, told, sent_at, monotonic_now());
+    auto const changed = this->router.note_answer(placed, word, sent_at, monotonic_now());
     if (!changed)
         return;
     log_change(*changed, "own");
     if (this->to_boxes)
-        this->to_boxes(Membership::encode({ { *changed }, false }), all_boxes);
+        this->to_boxes(Membership::encode({ { *changed }, false }, monotonic_now()), all_boxes);
 }
 
 void EndpointNews::hear(EndpointNewsMessage const& message, Reply const& reply)
--- a/Libraries/LibGateway/EndpointNews.h
+++ b/Libraries/LibGateway/EndpointNews.h
@@ -31,8 +31,8 @@
     /// Runs until the event loop is stopped.
     [[nodiscard]] Task<void> run();
 
-    /// The endpoint answered a request of this box with this limit, or with none.
-    void answered(Routing::Placed const& placed, Routing::RateLimit const& told, Core::Instant sent_at);
+    /// The endpoint said this in its answer to a request that was sent at that moment.
+    void answered(Routing::Placed const& placed, Routing::RequestRouter::AnswerWord const& word, Core::Instant sent_at);
     /// Another box told it.
     void hear(Membership::EndpointNewsMessage const& message, Reply const& reply);
 
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -218,8 +218,8 @@
     attempt.told_rest = facts.rest;
     if (facts.rate_limit)
         attempt.told_per_second = facts.rate_limit->per_second;
-    if (facts.rate_limit && !facts.is_other_endpoint)
-        this->state.endpoint_news.answered(attempt.placed, *facts.rate_limit, attempt.started);
+    if (!facts.is_other_endpoint)
+        this->state.endpoint_news.answered(attempt.placed, { facts.rate_limit, facts.is_leaving }, attempt.started);
     auto const endpoint = attempt.placed.choice.endpoint;
     if (facts.load)
         this->state.router.take_told_load(endpoint, *facts.load, monotonic_now());
--- a/Libraries/LibMembership/EndpointNewsMessage.cpp
+++ b/Libraries/LibMembership/EndpointNewsMessage.cpp
@@ -17,17 +17,20 @@
     return is_limit_sound && told.version() > 0 && is_sound_life(told.endpoint());
 }
 
-Routing::EndpointNotice read(wire::EndpointNotice const& told)
+Routing::EndpointNotice read(wire::EndpointNotice const& told, Core::Instant now)
 {
-    Routing::EndpointNotice notice { read_life(told.endpoint()), told.version(), {} };
+    /// Nothing depends on how much longer ago something was said.
+    constexpr std::uint64_t longest = std::chrono::microseconds(std::chrono::hours(24)).count();
+    Core::Duration const age { static_cast<Core::Duration::rep>(std::min(told.told_us_ago(), longest)) };
+    Routing::EndpointNotice notice { read_life(told.endpoint()), told.version(), { {}, told.is_leaving() }, now - age };
     if (told.has_limit_per_s())
-        notice.limit.per_second = told.limit_per_s();
+        notice.condition.limit.per_second = told.limit_per_s();
     return notice;
 }
 
 }
 
-std::string encode(EndpointNewsMessage const& message)
+std::string encode(EndpointNewsMessage const& message, Core::Instant now)
 {
     wire::EndpointNews encoded;
     encoded.set_asks(message.asks);
@@ -35,13 +38,17 @@
         auto& told = *encoded.add_notices();
         write_life(*told.mutable_endpoint(), notice.endpoint);
         told.set_version(notice.version);
-        if (notice.limit.per_second)
-            told.set_limit_per_s(*notice.limit.per_second);
+        auto const& [limit, is_leaving] = notice.condition;
+        if (limit.per_second)
+            told.set_limit_per_s(*limit.per_second);
+        told.set_is_leaving(is_leaving);
+        told.set_told_us_ago(
+            static_cast<std::uint64_t>(std::max<Core::Duration::rep>((now - notice.told_at).count(), 0)));
     }
     return encoded.SerializeAsString();
 }
 
-std::optional<EndpointNewsMessage> decode_endpoint_news(std::string_view bytes)
+std::optional<EndpointNewsMessage> decode_endpoint_news(std::string_view bytes, Core::Instant now)
 {
     wire::EndpointNews told;
     if (!told.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
@@ -52,7 +59,7 @@
     EndpointNewsMessage message;
     message.asks = told.asks();
     for (auto const& notice : told.notices())
-        message.notices.push_back(read(notice));
+        message.notices.push_back(read(notice, now));
     if (message == EndpointNewsMessage {})
         return {};
     return message;
--- a/Libraries/LibMembership/EndpointNewsMessage.h
+++ b/Libraries/LibMembership/EndpointNewsMessage.h
@@ -21,8 +21,9 @@
 /// In one message, at most. Some 40 bytes each, so a message fits into one packet of 1,500 bytes.
 inline constexpr std::size_t most_notices_in_message = 24;
 
-[[nodiscard]] std::string encode(EndpointNewsMessage const& message);
+/// `now` is this box's clock: boxes tell each other ages, since their clocks have nothing to do with each other.
+[[nodiscard]] std::string encode(EndpointNewsMessage const& message, Core::Instant now);
 /// Nothing for bytes that are no such message, or hold what no box tells.
-[[nodiscard]] std::optional<EndpointNewsMessage> decode_endpoint_news(std::string_view bytes);
+[[nodiscard]] std::optional<EndpointNewsMessage> decode_endpoint_news(std::string_view bytes, Core::Instant now);
 
 }
--- a/Libraries/LibRouting/EndpointDirectory.cpp
+++ b/Libraries/LibRouting/EndpointDirectory.cpp
@@ -1,5 +1,6 @@
 #include <LibRouting/EndpointDirectory.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Routing {
@@ -20,13 +21,17 @@
     if (is_new) {
         endpoint.id = EndpointId { this->next_id++ };
         this->incarnations.emplace(endpoint.id, record.incarnation);
+        if (auto const earlier = this->gone.extract(record.incarnation))
+            endpoint.earlier_gone_at = earlier.mapped();
     }
     endpoint.missing_since.reset();
     if (is_new || endpoint.record.started_at != record.started_at)
         this->remember_life(record);
     // NOTE: What took the old address says nothing of the new one, also where the record tells no life.
-    if (endpoint.record.address != record.address)
+    if (!is_new && endpoint.record.address != record.address) {
         endpoint.is_replaced = false;
+        this->moved.push_back(endpoint.id);
+    }
     bool const has_changed = is_new || endpoint.record != record;
     endpoint.record = std::move(record);
     return has_changed;
@@ -54,7 +59,7 @@
     if (position == this->endpoints.end())
         return;
     if (!this->returned_at || now - *this->returned_at > return_grace) {
-        this->erase(position);
+        this->erase_gone(position, now);
         return;
     }
     if (!position->second.missing_since)
@@ -89,7 +94,7 @@
     for (auto position = this->endpoints.begin(); position != this->endpoints.end();) {
         auto const current = position++;
         if (current->second.missing_since && this->returned_at && now - *this->returned_at > return_grace)
-            this->erase(current);
+            this->erase_gone(current, now);
     }
 }
 
@@ -122,14 +127,9 @@
     return ids;
 }
 
-std::vector<EndpointRecord const*> EndpointDirectory::usable_records(std::string_view service, Instant now) const
+std::vector<EndpointId> EndpointDirectory::take_moved()
 {
-    std::vector<EndpointRecord const*> records;
-    for (auto const& [incarnation, endpoint] : this->endpoints) {
-        if (endpoint.record.service == service && this->is_usable(endpoint, now))
-            records.push_back(&endpoint.record);
-    }
-    return records;
+    return std::exchange(this->moved, {});
 }
 
 std::vector<EndpointId> EndpointDirectory::take_removed()
@@ -137,6 +137,14 @@
     return std::exchange(this->removed, {});
 }
 
+void EndpointDirectory::erase_gone(Endpoints::iterator position, Instant now)
+{
+    this->gone[position->first] = now;
+    if (this->gone.size() > most_remembered)
+        this->gone.erase(std::ranges::min_element(this->gone, {}, [](auto const& entry) { return entry.second; }));
+    this->erase(position);
+}
+
 void EndpointDirectory::erase(Endpoints::iterator position)
 {
     this->removed.push_back(position->second.id);
--- a/Libraries/LibRouting/EndpointDirectory.h
+++ b/Libraries/LibRouting/EndpointDirectory.h
@@ -58,6 +58,8 @@
     std::optional<Instant> missing_since;
     /// An answer told that another endpoint has this address now.
     bool is_replaced { false };
+    /// When an earlier entry under the same id went; nothing where none is remembered.
+    std::optional<Instant> earlier_gone_at {};
 
     bool operator==(KnownEndpoint const&) const = default;
 };
@@ -94,13 +96,13 @@
     [[nodiscard]] KnownEndpoint const* find(std::string const& incarnation) const;
     /// Whether the endpoint may get new work.
     [[nodiscard]] bool is_usable(KnownEndpoint const& endpoint, Instant now) const;
-    /// The endpoints of a service that may get new work.
-    [[nodiscard]] std::vector<EndpointRecord const*> usable_records(std::string_view service, Instant now) const;
     /// Ids of the endpoints of a service that may get new work, in the order of their incarnations.
     [[nodiscard]] std::vector<EndpointId> usable(std::string_view service, Instant now) const;
     [[nodiscard]] std::size_t size() const { return this->endpoints.size(); }
     /// What is kept of lives beyond the endpoints themselves.
     [[nodiscard]] std::size_t remembered_lives() const { return this->followed.size() + this->newest_starts.size(); }
+    /// Ids that have another address since the last call: a process keeps its own, so these are of other processes.
+    [[nodiscard]] std::vector<EndpointId> take_moved();
     /// Ids that are gone since the last call, so that connections to them can be closed once they are idle.
     [[nodiscard]] std::vector<EndpointId> take_removed();
 
@@ -115,15 +117,20 @@
 
     using Endpoints = std::map<std::string, KnownEndpoint>;
     void erase(Endpoints::iterator position);
+    /// The same of an entry that went, at that moment.
+    void erase_gone(Endpoints::iterator position, Instant now);
     /// Takes note that this life is the endpoint's newest.
     void remember_life(EndpointRecord const& record);
 
     Endpoints endpoints;
     std::unordered_map<EndpointId, std::string> incarnations;
     std::vector<EndpointId> removed;
+    std::vector<EndpointId> moved;
     /// The start of the newest life of each endpoint that tells one, also of some that are gone.
     std::map<std::string, std::uint64_t> newest_starts;
     std::set<EndpointLife> followed;
+    /// When entries went that are not listed any more.
+    std::map<std::string, Instant> gone;
     std::optional<Instant> returned_at;
     std::uint32_t next_id { 1 };
 };
--- a/Libraries/LibRouting/EndpointNotices.cpp
+++ b/Libraries/LibRouting/EndpointNotices.cpp
@@ -6,10 +6,12 @@
 
 namespace {
 
-/// Whether the first limit leaves less than the second one.
-bool is_tighter(RateLimit const& first, RateLimit const& second)
+/// What holds if either may.
+EndpointCondition worse_of(EndpointCondition const& first, EndpointCondition const& second)
 {
-    return first.per_second && (!second.per_second || *first.per_second < *second.per_second);
+    auto const& limit = first.limit.per_second;
+    bool const is_tighter = limit && (!second.limit.per_second || *limit < *second.limit.per_second);
+    return { is_tighter ? first.limit : second.limit, first.is_leaving || second.is_leaving };
 }
 
 }
@@ -20,21 +22,23 @@
 }
 
 std::optional<EndpointNotice> EndpointNotices::answered(
-    EndpointId id, EndpointLife const& endpoint, RateLimit const& told, Instant sent_at, Instant now)
+    EndpointId id, EndpointLife const& endpoint, EndpointCondition const& told, Instant sent_at, Instant now)
 {
     auto const known = this->entries.find(id);
     if (known == this->entries.end()) {
-        if (!told.per_second)
+        if (told == EndpointCondition {})
             return {};
-        return this->entries.emplace(id, Entry { { endpoint, 1, told }, now }).first->second.notice;
+        return this->entries.emplace(id, Entry { { endpoint, 1, told, now }, now }).first->second.notice;
     }
     auto& entry = known->second;
-    if (entry.notice.limit == told)
+    auto const condition = sent_at >= entry.learned_at ? told : worse_of(told, entry.notice.condition);
+    // NOTE: Other boxes take it for another process by now, too.
+    bool const leaves_after_all = told.is_leaving && !this->may_still_leave(entry.notice);
+    if (told.is_leaving)
+        entry.notice.told_at = now;
+    if (condition == entry.notice.condition && !leaves_after_all)
         return {};
-    bool const was_sent_under_it = sent_at >= entry.learned_at;
-    if (!was_sent_under_it && !is_tighter(told, entry.notice.limit))
-        return {};
-    entry.notice = { endpoint, entry.notice.version + 1, told };
+    entry.notice = { endpoint, entry.notice.version + 1, condition, now };
     entry.learned_at = now;
     return entry.notice;
 }
@@ -45,18 +49,40 @@
     if (is_new)
         return true;
     auto& entry = known->second;
-    bool const is_newer = told.version > entry.notice.version
-        || (told.version == entry.notice.version && is_tighter(told.limit, entry.notice.limit));
-    if (!is_newer)
+    auto const version = entry.notice.version;
+    auto const condition = told.version == version ? worse_of(told.condition, entry.notice.condition) : told.condition;
+    if (told.version < version || (told.version == version && condition == entry.notice.condition))
         return false;
     entry.notice = told;
+    entry.notice.condition = condition;
     entry.learned_at = now;
     return true;
 }
 
+void EndpointNotices::list_confirmed(Instant vouched_at)
+{
+    if (!this->list_confirmed_at || vouched_at - *this->list_confirmed_at > longest_list_gap)
+        this->list_known_since = vouched_at;
+    this->list_confirmed_at = std::max(vouched_at, this->list_confirmed_at.value_or(vouched_at));
+}
+
+bool EndpointNotices::may_still_leave(EndpointNotice const& notice) const
+{
+    if (!this->list_confirmed_at)
+        return true;
+    return *this->list_confirmed_at - std::max(notice.told_at, this->list_known_since) < longest_unlisted_leave;
+}
+
+bool EndpointNotices::is_leaving(EndpointId id) const
+{
+    auto const found = this->entries.find(id);
+    return found != this->entries.end() && found->second.notice.condition.is_leaving
+        && this->may_still_leave(found->second.notice);
+}
+
 void EndpointNotices::enter_slot(Entry& entry, SharedMicroseconds now) const
 {
-    RateSchedule const schedule(*entry.notice.limit.per_second);
+    RateSchedule const schedule(*entry.notice.condition.limit.per_second);
     auto const slot = schedule.slot_at(now);
     if (slot == entry.slot)
         return;
@@ -69,7 +95,7 @@
 bool EndpointNotices::may_send(EndpointId id, SendRank rank, SharedMicroseconds now)
 {
     auto const found = this->entries.find(id);
-    if (found == this->entries.end() || !found->second.notice.limit.per_second)
+    if (found == this->entries.end() || !found->second.notice.condition.limit.per_second)
         return true;
     auto& entry = found->second;
     this->enter_slot(entry, now);
@@ -77,14 +103,14 @@
         ++entry.asked_first;
         return entry.left > 0;
     }
-    bool const is_late = RateSchedule(*entry.notice.limit.per_second).is_late_in_slot(now);
+    bool const is_late = RateSchedule(*entry.notice.condition.limit.per_second).is_late_in_slot(now);
     return entry.left > (is_late ? 0 : entry.asked_first_before);
 }
 
 bool EndpointNotices::count_send(EndpointId id, SharedMicroseconds now)
 {
     auto const found = this->entries.find(id);
-    if (found == this->entries.end() || !found->second.notice.limit.per_second)
+    if (found == this->entries.end() || !found->second.notice.condition.limit.per_second)
         return false;
     auto& entry = found->second;
     this->enter_slot(entry, now);
@@ -95,20 +121,20 @@
 RateLimit EndpointNotices::limit_of(EndpointId id) const
 {
     auto const found = this->entries.find(id);
-    return found == this->entries.end() ? RateLimit {} : found->second.notice.limit;
+    return found == this->entries.end() ? RateLimit {} : found->second.notice.condition.limit;
 }
 
 std::size_t EndpointNotices::limited() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
-        this->entries, [](auto const& known) { return known.second.notice.limit.per_second.has_value(); }));
+        this->entries, [](auto const& known) { return known.second.notice.condition.limit.per_second.has_value(); }));
 }
 
 std::vector<EndpointNotice> EndpointNotices::worth_telling(Instant now) const
 {
     std::vector<EndpointNotice> notices;
     for (auto const& [id, entry] : this->entries) {
-        if (entry.notice.limit.per_second || now - entry.learned_at <= told_after_end)
+        if (entry.notice.condition != EndpointCondition {} || now - entry.learned_at <= told_after_end)
             notices.push_back(entry.notice);
     }
     return notices;
--- a/Libraries/LibRouting/EndpointNotices.h
+++ b/Libraries/LibRouting/EndpointNotices.h
@@ -8,13 +8,24 @@
 
 namespace Routing {
 
+/// What an endpoint says of itself in an answer.
+struct EndpointCondition {
+    RateLimit limit;
+    /// It is about to end, and takes no new requests.
+    bool is_leaving { false };
+
+    bool operator==(EndpointCondition const&) const = default;
+};
+
 /// What an endpoint says of itself in its answers, as boxes tell it each other.
 struct EndpointNotice {
     EndpointLife endpoint;
     /// One higher with each change that a box sees in an answer. Of two notices the higher one is the newer, however
     /// late it comes.
     std::uint64_t version { 0 };
-    RateLimit limit;
+    EndpointCondition condition;
+    /// When the endpoint last said so, as far as is known.
+    Instant told_at {};
 
     bool operator==(EndpointNotice const&) const = default;
 };
@@ -25,22 +36,30 @@
     Later,
 };
 
-/// What endpoints say they take, and whether this box may send to them now.
+/// What endpoints say of themselves in their answers, and whether this box may send to them now.
 ///
-/// A box that sees a change in an answer tells the others, so that a box keeps to a limit before the endpoint has ever
-/// answered it. A limit holds until an answer to a request that was sent under it names none, or another one: an answer
-/// that was on its way earlier may be of before. A process that starts anew gets an id of its own where it tells its
-/// life; where it doesn't, its first answers say that it has no limit.
+/// A box that sees a change in an answer tells the others, so that they act on it before the endpoint has ever answered
+/// them. What was said holds until an answer to a request that was sent when it was known says otherwise: an answer
+/// that was on its way earlier may be of before. A process that starts anew gets an id of its own here where its entry
+/// tells its life, or went in between. Where neither is so, its first answers lift a limit. One that leaves is asked
+/// nothing more, so the list of endpoints decides: it is listed as leaving, or not at all, soon after the list can be
+/// read again.
 class EndpointNotices {
 public:
     void set_boxes(BoxGroup changed);
-    /// Takes what an answer said of the request that was sent at `sent_at`. The notice to tell others, if it changed.
+    /// Takes what an answer to a request that was sent at `sent_at` said. The notice to tell others, if it changed.
     [[nodiscard]] std::optional<EndpointNotice> answered(
-        EndpointId id, EndpointLife const& endpoint, RateLimit const& told, Instant sent_at, Instant now);
+        EndpointId id, EndpointLife const& endpoint, EndpointCondition const& told, Instant sent_at, Instant now);
     /// Takes what another box told; true if it is newer than what is known.
     bool take(EndpointId id, EndpointNotice const& told, Instant now);
     void forget(EndpointId id) { this->entries.erase(id); }
+    /// The list of endpoints is known as of that moment.
+    void list_confirmed(Instant vouched_at);
+    /// The list may hold what was so earlier, as after the store came back from a copy.
+    void list_in_doubt() { this->list_confirmed_at.reset(); }
 
+    /// Whether the endpoint is about to end.
+    [[nodiscard]] bool is_leaving(EndpointId id) const;
     /// Whether the endpoint may get a request of this rank from this box now, by its limit. In the first half of a slot
     /// as much is kept for the first rank as asked in the slot before.
     [[nodiscard]] bool may_send(EndpointId id, SendRank rank, SharedMicroseconds now);
@@ -56,6 +75,7 @@
 private:
     struct Entry {
         EndpointNotice notice;
+        /// When this box learnt what the notice says.
         Instant learned_at;
         /// This box's part in a slot, and what is left of it.
         std::uint64_t slot { 0 };
@@ -67,12 +87,22 @@
 
     /// The end of a limit is told on for so long: several rounds of all boxes.
     static constexpr Duration told_after_end { std::chrono::seconds(30) };
+    /// An endpoint that is listed as usual for so long after it said that it leaves is another process. Longer than an
+    /// entry takes to lapse and a late write to the store to be done.
+    static constexpr Duration longest_unlisted_leave { std::chrono::seconds(15) };
+    /// Between two moments further apart for which the list is known, it is taken to be unknown.
+    static constexpr Duration longest_list_gap { std::chrono::seconds(2) };
 
     /// Brings what is left of this box's part up to the slot of this moment.
     void enter_slot(Entry& entry, SharedMicroseconds now) const;
+    /// Whether the endpoint that says that it leaves may still be the process that said so.
+    [[nodiscard]] bool may_still_leave(EndpointNotice const& notice) const;
 
     BoxGroup boxes;
     std::unordered_map<EndpointId, Entry> entries;
+    std::optional<Instant> list_confirmed_at;
+    /// Since when the list was known without a gap.
+    Instant list_known_since;
 };
 
 /// When a client may come back for whom no endpoint of a service had room under its limit. `slot` is the longest slot
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -86,7 +86,9 @@
 bool RequestRouter::put_endpoint(EndpointRecord const& record)
 {
     std::scoped_lock const guard(this->endpoints_lock);
-    return this->directory.put(record);
+    bool const has_changed = this->directory.put(record);
+    this->forget_notices_of_moved();
+    return has_changed;
 }
 
 bool RequestRouter::is_earlier_life(EndpointRecord const& record) const
@@ -105,6 +107,13 @@
 {
     std::scoped_lock const guard(this->endpoints_lock);
     this->directory.replace_all(records, now);
+    this->forget_notices_of_moved();
+}
+
+void RequestRouter::forget_notices_of_moved()
+{
+    for (auto const id : this->directory.take_moved())
+        this->notices.forget(id);
 }
 
 void RequestRouter::store_returned(Instant now)
@@ -134,7 +143,7 @@
 std::size_t RequestRouter::usable_endpoints(std::string_view service, Instant now) const
 {
     std::scoped_lock const guard(this->endpoints_lock);
-    return this->directory.usable(service, now).size();
+    return this->usable(service, now).size();
 }
 
 std::variant<Admitted, Rejected> RequestRouter::admit(RequestHead const& head, Instant now)
@@ -186,7 +195,7 @@
     PlacementCandidates distrusted;
     std::vector<EndpointId> at_limit;
     auto const rank = request.route->priority == 0 ? SendRank::First : SendRank::Later;
-    for (auto const id : this->directory.usable(request.service, now)) {
+    for (auto const id : this->usable(request.service, now)) {
         if (std::ranges::find(tried, id) != tried.end())
             continue;
         if (!this->notices.may_send(id, rank, this->shared_time(now))) {
@@ -242,8 +251,7 @@
 {
     std::scoped_lock const guard(this->endpoints_lock);
     auto const id = placed.choice.endpoint;
-    auto const* const known = this->directory.find(id);
-    if (known == nullptr || !this->directory.is_usable(*known, now))
+    if (!this->is_usable(id, now))
         return false;
     auto const shared_now = this->shared_time(now);
     if (placed.is_counted_by_limit)
@@ -267,13 +275,15 @@
 }
 
 std::optional<EndpointNotice> RequestRouter::note_answer(
-    EndpointRecord const& endpoint, EndpointId id, RateLimit const& told, Instant sent_at, Instant now)
+    Placed const& placed, AnswerWord const& word, Instant sent_at, Instant now)
 {
     std::scoped_lock const guard(this->endpoints_lock);
+    auto const id = placed.choice.endpoint;
     // NOTE: An answer may come after its endpoint was forgotten; what was known of it must not come back to life.
     if (this->directory.find(id) == nullptr)
         return {};
-    return this->notices.answered(id, life_of(endpoint), told, sent_at, now);
+    EndpointCondition const told { word.limit.value_or(this->notices.limit_of(id)), word.is_leaving };
+    return this->notices.answered(id, life_of(placed.endpoint), told, sent_at, now);
 }
 
 bool RequestRouter::take_notice(EndpointNotice const& notice, Instant now)
@@ -285,7 +295,33 @@
     auto const started_at = known->record.started_at;
     bool const is_other_life
         = started_at != 0 && notice.endpoint.started_at != 0 && started_at != notice.endpoint.started_at;
-    return !is_other_life && this->notices.take(known->id, notice, now);
+    bool const is_of_earlier_process = known->earlier_gone_at && notice.told_at <= *known->earlier_gone_at;
+    return !is_other_life && !is_of_earlier_process && this->notices.take(known->id, notice, now);
+}
+
+void RequestRouter::endpoints_confirmed(Instant vouched_at)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    this->notices.list_confirmed(vouched_at);
+}
+
+void RequestRouter::endpoints_in_doubt()
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    this->notices.list_in_doubt();
+}
+
+bool RequestRouter::is_usable(EndpointId id, Instant now) const
+{
+    auto const* const known = this->directory.find(id);
+    return known != nullptr && this->directory.is_usable(*known, now) && !this->notices.is_leaving(id);
+}
+
+std::vector<EndpointId> RequestRouter::usable(std::string_view service, Instant now) const
+{
+    auto ids = this->directory.usable(service, now);
+    std::erase_if(ids, [this](EndpointId id) { return this->notices.is_leaving(id); });
+    return ids;
 }
 
 std::vector<EndpointNotice> RequestRouter::notices_worth_telling(Instant now) const
@@ -303,8 +339,7 @@
 bool RequestRouter::may_receive(EndpointId endpoint, Instant now) const
 {
     std::scoped_lock const guard(this->endpoints_lock);
-    auto const* const known = this->directory.find(endpoint);
-    return known != nullptr && this->directory.is_usable(*known, now);
+    return this->is_usable(endpoint, now);
 }
 
 bool RequestRouter::may_repeat(Admitted const& request, Instant now)
@@ -462,7 +497,7 @@
     std::map<std::string, double> shares;
     for (auto& [service, demand] : this->demands) {
         // NOTE: Decides anew, since a relay may have no requests of its own to do so.
-        static_cast<void>(demand.engines_for_answers(this->directory.usable(service, now).size(), now));
+        static_cast<void>(demand.engines_for_answers(this->usable(service, now).size(), now));
         if (auto const share = demand.share_given())
             shares.emplace(service, *share);
     }
@@ -491,8 +526,8 @@
 {
     std::scoped_lock const guard(this->endpoints_lock);
     std::vector<EndpointRecord> records;
-    for (auto const* record : this->directory.usable_records(service, now))
-        records.push_back(*record);
+    for (auto const id : this->usable(service, now))
+        records.push_back(this->directory.find(id)->record);
     return records;
 }
 
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -119,6 +119,10 @@
     void remove_endpoint(std::string const& incarnation, Instant now);
     void replace_endpoints(std::vector<EndpointRecord> const& records, Instant now);
     void store_returned(Instant now);
+    /// The list of endpoints is known as of that moment.
+    void endpoints_confirmed(Instant vouched_at);
+    /// The list of endpoints may hold what was so earlier.
+    void endpoints_in_doubt();
     /// Ids of endpoints that are gone since the last call.
     [[nodiscard]] std::vector<EndpointId> expire_endpoints(Instant now);
     [[nodiscard]] std::size_t endpoint_count() const;
@@ -151,9 +155,15 @@
     void set_boxes(BoxGroup boxes);
     /// How far the clock that all boxes go by is ahead of this box's own, which runs from its boot.
     void set_shared_clock(Duration ahead);
+    /// What an endpoint said of itself in an answer. `limit` is nothing where it can't be read, and what is known
+    /// holds.
+    struct AnswerWord {
+        std::optional<RateLimit> limit;
+        bool is_leaving { false };
+    };
     /// As EndpointNotices::answered.
     [[nodiscard]] std::optional<EndpointNotice> note_answer(
-        EndpointRecord const& endpoint, EndpointId id, RateLimit const& told, Instant sent_at, Instant now);
+        Placed const& placed, AnswerWord const& word, Instant sent_at, Instant now);
     /// Another box told it; true if it is news of an endpoint that is known here.
     bool take_notice(EndpointNotice const& notice, Instant now);
     /// As EndpointNotices::worth_telling.
@@ -205,6 +215,11 @@
     [[nodiscard]] Rejected refuse_unplaced(
         Admitted const& request, std::vector<EndpointId> const& at_limit, bool was_tried);
     [[nodiscard]] SharedMicroseconds shared_time(Instant now) const;
+    void forget_notices_of_moved();
+    /// Whether the endpoint may get new work, by the list and by what it says itself.
+    [[nodiscard]] bool is_usable(EndpointId id, Instant now) const;
+    /// The endpoints of a service that may, in the same order on every box.
+    [[nodiscard]] std::vector<EndpointId> usable(std::string_view service, Instant now) const;
     [[nodiscard]] std::string const& draw_service(Route const& route);
     /// The load of an endpoint that is still known; null for one that is gone.
     [[nodiscard]] EndpointLoad* load_of(EndpointId endpoint);
--- a/Tests/LibMembership/TestEndpointNewsMessage.cpp
+++ b/Tests/LibMembership/TestEndpointNewsMessage.cpp
@@ -10,45 +10,59 @@
 
 namespace {
 
+constexpr Core::Instant now { seconds(5000) };
+
 EndpointNewsMessage some_message()
 {
-    return { { { { "i-1", 1'790'000'000'000 }, 3, { 1.1 } }, { { "i-2", 0 }, 9, {} } }, true };
+    return { { { { "i-1", 1'790'000'000'000 }, 3, { { 1.1 }, false }, now - seconds(2) },
+                 { { "i-2", 0 }, 9, { {}, true }, now } },
+        true };
 }
 
 }
 
 TEST_CASE("news of endpoints is read as it was told")
 {
-    CHECK(decode_endpoint_news(encode(some_message())) == some_message());
+    CHECK(decode_endpoint_news(encode(some_message(), now), now) == some_message());
     EndpointNewsMessage const question { {}, true };
-    CHECK(decode_endpoint_news(encode(question)) == question);
+    CHECK(decode_endpoint_news(encode(question, now), now) == question);
+}
+
+TEST_CASE("how long ago an endpoint said so is told, since clocks of boxes have nothing to do with each other")
+{
+    constexpr Core::Instant there { seconds(77) };
+    auto const heard = decode_endpoint_news(encode(some_message(), now), there);
+    REQUIRE(heard);
+    CHECK(heard->notices[0].told_at == there - seconds(2));
+    CHECK(heard->notices[1].told_at == there);
 }
 
 TEST_CASE("a message of as many notices as there may be fits into a packet")
 {
     EndpointNewsMessage message;
     for (std::size_t count = 0; count < most_notices_in_message; ++count)
-        message.notices.push_back({ { "i-0123456789", 1'790'000'000'000 }, 1000, { 20.5 } });
+        message.notices.push_back(
+            { { "i-0123456789", 1'790'000'000'000 }, 1000, { { 20.5 }, true }, now - std::chrono::hours(1) });
     constexpr std::size_t packet = 1400;
-    CHECK(encode(message).size() < packet);
-    CHECK(decode_endpoint_news(encode(message)) == message);
+    CHECK(encode(message, now).size() < packet);
+    CHECK(decode_endpoint_news(encode(message, now), now) == message);
 }
 
 TEST_CASE("news of endpoints is not taken for another message, nor another one for it")
 {
-    auto const news = encode(some_message());
+    auto const news = encode(some_message(), now);
     CHECK_FALSE(decode_load(news));
     CHECK_FALSE(decode_crashes(news));
     LoadMessage const report { 17, Core::Instant { seconds(1) }, { { { "i-1", seconds(1), 1 } }, {} } };
-    CHECK_FALSE(decode_endpoint_news(encode(report)));
+    CHECK_FALSE(decode_endpoint_news(encode(report), now));
     CrashMessage const crashes { {}, { { 1, 2 } }, {}, {}, {} };
-    CHECK_FALSE(decode_endpoint_news(encode(crashes)));
+    CHECK_FALSE(decode_endpoint_news(encode(crashes), now));
 }
 
 TEST_CASE("notices that no box tells are not taken")
 {
-    CHECK_FALSE(decode_endpoint_news(""));
-    CHECK_FALSE(decode_endpoint_news("news"));
+    CHECK_FALSE(decode_endpoint_news("", now));
+    CHECK_FALSE(decode_endpoint_news("news", now));
     auto message = some_message();
     SUBCASE("no version")
     {
@@ -64,15 +78,15 @@
     }
     SUBCASE("a limit below nothing")
     {
-        message.notices[0].limit.per_second = -1;
+        message.notices[0].condition.limit.per_second = -1;
     }
     SUBCASE("a limit that is no number")
     {
-        message.notices[0].limit.per_second = std::numeric_limits<double>::quiet_NaN();
+        message.notices[0].condition.limit.per_second = std::numeric_limits<double>::quiet_NaN();
     }
     SUBCASE("more notices than fit")
     {
         message.notices.resize(most_notices_in_message + 1, message.notices[0]);
     }
-    CHECK_FALSE(decode_endpoint_news(encode(message)));
+    CHECK_FALSE(decode_endpoint_news(encode(message, now), now));
 }
--- a/Tests/LibRouting/RateLimitPlay.h
+++ b/Tests/LibRouting/RateLimitPlay.h
@@ -153,7 +153,7 @@
         auto const sent_at = this->now;
         this->at(this->now + milliseconds(100), [this, number, sent_at] {
             auto const changed = this->boxes[number].notices.answered(
-                endpoint_id, { "e1", 0 }, { this->scene.limit_per_second }, sent_at, this->now);
+                endpoint_id, { "e1", 0 }, { { this->scene.limit_per_second }, false }, sent_at, this->now);
             if (changed)
                 this->tell_all(number, *changed);
         });
--- a/Tests/LibRouting/TestLimitedService.cpp
+++ b/Tests/LibRouting/TestLimitedService.cpp
@@ -70,7 +70,7 @@
 
     bool limit(std::string const& name, std::uint64_t version, RateLimit limit, std::uint64_t started_at = 0)
     {
-        return this->router.take_notice({ { name, started_at }, version, limit }, at(seconds(0)));
+        return this->router.take_notice({ { name, started_at }, version, { limit }, at(seconds(0)) }, at(seconds(0)));
     }
 
     RequestRouter router { { "hall", { seconds(20), seconds(50) }, {}, {} }, 7 };
@@ -146,6 +146,146 @@
     CHECK(sent <= 1);
 }
 
+TEST_CASE("an endpoint that says that it leaves gets nothing, at boxes that were told too")
+{
+    Site site;
+    auto const placed = std::get<Placed>(site.place("/urgent/", at(seconds(0))));
+    auto const& name = placed.endpoint.incarnation;
+    std::string const other = name == "a" ? "b" : "a";
+    auto const notice = site.router.note_answer(placed, { RateLimit {}, true }, at(seconds(0)), at(seconds(1)));
+    REQUIRE(notice);
+    CHECK(notice->condition.is_leaving);
+    CHECK_FALSE(site.router.may_receive(placed.choice.endpoint, at(seconds(1))));
+    CHECK_FALSE(site.router.may_send(placed, at(seconds(1))));
+    CHECK(site.router.usable_endpoints("desk", at(seconds(1))) == 1);
+    CHECK(site.router.usable_records("desk", at(seconds(1))).size() == 1);
+    for (int number = 0; number < 20; ++number)
+        CHECK(site.endpoint_for("/urgent/", at(seconds(2))) == other);
+
+    Site told;
+    CHECK(told.router.take_notice(*notice, at(seconds(1))));
+    CHECK_FALSE(told.router.take_notice(*notice, at(seconds(1))));
+    for (int number = 0; number < 20; ++number)
+        CHECK(told.endpoint_for("/urgent/", at(seconds(2))) == other);
+}
+
+/// A box that was told that endpoint "a" leaves, at second 10, while the list could be read.
+struct SiteWithLeaving : Site {
+    SiteWithLeaving()
+    {
+        this->read_list(seconds(0), seconds(10));
+        REQUIRE(this->router.take_notice({ { "a", 0 }, 1, { {}, true }, at(seconds(10)) }, at(seconds(10))));
+        REQUIRE(this->usable(seconds(10)) == 1);
+    }
+
+    void read_list(Duration from, Duration until)
+    {
+        for (auto moment = from; moment <= until; moment += milliseconds(500))
+            this->router.endpoints_confirmed(at(moment));
+    }
+
+    [[nodiscard]] std::size_t usable(Duration moment) const
+    {
+        return this->router.usable_endpoints("desk", at(moment));
+    }
+};
+
+TEST_CASE("an endpoint that came back under its id is used again, with or without a life in its entry")
+{
+    SUBCASE("its entry went in between")
+    {
+        SiteWithLeaving site;
+        site.router.remove_endpoint("a", at(seconds(13)));
+        static_cast<void>(site.router.expire_endpoints(at(seconds(13))));
+        site.router.put_endpoint(Site::record("a"));
+        CHECK(site.usable(seconds(14)) == 2);
+        // Late word of the process before.
+        CHECK_FALSE(site.router.take_notice({ { "a", 0 }, 1, { {}, true }, at(seconds(11)) }, at(seconds(14))));
+        CHECK(site.usable(seconds(14)) == 2);
+        // The new one leaves too.
+        CHECK(site.router.take_notice({ { "a", 0 }, 1, { {}, true }, at(seconds(20)) }, at(seconds(20))));
+        CHECK(site.usable(seconds(20)) == 1);
+    }
+    SUBCASE("its entry tells another life")
+    {
+        SiteWithLeaving site;
+        site.router.put_endpoint(Site::record("a", 1000));
+        CHECK(site.usable(seconds(10)) == 1);
+        site.router.put_endpoint(Site::record("a", 2000));
+        static_cast<void>(site.router.expire_endpoints(at(seconds(14))));
+        CHECK(site.usable(seconds(14)) == 2);
+        CHECK_FALSE(site.router.take_notice({ { "a", 1000 }, 3, { {}, true }, at(seconds(14)) }, at(seconds(14))));
+        CHECK(site.usable(seconds(14)) == 2);
+    }
+    SUBCASE("at another address")
+    {
+        SiteWithLeaving site;
+        auto moved = Site::record("a");
+        moved.address.port = 81;
+        site.router.put_endpoint(moved);
+        static_cast<void>(site.router.expire_endpoints(at(seconds(14))));
+        CHECK(site.usable(seconds(14)) == 2);
+    }
+    SUBCASE("its entry never went: the list has it as usual for long enough")
+    {
+        SiteWithLeaving site;
+        site.read_list(seconds(10), seconds(24));
+        CHECK(site.usable(seconds(24)) == 1);
+        site.read_list(seconds(24), seconds(26));
+        CHECK(site.usable(seconds(26)) == 2);
+    }
+}
+
+TEST_CASE("an endpoint that leaves is not used again for time that passes while the list can't be read")
+{
+    SUBCASE("the store is away")
+    {
+        SiteWithLeaving site;
+        CHECK(site.usable(seconds(100)) == 1);
+        site.read_list(seconds(100), seconds(110));
+        CHECK(site.usable(seconds(110)) == 1);
+        site.read_list(seconds(110), seconds(116));
+        CHECK(site.usable(seconds(116)) == 2);
+    }
+    SUBCASE("the store came back from a copy")
+    {
+        SiteWithLeaving site;
+        site.read_list(seconds(10), seconds(20));
+        site.router.endpoints_in_doubt();
+        site.read_list(seconds(20), seconds(30));
+        CHECK(site.usable(seconds(30)) == 1);
+    }
+    SUBCASE("its entry says so meanwhile")
+    {
+        SiteWithLeaving site;
+        auto leaving = Site::record("a");
+        leaving.draining = true;
+        site.router.put_endpoint(leaving);
+        site.read_list(seconds(10), seconds(40));
+        CHECK(site.usable(seconds(40)) == 1);
+    }
+}
+
+TEST_CASE("an endpoint that says again that it leaves is left alone again, and the others are told anew")
+{
+    SiteWithLeaving site;
+    site.read_list(seconds(10), seconds(26));
+    REQUIRE(site.usable(seconds(26)) == 2);
+    std::optional<Placed> at_leaving;
+    while (!at_leaving) {
+        auto const placed = std::get<Placed>(site.place("/urgent/", at(seconds(26))));
+        if (placed.endpoint.incarnation == "a")
+            at_leaving = placed;
+        site.router.attempt_started(
+            std::get<Admitted>(site.router.admit({ "x", "h", "/urgent/x", "", seconds(1), {} }, at(seconds(26)))), {},
+            placed.choice, at(seconds(26)));
+    }
+    auto const notice = site.router.note_answer(*at_leaving, { RateLimit {}, true }, at(seconds(26)), at(seconds(27)));
+    REQUIRE(notice);
+    CHECK(notice->version == 2);
+    CHECK(site.usable(seconds(27)) == 1);
+}
+
 TEST_CASE("another process under the endpoint's id has no limit of the one before")
 {
     Site site;
@@ -166,8 +306,7 @@
     auto const placed = std::get<Placed>(site.place("/urgent/", at(seconds(0))));
     site.router.remove_endpoint(placed.endpoint.incarnation, at(seconds(1)));
     static_cast<void>(site.router.expire_endpoints(at(seconds(1))));
-    CHECK_FALSE(site.router.note_answer(
-        placed.endpoint, placed.choice.endpoint, one_per_second, at(seconds(0)), at(seconds(2))));
+    CHECK_FALSE(site.router.note_answer(placed, { one_per_second, false }, at(seconds(0)), at(seconds(2))));
     site.router.put_endpoint(placed.endpoint);
     CHECK(site.router.limited_endpoints() == 0);
 }
--- a/Tests/LibRouting/TestRateLimits.cpp
+++ b/Tests/LibRouting/TestRateLimits.cpp
@@ -73,16 +73,16 @@
 TEST_CASE("a limit holds until an answer to a request that was sent under it says otherwise")
 {
     EndpointNotices notices;
-    CHECK_FALSE(notices.answered(endpoint, life, none, start, start));
-    auto const limited = notices.answered(endpoint, life, { 2 }, start, start + seconds(1));
+    CHECK_FALSE(notices.answered(endpoint, life, { none }, start, start));
+    auto const limited = notices.answered(endpoint, life, { { 2 } }, start, start + seconds(1));
     REQUIRE(limited);
     CHECK(limited->version == 1);
     // Sent before the limit was known: it may have been answered before it was named.
-    CHECK_FALSE(notices.answered(endpoint, life, none, start + milliseconds(999), start + seconds(2)));
+    CHECK_FALSE(notices.answered(endpoint, life, { none }, start + milliseconds(999), start + seconds(2)));
     CHECK(notices.limit_of(endpoint) == RateLimit { 2 });
-    CHECK(notices.answered(endpoint, life, { 1 }, start, start + seconds(2))->limit == RateLimit { 1 });
-    CHECK_FALSE(notices.answered(endpoint, life, { 2 }, start + seconds(1), start + seconds(3)));
-    auto const ended = notices.answered(endpoint, life, none, start + seconds(2), start + seconds(3));
+    CHECK(notices.answered(endpoint, life, { { 1 } }, start, start + seconds(2))->condition.limit == RateLimit { 1 });
+    CHECK_FALSE(notices.answered(endpoint, life, { { 2 } }, start + seconds(1), start + seconds(3)));
+    auto const ended = notices.answered(endpoint, life, { none }, start + seconds(2), start + seconds(3));
     REQUIRE(ended);
     CHECK(ended->version == 3);
     CHECK(notices.limit_of(endpoint) == none);
@@ -92,26 +92,26 @@
 TEST_CASE("what another box told is taken if it is newer, however late it comes")
 {
     EndpointNotices notices;
-    CHECK(notices.take(endpoint, { life, 3, { 1 } }, start));
-    CHECK_FALSE(notices.take(endpoint, { life, 3, { 1 } }, start));
-    CHECK_FALSE(notices.take(endpoint, { life, 2, none }, start + seconds(9)));
+    CHECK(notices.take(endpoint, { life, 3, { { 1 } } }, start));
+    CHECK_FALSE(notices.take(endpoint, { life, 3, { { 1 } } }, start));
+    CHECK_FALSE(notices.take(endpoint, { life, 2, { none } }, start + seconds(9)));
     CHECK(notices.limit_of(endpoint) == RateLimit { 1 });
     // Two boxes saw different changes of the same version: the tighter limit is the safer one.
-    CHECK_FALSE(notices.take(endpoint, { life, 3, { 5 } }, start));
-    CHECK(notices.take(endpoint, { life, 3, { 0.5 } }, start));
-    CHECK(notices.take(endpoint, { life, 4, none }, start + seconds(1)));
+    CHECK_FALSE(notices.take(endpoint, { life, 3, { { 5 } } }, start));
+    CHECK(notices.take(endpoint, { life, 3, { { 0.5 } } }, start));
+    CHECK(notices.take(endpoint, { life, 4, { none } }, start + seconds(1)));
     CHECK(notices.limit_of(endpoint) == none);
     // An answer that names a limit was given under the old one if its request was sent before the end was known; a box
     // keeps to it until the next answer.
-    CHECK(notices.answered(endpoint, life, { 1 }, start, start + seconds(2))->version == 5);
+    CHECK(notices.answered(endpoint, life, { { 1 } }, start, start + seconds(2))->version == 5);
 }
 
 TEST_CASE("the end of a limit is told on for a while, a limit for as long as it holds")
 {
     EndpointNotices notices;
-    notices.take(endpoint, { life, 1, { 1 } }, start);
+    notices.take(endpoint, { life, 1, { { 1 } } }, start);
     CHECK(notices.worth_telling(start + seconds(3600)).size() == 1);
-    notices.take(endpoint, { life, 2, none }, start + seconds(3600));
+    notices.take(endpoint, { life, 2, { none } }, start + seconds(3600));
     CHECK(notices.worth_telling(start + seconds(3610)).size() == 1);
     CHECK(notices.worth_telling(start + seconds(3640)).empty());
 }
@@ -123,7 +123,7 @@
     EndpointNotices notices;
     CHECK(notices.may_send(endpoint, SendRank::Later, slot_start));
     CHECK_FALSE(notices.count_send(endpoint, slot_start));
-    notices.take(endpoint, { life, 1, { 10 } }, start);
+    notices.take(endpoint, { life, 1, { { 10 } } }, start);
     // Nobody urgent has asked, so less urgent requests may use it all.
     int sent = 0;
     while (notices.may_send(endpoint, SendRank::Later, slot_start) && sent < 100) {
