LibRouting: Send an endpoint that asked for a rest nothing until it is over

What users saw: a server that had turned a box away and asked for 3 s of rest got four requests of that box in that time (BUDGET, 2 allowed).

Cause: the time that an endpoint names was not read; a request that was turned away set a pause of 60 ms, and that one is only a preference. Same class as the fault of leaving: the endpoint's own word isn't heard. Ruled out: requests under way (four came one after another over 0.8 s), and that no endpoint was trusted (six others took requests).

Repair: EndpointRests keeps the time, box by box; choice and send ask it, also where no other endpoint is left, and callers are then told when to come back. After the rest one request at a time tries the endpoint.

--- a/Libraries/LibCore/Reason.h
+++ b/Libraries/LibCore/Reason.h
@@ -79,6 +79,7 @@
     RouteTimeoutPassed,
     EndpointFull,
     EndpointsAtLimit,
+    EndpointsResting,
     EndpointReplaced,
     EndpointFailed,
     EndpointSilent,
--- a/Libraries/LibGateway/EndpointNews.cpp
+++ b/Libraries/LibGateway/EndpointNews.cpp
@@ -65,12 +65,17 @@
 void EndpointNews::answered(
     Routing::Placed const& placed, Routing::RequestRouter::AnswerWord const& word, Core::Instant sent_at)
 {
-    auto const changed = this->router.note_answer(placed, word, sent_at, monotonic_now());
-    if (!changed)
+    auto const news = this->router.note_answer(placed, word, sent_at, monotonic_now());
+    if (news.rest_began)
+        Log::EventLine("endpoint_rests")
+            .with("endpoint", placed.endpoint.incarnation)
+            .with("rest_s", Core::to_seconds(*word.rest))
+            .info();
+    if (!news.notice)
         return;
-    log_change(*changed, "own");
+    log_change(*news.notice, "own");
     if (this->to_boxes)
-        this->to_boxes(Membership::encode({ { *changed }, false }, monotonic_now()), all_boxes);
+        this->to_boxes(Membership::encode({ { *news.notice }, false }, monotonic_now()), all_boxes);
 }
 
 void EndpointNews::hear(EndpointNewsMessage const& message, Reply const& reply)
--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -120,7 +120,8 @@
         .with("subject", fmt::format("{:x}", figures.subject))
         .with("home", yes_or_no(figures.is_home))
         .with("left_ms", Core::to_milliseconds(this->admitted->expires - attempt.started))
-        .with("at_limit", attempt.placed.at_limit);
+        .with("at_limit", attempt.placed.at_limit)
+        .with("resting", attempt.placed.resting);
     if (attempt.placed.limit.per_second)
         line.with("limit_per_s", *attempt.placed.limit.per_second);
     if (this->answer_begun)
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -172,7 +172,7 @@
             ++this->unsent_attempts;
         attempt.detail = error ? "connect: " + error.message()
             : has_left         ? "endpoint left before it was sent"
-            : is_at_limit      ? "endpoint named a rate limit before it was sent"
+            : is_at_limit      ? "endpoint wants no more for now"
                                : "given up before it was sent";
         this->call->abort();
         co_return AttemptEnd::NotSent;
@@ -219,7 +219,8 @@
     if (facts.rate_limit)
         attempt.told_per_second = facts.rate_limit->per_second;
     if (!facts.is_other_endpoint)
-        this->state.endpoint_news.answered(attempt.placed, { facts.rate_limit, facts.is_leaving }, attempt.started);
+        this->state.endpoint_news.answered(
+            attempt.placed, { facts.rate_limit, facts.is_leaving, !facts.not_run, facts.rest }, attempt.started);
     auto const endpoint = attempt.placed.choice.endpoint;
     if (facts.load)
         this->state.router.take_told_load(endpoint, *facts.load, monotonic_now());
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -112,8 +112,10 @@
 
 void RequestRouter::forget_notices_of_moved()
 {
-    for (auto const id : this->directory.take_moved())
+    for (auto const id : this->directory.take_moved()) {
         this->notices.forget(id);
+        this->rests.forget(id);
+    }
 }
 
 void RequestRouter::store_returned(Instant now)
@@ -130,6 +132,7 @@
     for (auto const id : removed) {
         this->loads.erase(id);
         this->notices.forget(id);
+        this->rests.forget(id);
     }
     return removed;
 }
@@ -191,34 +194,16 @@
     if (now >= request.expires)
         return Rejected { request.expiry, {} };
     std::scoped_lock const guard(this->endpoints_lock);
-    PlacementCandidates trusted;
-    PlacementCandidates distrusted;
-    std::vector<EndpointId> at_limit;
-    auto const rank = request.route->priority == 0 ? SendRank::First : SendRank::Later;
-    for (auto const id : this->usable(request.service, now)) {
-        if (std::ranges::find(tried, id) != tried.end())
-            continue;
-        if (!this->notices.may_send(id, rank, this->shared_time(now))) {
-            at_limit.push_back(id);
-            continue;
-        }
-        auto const found = this->loads.find(id);
-        bool const is_trusted = found == this->loads.end() || found->second.takes_work(now);
-        auto& candidates = is_trusted ? trusted : distrusted;
-        bool const is_limited = this->notices.limit_of(id).per_second.has_value();
-        (is_limited ? candidates.at_times : candidates.usual).push_back(this->directory.find(id));
-    }
-    // NOTE: When no endpoint is trusted the belief may be wrong, and trying one costs less than refusing.
-    bool const is_any_trusted = !trusted.usual.empty() || !trusted.at_times.empty();
-    auto const& usable = is_any_trusted ? trusted : distrusted;
+    auto const choices = this->choices(request, tried, now);
+    auto const& candidates = choices.best();
     auto const for_answers
-        = request.is_engine ? this->demands[request.service].engines_for_answers(usable.usual.size(), now) : 0;
+        = request.is_engine ? this->demands[request.service].engines_for_answers(candidates.usual.size(), now) : 0;
     PlacementQuery const query { workload, request.is_engine, for_answers, this->settings.failure_domain, now,
         request.is_engine ? this->speeds[request.service].speed() : EngineSpeed {}, this->compared_share,
         this->random() };
-    auto const choice = choose_endpoint(usable, this->loads, query, this->settings.placement);
+    auto const choice = choose_endpoint(candidates, this->loads, query, this->settings.placement);
     if (!choice)
-        return this->refuse_unplaced(request, at_limit, !tried.empty());
+        return this->refuse_unplaced(request, choices, !tried.empty(), now);
     if (request.is_engine && tried.empty()) {
         if (auto const refusal = this->refuse_by_wait(request, *choice))
             return *refusal;
@@ -226,20 +211,60 @@
     Placed placed { *choice, this->directory.find(choice->endpoint)->record };
     placed.limit = this->notices.limit_of(choice->endpoint);
     placed.is_counted_by_limit = this->notices.count_send(choice->endpoint, this->shared_time(now));
-    placed.at_limit = at_limit.size();
+    placed.at_limit = choices.at_limit.size();
+    placed.resting = choices.resting.size();
+    this->rests.chosen(choice->endpoint, now);
     return placed;
 }
 
-Rejected RequestRouter::refuse_unplaced(
-    Admitted const& request, std::vector<EndpointId> const& at_limit, bool was_tried)
+PlacementCandidates const& RequestRouter::Choices::best() const
+{
+    // NOTE: When no endpoint is trusted the belief may be wrong, and trying one costs less than refusing.
+    bool const is_any_trusted = !this->trusted.usual.empty() || !this->trusted.at_times.empty();
+    return is_any_trusted ? this->trusted : this->distrusted;
+}
+
+RequestRouter::Choices RequestRouter::choices(
+    Admitted const& request, std::vector<EndpointId> const& tried, Instant now)
+{
+    Choices choices;
+    auto const rank = request.route->priority == 0 ? SendRank::First : SendRank::Later;
+    for (auto const id : this->usable(request.service, now)) {
+        if (std::ranges::find(tried, id) != tried.end())
+            continue;
+        if (!this->rests.may_be_chosen(id, now)) {
+            choices.resting.push_back(id);
+            continue;
+        }
+        if (!this->notices.may_send(id, rank, this->shared_time(now))) {
+            choices.at_limit.push_back(id);
+            continue;
+        }
+        auto const found = this->loads.find(id);
+        bool const is_trusted = found == this->loads.end() || found->second.takes_work(now);
+        bool const is_limited = this->notices.limit_of(id).per_second.has_value();
+        auto& candidates = is_trusted ? choices.trusted : choices.distrusted;
+        (is_limited ? candidates.at_times : candidates.usual).push_back(this->directory.find(id));
+    }
+    return choices;
+}
+
+Rejected RequestRouter::refuse_unplaced(Admitted const& request, Choices const& choices, bool was_tried, Instant now)
 {
-    if (at_limit.empty())
-        return { Reason::NoEndpoint, was_tried ? come_back_when_full : come_back_after_gap };
-    Duration longest_slot { 0 };
-    for (auto const id : at_limit)
-        longest_slot = std::max(longest_slot, RateSchedule(*this->notices.limit_of(id).per_second).slot_length());
     auto const drawn = std::ldexp(static_cast<double>(this->random()), -32);
-    return { Reason::EndpointsAtLimit, come_back_after_limit(longest_slot, request.route->priority, drawn) };
+    if (!choices.at_limit.empty()) {
+        Duration longest_slot { 0 };
+        for (auto const id : choices.at_limit)
+            longest_slot = std::max(longest_slot, RateSchedule(*this->notices.limit_of(id).per_second).slot_length());
+        return { Reason::EndpointsAtLimit, come_back_after_limit(longest_slot, request.route->priority, drawn) };
+    }
+    if (!choices.resting.empty()) {
+        auto first = Instant::max();
+        for (auto const id : choices.resting)
+            first = std::min(first, this->rests.free_at(id));
+        return { Reason::EndpointsResting, come_back_after_rest(first - now, request.route->priority, drawn) };
+    }
+    return { Reason::NoEndpoint, was_tried ? come_back_when_full : come_back_after_gap };
 }
 
 SharedMicroseconds RequestRouter::shared_time(Instant now) const
@@ -251,7 +276,7 @@
 {
     std::scoped_lock const guard(this->endpoints_lock);
     auto const id = placed.choice.endpoint;
-    if (!this->is_usable(id, now))
+    if (!this->is_usable(id, now) || this->rests.is_resting(id, now))
         return false;
     auto const shared_now = this->shared_time(now);
     if (placed.is_counted_by_limit)
@@ -274,7 +299,7 @@
     this->shared_clock_ahead = ahead;
 }
 
-std::optional<EndpointNotice> RequestRouter::note_answer(
+RequestRouter::AnswerNews RequestRouter::note_answer(
     Placed const& placed, AnswerWord const& word, Instant sent_at, Instant now)
 {
     std::scoped_lock const guard(this->endpoints_lock);
@@ -282,8 +307,11 @@
     // NOTE: An answer may come after its endpoint was forgotten; what was known of it must not come back to life.
     if (this->directory.find(id) == nullptr)
         return {};
+    if (word.took_request)
+        this->rests.accepted(id, sent_at);
+    bool const rest_began = word.rest && this->rests.asked(id, *word.rest, now);
     EndpointCondition const told { word.limit.value_or(this->notices.limit_of(id)), word.is_leaving };
-    return this->notices.answered(id, life_of(placed.endpoint), told, sent_at, now);
+    return { this->notices.answered(id, life_of(placed.endpoint), told, sent_at, now), rest_began };
 }
 
 bool RequestRouter::take_notice(EndpointNotice const& notice, Instant now)
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -3,6 +3,7 @@
 #include <LibCore/Reason.h>
 #include <LibRouting/ConfigurationLease.h>
 #include <LibRouting/EndpointNotices.h>
+#include <LibRouting/EndpointRests.h>
 #include <LibRouting/LoadReport.h>
 #include <LibRouting/Placement.h>
 #include <LibRouting/RetryAllowance.h>
@@ -77,6 +78,8 @@
     RateLimit limit {};
     /// Other endpoints that were passed over since this box has sent them its part of what they take.
     std::size_t at_limit { 0 };
+    /// Others that want nothing from this box for now.
+    std::size_t resting { 0 };
 
     bool operator==(Placed const&) const = default;
 };
@@ -155,15 +158,24 @@
     void set_boxes(BoxGroup boxes);
     /// How far the clock that all boxes go by is ahead of this box's own, which runs from its boot.
     void set_shared_clock(Duration ahead);
-    /// What an endpoint said of itself in an answer. `limit` is nothing where it can't be read, and what is known
-    /// holds.
+    /// What an endpoint said of itself in an answer.
     struct AnswerWord {
+        /// Nothing where it can't be read, and what is known holds.
         std::optional<RateLimit> limit;
         bool is_leaving { false };
+        /// Whether it took the request; it may have failed afterwards.
+        bool took_request { true };
+        /// How long it wants nothing from this box.
+        std::optional<Duration> rest {};
     };
-    /// As EndpointNotices::answered.
-    [[nodiscard]] std::optional<EndpointNotice> note_answer(
-        Placed const& placed, AnswerWord const& word, Instant sent_at, Instant now);
+    /// What follows from such a word.
+    struct AnswerNews {
+        /// As EndpointNotices::answered.
+        std::optional<EndpointNotice> notice;
+        /// Whether a rest begins.
+        bool rest_began { false };
+    };
+    [[nodiscard]] AnswerNews note_answer(Placed const& placed, AnswerWord const& word, Instant sent_at, Instant now);
     /// Another box told it; true if it is news of an endpoint that is known here.
     bool take_notice(EndpointNotice const& notice, Instant now);
     /// As EndpointNotices::worth_telling.
@@ -211,9 +223,21 @@
     /// Refuses what even the best engine would begin to read too late.
     [[nodiscard]] std::optional<Rejected> refuse_by_wait(Admitted const& request, PlacementChoice const& choice);
     [[nodiscard]] Rejected refuse_unknown(Reason reason, Instant now) const;
-    /// Refuses since no endpoint is left; `at_limit` are those that take no more from this box for now.
+    /// The endpoints of a service by what this box may send them.
+    struct Choices {
+        PlacementCandidates trusted;
+        PlacementCandidates distrusted;
+        /// This box has sent them its part of what they take.
+        std::vector<EndpointId> at_limit;
+        /// They want nothing from this box for now.
+        std::vector<EndpointId> resting;
+
+        [[nodiscard]] PlacementCandidates const& best() const;
+    };
+    [[nodiscard]] Choices choices(Admitted const& request, std::vector<EndpointId> const& tried, Instant now);
+    /// Refuses since no endpoint is left.
     [[nodiscard]] Rejected refuse_unplaced(
-        Admitted const& request, std::vector<EndpointId> const& at_limit, bool was_tried);
+        Admitted const& request, Choices const& choices, bool was_tried, Instant now);
     [[nodiscard]] SharedMicroseconds shared_time(Instant now) const;
     void forget_notices_of_moved();
     /// Whether the endpoint may get new work, by the list and by what it says itself.
@@ -232,6 +256,7 @@
     EndpointDirectory directory;
     LoadTable loads;
     EndpointNotices notices;
+    EndpointRests rests;
     Duration shared_clock_ahead { 0 };
     std::unordered_map<std::string, RetryAllowance> allowances;
     std::map<std::string, EngineDemand> demands;
--- a/Tests/LibRouting/TestLimitedService.cpp
+++ b/Tests/LibRouting/TestEndpointWords.cpp
@@ -152,7 +152,7 @@
     auto const placed = std::get<Placed>(site.place("/urgent/", at(seconds(0))));
     auto const& name = placed.endpoint.incarnation;
     std::string const other = name == "a" ? "b" : "a";
-    auto const notice = site.router.note_answer(placed, { RateLimit {}, true }, at(seconds(0)), at(seconds(1)));
+    auto const notice = site.router.note_answer(placed, { RateLimit {}, true }, at(seconds(0)), at(seconds(1))).notice;
     REQUIRE(notice);
     CHECK(notice->condition.is_leaving);
     CHECK_FALSE(site.router.may_receive(placed.choice.endpoint, at(seconds(1))));
@@ -280,7 +280,8 @@
             std::get<Admitted>(site.router.admit({ "x", "h", "/urgent/x", "", seconds(1), {} }, at(seconds(26)))), {},
             placed.choice, at(seconds(26)));
     }
-    auto const notice = site.router.note_answer(*at_leaving, { RateLimit {}, true }, at(seconds(26)), at(seconds(27)));
+    auto const notice
+        = site.router.note_answer(*at_leaving, { RateLimit {}, true }, at(seconds(26)), at(seconds(27))).notice;
     REQUIRE(notice);
     CHECK(notice->version == 2);
     CHECK(site.usable(seconds(27)) == 1);
@@ -306,7 +307,76 @@
     auto const placed = std::get<Placed>(site.place("/urgent/", at(seconds(0))));
     site.router.remove_endpoint(placed.endpoint.incarnation, at(seconds(1)));
     static_cast<void>(site.router.expire_endpoints(at(seconds(1))));
-    CHECK_FALSE(site.router.note_answer(placed, { one_per_second, false }, at(seconds(0)), at(seconds(2))));
+    CHECK_FALSE(site.router.note_answer(placed, { one_per_second, false }, at(seconds(0)), at(seconds(2))).notice);
     site.router.put_endpoint(placed.endpoint);
     CHECK(site.router.limited_endpoints() == 0);
 }
+
+namespace {
+
+/// Sends until the endpoint is chosen, and lets it ask for a rest of three seconds.
+void have_rest(Site& site, std::string const& name, Instant now)
+{
+    for (int number = 0; number < 100; ++number) {
+        auto const decision = site.place("/urgent/", now);
+        auto const* const placed = std::get_if<Placed>(&decision);
+        REQUIRE(placed != nullptr);
+        if (placed->endpoint.incarnation == name) {
+            auto const news = site.router.note_answer(*placed, { RateLimit {}, false, false, seconds(3) }, now, now);
+            CHECK(news.rest_began);
+            CHECK_FALSE(news.notice);
+            CHECK_FALSE(site.router.may_send(*placed, now));
+            return;
+        }
+        site.router.attempt_started(
+            std::get<Admitted>(site.router.admit({ "x", "h", "/urgent/x", "", seconds(1), {} }, now)), {},
+            placed->choice, now);
+    }
+    FAIL("the endpoint is never chosen");
+}
+
+}
+
+TEST_CASE("an endpoint that asked for a rest gets nothing until it is over, the others get all")
+{
+    Site site;
+    have_rest(site, "a", at(seconds(0)));
+    for (int number = 0; number < 50; ++number)
+        CHECK(site.endpoint_for("/urgent/", at(milliseconds(50 * number))) == "b");
+    bool is_tried = false;
+    for (int number = 0; number < 100; ++number)
+        is_tried |= site.endpoint_for("/urgent/", at(seconds(3) + milliseconds(10 * number))) == "a";
+    CHECK(is_tried);
+}
+
+TEST_CASE("an endpoint's rest is kept where no other is left, and callers are told when it is over")
+{
+    Site site;
+    have_rest(site, "a", at(seconds(0)));
+    have_rest(site, "b", at(seconds(1)));
+    std::set<Duration> come_back;
+    for (int number = 0; number < 50; ++number) {
+        auto const decision = site.place("/urgent/", at(seconds(2)));
+        auto const* const rejected = std::get_if<Rejected>(&decision);
+        REQUIRE(rejected != nullptr);
+        CHECK(rejected->reason == Reason::EndpointsResting);
+        REQUIRE(rejected->retry_after);
+        CHECK(*rejected->retry_after >= seconds(1));
+        come_back.insert(*rejected->retry_after);
+    }
+    CHECK(come_back.size() > 20);
+    CHECK(site.endpoint_for("/urgent/", at(seconds(3))) == "a");
+}
+
+TEST_CASE("another process under the endpoint's id doesn't rest for the one before")
+{
+    Site site;
+    have_rest(site, "a", at(seconds(0)));
+    site.router.remove_endpoint("a", at(seconds(1)));
+    site.router.put_endpoint(Site::record("a"));
+    static_cast<void>(site.router.expire_endpoints(at(seconds(1))));
+    bool is_chosen = false;
+    for (int number = 0; number < 50; ++number)
+        is_chosen |= site.endpoint_for("/urgent/", at(seconds(1))) == "a";
+    CHECK(is_chosen);
+}
