LibGateway, LibRouting: Ask other boxes before a box that starts takes clients

Cause: its first reading finds a configuration, and nothing in it says that a newer one was lost. Others told what they know beside their load, but only to boxes that they list, and one that knew of the copy's era only later told nothing that counted. Class: knowledge that is pushed to those who are known, while the one who needs it has just come.

Repair: a box that starts asks three others, with the question that it asks for endpoints' notices anyway, and takes clients when one has answered or after 60 ms. For its first three seconds it takes their word of a newer version whatever history of the store they know. If they have had that version for longer than the bound for applying changes, nothing is served by an older one, and the store's older word renews no lease, until the version is written again.

Ruled out: holding back wherever the store's era is above its first (every restart would wait for two seconds); reading the era's beginning from the store (it doesn't say).

Cost: three datagrams and their answers a start; 60 ms where all three are gone.

--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -45,6 +45,7 @@
     , leader_settings(environment.leader)
     , fleet_policy(fleet)
 {
+    this->records.set_apply_within(environment.lease.apply_within);
     // NOTE: Not the other way round: records of endpoints are short, and must not wait for a long configuration.
     this->operator_follower.leave_retries_to(this->endpoints_follower);
     this->records.set_on_new_era([this] {
@@ -89,12 +90,16 @@
         this->link_bytes_per_second };
     LoadExchange::Knowledge knowledge {
         [this](Core::Instant now) { return this->records.knowledge(now); },
-        [this](auto const& told, Core::Instant told_at) { this->records.take_knowledge(told, told_at); },
+        [this](auto const& told, Core::Instant told_at) {
+            this->records.take_knowledge(told, told_at);
+            this->state.awaits_other_boxes = false;
+        },
     };
     this->loads.emplace(this->state, this->source.boxes(), own.address, source_id(this->seed), std::move(knowledge),
         [this](std::string_view bytes, auto const& from) { return this->take_message(bytes, from); });
     if (!this->loads->open(last_reason))
         return false;
+    this->state.awaits_other_boxes = true;
     this->registry.emplace(
         this->state, this->source, this->store, own, [this] { this->take_boxes(); }, this->seed);
     this->connect_crash_news();
@@ -176,10 +181,14 @@
 bool ControlPlane::take_endpoint_news(std::string_view bytes, Routing::SocketAddress const& from)
 {
     auto const message = Membership::decode_endpoint_news(bytes, monotonic_now());
-    if (message)
-        this->state.endpoint_news.hear(
-            *message, [this, &from](std::string const& answer) { this->loads->send_to_address(from, answer); });
-    return message.has_value();
+    if (!message)
+        return false;
+    this->state.endpoint_news.hear(
+        *message, [this, &from](std::string const& answer) { this->loads->send_to_address(from, answer); });
+    // NOTE: Behind what it asked for, since it ends the asker's wait.
+    if (message->asks)
+        this->loads->tell_one(from);
+    return true;
 }
 
 void ControlPlane::take_boxes()
@@ -188,12 +197,19 @@
     for (auto const& [name, box] : this->source.boxes().all())
         names.push_back(name);
     this->state.router.set_boxes(Routing::BoxGroup(this->box_name, names));
-    // NOTE: Before this box takes clients, so that it keeps to limits that endpoints named others.
-    if (!std::exchange(this->has_asked_for_news, true))
-        this->state.endpoint_news.ask();
+    if (!std::exchange(this->has_asked_others, true))
+        asio::co_spawn(this->state.context, this->ask_others(), asio::detached);
     this->wake_all();
 }
 
+Task<void> ControlPlane::ask_others()
+{
+    this->state.endpoint_news.ask();
+    if (this->source.boxes().size() > 1)
+        co_await sleep_for(longest_wait_for_others);
+    this->state.awaits_other_boxes = false;
+}
+
 void ControlPlane::start()
 {
     auto& context = this->state.context;
@@ -226,6 +242,7 @@
 void ControlPlane::set_environment(Adapter::BoxEnvironment const& environment)
 {
     this->source.set_bounds(control_bounds(environment));
+    this->records.set_apply_within(environment.lease.apply_within);
     this->operator_follower.set_address(environment.store);
     this->endpoints_follower.set_address(environment.store);
     if (this->registry)
--- a/Libraries/LibGateway/ControlPlane.h
+++ b/Libraries/LibGateway/ControlPlane.h
@@ -46,6 +46,8 @@
     [[nodiscard]] bool take_endpoint_news(std::string_view bytes, Routing::SocketAddress const& from);
     /// The list of boxes was read, or could not be.
     void take_boxes();
+    /// Asks a few boxes what they know that a box which starts can't learn from the store, and waits for one to answer.
+    [[nodiscard]] Task<void> ask_others();
     void wake_followers();
     /// The list of boxes is known now, or known to be out of reach.
     void wake_all();
@@ -65,6 +67,9 @@
     /// boxes it then takes the link 0.2 s, as long as the link of an asker that is twenty times narrower takes for one.
     /// Longer ones are read from the store by each box.
     static constexpr double longest_transfer_seconds = 0.010;
+    /// Some thirty times the way to another box and back. A box that starts refuses its clients until then, where those
+    /// it asks are gone.
+    static constexpr Core::Duration longest_wait_for_others { std::chrono::milliseconds(60) };
     /// Boxes that may ask this one at the same time: a failure domain at the planned size has 59.
     static constexpr std::size_t most_askers = 256;
 
@@ -81,7 +86,7 @@
     std::uint64_t link_bytes_per_second;
     std::uint64_t seed;
     bool is_first_start;
-    bool has_asked_for_news { false };
+    bool has_asked_others { false };
     std::optional<ProbeListener> listener;
     /// Nothing where other boxes can't reach this one.
     std::optional<BoxRegistry> registry;
--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -59,6 +59,8 @@
 
 bool ControlRecords::is_vouched_for(Instant now) const
 {
+    if (this->version_in_store < this->version_told)
+        return false;
     if (!this->history.risen_at())
         return true;
     // NOTE: A copy may lack the version that took a key away. What this box holds is the newest that was known before,
@@ -78,6 +80,7 @@
 void ControlRecords::begin_era(Instant now)
 {
     this->version_in_store = 0;
+    this->version_told = 0;
     this->is_written_again = false;
     // NOTE: Entries that are missing may be of endpoints that live, as after any return of the store.
     this->returned_at = now;
@@ -118,7 +121,9 @@
         : std::ranges::count_if(*decoded->accounts, [](auto const& account) { return account.priority.has_value(); });
     auto snapshot = std::make_shared<Routing::ConfigurationSnapshot const>(std::move(*decoded));
     this->note_read_version(version, began);
-    bool const is_newer = this->state.router.offer_configuration(std::move(snapshot), vouched_at);
+    bool const is_told_of_newer = snapshot->version() < this->version_told;
+    bool const is_newer
+        = this->state.router.offer_configuration(std::move(snapshot), is_told_of_newer ? std::nullopt : vouched_at);
     Log::EventLine(is_newer ? "configuration_in_force" : "configuration_not_newer")
         .with("version", version)
         .with("routes", routes)
@@ -390,17 +395,27 @@
 Membership::StoreKnowledge ControlRecords::knowledge(Instant now) const
 {
     auto const& risen_at = this->history.risen_at();
-    return { this->version(), this->era(), risen_at ? std::optional(now - *risen_at) : std::nullopt };
+    auto const known_since = this->state.router.configuration_known_since();
+    return { this->version(), this->era(), risen_at ? std::optional(now - *risen_at) : std::nullopt,
+        known_since ? std::optional(now - *known_since) : std::nullopt };
 }
 
 void ControlRecords::take_knowledge(Membership::StoreKnowledge const& told, Instant told_at)
 {
-    // NOTE: Only what the store can't be asked: what it lost. A box learns all else from the store or its relay.
-    if (told.store_era == 0 || told.store_era != this->era() || !told.era_risen_ago)
+    bool const is_of_copy = told.store_era != 0 && told.store_era == this->era() && told.era_risen_ago;
+    if (is_of_copy)
+        static_cast<void>(this->hear_era(told.store_era, told_at - *told.era_risen_ago, told_at));
+    // NOTE: Only what the store may have lost: a box that starts can't tell from its first reading. A box learns all
+    // else from the store or its relay.
+    bool const has_started = monotonic_now() - this->started_at > start_time;
+    if ((has_started && !is_of_copy) || told.configuration_version <= this->version())
         return;
-    static_cast<void>(this->hear_era(told.store_era, told_at - *told.era_risen_ago, told_at));
-    if (told.configuration_version > this->version())
-        this->state.router.note_configuration(told.configuration_version, told_at, told_at);
+    this->version_told = std::max(this->version_told, told.configuration_version);
+    auto const known_for = told.configuration_known_for.value_or(Core::Duration { 0 });
+    if (known_for > this->apply_within)
+        this->state.router.note_due_configuration(told.configuration_version, told_at);
+    else
+        this->state.router.note_configuration(told.configuration_version, told_at, told_at - known_for);
 }
 
 void ControlRecords::take_relayed_endpoints(Membership::ControlAnswer const& answer, Instant vouched_at)
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -31,6 +31,8 @@
     /// `source` names this process to other boxes; not 0.
     ControlRecords(GatewayState& state, std::string box_name, std::string failure_domain, std::uint64_t source);
 
+    void set_apply_within(Core::Duration bound) { this->apply_within = bound; }
+
     // From the store. `asked_at` is when the read was sent; an answer vouches for no later moment.
     void take_operator_records(
         std::vector<Adapter::KeyedRecord> const& records, Core::Instant asked_at, Coverage coverage);
@@ -128,6 +130,9 @@
     void take_relayed_endpoints(Membership::ControlAnswer const& answer, Core::Instant vouched_at);
     [[nodiscard]] std::uint64_t version() const;
 
+    /// For so long after this process started, others may know of a version that the store lost before.
+    static constexpr Core::Duration start_time { std::chrono::seconds(3) };
+
     /// For so long after the store came back from a copy its list of endpoints may hold entries that had gone or
     /// changed: until then they have lapsed again, or were written again.
     static constexpr Core::Duration stale_list_time { std::chrono::seconds(5) };
@@ -157,6 +162,11 @@
     Position operator_position;
     /// The newest version that this box itself has read in the store's present history.
     std::uint64_t version_in_store { 0 };
+    /// The newest version that other boxes have told of and that the store may have lost.
+    std::uint64_t version_told { 0 };
+    Core::Instant started_at { Core::monotonic_now() };
+    /// The bound for applying changes.
+    Core::Duration apply_within { 0 };
     /// Whether the operator has written since the store came back from a copy.
     bool is_written_again { false };
     Membership::DepartedEndpoints departed;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -228,7 +228,8 @@
 {
     auto const trust = this->state.router.trust(monotonic_now());
     bool const knows_configuration = trust == ConfigurationTrust::Fresh || trust == ConfigurationTrust::Aging;
-    return !this->state.is_stopping && knows_configuration && this->control.knows_endpoints();
+    return !this->state.is_stopping && !this->state.awaits_other_boxes && knows_configuration
+        && this->control.knows_endpoints();
 }
 
 ProbeAnswer Gateway::answer_readiness(std::string_view path)
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -57,6 +57,9 @@
     Core::Duration usage_window { 0 };
     /// Set once the process has been told to stop.
     bool is_stopping { false };
+    /// Whether this box has just started and others may know what it can't learn from the store: a version of the
+    /// configuration that the store lost, or what endpoints told them.
+    bool awaits_other_boxes { false };
     /// When this process ends at the latest; known once it takes no new connections.
     std::optional<Core::Instant> ends_at;
     Core::SuspensionMeter suspension { Core::monotonic_now(), Core::awake_now() };
--- a/Libraries/LibGateway/LoadExchange.cpp
+++ b/Libraries/LibGateway/LoadExchange.cpp
@@ -39,8 +39,7 @@
     bool told_something = false;
     for (;;) {
         auto const now = monotonic_now();
-        Membership::LoadMessage const message { this->sender, now, this->state.router.load_report(now),
-            this->knowledge.own(now) };
+        auto const message = this->own_message(now);
         bool const has_load = !message.report.endpoints.empty();
         auto const places = this->others();
         // NOTE: The first report without load is told too, since it takes back what was told before.
@@ -59,6 +58,16 @@
     }
 }
 
+Membership::LoadMessage LoadExchange::own_message(Core::Instant now) const
+{
+    return { this->sender, now, this->state.router.load_report(now), this->knowledge.own(now) };
+}
+
+void LoadExchange::tell_one(Routing::SocketAddress const& address)
+{
+    this->send_to_address(address, Membership::encode(this->own_message(monotonic_now())));
+}
+
 void LoadExchange::send(std::string const& bytes, std::size_t receivers)
 {
     this->send_to(this->others(), bytes, receivers);
--- a/Libraries/LibGateway/LoadExchange.h
+++ b/Libraries/LibGateway/LoadExchange.h
@@ -33,6 +33,8 @@
     [[nodiscard]] Task<void> hear();
     /// Sends these bytes to the box at this address; nothing happens for one that is no address.
     void send_to_address(Routing::SocketAddress const& address, std::string const& bytes);
+    /// Tells the box at this address what the others are told.
+    void tell_one(Routing::SocketAddress const& address);
     /// Sends these bytes to so many other boxes, in turn; to all if there are no more.
     void send(std::string const& bytes, std::size_t receivers);
 
@@ -40,6 +42,7 @@
     using udp = asio::ip::udp;
 
     [[nodiscard]] std::vector<udp::endpoint> others() const;
+    [[nodiscard]] Membership::LoadMessage own_message(Core::Instant now) const;
     void send_to(std::vector<udp::endpoint> const& places, std::string const& bytes, std::size_t receivers);
     void take(std::string_view bytes, udp::endpoint const& from);
 
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -52,6 +52,10 @@
     }
     this->attempt_id = head->attempt;
     this->workload = head->workload;
+    if (this->state.awaits_other_boxes) {
+        co_await this->refuse({ Reason::ConfigurationMissing, come_back_after_start });
+        co_return this->keeps_client && !this->client_is_broken;
+    }
     auto decision = this->state.router.admit(*head, this->arrived);
     if (auto const* const rejected = std::get_if<Routing::Rejected>(&decision)) {
         co_await this->refuse(*rejected);
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -136,6 +136,8 @@
     static constexpr double silence_in_targets = 1.5;
     /// When a client may come back that this box sends to another one: at once, as far as this box is concerned.
     static constexpr Core::Duration come_back_elsewhere { std::chrono::milliseconds(20) };
+    /// When a client may come back to a box that has just started.
+    static constexpr Core::Duration come_back_after_start { std::chrono::milliseconds(150) };
     /// When a client may come back whose request another run of it decides about: about the time of a run.
     static constexpr Core::Duration come_back_after_probe { std::chrono::milliseconds(300) };
     /// When a client may come back after an endpoint refused its request: a few service times.
--- a/Libraries/LibMembership/LoadMessages.cpp
+++ b/Libraries/LibMembership/LoadMessages.cpp
@@ -33,6 +33,13 @@
     return std::isfinite(told) && told >= 0;
 }
 
+/// A time from another box, cut off where nothing depends on it any more.
+Duration bounded_time(std::uint64_t microseconds)
+{
+    constexpr std::uint64_t longest = std::chrono::duration_cast<Duration>(std::chrono::hours(24)).count();
+    return Duration { static_cast<Duration::rep>(std::min(microseconds, longest)) };
+}
+
 bool is_sound(wire::ServiceReport const& told)
 {
     return is_amount(told.tokens_per_ms()) && told.tokens_per_ms() > 0 && is_amount(told.step_ms())
@@ -50,6 +57,9 @@
     encoded.set_store_era(message.knowledge.store_era);
     if (message.knowledge.era_risen_ago)
         encoded.set_store_era_risen_us_ago(static_cast<std::uint64_t>(message.knowledge.era_risen_ago->count()));
+    if (message.knowledge.configuration_known_for)
+        encoded.set_configuration_known_us(
+            static_cast<std::uint64_t>(message.knowledge.configuration_known_for->count()));
     for (auto const& share : busiest(message.report.endpoints)) {
         auto& told = *encoded.add_endpoints();
         told.set_incarnation(share.incarnation);
@@ -86,11 +96,10 @@
         {} };
     message.knowledge.configuration_version = told.configuration_version();
     message.knowledge.store_era = told.store_era();
-    if (told.has_store_era_risen_us_ago()) {
-        constexpr std::uint64_t longest = std::chrono::duration_cast<Duration>(std::chrono::hours(24)).count();
-        message.knowledge.era_risen_ago
-            = Duration { static_cast<Duration::rep>(std::min(told.store_era_risen_us_ago(), longest)) };
-    }
+    if (told.has_store_era_risen_us_ago())
+        message.knowledge.era_risen_ago = bounded_time(told.store_era_risen_us_ago());
+    if (told.has_configuration_known_us())
+        message.knowledge.configuration_known_for = bounded_time(told.configuration_known_us());
     for (auto const& share : told.endpoints())
         message.report.endpoints.push_back({ share.incarnation(), Duration { share.backlog_us() }, share.running() });
     for (auto const& service : told.services()) {
--- a/Libraries/LibMembership/LoadMessages.h
+++ b/Libraries/LibMembership/LoadMessages.h
@@ -17,6 +17,8 @@
     std::uint64_t store_era { 0 };
     /// How long ago the box heard that the era began; nothing if it heard of no earlier one.
     std::optional<Duration> era_risen_ago;
+    /// How long the version has been known to the box or to whoever told it; nothing if neither said so.
+    std::optional<Duration> configuration_known_for {};
 
     bool operator==(StoreKnowledge const&) const = default;
 };
--- a/Libraries/LibRouting/ConfigurationLease.cpp
+++ b/Libraries/LibRouting/ConfigurationLease.cpp
@@ -49,6 +49,16 @@
     this->newest_known_since = since;
 }
 
+void ConfigurationLease::note_due_version(std::uint64_t version, Instant told_at)
+{
+    if (version <= this->newest_known)
+        return;
+    this->newest_known = version;
+    this->newest_told_at = told_at;
+    this->newest_known_since = told_at - this->bounds.apply_within - Duration { 1 };
+    this->superseded_since = this->newest_known_since;
+}
+
 ConfigurationTrust ConfigurationLease::trust(Instant now) const
 {
     if (!this->in_force)
--- a/Libraries/LibRouting/ConfigurationLease.h
+++ b/Libraries/LibRouting/ConfigurationLease.h
@@ -43,6 +43,9 @@
     /// This box was told at `told_at` that the version, or a newer one, exists, by a box that has known it since
     /// `known_since`; both are the same where this box read it.
     void note_version(std::uint64_t version, Instant told_at, Instant known_since);
+    /// The same of a version that the store lost and that others have had for longer than the bound for applying
+    /// changes: what it took away must be gone here as well.
+    void note_due_version(std::uint64_t version, Instant told_at);
     /// Whether a newer version than the one in force is known to exist.
     [[nodiscard]] bool is_superseded() const
     {
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -53,6 +53,12 @@
     this->lease.note_version(version, told_at, known_since);
 }
 
+void RequestRouter::note_due_configuration(std::uint64_t version, Instant told_at)
+{
+    std::scoped_lock const guard(this->configuration_lock);
+    this->lease.note_due_version(version, told_at);
+}
+
 void RequestRouter::woke(Instant now)
 {
     std::scoped_lock const guard(this->configuration_lock);
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -107,6 +107,8 @@
     void confirm_configuration(Instant asked_at);
     /// As ConfigurationLease::note_version.
     void note_configuration(std::uint64_t version, Instant told_at, Instant known_since);
+    /// As ConfigurationLease::note_due_version.
+    void note_due_configuration(std::uint64_t version, Instant told_at);
     /// As ConfigurationLease::woke.
     void woke(Instant now);
     /// As ConfigurationLease::known_since.
--- a/Tests/LibMembership/TestLoadMessages.cpp
+++ b/Tests/LibMembership/TestLoadMessages.cpp
@@ -120,3 +120,13 @@
         }
     }
 }
+
+TEST_CASE("what a box knows from the store is read as it was told beside its load")
+{
+    LoadMessage message { 17, Instant { seconds(1) }, {}, { 5, 2, seconds(3), std::chrono::milliseconds(4500) } };
+    auto const heard = decode_load(encode(message));
+    REQUIRE(heard);
+    CHECK(heard->knowledge == message.knowledge);
+    message.knowledge = { 5, 2, {}, {} };
+    CHECK(decode_load(encode(message))->knowledge == message.knowledge);
+}
--- a/Tests/LibRouting/TestRequestRouter.cpp
+++ b/Tests/LibRouting/TestRequestRouter.cpp
@@ -126,6 +126,28 @@
     CHECK(box.refusal(request("/b/x", "k"), at(milliseconds(4600))) == Reason::RouteUnknown);
 }
 
+TEST_CASE("a box that was told of a version that others have had for long serves nothing by an older one, read or not")
+{
+    SUBCASE("told after it has read the older one")
+    {
+        Box const box;
+        box.router->note_due_configuration(2, at(milliseconds(500)));
+        CHECK(box.refusal(request("/a/x", "k"), at(milliseconds(500))) == Reason::ConfigurationExpired);
+        CHECK(box.refusal(request("/open/x", ""), at(milliseconds(500))) == Reason::ConfigurationExpired);
+        box.router->offer_configuration(configuration(2, { "k" }), at(milliseconds(600)));
+        CHECK(box.refusal(request("/a/x", "k"), at(milliseconds(700))) == Reason::None);
+    }
+    SUBCASE("told before it has read any")
+    {
+        RequestRouter router({ "hall", { seconds(2), seconds(5) }, {}, {} }, 7);
+        router.note_due_configuration(2, at(seconds(0)));
+        router.offer_configuration(configuration(1, { "k" }), std::nullopt);
+        auto const decision = router.admit(request("/a/x", "k"), at(milliseconds(10)));
+        REQUIRE(std::holds_alternative<Rejected>(decision));
+        CHECK(std::get<Rejected>(decision).reason == Reason::ConfigurationExpired);
+    }
+}
+
 TEST_CASE("a request admitted before the lease ran out is not sent after it did")
 {
     Box const box;
