LibRouting: Leave an endpoint alone for longer the more requests it turns away

Load: four of nine engines turn away nine in ten requests for 12 s and name no time to come back. Cause of what callers lost: after each the endpoint was left alone for 60 ms, and having nothing to do it then looked like the best choice; most routes allow one attempt, so the caller was refused.

Change: the pause doubles with each further request that is turned away, up to 1.9 s; each request that the endpoint serves forgets half of them. It stays a preference: where no other endpoint is left all are tried.

--- a/Libraries/LibRouting/EndpointLoad.cpp
+++ b/Libraries/LibRouting/EndpointLoad.cpp
@@ -30,6 +30,7 @@
 void EndpointLoad::succeeded()
 {
     this->health.succeeded();
+    this->turned_away /= 2;
 }
 
 void EndpointLoad::failed(Instant now)
@@ -40,7 +41,8 @@
 
 void EndpointLoad::shed(Instant now)
 {
-    this->full_until = now + pause_when_full;
+    this->turned_away = std::min(this->turned_away + 1, most_doublings);
+    this->full_until = now + pause_when_full * (1U << (this->turned_away - 1));
 }
 
 void EndpointLoad::take_told(ToldLoad const& told, Instant now)
--- a/Libraries/LibRouting/EndpointLoad.h
+++ b/Libraries/LibRouting/EndpointLoad.h
@@ -85,8 +85,11 @@
     static constexpr Duration failure_half_life { std::chrono::seconds(4) };
     /// An answer is overdue after twice its expected time and this, which covers a long tail of short calls.
     static constexpr Duration overdue_margin { std::chrono::milliseconds(60) };
-    /// An endpoint that was full is left alone this long: a few requests' service times.
+    /// An endpoint that was full is left alone this long: a few requests' service times. Twice as long with each
+    /// further request that it turns away, and half of these are forgotten with each that it serves.
     static constexpr Duration pause_when_full { std::chrono::milliseconds(60) };
+    /// Up to 1.9 s, so that one that is well again is not missed for long.
+    static constexpr unsigned most_doublings = 6;
 
     std::map<RequestId, OwnRequest> own;
     /// When the endpoint last began an answer to this box.
@@ -97,6 +100,7 @@
     FadingSum failures { failure_half_life };
     FadingSum attempts { failure_half_life };
     Instant full_until;
+    unsigned turned_away { 0 };
     Traffic::EndpointHealth health;
     PromptMemory prompts;
 };
--- /dev/null
+++ b/Tests/LibRouting/TestTurnedAway.cpp
@@ -0,0 +1,122 @@
+#include <TestMain.h>
+
+#include <LibRouting/RequestRouter.h>
+#include <pcg_random.hpp>
+#include <queue>
+
+namespace {
+
+using namespace Routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int endpoint_count = 9;
+constexpr Duration request_interval = milliseconds(20);
+constexpr Duration service_time = milliseconds(30);
+
+Instant at(Duration since_start)
+{
+    return Instant {} + seconds(100) + since_start;
+}
+
+/// Callers who try once each, before a service of nine endpoints some of which turn away nine requests in ten and name
+/// no time to come back.
+class Play {
+public:
+    explicit Play(std::uint64_t seed)
+        : router({ "hall", { seconds(200), seconds(500) }, {}, {} }, seed)
+        , random(seed)
+    {
+        Configuration contents;
+        contents.version = 1;
+        Route route;
+        route.name = "r";
+        route.host = "h";
+        route.path_prefix = "/";
+        route.kind = RouteKind::NonIdempotent;
+        route.timeout = seconds(3);
+        route.services = { { "desk", 1 } };
+        route.max_attempts = 1;
+        contents.routes = { route };
+        contents.services = { { "desk", 96, {} } };
+        this->router.offer_configuration(
+            std::make_shared<ConfigurationSnapshot const>(std::move(contents)), at(seconds(0)));
+        for (int number = 0; number < endpoint_count; ++number)
+            this->router.put_endpoint({ std::to_string(number), "desk", { "10.0.0.1", 80 }, "hall", 6, false });
+    }
+
+    /// The part of the requests that is turned away while so many endpoints do so.
+    double turned_away(int overloaded, Duration from, Duration until)
+    {
+        int requests = 0;
+        int refused = 0;
+        for (auto moment = from; moment < until; moment += request_interval) {
+            this->end_until(at(moment));
+            ++requests;
+            refused += this->is_turned_away(overloaded, at(moment)) ? 1 : 0;
+        }
+        return static_cast<double>(refused) / requests;
+    }
+
+    /// Requests that these endpoints get in the time.
+    int reach(int endpoints, Duration from, Duration until)
+    {
+        this->sent_to.clear();
+        static_cast<void>(this->turned_away(0, from, until));
+        int sent = 0;
+        for (int number = 0; number < endpoints; ++number)
+            sent += this->sent_to[std::to_string(number)];
+        return sent;
+    }
+
+private:
+    struct Running {
+        Instant ends_at;
+        RequestId request;
+        EndpointId endpoint;
+
+        bool operator<(Running const& other) const { return this->ends_at > other.ends_at; }
+    };
+
+    bool is_turned_away(int overloaded, Instant now)
+    {
+        auto const admitted = std::get<Admitted>(this->router.admit({ "a", "h", "/x", "", seconds(1), {} }, now));
+        auto const placed = std::get<Placed>(this->router.place(admitted, {}, {}, now));
+        ++this->sent_to[placed.endpoint.incarnation];
+        this->router.attempt_started(admitted, {}, placed.choice, now);
+        constexpr std::uint32_t of_ten = 10;
+        bool const refuses = std::stoi(placed.endpoint.incarnation) < overloaded && this->random(of_ten) != 0;
+        if (refuses)
+            this->router.attempt_ended(admitted.id, placed.choice.endpoint, AttemptResult::EndpointBusy, now);
+        else
+            this->running.push({ now + service_time, admitted.id, placed.choice.endpoint });
+        return refuses;
+    }
+
+    void end_until(Instant now)
+    {
+        for (; !this->running.empty() && this->running.top().ends_at <= now; this->running.pop())
+            this->router.attempt_ended(this->running.top().request, this->running.top().endpoint,
+                AttemptResult::Completed, this->running.top().ends_at);
+    }
+
+    RequestRouter router;
+    pcg32 random;
+    std::priority_queue<Running> running;
+    std::map<std::string, int> sent_to;
+};
+
+}
+
+TEST_CASE("endpoints that go on turning requests away are tried seldom, and used again when they are well")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        CAPTURE(seed);
+        Play play(seed);
+        constexpr int overloaded = 4;
+        CHECK(play.turned_away(overloaded, seconds(0), seconds(12)) <= 0.1);
+        static_cast<void>(play.turned_away(0, seconds(12), seconds(14)));
+        auto const requests = seconds(6) / request_interval;
+        CHECK(play.reach(overloaded, seconds(14), seconds(20)) >= requests * overloaded / endpoint_count / 2);
+    }
+}
