Tests: Draw endpoints that name limits, ask for rests and leave in the soak

What clients were told is compared with what servers ran, as in the other plays, whose draws are unchanged.

Not checked in it: the bounds on what such endpoints get, which restarts and pauses of boxes excuse; their own tests show these.

--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -81,8 +81,8 @@
             this->limit = target.substr(limit_path.size());
         else if (target.starts_with(rest_path))
             this->rest = target.substr(rest_path.size());
-        else if (target == "/leave")
-            this->is_leaving = true;
+        else if (target == "/leave" || target == "/stay")
+            this->is_leaving = target == "/leave";
         else
             return {};
         return "{}";
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -42,6 +42,8 @@
     /// The store comes back from a copy now and then, and its writers write again; one box reports usage and orders
     /// servers, from a platform that fails at times.
     CopiesAndLeader,
+    /// Servers name rate limits, ask for rests and say that they leave, and take it back.
+    EndpointWords,
 };
 
 class Site {
@@ -77,6 +79,8 @@
     {
         if (this->play == Play::CopiesAndLeader)
             this->strike_leader_or_history();
+        if (this->play == Play::EndpointWords)
+            this->strike_endpoint_words();
         auto const index = this->random(static_cast<std::uint32_t>(box_names.size()));
         auto const* const name = box_names[index];
         switch (this->random(10)) {
@@ -138,6 +142,11 @@
         this->cluster.set_store_mode("");
         if (this->play == Play::CopiesAndLeader)
             this->cluster.set_cloud_mode("");
+        if (this->play == Play::EndpointWords) {
+            for (auto const* name : server_names)
+                for (auto const* path : { "/limit/", "/rest/", "/stay" })
+                    static_cast<void>(this->cluster.get(name, path));
+        }
         for (std::size_t index = 0; index < box_names.size(); ++index) {
             this->thaw(index);
             this->to_store[index].set_fault(Fault::None);
@@ -194,6 +203,16 @@
         }
     }
 
+    void strike_endpoint_words()
+    {
+        auto const* const name = server_names[this->random_of_play(static_cast<std::uint32_t>(server_names.size()))];
+        constexpr std::array paths { "/limit/3", "/limit/0.5", "/limit/", "/rest/0.5", "/rest/2", "/rest/" };
+        static_cast<void>(this->cluster.get(name, paths[this->random_of_play(paths.size())]));
+        // NOTE: The other server of each service stays, since a box doesn't soon use one again that it was told leaves.
+        if (this->random_of_play(4) == 0)
+            static_cast<void>(this->cluster.get(this->random_of_play(2) == 0 ? "m1" : "d1", "/leave"));
+    }
+
     void start_box(std::size_t index)
     {
         auto settings = bounds;
@@ -343,3 +362,8 @@
 {
     play(Play::CopiesAndLeader);
 }
+
+TEST_CASE("and where servers say that they take little, want a rest or leave")
+{
+    play(Play::EndpointWords);
+}
