--- a/Libraries/LibCore/Reason.cpp
+++ b/Libraries/LibCore/Reason.cpp
@@ -62,7 +62,7 @@
     "route-timeout-passed",
     "endpoint-full",
     "endpoints-at-limit",
-    "endpoints-resting",
+    "endpoints-backed-off",
     "endpoint-replaced",
     "endpoint-failed",
     "endpoint-silent",
--- a/Libraries/LibCore/Reason.h
+++ b/Libraries/LibCore/Reason.h
@@ -79,7 +79,7 @@
     RouteTimeoutPassed,
     EndpointFull,
     EndpointsAtLimit,
-    EndpointsResting,
+    EndpointsBackedOff,
     EndpointReplaced,
     EndpointFailed,
     EndpointSilent,
--- a/Libraries/LibGateway/EndpointNews.cpp
+++ b/Libraries/LibGateway/EndpointNews.cpp
@@ -13,12 +13,12 @@
 
 void log_change(Routing::EndpointNotice const& notice, std::string_view told_by)
 {
-    auto const& [limit, is_leaving] = notice.condition;
+    auto const& [limit, is_draining] = notice.condition;
     Log::EventLine("endpoint_notice")
         .with("endpoint", notice.endpoint.incarnation)
         .with("version", notice.version)
         .with("limit_per_s", limit.per_second ? fmt::format("{}", *limit.per_second) : "none")
-        .with("leaving", is_leaving ? "yes" : "no")
+        .with("draining", is_draining ? "yes" : "no")
         .with("told_by", told_by)
         .info();
 }
@@ -63,13 +63,13 @@
 }
 
 void EndpointNews::answered(
-    Routing::Placed const& placed, Routing::RequestRouter::AnswerWord const& word, Core::Instant sent_at)
+    Routing::Placed const& placed, Routing::RequestRouter::SelfReport const& report, Core::Instant sent_at)
 {
-    auto const news = this->router.note_answer(placed, word, sent_at, monotonic_now());
-    if (news.rest_began)
-        Log::EventLine("endpoint_rests")
+    auto const news = this->router.note_answer(placed, report, sent_at, monotonic_now());
+    if (news.backoff_began)
+        Log::EventLine("endpoint_backoff")
             .with("endpoint", placed.endpoint.incarnation)
-            .with("rest_s", Core::to_seconds(*word.rest))
+            .with("backoff_s", Core::to_seconds(*report.backoff))
             .info();
     if (!news.notice)
         return;
--- a/Libraries/LibGateway/EndpointNews.h
+++ b/Libraries/LibGateway/EndpointNews.h
@@ -32,7 +32,8 @@
     [[nodiscard]] Task<void> run();
 
     /// The endpoint said this in its answer to a request that was sent at that moment.
-    void answered(Routing::Placed const& placed, Routing::RequestRouter::AnswerWord const& word, Core::Instant sent_at);
+    void answered(
+        Routing::Placed const& placed, Routing::RequestRouter::SelfReport const& report, Core::Instant sent_at);
     /// Another box told it.
     void hear(Membership::EndpointNewsMessage const& message, Reply const& reply);
 
--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -76,10 +76,10 @@
         .with("took_ms", Core::to_milliseconds(now - attempt.started));
     if (attempt.told_per_second)
         line.with("told_limit_per_s", *attempt.told_per_second);
-    if (attempt.told_leaving)
-        line.with("told_leaving", "yes");
-    if (attempt.told_rest)
-        line.with("told_rest_s", Core::to_seconds(*attempt.told_rest));
+    if (attempt.told_draining)
+        line.with("told_draining", "yes");
+    if (attempt.told_backoff)
+        line.with("told_retry_after_s", Core::to_seconds(*attempt.told_backoff));
     if (!attempt.detail.empty())
         line.with("detail", attempt.detail);
     line.info();
@@ -121,7 +121,7 @@
         .with("home", yes_or_no(figures.is_home))
         .with("left_ms", Core::to_milliseconds(this->admitted->expires - attempt.started))
         .with("at_limit", attempt.placed.at_limit)
-        .with("resting", attempt.placed.resting);
+        .with("backed_off", attempt.placed.backed_off);
     if (attempt.placed.limit.per_second)
         line.with("limit_per_s", *attempt.placed.limit.per_second);
     if (this->answer_begun)
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -218,13 +218,13 @@
         co_return this->end_of_broken_answer();
     }
     attempt.status = this->call->head().result_int();
-    attempt.told_leaving = facts.is_leaving;
-    attempt.told_rest = facts.rest;
+    attempt.told_draining = facts.is_draining;
+    attempt.told_backoff = facts.backoff;
     if (facts.rate_limit)
         attempt.told_per_second = facts.rate_limit->per_second;
     if (!facts.is_other_endpoint)
         this->state.endpoint_news.answered(
-            attempt.placed, { facts.rate_limit, facts.is_leaving, !facts.not_run, facts.rest }, attempt.started);
+            attempt.placed, { facts.rate_limit, facts.is_draining, !facts.not_run, facts.backoff }, attempt.started);
     auto const endpoint = attempt.placed.choice.endpoint;
     if (facts.load)
         this->state.router.take_told_load(endpoint, *facts.load, monotonic_now());
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -51,9 +51,9 @@
     /// What the endpoint said it takes; nothing where it said none or what can't be read.
     std::optional<double> told_per_second;
     /// The endpoint said that it is about to end.
-    bool told_leaving { false };
+    bool told_draining { false };
     /// How long the endpoint wants nothing from this box, if it said so.
-    std::optional<Core::Duration> told_rest;
+    std::optional<Core::Duration> told_backoff;
     /// What broke, in words; empty if nothing did.
     std::string detail;
 };
--- a/Libraries/LibMembership/EndpointNewsMessage.cpp
+++ b/Libraries/LibMembership/EndpointNewsMessage.cpp
@@ -22,7 +22,8 @@
     /// Nothing depends on how much longer ago something was said.
     constexpr std::uint64_t longest = std::chrono::microseconds(std::chrono::hours(24)).count();
     Core::Duration const age { static_cast<Core::Duration::rep>(std::min(told.told_us_ago(), longest)) };
-    Routing::EndpointNotice notice { read_life(told.endpoint()), told.version(), { {}, told.is_leaving() }, now - age };
+    Routing::EndpointNotice notice { read_life(told.endpoint()), told.version(), { {}, told.is_draining() },
+        now - age };
     if (told.has_limit_per_s())
         notice.condition.limit.per_second = told.limit_per_s();
     return notice;
@@ -38,10 +39,10 @@
         auto& told = *encoded.add_notices();
         write_life(*told.mutable_endpoint(), notice.endpoint);
         told.set_version(notice.version);
-        auto const& [limit, is_leaving] = notice.condition;
+        auto const& [limit, is_draining] = notice.condition;
         if (limit.per_second)
             told.set_limit_per_s(*limit.per_second);
-        told.set_is_leaving(is_leaving);
+        told.set_is_draining(is_draining);
         told.set_told_us_ago(
             static_cast<std::uint64_t>(std::max<Core::Duration::rep>((now - notice.told_at).count(), 0)));
     }
--- /dev/null
+++ b/Libraries/LibRouting/EndpointBackoffs.cpp
@@ -0,0 +1,56 @@
+#include <LibRouting/EndpointBackoffs.h>
+
+#include <algorithm>
+
+namespace Routing {
+
+bool EndpointBackoffs::asked(EndpointId id, Duration backoff, Instant now)
+{
+    bool const was_backed_off = this->is_backed_off(id, now);
+    auto& entry = this->entries[id];
+    entry.until = std::max(entry.until, now + backoff);
+    entry.next_probe = entry.until;
+    return !was_backed_off;
+}
+
+void EndpointBackoffs::accepted(EndpointId id, Instant sent_at)
+{
+    auto const found = this->entries.find(id);
+    // NOTE: What was sent before the endpoint asked for it may be answered meanwhile.
+    if (found != this->entries.end() && sent_at >= found->second.until)
+        this->entries.erase(found);
+}
+
+bool EndpointBackoffs::is_backed_off(EndpointId id, Instant now) const
+{
+    auto const found = this->entries.find(id);
+    return found != this->entries.end() && now < found->second.until;
+}
+
+bool EndpointBackoffs::may_be_chosen(EndpointId id, Instant now) const
+{
+    return now >= this->free_at(id);
+}
+
+void EndpointBackoffs::chosen(EndpointId id, Instant now)
+{
+    auto const found = this->entries.find(id);
+    if (found != this->entries.end())
+        found->second.next_probe = now + probe_interval;
+}
+
+Instant EndpointBackoffs::free_at(EndpointId id) const
+{
+    auto const found = this->entries.find(id);
+    return found == this->entries.end() ? Instant::min() : found->second.next_probe;
+}
+
+Duration come_back_after_backoff(Duration backoff, unsigned priority, double drawn)
+{
+    /// Clients of one priority come back within this time of one another, and those of the next after it.
+    constexpr double spread_seconds = 0.5;
+    constexpr unsigned most_told_apart = 3;
+    return backoff + Core::from_seconds(spread_seconds * (std::min(priority, most_told_apart) + drawn));
+}
+
+}
--- a/Libraries/LibRouting/EndpointNotices.cpp
+++ b/Libraries/LibRouting/EndpointNotices.cpp
@@ -11,7 +11,7 @@
 {
     auto const& limit = first.limit.per_second;
     bool const is_tighter = limit && (!second.limit.per_second || *limit < *second.limit.per_second);
-    return { is_tighter ? first.limit : second.limit, first.is_leaving || second.is_leaving };
+    return { is_tighter ? first.limit : second.limit, first.is_draining || second.is_draining };
 }
 
 }
@@ -33,10 +33,10 @@
     auto& entry = known->second;
     auto const condition = sent_at >= entry.learned_at ? told : worse_of(told, entry.notice.condition);
     // NOTE: Other boxes take it for another process by now, too.
-    bool const leaves_after_all = told.is_leaving && !this->may_still_leave(entry.notice);
-    if (told.is_leaving)
+    bool const drains_after_all = told.is_draining && !this->may_still_drain(entry.notice);
+    if (told.is_draining)
         entry.notice.told_at = now;
-    if (condition == entry.notice.condition && !leaves_after_all)
+    if (condition == entry.notice.condition && !drains_after_all)
         return {};
     entry.notice = { endpoint, entry.notice.version + 1, condition, now };
     entry.learned_at = now;
@@ -66,18 +66,18 @@
     this->list_confirmed_at = std::max(vouched_at, this->list_confirmed_at.value_or(vouched_at));
 }
 
-bool EndpointNotices::may_still_leave(EndpointNotice const& notice) const
+bool EndpointNotices::may_still_drain(EndpointNotice const& notice) const
 {
     if (!this->list_confirmed_at)
         return true;
-    return *this->list_confirmed_at - std::max(notice.told_at, this->list_known_since) < longest_unlisted_leave;
+    return *this->list_confirmed_at - std::max(notice.told_at, this->list_known_since) < longest_unlisted_drain;
 }
 
-bool EndpointNotices::is_leaving(EndpointId id) const
+bool EndpointNotices::is_draining(EndpointId id) const
 {
     auto const found = this->entries.find(id);
-    return found != this->entries.end() && found->second.notice.condition.is_leaving
-        && this->may_still_leave(found->second.notice);
+    return found != this->entries.end() && found->second.notice.condition.is_draining
+        && this->may_still_drain(found->second.notice);
 }
 
 void EndpointNotices::enter_slot(Entry& entry, SharedMicroseconds now) const
--- a/Libraries/LibRouting/EndpointNotices.h
+++ b/Libraries/LibRouting/EndpointNotices.h
@@ -12,7 +12,7 @@
 struct EndpointCondition {
     RateLimit limit;
     /// It is about to end, and takes no new requests.
-    bool is_leaving { false };
+    bool is_draining { false };
 
     bool operator==(EndpointCondition const&) const = default;
 };
@@ -59,7 +59,7 @@
     void list_in_doubt() { this->list_confirmed_at.reset(); }
 
     /// Whether the endpoint is about to end.
-    [[nodiscard]] bool is_leaving(EndpointId id) const;
+    [[nodiscard]] bool is_draining(EndpointId id) const;
     /// Whether the endpoint may get a request of this rank from this box now, by its limit. In the first half of a slot
     /// as much is kept for the first rank as asked in the slot before.
     [[nodiscard]] bool may_send(EndpointId id, SendRank rank, SharedMicroseconds now);
@@ -89,14 +89,14 @@
     static constexpr Duration told_after_end { std::chrono::seconds(30) };
     /// An endpoint that is listed as usual for so long after it said that it leaves is another process. Longer than an
     /// entry takes to lapse and a late write to the store to be done.
-    static constexpr Duration longest_unlisted_leave { std::chrono::seconds(15) };
+    static constexpr Duration longest_unlisted_drain { std::chrono::seconds(15) };
     /// Between two moments further apart for which the list is known, it is taken to be unknown.
     static constexpr Duration longest_list_gap { std::chrono::seconds(2) };
 
     /// Brings what is left of this box's part up to the slot of this moment.
     void enter_slot(Entry& entry, SharedMicroseconds now) const;
     /// Whether the endpoint that says that it leaves may still be the process that said so.
-    [[nodiscard]] bool may_still_leave(EndpointNotice const& notice) const;
+    [[nodiscard]] bool may_still_drain(EndpointNotice const& notice) const;
 
     BoxGroup boxes;
     std::unordered_map<EndpointId, Entry> entries;
--- a/Libraries/LibRouting/Placement.cpp
+++ b/Libraries/LibRouting/Placement.cpp
@@ -166,11 +166,11 @@
 std::optional<PlacementChoice> choose_endpoint(PlacementCandidates const& candidates, LoadTable const& loads,
     PlacementQuery const& query, PlacementModel const& model)
 {
-    if (candidates.usual.empty() && candidates.at_times.empty())
+    if (candidates.usual.empty() && candidates.limited.empty())
         return {};
     static EndpointLoad const unknown_load;
     bool const has_usual = !candidates.usual.empty();
-    auto sides = divide(has_usual ? candidates.usual : candidates.at_times, query);
+    auto sides = divide(has_usual ? candidates.usual : candidates.limited, query);
     auto const subject = query.is_engine ? shared_subject(query.workload) : std::nullopt;
     auto const* const home = subject ? home_of(sides.meant, *subject) : nullptr;
     std::optional<Candidate> best;
@@ -194,11 +194,11 @@
         consider(endpoint, model.wrong_side_milliseconds, model);
     if (has_usual) {
         auto of_turn = model;
-        of_turn.read_again_factor = model.read_again_factor_in_turn;
-        for (auto const* endpoint : candidates.at_times)
-            consider(endpoint, -model.turn_gain_milliseconds, of_turn);
+        of_turn.read_again_factor = model.limited_read_again_factor;
+        for (auto const* endpoint : candidates.limited)
+            consider(endpoint, -model.limited_gain_milliseconds, of_turn);
     }
-    best->choice.figures.candidates = candidates.usual.size() + candidates.at_times.size();
+    best->choice.figures.candidates = candidates.usual.size() + candidates.limited.size();
     best->choice.figures.speed = query.speed;
     best->choice.figures.subject = subject.value_or(0);
     return best->choice;
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -23,10 +23,10 @@
     /// price it at about the worth of a request for 7,000 tokens.
     double read_again_factor { 8 };
     /// The same at an endpoint that takes work at times only, which gets little and keeps little.
-    double read_again_factor_in_turn { 1 };
+    double limited_read_again_factor { 1 };
     /// What it gains to use an endpoint that takes work at times only: a turn that lapses is lost to all, and only
     /// answers tell when its limit ends.
-    double turn_gain_milliseconds { 10 };
+    double limited_gain_milliseconds { 10 };
     /// Cost of placing a request on an engine that is meant for the other kind.
     double wrong_side_milliseconds { 400 };
     /// How many times the silence of an endpoint beyond the expected counts: it has most likely failed.
@@ -94,7 +94,7 @@
     /// Prompt parts have their homes here, and long answers their share of engines.
     std::vector<KnownEndpoint const*> usual;
     /// These take work now and then only. They are no homes, since prompt parts would move with each turn.
-    std::vector<KnownEndpoint const*> at_times {};
+    std::vector<KnownEndpoint const*> limited {};
 };
 
 /// Chooses the endpoint with the lowest predicted time to a useful answer.
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -120,7 +120,7 @@
 {
     for (auto const id : this->directory.take_moved()) {
         this->notices.forget(id);
-        this->rests.forget(id);
+        this->backoffs.forget(id);
     }
 }
 
@@ -138,7 +138,7 @@
     for (auto const id : removed) {
         this->loads.erase(id);
         this->notices.forget(id);
-        this->rests.forget(id);
+        this->backoffs.forget(id);
     }
     return removed;
 }
@@ -218,15 +218,15 @@
     placed.limit = this->notices.limit_of(choice->endpoint);
     placed.is_counted_by_limit = this->notices.count_send(choice->endpoint, this->shared_time(now));
     placed.at_limit = choices.at_limit.size();
-    placed.resting = choices.resting.size();
-    this->rests.chosen(choice->endpoint, now);
+    placed.backed_off = choices.backed_off.size();
+    this->backoffs.chosen(choice->endpoint, now);
     return placed;
 }
 
 PlacementCandidates const& RequestRouter::Choices::best() const
 {
     // NOTE: When no endpoint is trusted the belief may be wrong, and trying one costs less than refusing.
-    bool const is_any_trusted = !this->trusted.usual.empty() || !this->trusted.at_times.empty();
+    bool const is_any_trusted = !this->trusted.usual.empty() || !this->trusted.limited.empty();
     return is_any_trusted ? this->trusted : this->distrusted;
 }
 
@@ -238,8 +238,8 @@
     for (auto const id : this->usable(request.service, now)) {
         if (std::ranges::find(tried, id) != tried.end())
             continue;
-        if (!this->rests.may_be_chosen(id, now)) {
-            choices.resting.push_back(id);
+        if (!this->backoffs.may_be_chosen(id, now)) {
+            choices.backed_off.push_back(id);
             continue;
         }
         if (!this->notices.may_send(id, rank, this->shared_time(now))) {
@@ -250,7 +250,7 @@
         bool const is_trusted = found == this->loads.end() || found->second.takes_work(now);
         bool const is_limited = this->notices.limit_of(id).per_second.has_value();
         auto& candidates = is_trusted ? choices.trusted : choices.distrusted;
-        (is_limited ? candidates.at_times : candidates.usual).push_back(this->directory.find(id));
+        (is_limited ? candidates.limited : candidates.usual).push_back(this->directory.find(id));
     }
     return choices;
 }
@@ -264,11 +264,11 @@
             longest_slot = std::max(longest_slot, RateSchedule(*this->notices.limit_of(id).per_second).slot_length());
         return { Reason::EndpointsAtLimit, come_back_after_limit(longest_slot, request.route->priority, drawn) };
     }
-    if (!choices.resting.empty()) {
+    if (!choices.backed_off.empty()) {
         auto first = Instant::max();
-        for (auto const id : choices.resting)
-            first = std::min(first, this->rests.free_at(id));
-        return { Reason::EndpointsResting, come_back_after_rest(first - now, request.route->priority, drawn) };
+        for (auto const id : choices.backed_off)
+            first = std::min(first, this->backoffs.free_at(id));
+        return { Reason::EndpointsBackedOff, come_back_after_backoff(first - now, request.route->priority, drawn) };
     }
     return { Reason::NoEndpoint, was_tried ? come_back_when_full : come_back_after_gap };
 }
@@ -282,7 +282,7 @@
 {
     std::scoped_lock const guard(this->endpoints_lock);
     auto const id = placed.choice.endpoint;
-    if (!this->is_usable(id, now) || this->rests.is_resting(id, now))
+    if (!this->is_usable(id, now) || this->backoffs.is_backed_off(id, now))
         return false;
     auto const shared_now = this->shared_time(now);
     if (placed.is_counted_by_limit)
@@ -305,19 +305,19 @@
     this->shared_clock_ahead = ahead;
 }
 
-RequestRouter::AnswerNews RequestRouter::note_answer(
-    Placed const& placed, AnswerWord const& word, Instant sent_at, Instant now)
+RequestRouter::ReportEffect RequestRouter::note_answer(
+    Placed const& placed, SelfReport const& report, Instant sent_at, Instant now)
 {
     std::scoped_lock const guard(this->endpoints_lock);
     auto const id = placed.choice.endpoint;
     // NOTE: An answer may come after its endpoint was forgotten; what was known of it must not come back to life.
     if (this->directory.find(id) == nullptr)
         return {};
-    if (word.took_request)
-        this->rests.accepted(id, sent_at);
-    bool const rest_began = word.rest && this->rests.asked(id, *word.rest, now);
-    EndpointCondition const told { word.limit.value_or(this->notices.limit_of(id)), word.is_leaving };
-    return { this->notices.answered(id, life_of(placed.endpoint), told, sent_at, now), rest_began };
+    if (report.took_request)
+        this->backoffs.accepted(id, sent_at);
+    bool const backoff_began = report.backoff && this->backoffs.asked(id, *report.backoff, now);
+    EndpointCondition const told { report.limit.value_or(this->notices.limit_of(id)), report.is_draining };
+    return { this->notices.answered(id, life_of(placed.endpoint), told, sent_at, now), backoff_began };
 }
 
 bool RequestRouter::take_notice(EndpointNotice const& notice, Instant now)
@@ -348,13 +348,13 @@
 bool RequestRouter::is_usable(EndpointId id, Instant now) const
 {
     auto const* const known = this->directory.find(id);
-    return known != nullptr && this->directory.is_usable(*known, now) && !this->notices.is_leaving(id);
+    return known != nullptr && this->directory.is_usable(*known, now) && !this->notices.is_draining(id);
 }
 
 std::vector<EndpointId> RequestRouter::usable(std::string_view service, Instant now) const
 {
     auto ids = this->directory.usable(service, now);
-    std::erase_if(ids, [this](EndpointId id) { return this->notices.is_leaving(id); });
+    std::erase_if(ids, [this](EndpointId id) { return this->notices.is_draining(id); });
     return ids;
 }
 
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -2,8 +2,8 @@
 
 #include <LibCore/Reason.h>
 #include <LibRouting/ConfigurationLease.h>
+#include <LibRouting/EndpointBackoffs.h>
 #include <LibRouting/EndpointNotices.h>
-#include <LibRouting/EndpointRests.h>
 #include <LibRouting/LoadReport.h>
 #include <LibRouting/Placement.h>
 #include <LibRouting/RetryAllowance.h>
@@ -79,7 +79,7 @@
     /// Other endpoints that were passed over since this box has sent them its part of what they take.
     std::size_t at_limit { 0 };
     /// Others that want nothing from this box for now.
-    std::size_t resting { 0 };
+    std::size_t backed_off { 0 };
 
     bool operator==(Placed const&) const = default;
 };
@@ -161,23 +161,24 @@
     /// How far the clock that all boxes go by is ahead of this box's own, which runs from its boot.
     void set_shared_clock(Duration ahead);
     /// What an endpoint said of itself in an answer.
-    struct AnswerWord {
+    struct SelfReport {
         /// Nothing where it can't be read, and what is known holds.
         std::optional<RateLimit> limit;
-        bool is_leaving { false };
+        bool is_draining { false };
         /// Whether it took the request; it may have failed afterwards.
         bool took_request { true };
         /// How long it wants nothing from this box.
-        std::optional<Duration> rest {};
+        std::optional<Duration> backoff {};
     };
-    /// What follows from such a word.
-    struct AnswerNews {
+    /// What follows from such a report.
+    struct ReportEffect {
         /// As EndpointNotices::answered.
         std::optional<EndpointNotice> notice;
-        /// Whether a rest begins.
-        bool rest_began { false };
+        /// Whether this box begins to leave the endpoint alone.
+        bool backoff_began { false };
     };
-    [[nodiscard]] AnswerNews note_answer(Placed const& placed, AnswerWord const& word, Instant sent_at, Instant now);
+    [[nodiscard]] ReportEffect note_answer(
+        Placed const& placed, SelfReport const& report, Instant sent_at, Instant now);
     /// Another box told it; true if it is news of an endpoint that is known here.
     bool take_notice(EndpointNotice const& notice, Instant now);
     /// As EndpointNotices::worth_telling.
@@ -232,7 +233,7 @@
         /// This box has sent them its part of what they take.
         std::vector<EndpointId> at_limit;
         /// They want nothing from this box for now.
-        std::vector<EndpointId> resting;
+        std::vector<EndpointId> backed_off;
 
         [[nodiscard]] PlacementCandidates const& best() const;
     };
@@ -258,7 +259,7 @@
     EndpointDirectory directory;
     LoadTable loads;
     EndpointNotices notices;
-    EndpointRests rests;
+    EndpointBackoffs backoffs;
     Duration shared_clock_ahead { 0 };
     std::unordered_map<std::string, RetryAllowance> allowances;
     std::map<std::string, EngineDemand> demands;
--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -54,8 +54,9 @@
         this->arrivals_ms.push_back(Core::to_milliseconds(Core::monotonic_now() - this->started));
         if (request["X-Expect-Instance"] != FLAGS_incarnation)
             co_return co_await session->answer(421, "", "X-Instance-Id: " + FLAGS_incarnation + "\r\n");
-        if (!this->rest.empty())
-            co_return co_await session->answer(503, "", "X-Not-Executed: 1\r\nRetry-After: " + this->rest + "\r\n");
+        if (!this->retry_after.empty())
+            co_return co_await session->answer(
+                503, "", "X-Not-Executed: 1\r\nRetry-After: " + this->retry_after + "\r\n");
         if (this->running >= FLAGS_server_slots)
             co_return co_await session->answer(503, "", "X-Not-Executed: 1\r\n");
         ++this->running;
@@ -79,10 +80,10 @@
             return json(this->arrivals_ms).dump();
         if (target.starts_with(limit_path))
             this->limit = target.substr(limit_path.size());
-        else if (target.starts_with(rest_path))
-            this->rest = target.substr(rest_path.size());
+        else if (target.starts_with(retry_after_path))
+            this->retry_after = target.substr(retry_after_path.size());
         else if (target == "/leave" || target == "/stay")
-            this->is_leaving = target == "/leave";
+            this->tells_draining = target == "/leave";
         else
             return {};
         return "{}";
@@ -105,7 +106,7 @@
             attempt, FLAGS_incarnation, attempt, this->running, FLAGS_server_slots,
             this->is_draining ? "Connection: close\r\n" : "",
             this->limit.empty() ? "" : "Server-Limit: " + this->limit + "\r\n",
-            this->is_leaving ? "Server-Leaving: 1\r\n" : "");
+            this->tells_draining ? "Server-Leaving: 1\r\n" : "");
         auto const events = std::string(request["X-Standin-Events"]);
         if (events.empty()) {
             co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_work_ms));
@@ -169,8 +170,8 @@
 
     /// Behind it comes the limit that the server names from then on; nothing ends it.
     static constexpr std::string_view limit_path = "/limit/";
-    /// Behind it come the seconds of rest that the server asks for, turning all requests away; nothing ends it.
-    static constexpr std::string_view rest_path = "/rest/";
+    /// Behind it come the seconds after which boxes may come back, while all requests are turned away; nothing ends it.
+    static constexpr std::string_view retry_after_path = "/retry-after/";
 
     asio::io_context& context;
     std::string address;
@@ -178,9 +179,9 @@
     /// When requests reached the server, run or not.
     std::vector<double> arrivals_ms;
     std::string limit;
-    std::string rest;
-    /// Whether answers say that the server leaves; its entry in the store doesn't.
-    bool is_leaving { false };
+    std::string retry_after;
+    /// Whether answers say that the server drains; its entry in the store doesn't.
+    bool tells_draining { false };
     std::map<std::string, json> runs;
     int running { 0 };
     int heartbeats { 0 };
--- a/Tests/Integration/TestEndpointAsksForRest.cpp
+++ b/Tests/Integration/TestEndpointBackoff.cpp
@@ -3,17 +3,17 @@
 #include "DeskSite.h"
 #include <thread>
 
-TEST_CASE("an endpoint that turned a request away and asked for a rest gets nothing from that box for so long")
+TEST_CASE("an endpoint that turned a request away and said when to come back gets nothing from that box until then")
 {
-    constexpr double rest_seconds = 3;
-    /// After the answer that asks for the rest, and the requests that may reach the endpoint from then on.
+    constexpr double backoff_seconds = 3;
+    /// After the answer that says so, and the requests that may reach the endpoint from then on.
     constexpr double slack_ms = 500;
-    constexpr int most_in_rest = 2;
+    constexpr int most_in_backoff = 2;
 
     DeskSite site;
     auto const* const box = DeskSite::boxes[0];
-    Harness::wait_until("the endpoint has answered the box", [&] { return site.runs_at_speaker(box); });
-    site.have_speaker("/rest/" + std::to_string(rest_seconds));
+    Harness::wait_until("the endpoint has answered the box", [&] { return site.runs_at_reporter(box); });
+    site.have_reporter("/retry-after/" + std::to_string(backoff_seconds));
     auto const before = site.arrivals().size();
     Harness::wait_until("the endpoint has turned the box away", [&] {
         static_cast<void>(site.send(box, "/repeat/x", "turned-away-" + std::to_string(site.sent++)));
@@ -23,12 +23,12 @@
     int served = 0;
     constexpr int requests = 150;
     for (int number = 0; number < requests; ++number) {
-        served += site.send(box, "/repeat/x", "in-rest-" + std::to_string(number)).status == 200 ? 1 : 0;
+        served += site.send(box, "/repeat/x", "in-backoff-" + std::to_string(number)).status == 200 ? 1 : 0;
         std::this_thread::sleep_for(std::chrono::milliseconds(10));
     }
-    int in_rest = 0;
+    int in_backoff = 0;
     for (auto const arrival : site.arrivals())
-        in_rest += arrival >= first + slack_ms && arrival < first + rest_seconds * 1000 ? 1 : 0;
-    CHECK(in_rest <= most_in_rest);
+        in_backoff += arrival >= first + slack_ms && arrival < first + backoff_seconds * 1000 ? 1 : 0;
+    CHECK(in_backoff <= most_in_backoff);
     CHECK(served >= requests * 9 / 10);
 }
--- a/Tests/Integration/TestRateLimitedEndpoint.cpp
+++ b/Tests/Integration/TestRateLimitedEndpoint.cpp
@@ -29,13 +29,13 @@
 TEST_CASE("boxes that an endpoint told its rate limit send it no more than that all together")
 {
     DeskSite site;
-    site.have_speaker(name_limit);
-    site.reach_speaker_from_all();
+    site.have_reporter(name_limit);
+    site.reach_reporter_from_all();
     auto const before = site.arrivals().size();
     std::this_thread::sleep_for(std::chrono::milliseconds(600));
     auto const end = std::chrono::steady_clock::now() + std::chrono::seconds(6);
     for (std::size_t number = 0; std::chrono::steady_clock::now() < end; ++number) {
-        static_cast<void>(site.runs_at_speaker(DeskSite::boxes.at(number % DeskSite::boxes.size())));
+        static_cast<void>(site.runs_at_reporter(DeskSite::boxes.at(number % DeskSite::boxes.size())));
         std::this_thread::sleep_for(std::chrono::milliseconds(10));
     }
     CHECK(most_arrivals(site.arrivals(), before) <= most_in_window);
@@ -44,10 +44,10 @@
 TEST_CASE("a box that starts knows the limits that endpoints told others")
 {
     DeskSite site;
-    site.have_speaker(name_limit);
+    site.have_reporter(name_limit);
     auto const* const told = DeskSite::boxes[0];
     Harness::wait_until("the limit is known", [&] {
-        static_cast<void>(site.runs_at_speaker(told));
+        static_cast<void>(site.runs_at_reporter(told));
         return site.metric(told, "cleatbeam_limited_endpoints ") == 1;
     });
     site.start_one_box("b4");
@@ -58,15 +58,15 @@
 TEST_CASE("an endpoint gets its share again at every box once it names no limit any more")
 {
     DeskSite site;
-    site.have_speaker(name_limit);
-    site.reach_speaker_from_all();
-    site.have_speaker("/limit/");
+    site.have_reporter(name_limit);
+    site.reach_reporter_from_all();
+    site.have_reporter("/limit/");
     for (auto const* box : DeskSite::boxes) {
         constexpr int in_a_row = 10;
         Harness::wait_until(std::string(box) + " sends there as before", [&] {
             int reached = 0;
             for (int number = 0; number < in_a_row; ++number)
-                reached += site.runs_at_speaker(box) ? 1 : 0;
+                reached += site.runs_at_reporter(box) ? 1 : 0;
             return reached >= 3;
         });
     }
--- a/Tests/LibRouting/TestEndpointWords.cpp
+++ b/Tests/LibRouting/TestEndpointReports.cpp
@@ -154,7 +154,7 @@
     std::string const other = name == "a" ? "b" : "a";
     auto const notice = site.router.note_answer(placed, { RateLimit {}, true }, at(seconds(0)), at(seconds(1))).notice;
     REQUIRE(notice);
-    CHECK(notice->condition.is_leaving);
+    CHECK(notice->condition.is_draining);
     CHECK_FALSE(site.router.may_receive(placed.choice.endpoint, at(seconds(1))));
     CHECK_FALSE(site.router.may_send(placed, at(seconds(1))));
     CHECK(site.router.usable_endpoints("desk", at(seconds(1))) == 1);
@@ -170,8 +170,8 @@
 }
 
 /// A box that was told that endpoint "a" leaves, at second 10, while the list could be read.
-struct SiteWithLeaving : Site {
-    SiteWithLeaving()
+struct SiteWithDraining : Site {
+    SiteWithDraining()
     {
         this->read_list(seconds(0), seconds(10));
         REQUIRE(this->router.take_notice({ { "a", 0 }, 1, { {}, true }, at(seconds(10)) }, at(seconds(10))));
@@ -194,7 +194,7 @@
 {
     SUBCASE("its entry went in between")
     {
-        SiteWithLeaving site;
+        SiteWithDraining site;
         site.router.remove_endpoint("a", at(seconds(13)));
         static_cast<void>(site.router.expire_endpoints(at(seconds(13))));
         site.router.put_endpoint(Site::record("a"));
@@ -208,7 +208,7 @@
     }
     SUBCASE("its entry tells another life")
     {
-        SiteWithLeaving site;
+        SiteWithDraining site;
         site.router.put_endpoint(Site::record("a", 1000));
         CHECK(site.usable(seconds(10)) == 1);
         site.router.put_endpoint(Site::record("a", 2000));
@@ -219,7 +219,7 @@
     }
     SUBCASE("at another address")
     {
-        SiteWithLeaving site;
+        SiteWithDraining site;
         auto moved = Site::record("a");
         moved.address.port = 81;
         site.router.put_endpoint(moved);
@@ -228,7 +228,7 @@
     }
     SUBCASE("its entry never went: the list has it as usual for long enough")
     {
-        SiteWithLeaving site;
+        SiteWithDraining site;
         site.read_list(seconds(10), seconds(24));
         CHECK(site.usable(seconds(24)) == 1);
         site.read_list(seconds(24), seconds(26));
@@ -240,7 +240,7 @@
 {
     SUBCASE("the store is away")
     {
-        SiteWithLeaving site;
+        SiteWithDraining site;
         CHECK(site.usable(seconds(100)) == 1);
         site.read_list(seconds(100), seconds(110));
         CHECK(site.usable(seconds(110)) == 1);
@@ -249,7 +249,7 @@
     }
     SUBCASE("the store came back from a copy")
     {
-        SiteWithLeaving site;
+        SiteWithDraining site;
         site.read_list(seconds(10), seconds(20));
         site.router.endpoints_in_doubt();
         site.read_list(seconds(20), seconds(30));
@@ -257,7 +257,7 @@
     }
     SUBCASE("its entry says so meanwhile")
     {
-        SiteWithLeaving site;
+        SiteWithDraining site;
         auto leaving = Site::record("a");
         leaving.draining = true;
         site.router.put_endpoint(leaving);
@@ -268,7 +268,7 @@
 
 TEST_CASE("an endpoint that says again that it leaves is left alone again, and the others are told anew")
 {
-    SiteWithLeaving site;
+    SiteWithDraining site;
     site.read_list(seconds(10), seconds(26));
     REQUIRE(site.usable(seconds(26)) == 2);
     std::optional<Placed> at_leaving;
@@ -314,8 +314,8 @@
 
 namespace {
 
-/// Sends until the endpoint is chosen, and lets it ask for a rest of three seconds.
-void have_rest(Site& site, std::string const& name, Instant now)
+/// Sends until the endpoint is chosen, and has it turn a request away for three seconds.
+void have_backoff(Site& site, std::string const& name, Instant now)
 {
     for (int number = 0; number < 100; ++number) {
         auto const decision = site.place("/urgent/", now);
@@ -323,7 +323,7 @@
         REQUIRE(placed != nullptr);
         if (placed->endpoint.incarnation == name) {
             auto const news = site.router.note_answer(*placed, { RateLimit {}, false, false, seconds(3) }, now, now);
-            CHECK(news.rest_began);
+            CHECK(news.backoff_began);
             CHECK_FALSE(news.notice);
             CHECK_FALSE(site.router.may_send(*placed, now));
             return;
@@ -337,10 +337,10 @@
 
 }
 
-TEST_CASE("an endpoint that asked for a rest gets nothing until it is over, the others get all")
+TEST_CASE("an endpoint that said when to come back gets nothing until then, the others get all")
 {
     Site site;
-    have_rest(site, "a", at(seconds(0)));
+    have_backoff(site, "a", at(seconds(0)));
     for (int number = 0; number < 50; ++number)
         CHECK(site.endpoint_for("/urgent/", at(milliseconds(50 * number))) == "b");
     bool is_tried = false;
@@ -349,17 +349,17 @@
     CHECK(is_tried);
 }
 
-TEST_CASE("an endpoint's rest is kept where no other is left, and callers are told when it is over")
+TEST_CASE("what an endpoint said is kept where no other is left, and callers are told when it is over")
 {
     Site site;
-    have_rest(site, "a", at(seconds(0)));
-    have_rest(site, "b", at(seconds(1)));
+    have_backoff(site, "a", at(seconds(0)));
+    have_backoff(site, "b", at(seconds(1)));
     std::set<Duration> come_back;
     for (int number = 0; number < 50; ++number) {
         auto const decision = site.place("/urgent/", at(seconds(2)));
         auto const* const rejected = std::get_if<Rejected>(&decision);
         REQUIRE(rejected != nullptr);
-        CHECK(rejected->reason == Reason::EndpointsResting);
+        CHECK(rejected->reason == Reason::EndpointsBackedOff);
         REQUIRE(rejected->retry_after);
         CHECK(*rejected->retry_after >= seconds(1));
         come_back.insert(*rejected->retry_after);
@@ -368,10 +368,10 @@
     CHECK(site.endpoint_for("/urgent/", at(seconds(3))) == "a");
 }
 
-TEST_CASE("another process under the endpoint's id doesn't rest for the one before")
+TEST_CASE("another process under the endpoint's id is not left alone for the one before")
 {
     Site site;
-    have_rest(site, "a", at(seconds(0)));
+    have_backoff(site, "a", at(seconds(0)));
     site.router.remove_endpoint("a", at(seconds(1)));
     site.router.put_endpoint(Site::record("a"));
     static_cast<void>(site.router.expire_endpoints(at(seconds(1))));
--- a/Tests/LibRouting/TestPlacement.cpp
+++ b/Tests/LibRouting/TestPlacement.cpp
@@ -21,14 +21,13 @@
                 { "i-" + std::to_string(index), "pool", { "10.0.0.1", 80 }, own_domain, 64, false }, {}, false });
     }
 
-    /// The last `at_times` endpoints take work now and then only.
-    [[nodiscard]] EndpointId place(
-        Workload const& workload, std::size_t for_answers = 2, std::size_t at_times = 0) const
+    /// The last `limited` endpoints take work now and then only.
+    [[nodiscard]] EndpointId place(Workload const& workload, std::size_t for_answers = 2, std::size_t limited = 0) const
     {
         PlacementCandidates candidates;
         for (auto const& endpoint : this->endpoints) {
-            bool const is_usual = candidates.usual.size() + at_times < this->endpoints.size();
-            (is_usual ? candidates.usual : candidates.at_times).push_back(&endpoint);
+            bool const is_usual = candidates.usual.size() + limited < this->endpoints.size();
+            (is_usual ? candidates.usual : candidates.limited).push_back(&endpoint);
         }
         auto const choice
             = choose_endpoint(candidates, this->loads, { workload, true, for_answers, own_domain, now, {} }, {});
--- a/Tests/PlatformAdapter/TestRequestCodec.cpp
+++ b/Tests/PlatformAdapter/TestRequestCodec.cpp
@@ -177,7 +177,7 @@
 TEST_CASE("an endpoint that leaves is told by its answer's head")
 {
     auto const leaving = [](std::string const& line) {
-        return decode_answer(answer_head("HTTP/1.1 200 OK\r\n" + line + "\r\n"), "9c41").is_leaving;
+        return decode_answer(answer_head("HTTP/1.1 200 OK\r\n" + line + "\r\n"), "9c41").is_draining;
     };
     CHECK_FALSE(leaving(""));
     CHECK(leaving("Server-Leaving: 1\r\n"));
@@ -188,17 +188,18 @@
 
 TEST_CASE("how long an endpoint wants nothing is read from an answer that turns a request away")
 {
-    auto const rest = [](std::string const& status, std::string const& value) {
-        return decode_answer(answer_head("HTTP/1.1 " + status + "\r\nRetry-After: " + value + "\r\n\r\n"), "9c41").rest;
+    auto const backoff = [](std::string const& status, std::string const& value) {
+        return decode_answer(answer_head("HTTP/1.1 " + status + "\r\nRetry-After: " + value + "\r\n\r\n"), "9c41")
+            .backoff;
     };
-    CHECK(rest("503 No", "3") == std::chrono::seconds(3));
-    CHECK(rest("429 No", "0.25") == milliseconds(250));
-    CHECK(rest("503 No", "1e9") == std::chrono::seconds(600));
-    CHECK_FALSE(rest("200 OK", "3"));
-    CHECK_FALSE(rest("500 No", "3"));
-    CHECK_FALSE(decode_answer(answer_head("HTTP/1.1 503 No\r\n\r\n"), "9c41").rest);
+    CHECK(backoff("503 No", "3") == std::chrono::seconds(3));
+    CHECK(backoff("429 No", "0.25") == milliseconds(250));
+    CHECK(backoff("503 No", "1e9") == std::chrono::seconds(600));
+    CHECK_FALSE(backoff("200 OK", "3"));
+    CHECK_FALSE(backoff("500 No", "3"));
+    CHECK_FALSE(decode_answer(answer_head("HTTP/1.1 503 No\r\n\r\n"), "9c41").backoff);
     for (auto const* unreadable : { "", "soon", "3s", "-1", "0", "nan", "inf", "Thu, 03 Dec 2026 10:00:00 GMT" })
-        CHECK_FALSE(rest("503 No", unreadable));
+        CHECK_FALSE(backoff("503 No", unreadable));
 }
 
 TEST_CASE("an answer is passed on unchanged but for what concerns its connection")
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -42,8 +42,8 @@
     /// The store comes back from a copy now and then, and its writers write again; one box reports usage and orders
     /// servers, from a platform that fails at times.
     CopiesAndLeader,
-    /// Servers name rate limits, ask for rests and say that they leave, and take it back.
-    EndpointWords,
+    /// Servers name rate limits, turn all away for a time and say that they leave, and take it back.
+    EndpointReports,
 };
 
 class Site {
@@ -79,8 +79,8 @@
     {
         if (this->play == Play::CopiesAndLeader)
             this->strike_leader_or_history();
-        if (this->play == Play::EndpointWords)
-            this->strike_endpoint_words();
+        if (this->play == Play::EndpointReports)
+            this->strike_endpoint_reports();
         auto const index = this->random(static_cast<std::uint32_t>(box_names.size()));
         auto const* const name = box_names[index];
         switch (this->random(10)) {
@@ -142,9 +142,9 @@
         this->cluster.set_store_mode("");
         if (this->play == Play::CopiesAndLeader)
             this->cluster.set_cloud_mode("");
-        if (this->play == Play::EndpointWords) {
+        if (this->play == Play::EndpointReports) {
             for (auto const* name : server_names)
-                for (auto const* path : { "/limit/", "/rest/", "/stay" })
+                for (auto const* path : { "/limit/", "/retry-after/", "/stay" })
                     static_cast<void>(this->cluster.get(name, path));
         }
         for (std::size_t index = 0; index < box_names.size(); ++index) {
@@ -203,10 +203,11 @@
         }
     }
 
-    void strike_endpoint_words()
+    void strike_endpoint_reports()
     {
         auto const* const name = server_names[this->random_of_play(static_cast<std::uint32_t>(server_names.size()))];
-        constexpr std::array paths { "/limit/3", "/limit/0.5", "/limit/", "/rest/0.5", "/rest/2", "/rest/" };
+        constexpr std::array paths { "/limit/3", "/limit/0.5", "/limit/", "/retry-after/0.5", "/retry-after/2",
+            "/retry-after/" };
         static_cast<void>(this->cluster.get(name, paths[this->random_of_play(paths.size())]));
         // NOTE: The other server of each service stays, since a box doesn't soon use one again that it was told leaves.
         if (this->random_of_play(4) == 0)
@@ -363,7 +364,7 @@
     play(Play::CopiesAndLeader);
 }
 
-TEST_CASE("and where servers say that they take little, want a rest or leave")
+TEST_CASE("and where servers say that they take little, turn all away for a time or leave")
 {
-    play(Play::EndpointWords);
+    play(Play::EndpointReports);
 }
