LibGateway: Check a broken connection until its endpoint refuses or accepts

Cause: a process that is ending neither refuses nor accepts connections for a moment; the box connected again 1 ms after the break, found neither and recorded no crash (broken_connection_checked endpoint_now=unknown). Ruled out: the request's path, since the same binary records the crash when the process is gone. Before: with no further check the new test fails (30 s pass, no crash recorded); after, it passes. Up to four more checks, 50 ms apart, in the background; the retry of a repeatable request still waits for the first check only.

--- a/Libraries/LibGateway/ExchangeRetries.cpp
+++ b/Libraries/LibGateway/ExchangeRetries.cpp
@@ -63,18 +63,24 @@
         && this->state.router.may_retry(*this->admitted, monotonic_now());
 }
 
-Task<bool> RequestExchange::check_broken_connection(Attempt attempt)
+Task<EndpointCheckResult> RequestExchange::check_broken_connection(Attempt attempt, bool was_in_use)
 {
     auto const& placed = attempt.placed;
-    // NOTE: A draining endpoint exits as planned, so a connection it breaks is no sign of a crash.
-    bool const was_in_use = this->state.router.may_receive(placed.choice.endpoint, monotonic_now());
     auto const check_result = co_await check_endpoint(this->state, placed.choice.endpoint, placed.endpoint.address);
     this->log_broken_connection(attempt, check_result);
-    bool const has_crashed = was_in_use && check_result == EndpointCheckResult::Refuses;
-    if (has_crashed)
+    if (was_in_use && check_result == EndpointCheckResult::Refuses)
         this->state.crash_exchange.report_crash(
             { this->fingerprint, Routing::instance_of(placed.endpoint), attempt.known_crashes + 1 });
-    co_return has_crashed;
+    co_return check_result;
+}
+
+Task<void> RequestExchange::check_until_known(Attempt attempt, bool was_in_use)
+{
+    auto check_result = EndpointCheckResult::Unknown;
+    for (int check = 0; check < max_repeated_checks && check_result == EndpointCheckResult::Unknown; ++check) {
+        co_await sleep_for(repeated_check_pause);
+        check_result = co_await this->check_broken_connection(attempt, was_in_use);
+    }
 }
 
 void RequestExchange::check_broken_connection_in_background(Attempt const& attempt)
@@ -85,8 +91,10 @@
     // NOTE: Not awaited, so that the answer to the client isn't delayed.
     asio::co_spawn(
         this->state.context,
-        [self = this->shared_from_this(), attempt]() -> Task<void> {
-            static_cast<void>(co_await self->check_broken_connection(attempt));
+        [self = this->shared_from_this(), attempt, was_in_use = this->is_in_use(attempt)]() -> Task<void> {
+            auto const check_result = co_await self->check_broken_connection(attempt, was_in_use);
+            if (check_result == EndpointCheckResult::Unknown)
+                co_await self->check_until_known(attempt, was_in_use);
             self->end_probe();
         },
         asio::detached);
@@ -96,13 +104,28 @@
 {
     if (!attempt.connection_broke)
         co_return false;
+    bool const was_in_use = this->is_in_use(attempt);
     // NOTE: Awaited before the next endpoint is chosen, which costs a round trip. Otherwise a repeatable request that
     // crashes endpoints would crash two of them each time a client sends it.
-    bool const has_crashed = co_await this->check_broken_connection(attempt);
+    auto const check_result = co_await this->check_broken_connection(attempt, was_in_use);
+    if (check_result == EndpointCheckResult::Unknown)
+        asio::co_spawn(
+            this->state.context,
+            [self = this->shared_from_this(), attempt, was_in_use]() -> Task<void> {
+                co_await self->check_until_known(attempt, was_in_use);
+            },
+            asio::detached);
+    bool const has_crashed = was_in_use && check_result == EndpointCheckResult::Refuses;
     this->crashes_endpoints = has_crashed && attempt.known_crashes > 0;
     co_return this->crashes_endpoints;
 }
 
+bool RequestExchange::is_in_use(Attempt const& attempt) const
+{
+    // NOTE: A draining endpoint exits as planned, so a connection it breaks is no sign of a crash.
+    return this->state.router.may_receive(attempt.placed.choice.endpoint, monotonic_now());
+}
+
 void RequestExchange::begin_probe()
 {
     if (!std::exchange(this->is_probe, true))
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -112,10 +112,14 @@
     [[nodiscard]] Core::Reason retry_reason(AttemptEnd end) const;
     [[nodiscard]] Routing::AttemptResult result_of(Attempt const& attempt, AttemptEnd end) const;
     void record_attempt(Attempt const& attempt, AttemptEnd end, Core::Instant now);
-    /// Connects again to an endpoint that broke its connection. Records a crash and returns true if the endpoint
-    /// refuses.
-    [[nodiscard]] Task<bool> check_broken_connection(Attempt attempt);
-    /// Runs check_broken_connection without delaying the answer to the client.
+    /// Whether the attempt's endpoint may get new requests, and so has no reason to exit as planned.
+    [[nodiscard]] bool is_in_use(Attempt const& attempt) const;
+    /// Connects again to an endpoint that broke its connection. Records a crash if an endpoint that was in use refuses.
+    [[nodiscard]] Task<EndpointCheckResult> check_broken_connection(Attempt attempt, bool was_in_use);
+    /// Repeats check_broken_connection until its result is known: a process that is still ending neither refuses nor
+    /// accepts connections.
+    [[nodiscard]] Task<void> check_until_known(Attempt attempt, bool was_in_use);
+    /// Runs both checks without delaying the answer to the client.
     void check_broken_connection_in_background(Attempt const& attempt);
     /// Whether the request crashed an endpoint in this attempt and another one before, so that it is not retried.
     [[nodiscard]] Task<bool> has_crashed_again(Attempt const& attempt);
@@ -130,6 +134,11 @@
 
     /// Limit for attempts that failed before any byte was sent, not counting hosts that refuse the connection.
     static constexpr unsigned max_unsent_attempts = 3;
+    /// Pause before a broken connection is checked again. A process closes its sockets within some milliseconds of its
+    /// end, more on a busy host.
+    static constexpr Core::Duration repeated_check_pause { std::chrono::milliseconds(50) };
+    /// An unreachable host is not waited for longer than these take: with the connect timeout, about a second.
+    static constexpr int max_repeated_checks = 4;
     /// Answers up to this size are read whole before they are forwarded, so that a broken one can be retried.
     static constexpr std::uint64_t max_buffered_answer_bytes = 64 * 1024;
     /// An idempotent request is retried elsewhere when no answer has begun after this multiple of the route's goal.
--- a/Tests/LibGateway/TestCrashedEndpoint.cpp
+++ b/Tests/LibGateway/TestCrashedEndpoint.cpp
@@ -60,6 +60,25 @@
     }
 }
 
+TEST_CASE("the crash of an endpoint whose process is still ending at the first check is recorded")
+{
+    Exchange request(RouteKind::NonIdempotent, 1, 1);
+    request.start("body");
+    auto& endpoint = *request.endpoints[request.wait_for_arrival()];
+    // A full accept queue neither accepts nor refuses further connections.
+    REQUIRE(listen(endpoint.acceptor.native_handle(), 0) == 0);
+    auto const address = endpoint.acceptor.local_endpoint();
+    tcp::socket first_in_queue(request.context);
+    first_in_queue.connect(address);
+    endpoint.close();
+    auto const is_checked_once
+        = [&] { return request.state.metrics.to_text().find("endpoint_now=\"unknown\"} 1") != std::string::npos; };
+    REQUIRE(run_until(request.context, is_checked_once));
+    CHECK(crash_count(request, "body") == 0);
+    endpoint.acceptor.close();
+    CHECK(run_until(request.context, [&] { return crash_count(request, "body") == 1; }));
+}
+
 TEST_CASE("a broken connection to a running endpoint is not recorded as a crash")
 {
     Exchange request(RouteKind::Idempotent, 2, 2);
@@ -77,7 +96,7 @@
     request.start("body");
     auto const index = request.wait_for_arrival();
     auto const port = request.endpoints[index]->acceptor.local_endpoint().port();
-    request.state.router.put_endpoint({ "i-0", "desk", { "127.0.0.1", port }, "hall", 6, true });
+    request.state.router.put_endpoint({ "i-0", "desk", { "127.0.0.1", port }, "hall", 6, true }, Core::monotonic_now());
     crash(*request.endpoints[index]);
     REQUIRE(request.ends());
     auto const checks = [&] { return request.state.metrics.to_text().find("endpoint_now=\"refuses\"} 1"); };
