LibRouting: Keep requests from evacuated domains, other regions and cold endpoints

Ruled out: a second mechanism for sums over boxes: cold endpoints take their rate in turns dealt by RateSchedule, with the count of a box's turns moved out of EndpointNotices (LimitShare). Evacuations travel beside the operator's offset, so that a relay that has read less takes none back. The directory hands out endpoints in place of ids, which spares two look-ups for each. put_endpoint takes the time. The tests fail for want of the code before. Not done of the issue: slow readers, the fourth figure of the load header, X-Cold-Ms (no health checks are sent), orders of servers in evacuated domains, stand-ins and soak.

--- a/Libraries/LibCore/Reason.cpp
+++ b/Libraries/LibCore/Reason.cpp
@@ -63,6 +63,8 @@
     "endpoint-full",
     "endpoints-at-limit",
     "endpoints-backed-off",
+    "endpoints-evacuated",
+    "no-endpoint-in-region",
     "endpoint-replaced",
     "endpoint-failed",
     "endpoint-silent",
--- a/Libraries/LibCore/Reason.h
+++ b/Libraries/LibCore/Reason.h
@@ -80,6 +80,8 @@
     EndpointFull,
     EndpointsAtLimit,
     EndpointsBackedOff,
+    EndpointsEvacuated,
+    NoEndpointInRegion,
     EndpointReplaced,
     EndpointFailed,
     EndpointSilent,
--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -42,6 +42,7 @@
     auto const confirmed_at = is_confirmed ? std::optional(asked_at) : std::nullopt;
     // NOTE: A box that catches up needs only the last version, or an earlier one if the last can't be read.
     bool is_taken = false;
+    this->apply_evacuations(records, coverage, now);
     for (auto record = records.rbegin(); record != records.rend() && !is_taken; ++record) {
         if (!Adapter::is_configuration(*record) || !record->value)
             continue;
@@ -57,6 +58,57 @@
         this->confirm_configuration(asked_at);
 }
 
+void ControlRecords::apply_evacuations(std::vector<Adapter::KeyedRecord> const& records, Coverage coverage, Instant now)
+{
+    auto const& read_up_to = this->operator_position;
+    bool const is_same_era = read_up_to.era == this->evacuations_position.era;
+    // NOTE: A relay may have reported a later state than this page shows. The pages that follow catch up with it.
+    if (is_same_era && read_up_to.offset < this->evacuations_position.offset)
+        return;
+    // NOTE: A copy from which the store was restored may lack an evacuation, which the operators then order again.
+    bool const may_lack_some = this->history.era_began_at() && this->history.is_settling(now) && !this->is_rewritten;
+    bool const is_complete = coverage == Coverage::WholeList && !may_lack_some;
+    auto domains = is_complete ? std::set<std::string> {} : this->evacuated_domains;
+    for (auto const& record : records) {
+        if (!Adapter::is_evacuation(record))
+            continue;
+        Core::LastReason reason;
+        auto const evacuation = Adapter::decode_evacuation(record, reason);
+        if (!evacuation) {
+            this->state.metrics.count_bad_record("evacuation");
+            Log::EventLine("evacuation_rejected").with("key", record.key).with("reason", reason.text).warning();
+        } else if (evacuation->is_in_force)
+            domains.insert(evacuation->failure_domain);
+        else
+            domains.erase(evacuation->failure_domain);
+    }
+    this->set_evacuated_domains(std::move(domains), read_up_to, now);
+}
+
+void ControlRecords::set_evacuated_domains(std::set<std::string> domains, Position const& as_of, Instant now)
+{
+    this->evacuations_position = as_of;
+    if (domains == this->evacuated_domains)
+        return;
+    auto const log_change = [this](std::string const& domain, std::string_view state) {
+        Log::EventLine("evacuation_changed")
+            .with("failure_domain", domain)
+            .with("state", state)
+            .with("known_domain", this->state.router.is_known_domain(domain) ? "yes" : "no")
+            .info();
+    };
+    for (auto const& domain : domains) {
+        if (!this->evacuated_domains.contains(domain))
+            log_change(domain, "evacuated");
+    }
+    for (auto const& domain : this->evacuated_domains) {
+        if (!domains.contains(domain))
+            log_change(domain, "ended");
+    }
+    this->evacuated_domains = domains;
+    this->state.router.set_evacuated_domains(std::move(domains), now);
+}
+
 bool ControlRecords::may_confirm_configuration(Instant now) const
 {
     if (this->version_in_store < this->version_reported)
@@ -252,7 +304,7 @@
     else
         this->departed.remove(Routing::instance_of(record));
     this->journal.put(record);
-    if (!this->state.router.put_endpoint(record))
+    if (!this->state.router.put_endpoint(record, monotonic_now()))
         return;
     Log::EventLine("endpoint_changed")
         .with("endpoint", record.incarnation)
@@ -347,6 +399,7 @@
     }
     answer.configuration_age = this->state.router.configuration_age(now);
     answer.configuration_next = *operator_next;
+    answer.evacuated_domains = this->evacuated_domains;
     if (this->store_returned_at)
         answer.store_returned_ago = now - *this->store_returned_at;
     if (auto const announcement = this->announcement_relay.own ? this->announcement_relay.own(now) : std::nullopt) {
@@ -381,6 +434,11 @@
     // NOTE: This box may have read newer entries from the store than the relay has.
     if (!this->endpoints_confirmed_at || relayed_endpoints_confirmed_at >= *this->endpoints_confirmed_at)
         this->apply_relayed_endpoints(answer, relayed_endpoints_confirmed_at);
+    bool const is_same_era = this->evacuations_position.era == this->era();
+    if (answer.evacuated_domains
+        && (!is_same_era || answer.configuration_next >= this->evacuations_position.offset.value_or(0)))
+        this->set_evacuated_domains(
+            *answer.evacuated_domains, { answer.configuration_next, this->era() }, monotonic_now());
     this->state.router.note_configuration(answer.configuration_version, asked_at,
         asked_at - answer.configuration_known_for.value_or(Core::Duration { 0 }));
     if (answer.configuration_version > this->version() && answer.configuration)
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -100,6 +100,8 @@
     struct Position {
         std::optional<std::uint64_t> offset;
         std::uint64_t era { 0 };
+
+        bool operator==(Position const&) const = default;
     };
 
     [[nodiscard]] Position const& position(Adapter::Topic topic) const
@@ -124,6 +126,9 @@
     [[nodiscard]] std::optional<Routing::EndpointRecord> decode_endpoint(Adapter::KeyedRecord const& record);
     /// Logs each unreadable entry once per reason, since endpoints rewrite their entries again and again.
     void note_rejected(std::string const& key, std::string const& reason);
+    /// Applies the evacuations among the records of a topic that was read up to `operator_position`.
+    void apply_evacuations(std::vector<Adapter::KeyedRecord> const& records, Coverage coverage, Core::Instant now);
+    void set_evacuated_domains(std::set<std::string> domains, Position const& as_of, Core::Instant now);
     /// Marks the list of endpoints as confirmed up to that moment.
     void confirm_endpoints(Core::Instant confirmed_at);
     void put_endpoint(Routing::EndpointRecord const& record);
@@ -165,6 +170,9 @@
     AnnouncementRelay announcement_relay;
     Position endpoints_position;
     Position operator_position;
+    std::set<std::string> evacuated_domains;
+    /// How far the operator's topic was read, here or at a relay, when the evacuated domains were known.
+    Position evacuations_position;
     /// The newest version that this box has read from the store in its current era.
     std::uint64_t version_in_store { 0 };
     /// The newest version reported by other boxes, which the store may have lost.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -16,7 +16,8 @@
 
 Routing::RouterSettings router_settings(Adapter::BoxEnvironment const& environment)
 {
-    return { environment.failure_domain, environment.lease, environment.retry, {} };
+    return { environment.failure_domain, environment.lease, environment.retry, {}, environment.domain_regions,
+        environment.cold };
 }
 
 std::string_view to_string(ConfigurationFreshness trust)
--- a/Libraries/LibMembership/EndpointJournal.cpp
+++ b/Libraries/LibMembership/EndpointJournal.cpp
@@ -4,11 +4,28 @@
 
 namespace Membership {
 
+namespace {
+
+/// Whether the entry only says that the endpoint, which is cold in both, has become less so. Whoever has the earlier
+/// one knows that by its own clock.
+bool is_later_reading(Routing::EndpointRecord const& changed, Routing::EndpointRecord const& known)
+{
+    auto as_known = changed;
+    as_known.cold_left = known.cold_left;
+    return as_known == known && changed.cold_left > Duration { 0 } && changed.cold_left < known.cold_left;
+}
+
+}
+
 void EndpointJournal::put(Routing::EndpointRecord const& record)
 {
     auto& entry = this->entries[record.incarnation];
     if (entry.record == record)
         return;
+    if (entry.record && is_later_reading(record, *entry.record)) {
+        entry.record = record;
+        return;
+    }
     bool const was_removed = !entry.record && entry.changed_at != 0;
     this->removals -= was_removed ? 1 : 0;
     entry.record = record;
--- a/Libraries/LibMembership/RelayMessages.cpp
+++ b/Libraries/LibMembership/RelayMessages.cpp
@@ -41,6 +41,15 @@
     message.set_is_draining(change.record->draining);
     message.set_started_at_ms(change.record->started_at);
     message.set_is_revocable(change.record->is_revocable);
+    message.set_cold_left_ms(
+        static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(change.record->cold_left).count()));
+}
+
+Duration cold_left_from(wire::Endpoint const& message)
+{
+    // NOTE: Limited, so that a wrong time doesn't keep requests from an endpoint for ever.
+    constexpr std::chrono::milliseconds longest = std::chrono::hours(1);
+    return std::chrono::milliseconds(std::min(message.cold_left_ms(), static_cast<std::uint64_t>(longest.count())));
 }
 
 std::optional<EndpointChange> endpoint_from(wire::Endpoint const& message)
@@ -55,7 +64,7 @@
     return EndpointChange { message.incarnation(),
         Routing::EndpointRecord { message.incarnation(), message.service(), std::move(*address),
             message.failure_domain(), message.slots(), message.is_draining(), message.started_at_ms(),
-            message.is_revocable() } };
+            message.is_revocable(), cold_left_from(message) } };
 }
 
 std::uint64_t to_wire(Duration duration)
@@ -183,6 +192,11 @@
         message.set_store_returned_us_ago(to_wire(*answer.store_returned_ago));
     message.set_leader_news(answer.leader_announcement);
     message.set_leader_news_age_us(to_wire(answer.leader_announcement_age));
+    message.set_knows_evacuations(answer.evacuated_domains.has_value());
+    if (answer.evacuated_domains) {
+        for (auto const& domain : *answer.evacuated_domains)
+            message.add_evacuated_domains(domain);
+    }
     message.set_store_era(answer.store_era);
     if (answer.store_era_began_ago)
         message.set_store_era_risen_us_ago(to_wire(*answer.store_era_began_ago));
@@ -225,6 +239,8 @@
         answer.store_returned_ago = duration_from(message.store_returned_us_ago());
     answer.leader_announcement = message.leader_news();
     answer.leader_announcement_age = duration_from(message.leader_news_age_us());
+    if (message.knows_evacuations())
+        answer.evacuated_domains.emplace(message.evacuated_domains().begin(), message.evacuated_domains().end());
     answer.store_era = message.store_era();
     if (message.has_store_era_risen_us_ago())
         answer.store_era_began_ago = duration_from(message.store_era_risen_us_ago());
--- a/Libraries/LibMembership/RelayMessages.h
+++ b/Libraries/LibMembership/RelayMessages.h
@@ -4,6 +4,7 @@
 #include <LibMembership/EndpointJournal.h>
 #include <LibRouting/EngineDemand.h>
 
+#include <set>
 #include <variant>
 
 namespace Membership {
@@ -45,6 +46,9 @@
     /// How long the version has been known to the relay or to the box it came from; empty if neither reported it, or if
     /// the requester has the version.
     std::optional<Duration> configuration_known_for;
+    /// The failure domains whose endpoints get no new requests, as of `configuration_next`; empty if the relay doesn't
+    /// know.
+    std::optional<std::set<std::string>> evacuated_domains;
     /// Time since the store responded to the relay again after an outage.
     std::optional<Duration> store_returned_ago;
     /// Era of the store's history that the data belongs to; 0 if the relay doesn't know it.
--- a/Libraries/LibRouting/Configuration.h
+++ b/Libraries/LibRouting/Configuration.h
@@ -50,6 +50,8 @@
     /// Whether requests need no API key.
     bool is_public { false };
     bool can_resume { false };
+    /// The regions whose endpoints may get its requests; empty for all.
+    std::vector<std::string> allowed_regions {};
 
     bool operator==(Route const&) const = default;
 
@@ -94,6 +96,8 @@
     std::optional<EngineTraits> engine;
     /// Unset if the number of servers is not managed by this system.
     std::optional<ServerScaling> scaling {};
+    /// Requests per second that a cold endpoint can run; unset if endpoints are never cold.
+    std::optional<double> cold_rate {};
 
     bool operator==(Service const&) const = default;
 };
@@ -114,6 +118,8 @@
     /// Orders requests whose routes have equal priority; 0 is the most urgent. docs/QUESTIONS.md explains why the
     /// priority of the route comes first.
     std::optional<unsigned> priority;
+    /// The regions whose endpoints may get the account's requests; empty for all.
+    std::vector<std::string> allowed_regions {};
 
     bool operator==(ClientAccount const&) const = default;
 };
--- a/Libraries/LibRouting/EndpointDirectory.cpp
+++ b/Libraries/LibRouting/EndpointDirectory.cpp
@@ -117,14 +117,14 @@
     return !endpoint.missing_since || !this->returned_at || now - *this->returned_at <= return_grace;
 }
 
-std::vector<EndpointId> EndpointDirectory::usable(std::string_view service, Instant now) const
+std::vector<KnownEndpoint const*> EndpointDirectory::usable(std::string_view service, Instant now) const
 {
-    std::vector<EndpointId> ids;
+    std::vector<KnownEndpoint const*> usable_endpoints;
     for (auto const& [incarnation, endpoint] : this->endpoints) {
         if (endpoint.record.service == service && this->is_usable(endpoint, now))
-            ids.push_back(endpoint.id);
+            usable_endpoints.push_back(&endpoint);
     }
-    return ids;
+    return usable_endpoints;
 }
 
 std::vector<EndpointId> EndpointDirectory::take_moved()
--- a/Libraries/LibRouting/EndpointDirectory.h
+++ b/Libraries/LibRouting/EndpointDirectory.h
@@ -41,6 +41,8 @@
     std::uint64_t started_at { 0 };
     /// Whether the platform may remove the endpoint at short notice.
     bool is_revocable { false };
+    /// How much longer the endpoint stays cold, counted from when the entry was read; 0 if it is not cold.
+    Duration cold_left { 0 };
 
     bool operator==(EndpointRecord const&) const = default;
 };
@@ -98,7 +100,9 @@
     /// Whether the endpoint may get new requests.
     [[nodiscard]] bool is_usable(KnownEndpoint const& endpoint, Instant now) const;
     /// Endpoints of a service that may get new requests, ordered by incarnation.
-    [[nodiscard]] std::vector<EndpointId> usable(std::string_view service, Instant now) const;
+    [[nodiscard]] std::vector<KnownEndpoint const*> usable(std::string_view service, Instant now) const;
+    /// All known endpoints by incarnation.
+    [[nodiscard]] std::map<std::string, KnownEndpoint> const& all() const { return this->endpoints; }
     [[nodiscard]] std::size_t size() const { return this->endpoints.size(); }
     /// Number of remembered instances, for tests of the memory limit.
     [[nodiscard]] std::size_t remembered_instances() const
--- a/Libraries/LibRouting/EndpointNotices.cpp
+++ b/Libraries/LibRouting/EndpointNotices.cpp
@@ -81,16 +81,9 @@
         && this->may_still_drain(found->second.notice);
 }
 
-void EndpointNotices::enter_slot(Entry& entry, SharedMicroseconds now) const
+SharedLimit EndpointNotices::shared_limit(Entry const& entry, SharedMicroseconds now) const
 {
-    RateSchedule const schedule(*entry.notice.condition.limit.per_second);
-    auto const slot = schedule.slot_at(now);
-    if (slot == entry.slot)
-        return;
-    entry.previous_high_requests = slot == entry.slot + 1 ? entry.high_requests : 0;
-    entry.high_requests = 0;
-    entry.slot = slot;
-    entry.remaining = schedule.allotment(slot, entry.notice.endpoint.incarnation, this->boxes);
+    return { *entry.notice.condition.limit.per_second, entry.notice.endpoint.incarnation, this->boxes, now };
 }
 
 bool EndpointNotices::may_send(EndpointId id, SendPriority rank, SharedMicroseconds now)
@@ -99,13 +92,7 @@
     if (found == this->entries.end() || !found->second.notice.condition.limit.per_second)
         return true;
     auto& entry = found->second;
-    this->enter_slot(entry, now);
-    if (rank == SendPriority::High) {
-        ++entry.high_requests;
-        return entry.remaining > 0;
-    }
-    bool const is_late = RateSchedule(*entry.notice.condition.limit.per_second).is_second_half_of_slot(now);
-    return entry.remaining > (is_late ? 0 : entry.previous_high_requests);
+    return entry.share.may_send(this->shared_limit(entry, now), rank);
 }
 
 bool EndpointNotices::count_send(EndpointId id, SharedMicroseconds now)
@@ -114,8 +101,7 @@
     if (found == this->entries.end() || !found->second.notice.condition.limit.per_second)
         return false;
     auto& entry = found->second;
-    this->enter_slot(entry, now);
-    entry.remaining -= std::min(entry.remaining, 1U);
+    entry.share.count_send(this->shared_limit(entry, now));
     return true;
 }
 
--- a/Libraries/LibRouting/EndpointNotices.h
+++ b/Libraries/LibRouting/EndpointNotices.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibRouting/EndpointDirectory.h>
+#include <LibRouting/LimitShare.h>
 #include <LibRouting/RateLimit.h>
-#include <LibRouting/RateSchedule.h>
 
 #include <unordered_map>
 
@@ -30,12 +30,6 @@
     bool operator==(EndpointNotice const&) const = default;
 };
 
-/// Priority of a request for the limited capacity of an endpoint.
-enum class SendPriority {
-    High,
-    Low,
-};
-
 /// Conditions that endpoints report in their answers, and whether this box may send to an endpoint now.
 ///
 /// A box that sees a change sends a notice to the other boxes, so that they know the condition before the endpoint has
@@ -48,6 +42,7 @@
 class EndpointNotices {
 public:
     void set_boxes(BoxGroup changed);
+    [[nodiscard]] BoxGroup const& box_group() const { return this->boxes; }
     /// Applies the condition in an answer to a request that was sent at `sent_at`. Returns the notice to send to other
     /// boxes if the condition changed.
     [[nodiscard]] std::optional<EndpointNotice> apply_answer(EndpointId id, EndpointInstance const& endpoint,
@@ -61,8 +56,7 @@
     void mark_list_uncertain() { this->list_confirmed_at.reset(); }
 
     [[nodiscard]] bool is_draining(EndpointId id) const;
-    /// Whether the endpoint's limit allows this box to send a request of this priority now. In the first half of a
-    /// slot, as many requests are reserved for high priority as asked in the slot before.
+    /// Whether the endpoint's limit allows this box to send a request of this priority now, as LimitShare::may_send.
     [[nodiscard]] bool may_send(EndpointId id, SendPriority rank, SharedMicroseconds now);
     /// Counts a request against this box's share of the endpoint's limit. Returns false if the endpoint has no limit.
     bool count_send(EndpointId id, SharedMicroseconds now);
@@ -78,12 +72,7 @@
         EndpointNotice notice;
         /// When this box received the notice or the answer.
         Instant learned_at;
-        /// This box's share of the current slot that is not used yet.
-        std::uint64_t slot { 0 };
-        unsigned remaining { 0 };
-        /// Requests of high priority that asked in this slot and in the one before.
-        unsigned high_requests { 0 };
-        unsigned previous_high_requests { 0 };
+        LimitShare share {};
     };
 
     /// How long the end of a limit is resent: several rounds of all boxes.
@@ -94,8 +83,8 @@
     /// If two confirmations of the list are further apart, the list was unknown in between.
     static constexpr Duration max_list_gap { std::chrono::seconds(2) };
 
-    /// Starts a new slot for the entry if the current time lies in another one.
-    void enter_slot(Entry& entry, SharedMicroseconds now) const;
+    /// The limit of an entry that has one.
+    [[nodiscard]] SharedLimit shared_limit(Entry const& entry, SharedMicroseconds now) const;
     /// Whether the endpoint may still be the draining process that the notice is about.
     [[nodiscard]] bool may_still_drain(EndpointNotice const& notice) const;
 
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace Routing {
 
@@ -90,14 +91,41 @@
     return this->lease.age(now);
 }
 
-bool RequestRouter::put_endpoint(EndpointRecord const& record)
+void RequestRouter::set_evacuated_domains(std::set<std::string> domains, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    std::set<std::string> ended;
+    std::ranges::set_difference(this->evacuated_domains, domains, std::inserter(ended, ended.end()));
+    this->evacuated_domains = std::move(domains);
+    if (ended.empty())
+        return;
+    for (auto const& [incarnation, endpoint] : this->directory.all()) {
+        if (ended.contains(endpoint.record.failure_domain))
+            this->cold.assume_cold(endpoint, cold_after_evacuation, now);
+    }
+}
+
+bool RequestRouter::is_known_domain(std::string const& domain) const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    return this->settings.domain_regions.contains(domain);
+}
+
+bool RequestRouter::put_endpoint(EndpointRecord const& record, Instant now)
 {
     std::scoped_lock const guard(this->endpoints_lock);
     bool const has_changed = this->directory.put(record);
     this->forget_notices_of_moved();
+    this->update_cold(record, now);
     return has_changed;
 }
 
+void RequestRouter::update_cold(EndpointRecord const& record, Instant now)
+{
+    if (auto const* const known = this->directory.find(record.incarnation))
+        this->cold.update(*known, record.cold_left, now);
+}
+
 bool RequestRouter::is_earlier_instance(EndpointRecord const& record) const
 {
     std::scoped_lock const guard(this->endpoints_lock);
@@ -115,14 +143,21 @@
     std::scoped_lock const guard(this->endpoints_lock);
     this->directory.replace_all(records, now);
     this->forget_notices_of_moved();
+    for (auto const& record : records)
+        this->update_cold(record, now);
+}
+
+void RequestRouter::forget_endpoint(EndpointId id)
+{
+    this->notices.forget(id);
+    this->backoffs.forget(id);
+    this->cold.forget(id);
 }
 
 void RequestRouter::forget_notices_of_moved()
 {
-    for (auto const id : this->directory.take_moved()) {
-        this->notices.forget(id);
-        this->backoffs.forget(id);
-    }
+    for (auto const id : this->directory.take_moved())
+        this->forget_endpoint(id);
 }
 
 void RequestRouter::store_returned(Instant now)
@@ -138,8 +173,7 @@
     auto removed = this->directory.take_removed();
     for (auto const id : removed) {
         this->loads.erase(id);
-        this->notices.forget(id);
-        this->backoffs.forget(id);
+        this->forget_endpoint(id);
     }
     return removed;
 }
@@ -173,6 +207,7 @@
         if (!account)
             return this->refuse_unknown(Reason::KeyUnknown, now);
         admitted.account = account->name;
+        admitted.account_settings = account;
     }
     admitted.urgency = urgency_of(*route, account);
     admitted.route = route;
@@ -217,7 +252,8 @@
     }
     Placed placed { *choice, this->directory.find(choice->endpoint)->record };
     placed.limit = this->notices.limit_of(choice->endpoint);
-    placed.is_counted_by_limit = this->notices.count_send(choice->endpoint, this->shared_time(now));
+    placed.cold_limit = this->cold_limit_of(request);
+    placed.is_counted_by_limit = this->count_send(choice->endpoint, placed.cold_limit, now);
     placed.at_limit = choices.at_limit.size();
     placed.backed_off = choices.backed_off.size();
     this->backoffs.endpoint_chosen(choice->endpoint, now);
@@ -236,22 +272,29 @@
 {
     Choices choices;
     auto const rank = request.route->priority == 0 ? SendPriority::High : SendPriority::Low;
-    for (auto const id : this->usable(request.service, now)) {
+    auto const limit_if_cold = this->cold_limit_of(request);
+    for (auto const* const endpoint : this->usable(request.service, now)) {
+        auto const id = endpoint->id;
         if (std::ranges::find(tried, id) != tried.end())
             continue;
+        if (!this->is_region_allowed(request, endpoint->record.failure_domain)) {
+            choices.has_other_regions = true;
+            continue;
+        }
         if (!this->backoffs.may_be_chosen(id, now)) {
             choices.backed_off.push_back(id);
             continue;
         }
-        if (!this->notices.may_send(id, rank, this->shared_time(now))) {
+        if (!this->may_send_now(id, limit_if_cold, rank, now)) {
             choices.at_limit.push_back(id);
             continue;
         }
         auto const found = this->loads.find(id);
         bool const is_healthy = found == this->loads.end() || found->second.takes_work(now);
-        bool const is_limited = this->notices.limit_of(id).per_second.has_value();
+        bool const is_limited
+            = this->notices.limit_of(id).per_second.has_value() || (limit_if_cold && this->cold.is_cold(id, now));
         auto& candidates = is_healthy ? choices.healthy : choices.unhealthy;
-        (is_limited ? candidates.limited : candidates.usual).push_back(this->directory.find(id));
+        (is_limited ? candidates.limited : candidates.usual).push_back(endpoint);
     }
     return choices;
 }
@@ -260,9 +303,15 @@
 {
     auto const jitter = std::ldexp(static_cast<double>(this->random()), -32);
     if (!choices.at_limit.empty()) {
+        auto const limit_if_cold = this->cold_limit_of(request);
         Duration longest_slot { 0 };
-        for (auto const id : choices.at_limit)
-            longest_slot = std::max(longest_slot, RateSchedule(*this->notices.limit_of(id).per_second).slot_length());
+        for (auto const id : choices.at_limit) {
+            auto const limit = this->notices.limit_of(id).per_second;
+            for (auto const& per_second : { limit, limit ? std::nullopt : limit_if_cold }) {
+                if (per_second)
+                    longest_slot = std::max(longest_slot, RateSchedule(*per_second).slot_length());
+            }
+        }
         return { Reason::EndpointsAtLimit, retry_after_limit(longest_slot, request.route->priority, jitter) };
     }
     if (!choices.backed_off.empty()) {
@@ -271,7 +320,68 @@
             first = std::min(first, this->backoffs.available_at(id));
         return { Reason::EndpointsBackedOff, retry_after_backoff(first - now, request.route->priority, jitter) };
     }
-    return { Reason::NoEndpoint, was_tried ? retry_after_full : retry_after_gap };
+    return { this->reason_for_no_endpoint(request, choices, now), was_tried ? retry_after_full : retry_after_gap };
+}
+
+Reason RequestRouter::reason_for_no_endpoint(Admitted const& request, Choices const& choices, Instant now) const
+{
+    if (choices.has_other_regions)
+        return Reason::NoEndpointInRegion;
+    auto const endpoints = this->directory.usable(request.service, now);
+    bool const is_evacuated = std::ranges::any_of(endpoints, [this](KnownEndpoint const* endpoint) {
+        return this->evacuated_domains.contains(endpoint->record.failure_domain);
+    });
+    return is_evacuated ? Reason::EndpointsEvacuated : Reason::NoEndpoint;
+}
+
+std::optional<double> RequestRouter::cold_limit_of(Admitted const& request) const
+{
+    auto const* const service = request.configuration->find_service(request.service);
+    if (service == nullptr || !service->cold_rate)
+        return {};
+    return cold_limit(*service->cold_rate, this->settings.cold);
+}
+
+SharedLimit RequestRouter::shared_cold_limit(
+    double per_second, std::string_view endpoint, SharedMicroseconds shared_now) const
+{
+    return { per_second, endpoint, this->notices.box_group(), shared_now };
+}
+
+bool RequestRouter::may_send_now(EndpointId id, std::optional<double> limit_if_cold, SendPriority rank, Instant now)
+{
+    auto const shared_now = this->shared_time(now);
+    if (!this->notices.may_send(id, rank, shared_now))
+        return false;
+    if (!limit_if_cold)
+        return true;
+    auto const limit
+        = this->shared_cold_limit(*limit_if_cold, this->directory.find(id)->record.incarnation, shared_now);
+    return this->cold.may_send(id, limit, rank, now);
+}
+
+bool RequestRouter::count_send(EndpointId id, std::optional<double> limit_if_cold, Instant now)
+{
+    auto const shared_now = this->shared_time(now);
+    bool is_counted = this->notices.count_send(id, shared_now);
+    if (!limit_if_cold)
+        return is_counted;
+    auto const limit
+        = this->shared_cold_limit(*limit_if_cold, this->directory.find(id)->record.incarnation, shared_now);
+    is_counted |= this->cold.count_send(id, limit, now);
+    return is_counted;
+}
+
+bool RequestRouter::is_region_allowed(Admitted const& request, std::string const& failure_domain) const
+{
+    auto const region = this->settings.domain_regions.find(failure_domain);
+    auto const is_in = [&](std::vector<std::string> const& regions) {
+        return regions.empty()
+            || (region != this->settings.domain_regions.end()
+                && std::ranges::find(regions, region->second) != regions.end());
+    };
+    return is_in(request.route->allowed_regions)
+        && (request.account_settings == nullptr || is_in(request.account_settings->allowed_regions));
 }
 
 SharedMicroseconds RequestRouter::shared_time(Instant now) const
@@ -285,12 +395,11 @@
     auto const id = placed.choice.endpoint;
     if (!this->is_usable(id, now) || this->backoffs.is_backed_off(id, now))
         return false;
-    auto const shared_now = this->shared_time(now);
     if (placed.is_counted_by_limit)
         return true;
-    if (!this->notices.may_send(id, SendPriority::High, shared_now))
+    if (!this->may_send_now(id, placed.cold_limit, SendPriority::High, now))
         return false;
-    static_cast<void>(this->notices.count_send(id, shared_now));
+    static_cast<void>(this->count_send(id, placed.cold_limit, now));
     return true;
 }
 
@@ -350,14 +459,23 @@
 bool RequestRouter::is_usable(EndpointId id, Instant now) const
 {
     auto const* const known = this->directory.find(id);
-    return known != nullptr && this->directory.is_usable(*known, now) && !this->notices.is_draining(id);
+    return known != nullptr && this->is_usable(*known, now);
+}
+
+bool RequestRouter::is_usable(KnownEndpoint const& endpoint, Instant now) const
+{
+    return this->directory.is_usable(endpoint, now) && !this->notices.is_draining(endpoint.id)
+        && !this->evacuated_domains.contains(endpoint.record.failure_domain);
 }
 
-std::vector<EndpointId> RequestRouter::usable(std::string_view service, Instant now) const
+std::vector<KnownEndpoint const*> RequestRouter::usable(std::string_view service, Instant now) const
 {
-    auto ids = this->directory.usable(service, now);
-    std::erase_if(ids, [this](EndpointId id) { return this->notices.is_draining(id); });
-    return ids;
+    auto endpoints = this->directory.usable(service, now);
+    std::erase_if(endpoints, [this](KnownEndpoint const* endpoint) {
+        return this->notices.is_draining(endpoint->id)
+            || this->evacuated_domains.contains(endpoint->record.failure_domain);
+    });
+    return endpoints;
 }
 
 std::vector<EndpointNotice> RequestRouter::active_notices(Instant now) const
@@ -562,8 +680,8 @@
 {
     std::scoped_lock const guard(this->endpoints_lock);
     std::vector<EndpointRecord> records;
-    for (auto const id : this->usable(service, now))
-        records.push_back(this->directory.find(id)->record);
+    for (auto const* const endpoint : this->usable(service, now))
+        records.push_back(endpoint->record);
     return records;
 }
 
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Reason.h>
+#include <LibRouting/ColdEndpoints.h>
 #include <LibRouting/ConfigurationLease.h>
 #include <LibRouting/EndpointBackoffs.h>
 #include <LibRouting/EndpointNotices.h>
@@ -44,6 +45,8 @@
     std::string service;
     /// Name of the client account; empty on a public route.
     std::string account;
+    /// Points into `configuration`; null on a public route.
+    ClientAccount const* account_settings { nullptr };
     /// 0 is the most urgent.
     unsigned urgency { 0 };
     bool is_engine { false };
@@ -76,6 +79,8 @@
     bool is_counted_by_limit { false };
     /// The endpoint's known rate limit.
     RateLimit limit {};
+    /// The endpoint's limit while it is cold; unset if endpoints of its service are never cold.
+    std::optional<double> cold_limit {};
     /// Number of endpoints that were skipped since this box has used its share of their rate limits.
     std::size_t at_limit { 0 };
     /// Number of endpoints that were skipped since they are backed off.
@@ -89,6 +94,9 @@
     LeaseBounds lease;
     RetryBounds retry;
     PlacementModel placement;
+    /// The region of each failure domain.
+    std::map<std::string, std::string> domain_regions {};
+    ColdBounds cold {};
 
     bool operator==(RouterSettings const&) const = default;
 };
@@ -117,8 +125,13 @@
     [[nodiscard]] ConfigurationFreshness configuration_freshness(Instant now) const;
     [[nodiscard]] Duration configuration_age(Instant now) const;
 
+    /// Sets the failure domains whose endpoints get no new requests.
+    void set_evacuated_domains(std::set<std::string> domains, Instant now);
+    /// Whether the settings name the failure domain.
+    [[nodiscard]] bool is_known_domain(std::string const& domain) const;
+
     /// Returns whether the endpoint is new or its record changed.
-    bool put_endpoint(EndpointRecord const& record);
+    bool put_endpoint(EndpointRecord const& record, Instant now);
     /// As EndpointDirectory::is_earlier_instance.
     [[nodiscard]] bool is_earlier_instance(EndpointRecord const& record) const;
     void remove_endpoint(std::string const& incarnation, Instant now);
@@ -220,6 +233,9 @@
     /// With load reports at least this frequent, a box compares all engines; with rarer ones, proportionally fewer. A
     /// long prompt is read within this time, so the known load is still that of the queue that a request joins.
     static constexpr Duration fresh_report_interval { std::chrono::milliseconds(100) };
+    /// An endpoint may have become cold just before the evacuation of its domain ended. Its entry says so within this
+    /// time: a heartbeat, and the ways from the endpoint to the store and from there to this box.
+    static constexpr Duration cold_after_evacuation { std::chrono::seconds(3) };
     /// With a backlog of at most this, the time to the first piece shows how fast the engine reads.
     static constexpr double max_idle_backlog_milliseconds = 2;
 
@@ -235,6 +251,8 @@
         std::vector<EndpointId> at_limit;
         /// They asked for no requests for now.
         std::vector<EndpointId> backed_off;
+        /// Whether endpoints were left out since the route or the account does not allow their region.
+        bool has_other_regions { false };
 
         [[nodiscard]] PlacementCandidates const& best() const;
     };
@@ -242,12 +260,28 @@
     /// Refuses a request for which no endpoint is left.
     [[nodiscard]] Rejected refuse_unplaced(
         Admitted const& request, Choices const& choices, bool was_tried, Instant now);
+    /// Why none of the service's endpoints may get the request, though none is at its limit or backed off.
+    [[nodiscard]] Reason reason_for_no_endpoint(Admitted const& request, Choices const& choices, Instant now) const;
     [[nodiscard]] SharedMicroseconds shared_time(Instant now) const;
+    /// Removes what is known of the endpoint by its id only.
+    void forget_endpoint(EndpointId id);
     void forget_notices_of_moved();
-    /// Whether the endpoint may get new requests, by its entry and by its own reports.
+    void update_cold(EndpointRecord const& record, Instant now);
+    /// The limit of a service's endpoints while they are cold; unset if they never are.
+    [[nodiscard]] std::optional<double> cold_limit_of(Admitted const& request) const;
+    [[nodiscard]] SharedLimit shared_cold_limit(
+        double per_second, std::string_view endpoint, SharedMicroseconds shared_now) const;
+    /// Counts the request against this box's shares of the endpoint's limits. Returns false if it has no limit.
+    bool count_send(EndpointId id, std::optional<double> cold_limit, Instant now);
+    /// Whether this box's share of the endpoint's limits allows a request.
+    [[nodiscard]] bool may_send_now(EndpointId id, std::optional<double> cold_limit, SendPriority rank, Instant now);
+    /// Whether route and account both allow the region of the failure domain.
+    [[nodiscard]] bool is_region_allowed(Admitted const& request, std::string const& failure_domain) const;
+    /// Whether the endpoint may get new requests, by its entry, by its own reports and by evacuations.
     [[nodiscard]] bool is_usable(EndpointId id, Instant now) const;
+    [[nodiscard]] bool is_usable(KnownEndpoint const& endpoint, Instant now) const;
     /// The endpoints of a service that may get new requests, in the same order on every box.
-    [[nodiscard]] std::vector<EndpointId> usable(std::string_view service, Instant now) const;
+    [[nodiscard]] std::vector<KnownEndpoint const*> usable(std::string_view service, Instant now) const;
     [[nodiscard]] std::string const& draw_service(Route const& route);
     /// The load of a known endpoint; null if it is gone.
     [[nodiscard]] EndpointLoad* load_of(EndpointId endpoint);
@@ -261,6 +295,8 @@
     LoadTable loads;
     EndpointNotices notices;
     EndpointBackoffs backoffs;
+    ColdEndpoints cold;
+    std::set<std::string> evacuated_domains;
     Duration shared_clock_ahead { 0 };
     std::unordered_map<std::string, RetryBudget> budgets;
     std::map<std::string, EngineDemand> demands;
--- a/Tests/LibGateway/ScriptedExchange.h
+++ b/Tests/LibGateway/ScriptedExchange.h
@@ -89,8 +89,10 @@
             std::make_shared<Routing::ConfigurationSnapshot const>(std::move(configuration)), Core::monotonic_now());
         for (int index = 0; index < endpoint_count; ++index) {
             this->endpoints.push_back(std::make_unique<FakeEndpoint>(this->context));
-            this->state.router.put_endpoint({ "i-" + std::to_string(index), "desk",
-                { "127.0.0.1", this->endpoints.back()->acceptor.local_endpoint().port() }, "hall", 6, false });
+            this->state.router.put_endpoint(
+                { "i-" + std::to_string(index), "desk",
+                    { "127.0.0.1", this->endpoints.back()->acceptor.local_endpoint().port() }, "hall", 6, false },
+                Core::monotonic_now());
         }
         this->client.far.non_blocking(true);
     }
--- a/Tests/LibGateway/TestCallerConnection.cpp
+++ b/Tests/LibGateway/TestCallerConnection.cpp
@@ -70,7 +70,8 @@
         this->state.router.offer_configuration(
             std::make_shared<Routing::ConfigurationSnapshot const>(std::move(configuration)), Core::monotonic_now());
         this->state.router.put_endpoint(
-            { "i", "desk", { "127.0.0.1", this->endpoint.local_endpoint().port() }, "hall", 6, false });
+            { "i", "desk", { "127.0.0.1", this->endpoint.local_endpoint().port() }, "hall", 6, false },
+            Core::monotonic_now());
         this->endpoint.non_blocking(true);
         this->caller = std::make_shared<ClientConnection>(this->state, std::move(this->sockets.near));
         asio::co_spawn(
--- a/Tests/LibMembership/TestEndpointJournal.cpp
+++ b/Tests/LibMembership/TestEndpointJournal.cpp
@@ -59,6 +59,26 @@
     CHECK(changes.changes[0].record->draining);
 }
 
+TEST_CASE("the time for which an endpoint stays cold is a change only when it does not just pass")
+{
+    auto const cold_for = [](int seconds) {
+        auto record = endpoint("a");
+        record.cold_left = std::chrono::seconds(seconds);
+        return record;
+    };
+    EndpointJournal journal;
+    journal.put(cold_for(9));
+    auto revision = journal.revision();
+    journal.put(cold_for(7));
+    CHECK(journal.changes_since(revision).changes.empty());
+    CHECK(journal.changes_since(0).changes.at(0).record->cold_left == std::chrono::seconds(7));
+    journal.put(cold_for(8));
+    CHECK(journal.changes_since(revision).changes.size() == 1);
+    revision = journal.revision();
+    journal.put(cold_for(0));
+    CHECK(journal.changes_since(revision).changes.size() == 1);
+}
+
 TEST_CASE("a follower of changes has the same list, however often and late it polls")
 {
     pcg32 random(7);
@@ -124,8 +144,11 @@
     answer.configuration_known_for = std::chrono::milliseconds(1200);
     answer.store_returned_ago = std::chrono::seconds(3);
     answer.answer_shares = { { "pool", 0.25 } };
+    answer.evacuated_domains = { "hall", "other hall" };
+    answer.endpoints.changes[0].record->cold_left = std::chrono::milliseconds(1500);
     CHECK(decode_answer(encode(answer).whole()) == answer);
     answer.configuration.reset();
+    answer.evacuated_domains.reset();
     CHECK(decode_answer(encode(answer).whole()) == answer);
     BoxRecord const record { "b1", { "10.0.0.9", 7340 }, "hall", 25'000'000 };
     CHECK(decode_box("b1", encode(record)) == record);
--- a/Tests/LibRouting/TestEndpointDirectory.cpp
+++ b/Tests/LibRouting/TestEndpointDirectory.cpp
@@ -36,7 +36,7 @@
 {
     EndpointDirectory directory;
     directory.put(record("a"));
-    auto const id = directory.usable("pool", at(seconds(0))).front();
+    auto const id = directory.usable("pool", at(seconds(0))).front()->id;
     directory.remove("a", at(seconds(0)));
     CHECK(directory.usable("pool", at(seconds(0))).empty());
     CHECK(directory.find(id) == nullptr);
@@ -65,26 +65,28 @@
 {
     EndpointDirectory directory;
     directory.put(record("a"));
-    auto const id = directory.usable("pool", at(seconds(0))).front();
+    auto const id = directory.usable("pool", at(seconds(0))).front()->id;
     directory.mark_replaced(id);
     CHECK(directory.usable("pool", at(seconds(0))).empty());
     directory.put(record("b"));
     REQUIRE(directory.usable("pool", at(seconds(0))).size() == 1);
-    CHECK(directory.usable("pool", at(seconds(0))).front() != id);
+    CHECK(directory.usable("pool", at(seconds(0))).front()->id != id);
 }
 
 TEST_CASE("an endpoint that lost its address to another one is used again at its next address")
 {
     EndpointDirectory directory;
     directory.put(record("a"));
-    auto const id = directory.usable("pool", at(seconds(0))).front();
+    auto const id = directory.usable("pool", at(seconds(0))).front()->id;
     directory.mark_replaced(id);
     directory.put(record("a"));
     CHECK(directory.usable("pool", at(seconds(0))).empty());
     auto moved = record("a");
     ++moved.address.port;
     directory.put(moved);
-    CHECK(directory.usable("pool", at(seconds(0))) == std::vector { id });
+    auto const usable = directory.usable("pool", at(seconds(0)));
+    REQUIRE(usable.size() == 1);
+    CHECK(usable.front()->id == id);
 }
 
 namespace {
@@ -98,9 +100,9 @@
 
 EndpointId id_of(EndpointDirectory const& directory)
 {
-    auto const ids = directory.usable("pool", at(seconds(0)));
-    REQUIRE(ids.size() == 1);
-    return ids.front();
+    auto const usable = directory.usable("pool", at(seconds(0)));
+    REQUIRE(usable.size() == 1);
+    return usable.front()->id;
 }
 
 }
--- a/Tests/LibRouting/TestEndpointReports.cpp
+++ b/Tests/LibRouting/TestEndpointReports.cpp
@@ -35,8 +35,8 @@
     TestBox()
     {
         this->router.offer_configuration(configuration(), at(seconds(0)));
-        this->router.put_endpoint(record("a"));
-        this->router.put_endpoint(record("b"));
+        this->router.put_endpoint(record("a"), at(seconds(0)));
+        this->router.put_endpoint(record("b"), at(seconds(0)));
     }
 
     static SharedConfiguration configuration()
@@ -196,7 +196,7 @@
         BoxWithDrainingEndpoint box;
         box.router.remove_endpoint("a", at(seconds(13)));
         static_cast<void>(box.router.expire_endpoints(at(seconds(13))));
-        box.router.put_endpoint(TestBox::record("a"));
+        box.router.put_endpoint(TestBox::record("a"), at(seconds(0)));
         CHECK(box.usable(seconds(14)) == 2);
         // A late notice of the earlier process.
         CHECK_FALSE(box.router.apply_notice({ { "a", 0 }, 1, { {}, true }, at(seconds(11)) }, at(seconds(14))));
@@ -208,9 +208,9 @@
     SUBCASE("its entry has another start time")
     {
         BoxWithDrainingEndpoint box;
-        box.router.put_endpoint(TestBox::record("a", 1000));
+        box.router.put_endpoint(TestBox::record("a", 1000), at(seconds(0)));
         CHECK(box.usable(seconds(10)) == 1);
-        box.router.put_endpoint(TestBox::record("a", 2000));
+        box.router.put_endpoint(TestBox::record("a", 2000), at(seconds(0)));
         static_cast<void>(box.router.expire_endpoints(at(seconds(14))));
         CHECK(box.usable(seconds(14)) == 2);
         CHECK_FALSE(box.router.apply_notice({ { "a", 1000 }, 3, { {}, true }, at(seconds(14)) }, at(seconds(14))));
@@ -221,7 +221,7 @@
         BoxWithDrainingEndpoint box;
         auto moved = TestBox::record("a");
         moved.address.port = 81;
-        box.router.put_endpoint(moved);
+        box.router.put_endpoint(moved, at(seconds(0)));
         static_cast<void>(box.router.expire_endpoints(at(seconds(14))));
         CHECK(box.usable(seconds(14)) == 2);
     }
@@ -259,7 +259,7 @@
         BoxWithDrainingEndpoint box;
         auto leaving = TestBox::record("a");
         leaving.draining = true;
-        box.router.put_endpoint(leaving);
+        box.router.put_endpoint(leaving, at(seconds(0)));
         box.read_list(seconds(10), seconds(40));
         CHECK(box.usable(seconds(40)) == 1);
     }
@@ -289,10 +289,10 @@
 TEST_CASE("a restarted endpoint does not have the limit of the previous process")
 {
     TestBox box;
-    box.router.put_endpoint(TestBox::record("a", 1000));
+    box.router.put_endpoint(TestBox::record("a", 1000), at(seconds(0)));
     REQUIRE(box.limit("a", 4, one_per_second, 1000));
     CHECK(box.router.limited_endpoints() == 1);
-    box.router.put_endpoint(TestBox::record("a", 2000));
+    box.router.put_endpoint(TestBox::record("a", 2000), at(seconds(0)));
     static_cast<void>(box.router.expire_endpoints(at(seconds(1))));
     CHECK(box.router.limited_endpoints() == 0);
     CHECK_FALSE(box.limit("a", 9, one_per_second, 1000));
@@ -307,7 +307,7 @@
     box.router.remove_endpoint(placed.endpoint.incarnation, at(seconds(1)));
     static_cast<void>(box.router.expire_endpoints(at(seconds(1))));
     CHECK_FALSE(box.router.record_answer(placed, { one_per_second, false }, at(seconds(0)), at(seconds(2))).notice);
-    box.router.put_endpoint(placed.endpoint);
+    box.router.put_endpoint(placed.endpoint, at(seconds(0)));
     CHECK(box.router.limited_endpoints() == 0);
 }
 
@@ -372,7 +372,7 @@
     TestBox box;
     start_backoff(box, "a", at(seconds(0)));
     box.router.remove_endpoint("a", at(seconds(1)));
-    box.router.put_endpoint(TestBox::record("a"));
+    box.router.put_endpoint(TestBox::record("a"), at(seconds(0)));
     static_cast<void>(box.router.expire_endpoints(at(seconds(1))));
     bool is_chosen = false;
     for (int number = 0; number < 50; ++number)
--- a/Tests/LibRouting/TestRequestRouter.cpp
+++ b/Tests/LibRouting/TestRequestRouter.cpp
@@ -52,8 +52,8 @@
         settings.lease = { seconds(2), seconds(5) };
         this->router = std::make_unique<RequestRouter>(settings, 7);
         this->router->offer_configuration(configuration(1, { "k" }), at(seconds(0)));
-        this->router->put_endpoint({ "a", "desk", { "10.0.0.1", 80 }, "hall", 6, false });
-        this->router->put_endpoint({ "b", "desk", { "10.0.0.2", 80 }, "hall", 6, false });
+        this->router->put_endpoint({ "a", "desk", { "10.0.0.1", 80 }, "hall", 6, false }, at(seconds(0)));
+        this->router->put_endpoint({ "b", "desk", { "10.0.0.2", 80 }, "hall", 6, false }, at(seconds(0)));
     }
 
     [[nodiscard]] Reason refusal(RequestHead const& head, Instant now) const
--- a/Tests/LibRouting/TestTurnedAway.cpp
+++ b/Tests/LibRouting/TestTurnedAway.cpp
@@ -42,7 +42,8 @@
         this->router.offer_configuration(
             std::make_shared<ConfigurationSnapshot const>(std::move(contents)), at(seconds(0)));
         for (int number = 0; number < endpoint_count; ++number)
-            this->router.put_endpoint({ std::to_string(number), "desk", { "10.0.0.1", 80 }, "hall", 6, false });
+            this->router.put_endpoint(
+                { std::to_string(number), "desk", { "10.0.0.1", 80 }, "hall", 6, false }, at(seconds(0)));
     }
 
     /// The fraction of requests that is refused while this many endpoints are overloaded.
--- a/Tests/LibRouting/TestWaitLimit.cpp
+++ b/Tests/LibRouting/TestWaitLimit.cpp
@@ -35,7 +35,7 @@
         contents.services = { { "pool", 96, EngineTraits { 64, 300'000, 3 } } };
         this->router.offer_configuration(std::make_shared<ConfigurationSnapshot const>(std::move(contents)), now);
         for (auto const* name : { "a", "b" })
-            this->router.put_endpoint({ name, "pool", { "10.0.0.1", 80 }, "hall", 64, false });
+            this->router.put_endpoint({ name, "pool", { "10.0.0.1", 80 }, "hall", 64, false }, now);
     }
 
     void queue(Duration on_a, Duration on_b)
--- a/Tests/PlatformAdapter/TestStoreRecords.cpp
+++ b/Tests/PlatformAdapter/TestStoreRecords.cpp
@@ -78,6 +78,60 @@
     CHECK(reason.text == "must be a JSON object");
 }
 
+TEST_CASE("the regions of routes and accounts are read, and a list that allows nothing or holds no names is refused")
+{
+    auto const with_regions = [](std::string const& list, Core::LastReason& reason) {
+        auto text = configuration_text;
+        std::string const route = R"("can_resume":true)";
+        text.replace(text.find(route), route.size(), route + R"(,"allowed_regions":)" + list);
+        std::string const account = R"("name":"t1")";
+        text.replace(text.find(account), account.size(), account + R"(,"allowed_regions":)" + list);
+        return decode_configuration(text, reason);
+    };
+    Core::LastReason reason;
+    auto const read = with_regions(R"(["r1","r2"])", reason);
+    REQUIRE_MESSAGE(read, reason.text);
+    CHECK(read->routes[0].allowed_regions == std::vector<std::string> { "r1", "r2" });
+    CHECK(read->routes[1].allowed_regions.empty());
+    CHECK(read->accounts->at(0).allowed_regions == std::vector<std::string> { "r1", "r2" });
+    CHECK(read->accounts->at(1).allowed_regions.empty());
+    CHECK_FALSE(with_regions("[]", reason));
+    CHECK(reason.text == "/routes/0/allowed_regions: must not be empty");
+    CHECK_FALSE(with_regions("[7]", reason));
+    CHECK(reason.text == "/routes/0/allowed_regions: must hold texts");
+}
+
+TEST_CASE("the rate of cold endpoints is read, and one that can't be is refused")
+{
+    auto const with_rate = [](std::string const& rate, Core::LastReason& reason) {
+        auto text = configuration_text;
+        std::string const service = R"("max_conns":96)";
+        text.replace(text.find(service), service.size(), service + R"(,"cold_rate_s":)" + rate);
+        return decode_configuration(text, reason);
+    };
+    Core::LastReason reason;
+    CHECK(with_rate("10.5", reason)->services[1].cold_rate == 10.5);
+    CHECK_FALSE(with_rate("0", reason)->services[1].cold_rate.has_value());
+    for (auto const* rate : { "-1", "1e30", "\"10\"" }) {
+        CAPTURE(rate);
+        CHECK_FALSE(with_rate(rate, reason));
+        CHECK(reason.text.starts_with("/services/1/cold_rate_s: must be"));
+    }
+}
+
+TEST_CASE("an evacuation names its failure domain, and ends with its record")
+{
+    Core::LastReason reason;
+    CHECK(is_evacuation({ "evacuate/hall", "{}" }));
+    CHECK_FALSE(is_evacuation({ "config", "{}" }));
+    CHECK(decode_evacuation({ "evacuate/hall", "{}" }, reason) == Evacuation { "hall", true });
+    CHECK(decode_evacuation({ "evacuate/hall", std::nullopt }, reason) == Evacuation { "hall", false });
+    CHECK_FALSE(decode_evacuation({ "evacuate/", "{}" }, reason));
+    CHECK(reason.text == "key: names no failure domain");
+    CHECK_FALSE(decode_evacuation({ "evacuate/hall", "{" }, reason));
+    CHECK(reason.text == "not valid JSON");
+}
+
 TEST_CASE("an endpoint's record is read, and one that lacks a field is refused")
 {
     Core::LastReason reason;
