--- a/Libraries/LibGateway/BoxRegistry.h
+++ b/Libraries/LibGateway/BoxRegistry.h
@@ -4,6 +4,7 @@
 #include <LibGateway/HttpConnection.h>
 #include <LibMembership/ControlSource.h>
 #include <LibMembership/RelayMessages.h>
+#include <LibMembership/RelaySearch.h>
 #include <platform/StoreRecords.h>
 
 #include <deque>
@@ -11,18 +12,22 @@
 #include <map>
 #include <pcg_random.hpp>
 #include <random>
-#include <set>
 
 namespace Gateway {
 
-/// Maintains this box's record in the platform's store and reads the records of all boxes.
+/// Finds the other boxes after a start, and maintains this box's record in the platform's store.
+///
+/// Only boxes that read the store themselves read the topic of box records; all others get it from their relay. So what
+/// a box reads at its start does not grow with the number of boxes.
 class BoxRegistry {
 public:
-    /// Called after each attempt to read the list of boxes, successful or not.
+    /// Called after the list of boxes was read or received, and after a read of it failed.
     using OnBoxesRead = std::function<void()>;
+    /// Called when this box has found a relay to ask, or has to read the store itself.
+    using OnSourceFound = std::function<void()>;
 
     BoxRegistry(GatewayState& state, Membership::ControlSource& source, Routing::SocketAddress store,
-        Membership::BoxRecord own, OnBoxesRead on_boxes_read, std::uint64_t seed);
+        Membership::BoxRecord own, OnSourceFound on_source_found, OnBoxesRead on_boxes_read, std::uint64_t seed);
 
     /// Which boxes start together with this process.
     enum class Start {
@@ -30,11 +35,6 @@
         /// All boxes, for the first time, so the store holds no box records yet.
         OfAllBoxes,
     };
-    /// The longest time from such a start until the list of boxes is known, if the store answers as usual.
-    [[nodiscard]] static Core::Duration max_startup_time(Start start)
-    {
-        return start == Start::OfAllBoxes ? settling_time + usual_call_time : usual_call_time;
-    }
 
     /// Called with each record in the topic that is not a box record.
     using OnOtherRecord = std::function<void(std::string const& key, std::string const& value)>;
@@ -42,6 +42,15 @@
     /// Queues a record for the topic of box records. Writing is retried until the store has accepted the record.
     void queue_write(Adapter::KeyedRecord record);
 
+    /// The fingerprint of this box's copy of the topic; 0 for none.
+    [[nodiscard]] std::uint64_t fingerprint() const { return this->copy ? this->copy->fingerprint : 0; }
+    /// This box's copy of the topic, to be passed on; empty for none.
+    [[nodiscard]] std::optional<Membership::SharedBoxRecords> const& records() const { return this->copy; }
+    /// A box that is not listed asked this one for the store's records: the list is read again soon.
+    void note_unlisted_box();
+    /// Applies a relay's copy of the topic.
+    void apply_relayed(Membership::SharedBoxRecords const& relayed);
+
     /// The store was restored from an older copy: reads the list anew and rewrites the records that the copy lacks.
     void store_restored();
 
@@ -50,29 +59,58 @@
     void set_address(Routing::SocketAddress address) { this->connection.set_address(std::move(address)); }
 
 private:
-    /// The records of all boxes; empty if the store could not be read.
-    [[nodiscard]] Task<std::optional<std::vector<Membership::BoxRecord>>> read_boxes();
+    /// Carries out one step of the search for a relay. Returns the pause until the next one.
+    struct SearchStep;
+
+    /// Runs until the list of boxes is known or this box reads the store itself.
+    [[nodiscard]] Task<void> search();
+    /// Gives up a first relay that does not respond or has no data for too long.
+    void check_first_relay(Core::Instant now);
+    [[nodiscard]] Task<void> read_relay_record();
+    [[nodiscard]] Task<void> claim();
+    /// Writes this box's record for its failure domain. `expected_end` is where the log has to end, if it matters.
+    [[nodiscard]] Task<std::optional<HttpAnswer>> write_relay_record(std::optional<std::uint64_t> expected_end);
+    /// Writes it when this box has become the one that others ask first.
+    [[nodiscard]] Task<void> update_relay_record();
+    /// Reads the list of boxes if this box reads the store itself. Returns the pause until the next time.
+    [[nodiscard]] Task<Core::Duration> update_list(unsigned& reads);
+    /// Writes this box's record if it is due.
+    void register_if_due(Core::Instant now);
+    /// Arranges for this box's record to be written if the list lacks it.
+    void check_own_record(Core::Instant now);
+    /// The newest records of the topic; empty if the store could not be read.
+    [[nodiscard]] Task<std::optional<std::vector<Adapter::KeyedRecord>>> read_topic(Adapter::Topic topic);
+    void apply_records(Membership::BoxRecords const& records);
     /// True if the store has accepted the record.
     [[nodiscard]] Task<bool> write(Adapter::KeyedRecord const& record);
     /// Writes queued records in order, also those that are queued meanwhile, until the time given.
     [[nodiscard]] Task<void> write_queued(Core::Instant until);
     [[nodiscard]] Task<void> delete_stale_records();
     /// Queues the records that this process has written and that the store no longer lists.
-    void rewrite_missing(std::set<std::string> const& listed);
+    void rewrite_missing(Membership::BoxRecords const& listed);
     /// Counts the call. Logs any answer but a success, and returns nothing for it.
     [[nodiscard]] std::optional<HttpAnswer> check_answer(std::optional<HttpAnswer> answer, std::string const& reason);
     [[nodiscard]] Core::Duration with_jitter(Core::Duration pause);
+    [[nodiscard]] Core::Duration random_up_to(Core::Duration limit);
 
     /// The store usually answers within 4 ms; when it is slow, it takes up to 60 times as long.
     static constexpr CallTimeouts timeouts { std::chrono::milliseconds(700), std::chrono::milliseconds(1000) };
-    /// Pause after the first record was written or a call failed. Boxes that started together have written their
-    /// records by then.
+    /// Pause after the first record was written or a call failed.
     static constexpr Core::Duration short_pause { std::chrono::milliseconds(1000) };
-    /// Boxes that start together do so within 0.3 s. After this time each has written its record, so one read of the
-    /// list returns all of them.
-    static constexpr Core::Duration settling_time { std::chrono::milliseconds(800) };
-    /// For one read of the list, including the start of a slow box.
-    static constexpr Core::Duration usual_call_time { std::chrono::milliseconds(300) };
+    /// Boxes that start together write their records at random times within this time. The store takes about a thousand
+    /// records a second.
+    static constexpr Core::Duration registration_spread { std::chrono::milliseconds(3000) };
+    /// Boxes that start together do so within 0.3 s, so after this time one read of the list returns all of them.
+    static constexpr Core::Duration settling_time { registration_spread + std::chrono::milliseconds(500) };
+    /// A record that was written this long ago and is not listed is written again. Lists of relays are older than that
+    /// of the store.
+    static constexpr Core::Duration registration_grace { std::chrono::seconds(15) };
+    /// Interval of the check whether the first relay responds and has sent the list of boxes.
+    static constexpr Core::Duration search_check_interval { std::chrono::milliseconds(100) };
+    /// A first relay that refuses connections for this long is gone: processes that end are started again sooner.
+    static constexpr Core::Duration max_relay_silence { std::chrono::milliseconds(1200) };
+    /// A first relay reads the store and, on the first start, waits for all records before it sends the list of boxes.
+    static constexpr Core::Duration max_list_wait { settling_time + std::chrono::milliseconds(4500) };
 
     /// Records that a process remembers beside its box record, about 100 bytes each.
     static constexpr std::size_t max_written_records = 256;
@@ -81,8 +119,28 @@
     Membership::ControlSource& source;
     HttpConnection connection;
     Membership::BoxRecord own;
+    OnSourceFound on_source_found;
     OnBoxesRead on_boxes_read;
     OnOtherRecord on_other_record;
+    Membership::RelaySearch relay_search;
+    /// The first relay in use, and since when.
+    std::optional<Membership::BoxRecord> first_relay;
+    Core::Instant follows_since;
+    /// The end of the topic of relay records when it was last read.
+    std::uint64_t relay_records_end { 0 };
+    /// Whether this box's relay record is in the store, as far as known.
+    bool has_relay_record { false };
+    /// When this box's record is to be written; empty if it is not due.
+    std::optional<Core::Instant> registers_at;
+    std::optional<Core::Instant> registered_at;
+    /// Boxes that started together have written their records by then.
+    Core::Instant settled_at;
+    /// When the list of boxes is read next, if this box has to read it.
+    Core::Instant lists_at;
+    Core::Instant list_read_at;
+    /// Whether a box asked that the list lacked when it was last read.
+    bool has_unlisted_box { false };
+    std::optional<Membership::SharedBoxRecords> copy;
     std::deque<Adapter::KeyedRecord> queued_writes;
     /// Records of this process, beside its box record, that the store has accepted.
     std::map<std::string, std::string> written_records;
--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -27,7 +27,7 @@
     std::optional<Leader::FleetPolicy> fleet, std::uint64_t seed)
     : state(state)
     , source(environment.box_name, environment.failure_domain, control_bounds(environment))
-    , records(state, environment.box_name, environment.failure_domain, source_id(seed))
+    , records(state, environment.box_name, environment.failure_domain)
     , operator_follower(state, this->records, this->source, environment.store, Adapter::Topic::Operator,
           this->operator_paces(), [this] { this->endpoints_follower.wake(); })
     , endpoints_follower(state, this->records, this->source, environment.store, Adapter::Topic::Endpoints,
@@ -40,6 +40,8 @@
     , ports(environment.peer_ports)
     , store(environment.store)
     , link_bytes_per_second(environment.link_bytes_per_second)
+    , max_connections(
+          static_cast<std::size_t>(static_cast<double>(environment.max_sockets) * share_of_sockets_for_boxes))
     , seed(seed)
     , is_first_start(environment.is_first_start)
     , leader_settings(environment.leader)
@@ -88,7 +90,7 @@
     this->listener.emplace(
         std::move(*acceptor),
         [this](std::string_view path, std::string const& body) { return this->answer_request(path, body); },
-        max_connections);
+        this->max_connections);
     Membership::BoxRecord own { this->box_name, { this->ports->host, this->listener->port() }, this->failure_domain,
         this->link_bytes_per_second };
     LoadExchange::StoreVersionHandlers version_handlers {
@@ -105,7 +107,9 @@
         return false;
     this->state.awaits_other_boxes = true;
     this->registry.emplace(
-        this->state, this->source, this->store, own, [this] { this->handle_box_list(); }, this->seed);
+        this->state, this->source, this->store, own, [this] { this->wake_all(); }, [this] { this->handle_box_list(); },
+        this->seed);
+    this->connect_box_records();
     this->connect_crash_exchange();
     this->state.endpoint_notice_exchange.set_transport(
         [this](std::string const& bytes, std::size_t boxes) { this->loads->send(bytes, boxes); });
@@ -113,6 +117,15 @@
     return true;
 }
 
+void ControlPlane::connect_box_records()
+{
+    this->records.set_box_records_relay({
+        [this] { return this->registry->fingerprint(); },
+        [this] { return this->registry->records(); },
+        [this](Membership::SharedBoxRecords const& relayed) { this->registry->apply_relayed(relayed); },
+    });
+}
+
 void ControlPlane::open_leadership(Membership::BoxRecord const& own)
 {
     if (!this->leader_settings)
@@ -222,7 +235,7 @@
     auto& context = this->state.context;
     auto const start = this->is_first_start ? BoxRegistry::Start::OfAllBoxes : BoxRegistry::Start::OfThisBox;
     if (this->registry)
-        this->source.wait_for_boxes(monotonic_now() + BoxRegistry::max_startup_time(start));
+        this->source.begin_search();
     asio::co_spawn(context, this->operator_follower.run(), asio::detached);
     asio::co_spawn(context, this->endpoints_follower.run(), asio::detached);
     if (!this->registry)
@@ -290,6 +303,8 @@
         Log::EventLine("relay_begun").info();
         this->wake_followers();
     }
+    if (this->registry && !this->source.boxes().find(request->requester))
+        this->registry->note_unlisted_box();
     auto const max_configuration_bytes = static_cast<double>(this->link_bytes_per_second) * max_transfer_seconds;
     auto const answer = this->records.answer(*request, static_cast<std::size_t>(max_configuration_bytes), now);
     if (!answer)
--- a/Libraries/LibGateway/ControlPlane.h
+++ b/Libraries/LibGateway/ControlPlane.h
@@ -36,6 +36,7 @@
     [[nodiscard]] StoreFollower::Paces endpoints_paces(Core::Duration drain_within) const;
     [[nodiscard]] InternalHttpResponse answer_request(std::string_view path, std::string const& body);
     void connect_crash_exchange();
+    void connect_box_records();
     void open_leadership(Membership::BoxRecord const& own);
     /// Handles a datagram that is no load report. False if it can't be decoded.
     [[nodiscard]] bool handle_message(std::string_view bytes, Routing::SocketAddress const& from);
@@ -69,8 +70,9 @@
     /// About thirty round trips between boxes. A starting box refuses clients until it has an answer, or for this long
     /// if the boxes that it asked are gone.
     static constexpr Core::Duration max_notice_wait { std::chrono::milliseconds(60) };
-    /// Connections from other boxes; a failure domain at the planned size has 59 other boxes.
-    static constexpr std::size_t max_connections = 256;
+    /// Share of the sockets for connections from other boxes: all others of a failure domain may use this one as their
+    /// relay.
+    static constexpr double share_of_sockets_for_boxes = 0.2;
 
     GatewayState& state;
     Membership::ControlSource source;
@@ -83,6 +85,7 @@
     std::optional<Adapter::PortRange> ports;
     Routing::SocketAddress store;
     std::uint64_t link_bytes_per_second;
+    std::size_t max_connections;
     std::uint64_t seed;
     bool is_first_start;
     bool has_requested_notices { false };
--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -23,12 +23,10 @@
 
 }
 
-ControlRecords::ControlRecords(
-    GatewayState& state, std::string box_name, std::string failure_domain, std::uint64_t source)
+ControlRecords::ControlRecords(GatewayState& state, std::string box_name, std::string failure_domain)
     : state(state)
     , box_name(std::move(box_name))
     , failure_domain(std::move(failure_domain))
-    , source(source)
 {
 }
 
@@ -251,9 +249,9 @@
     }
     if (is_whole_list)
         this->replace_endpoints(std::move(listed));
+    this->journal.advance(this->endpoints_position.offset.value_or(0));
     if (is_whole_list || (coverage == Coverage::UpToEnd && this->endpoints_confirmed_at))
         this->confirm_endpoints(std::max(this->endpoints_confirmed_at.value_or(asked_at), asked_at));
-    this->relayed_source = 0;
     this->state.metrics.set_endpoints(this->state.router.endpoint_count());
 }
 
@@ -303,7 +301,7 @@
         this->departed.add(Routing::instance_of(record), monotonic_now());
     else
         this->departed.remove(Routing::instance_of(record));
-    this->journal.put(record);
+    this->journal.put(record, this->endpoints_position.offset.value_or(0));
     if (!this->state.router.put_endpoint(record, monotonic_now()))
         return;
     Log::EventLine("endpoint_changed")
@@ -323,7 +321,7 @@
     auto const* const known = this->journal.find(incarnation);
     if (known != nullptr && !may_be_relisted)
         this->departed.add(Routing::instance_of(*known), now);
-    if (!this->journal.remove(incarnation))
+    if (!this->journal.remove(incarnation, this->endpoints_position.offset.value_or(0)))
         return;
     this->state.router.remove_endpoint(incarnation, monotonic_now());
     Log::EventLine("endpoint_unlisted").with("endpoint", incarnation).info();
@@ -334,7 +332,13 @@
     auto const now = monotonic_now();
     if (this->history.era_began_at() && now - *this->history.era_began_at() <= stale_list_time)
         this->departed.remove_from(records, now);
-    this->journal.replace_all(records);
+    auto const revision = this->endpoints_position.offset.value_or(0);
+    bool const is_first = !this->endpoints_confirmed_at || this->journal_era != this->endpoints_position.era;
+    if (is_first)
+        this->journal.restart(records, revision);
+    else
+        this->journal.replace_all(records, revision);
+    this->journal_era = this->endpoints_position.era;
     this->state.router.replace_endpoints(records, monotonic_now());
     Log::EventLine("endpoints_listed").with("count", records.size()).info();
 }
@@ -369,8 +373,60 @@
 
 Membership::ControlRequest ControlRecords::request(Instant now) const
 {
-    return { this->relayed_source, this->relayed_source == 0 ? 0 : this->relayed_revision, this->version(),
-        this->box_name, this->state.router.work_totals(now), this->failure_domain };
+    auto const fingerprint = this->box_records_relay.fingerprint ? this->box_records_relay.fingerprint() : 0;
+    return { this->list_history(), this->journal.revision(), this->version(), this->box_name,
+        this->state.router.work_totals(now), this->failure_domain, fingerprint, true };
+}
+
+std::uint64_t ControlRecords::list_history() const
+{
+    return this->endpoints_confirmed_at ? this->journal_era + 1 : 0;
+}
+
+void ControlRecords::put_endpoints(Membership::ControlRequest const& request, Membership::ControlAnswer& answer)
+{
+    answer.source = this->list_history();
+    auto const known = request.source == answer.source ? request.revision : 0;
+    bool const is_long = this->journal.size() >= min_compressed_endpoints;
+    bool const is_whole = known == 0 || !this->journal.knows_since(known);
+    if (!is_whole || !is_long || !request.takes_compressed_endpoints) {
+        answer.endpoints = this->journal.changes_since(known);
+        return;
+    }
+    this->update_compressed_list();
+    if (!this->compressed_list) {
+        answer.endpoints = this->journal.changes_since(0);
+        return;
+    }
+    answer.endpoint_list = this->compressed_list->text;
+    answer.endpoints = this->journal.changes_since(this->compressed_list->revision);
+    answer.endpoints.is_whole = true;
+}
+
+void ControlRecords::update_compressed_list()
+{
+    auto const& made = this->compressed_list;
+    auto const max_changes = static_cast<std::size_t>(static_cast<double>(this->journal.size()) * max_changed_share);
+    if (made && this->journal.knows_since(made->revision)
+        && this->journal.changes_since(made->revision).changes.size() <= max_changes)
+        return;
+    auto const begun_at = monotonic_now();
+    auto const list = this->journal.changes_since(0);
+    auto const text = Membership::encode(list.changes);
+    Core::LastReason reason;
+    auto compressed = Membership::CompressedText::of(text, reason);
+    if (!compressed) {
+        Log::EventLine("endpoints_not_compressed").with("reason", reason.text).warning();
+        this->compressed_list.reset();
+        return;
+    }
+    Log::EventLine("endpoints_compressed")
+        .with("count", list.changes.size())
+        .with("bytes", text.size())
+        .with("compressed_bytes", compressed->bytes().size())
+        .with("took_ms", Core::to_milliseconds(monotonic_now() - begun_at))
+        .info();
+    this->compressed_list = CompressedList { list.revision, std::move(*compressed) };
 }
 
 std::optional<Membership::ControlAnswer> ControlRecords::answer(
@@ -381,8 +437,7 @@
     if (!this->endpoints_confirmed_at || !endpoints_next || !operator_next || this->version() == 0)
         return {};
     Membership::ControlAnswer answer;
-    answer.source = this->source;
-    answer.endpoints = this->journal.changes_since(request.source == this->source ? request.revision : 0);
+    this->put_endpoints(request, answer);
     answer.endpoints_age = now - *this->endpoints_confirmed_at;
     answer.endpoints_next = *endpoints_next;
     // NOTE: Until both topics were read anew, this box's records belong to the earlier era.
@@ -408,8 +463,14 @@
     }
     if (request.requester_domain.empty() || request.requester_domain == this->failure_domain)
         this->demand_of_askers.update(request.requester, request.work, now);
-    this->state.router.apply_totals_of_others(this->demand_of_askers.totals(now), now);
-    answer.answer_shares = this->state.router.answer_shares(now);
+    if (!this->answer_shares_at || now - *this->answer_shares_at >= answer_shares_interval) {
+        this->answer_shares_at = now;
+        this->state.router.apply_totals_of_others(this->demand_of_askers.totals(now), now);
+        this->answer_shares = this->state.router.answer_shares(now);
+    }
+    answer.answer_shares = this->answer_shares;
+    if (this->box_records_relay.own && request.box_records_fingerprint != this->box_records_relay.fingerprint())
+        answer.box_records = this->box_records_relay.own();
     return answer;
 }
 
@@ -418,6 +479,8 @@
 {
     if (this->announcement_relay.apply && !answer.leader_announcement.empty())
         this->announcement_relay.apply({ answer.leader_announcement, asked_at - answer.leader_announcement_age });
+    if (this->box_records_relay.apply && answer.box_records)
+        this->box_records_relay.apply(*answer.box_records);
     // NOTE: The relay measured the ages after the request was sent, so these moments are never too late.
     auto const relayed_endpoints_confirmed_at = asked_at - answer.endpoints_age;
     auto const relayed_configuration_confirmed_at = asked_at - answer.configuration_age;
@@ -477,15 +540,52 @@
         this->state.router.note_configuration(reported.configuration_version, sent_at, sent_at - known_for);
 }
 
-void ControlRecords::apply_relayed_endpoints(Membership::ControlAnswer const& answer, Instant confirmed_at)
+std::optional<std::vector<Routing::EndpointRecord>> ControlRecords::whole_list(Membership::ControlAnswer const& answer)
 {
-    if (answer.endpoints.is_whole) {
-        std::vector<Routing::EndpointRecord> records;
-        for (auto const& change : answer.endpoints.changes) {
+    std::map<std::string, Routing::EndpointRecord> listed;
+    auto const add = [&listed](std::vector<Membership::EndpointChange> const& changes) {
+        for (auto const& change : changes) {
             if (change.record)
-                records.push_back(*change.record);
+                listed.insert_or_assign(change.incarnation, *change.record);
+            else
+                listed.erase(change.incarnation);
+        }
+    };
+    if (answer.endpoint_list) {
+        Core::LastReason reason;
+        auto const text = answer.endpoint_list->text(reason);
+        auto const endpoints = text ? Membership::decode_endpoints(*text) : std::nullopt;
+        if (!endpoints) {
+            this->state.metrics.count_bad_record("endpoints");
+            Log::EventLine("endpoint_list_rejected")
+                .with("reason", text ? "not a list of endpoints" : reason.text)
+                .with("bytes", answer.endpoint_list->bytes().size())
+                .error();
+            return {};
         }
-        this->replace_endpoints(std::move(records));
+        add(*endpoints);
+    }
+    add(answer.endpoints.changes);
+    std::vector<Routing::EndpointRecord> records;
+    records.reserve(listed.size());
+    for (auto& [incarnation, record] : listed)
+        records.push_back(std::move(record));
+    return records;
+}
+
+void ControlRecords::apply_relayed_endpoints(Membership::ControlAnswer const& answer, Instant confirmed_at)
+{
+    auto const own_offset = this->next(Adapter::Topic::Endpoints).value_or(0);
+    bool const is_same_history = this->endpoints_confirmed_at && this->journal_era == this->era();
+    // NOTE: The relay has read less of the log than this box, which may use several relays. What it lacks stays.
+    if (is_same_history && answer.endpoints_next < own_offset)
+        return;
+    auto records = answer.endpoints.is_whole ? this->whole_list(answer) : std::nullopt;
+    if (answer.endpoints.is_whole && !records)
+        return;
+    this->set_next(Adapter::Topic::Endpoints, answer.endpoints_next);
+    if (records) {
+        this->replace_endpoints(std::move(*records));
     } else {
         for (auto const& change : answer.endpoints.changes) {
             if (change.record)
@@ -494,10 +594,8 @@
                 this->remove_endpoint(change.incarnation);
         }
     }
-    this->relayed_source = answer.source;
-    this->relayed_revision = answer.endpoints.revision;
+    this->journal.advance(answer.endpoints_next);
     this->confirm_endpoints(confirmed_at);
-    this->set_next(Adapter::Topic::Endpoints, answer.endpoints_next);
     this->state.metrics.set_endpoints(this->state.router.endpoint_count());
 }
 
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -28,8 +28,7 @@
 /// router, and keeps what is needed to relay them to other boxes and to resume reading the store.
 class ControlRecords {
 public:
-    /// `source` identifies this process to other boxes and must not be 0.
-    ControlRecords(GatewayState& state, std::string box_name, std::string failure_domain, std::uint64_t source);
+    ControlRecords(GatewayState& state, std::string box_name, std::string failure_domain);
 
     void set_apply_within(Core::Duration bound) { this->apply_within = bound; }
 
@@ -51,6 +50,16 @@
     };
     void set_announcement_relay(AnnouncementRelay relay) { this->announcement_relay = std::move(relay); }
 
+    /// Passes the topic of box records on.
+    struct BoxRecordsRelay {
+        /// The fingerprint of this box's copy; 0 for none.
+        std::function<std::uint64_t()> fingerprint;
+        /// This box's copy; empty for none.
+        std::function<std::optional<Membership::SharedBoxRecords>()> own;
+        std::function<void(Membership::SharedBoxRecords const& relayed)> apply;
+    };
+    void set_box_records_relay(BoxRecordsRelay relay) { this->box_records_relay = std::move(relay); }
+
     /// Called when the store has been restored from an older copy and has to be read anew.
     using OnNewEra = std::function<void()>;
     void set_on_new_era(OnNewEra handler) { this->on_new_era = std::move(handler); }
@@ -131,9 +140,19 @@
     void set_evacuated_domains(std::set<std::string> domains, Position const& as_of, Core::Instant now);
     /// Marks the list of endpoints as confirmed up to that moment.
     void confirm_endpoints(Core::Instant confirmed_at);
+    // These take the revision of the journal from the position up to which the topic was read.
     void put_endpoint(Routing::EndpointRecord const& record);
     void remove_endpoint(std::string const& incarnation);
     void replace_endpoints(std::vector<Routing::EndpointRecord> records);
+    /// Identifies the store's history to which this box's list of endpoints belongs; 0 before there is one.
+    [[nodiscard]] std::uint64_t list_history() const;
+    /// Adds the endpoints that the requester lacks to the answer.
+    void put_endpoints(Membership::ControlRequest const& request, Membership::ControlAnswer& answer);
+    /// Compresses the whole list unless the last compressed one is still good.
+    void update_compressed_list();
+    /// The whole list that an answer brings; empty if it can't be read.
+    [[nodiscard]] std::optional<std::vector<Routing::EndpointRecord>> whole_list(
+        Membership::ControlAnswer const& answer);
     /// Notes a version that this box has read from the store or in a record passed on by a relay.
     void note_read_version(std::uint64_t version, Core::Instant now);
     void apply_relayed_endpoints(Membership::ControlAnswer const& answer, Core::Instant confirmed_at);
@@ -151,14 +170,28 @@
     /// outage may be one interval old, which leaves at least two.
     static constexpr Core::Duration min_expiry_time { std::chrono::seconds(2) };
 
+    /// Lists with at least this many endpoints are sent compressed.
+    static constexpr std::size_t min_compressed_endpoints = 64;
+    /// The compressed list is made anew when this fraction of it has changed.
+    static constexpr double max_changed_share = 0.1;
+    /// The division of the engines changes within seconds, and hundreds of boxes ask for it.
+    static constexpr Core::Duration answer_shares_interval { std::chrono::milliseconds(100) };
+
     /// Unreadable entries whose reason is remembered, so that each is logged once.
     static constexpr std::size_t max_rejections = 1024;
 
     GatewayState& state;
     std::string box_name;
     std::string failure_domain;
-    std::uint64_t source;
     Membership::EndpointJournal journal;
+    /// The era to which the journal's revisions belong.
+    std::uint64_t journal_era { 0 };
+    /// The list of endpoints of a revision, which all requesters of the whole list share.
+    struct CompressedList {
+        std::uint64_t revision { 0 };
+        Membership::CompressedText text;
+    };
+    std::optional<CompressedList> compressed_list;
     /// Why entries can't be read, by key.
     std::map<std::string, std::string> rejected_endpoints;
     /// Demand of this failure domain only: each domain divides the engines by its own demand.
@@ -168,6 +201,7 @@
     Membership::StoreHistory history;
     OnNewEra on_new_era;
     AnnouncementRelay announcement_relay;
+    BoxRecordsRelay box_records_relay;
     Position endpoints_position;
     Position operator_position;
     std::set<std::string> evacuated_domains;
@@ -187,9 +221,9 @@
     /// then on. Empty if it can't be compressed.
     std::optional<Membership::ConfigurationRecord> configuration_record;
     std::optional<Core::Instant> store_returned_at;
-    /// The process from which the list of endpoints was last received, and its revision there; 0 for the store.
-    std::uint64_t relayed_source { 0 };
-    std::uint64_t relayed_revision { 0 };
+    /// The division of the engines that requesters get, and when it was computed.
+    std::map<std::string, double> answer_shares;
+    std::optional<Core::Instant> answer_shares_at;
 };
 
 }
--- a/Libraries/LibMembership/BoxDirectory.cpp
+++ b/Libraries/LibMembership/BoxDirectory.cpp
@@ -20,12 +20,16 @@
 
 Rank rank_of(BoxRecord const& box)
 {
-    return { box.link_bytes_per_second < wide_link_bytes_per_second, XXH3_64bits(box.name.data(), box.name.size()),
-        box.name };
+    return { !BoxDirectory::has_wide_link(box), XXH3_64bits(box.name.data(), box.name.size()), box.name };
 }
 
 }
 
+bool BoxDirectory::has_wide_link(BoxRecord const& box)
+{
+    return box.link_bytes_per_second >= wide_link_bytes_per_second;
+}
+
 void BoxDirectory::replace_all(std::vector<BoxRecord> records)
 {
     this->boxes.clear();
--- a/Libraries/LibMembership/BoxDirectory.h
+++ b/Libraries/LibMembership/BoxDirectory.h
@@ -37,6 +37,8 @@
     /// The boxes of a failure domain in the order in which they are used as relays: those with a wide link first, then
     /// by a hash of their names. All boxes with the same records compute the same order.
     [[nodiscard]] std::vector<BoxRecord> in_order(std::string const& failure_domain) const;
+    /// Whether the box's link is wide enough to send the endpoints and the configuration to a failure domain in time.
+    [[nodiscard]] static bool has_wide_link(BoxRecord const& box);
     /// Sorts the given boxes into this order.
     [[nodiscard]] static std::vector<BoxRecord> in_order(std::vector<BoxRecord> given);
     /// By name.
--- a/Libraries/LibMembership/ControlSource.cpp
+++ b/Libraries/LibMembership/ControlSource.cpp
@@ -34,11 +34,32 @@
         this->waits_until = now + this->relay_timeout();
     this->is_started = true;
     this->directory.replace_all(std::move(records));
+    // NOTE: A list without this box may be of a moment when few boxes were listed. Its order of relays is not used.
+    if (this->directory.find(this->box_name))
+        this->end_search();
     this->order = this->directory.in_order(this->failure_domain);
     this->update_domain_relays();
     std::erase_if(this->relay_failures, [this](auto const& entry) { return !this->directory.find(entry.first); });
 }
 
+void ControlSource::boxes_unavailable()
+{
+    this->is_started = true;
+    this->end_search();
+}
+
+void ControlSource::end_search()
+{
+    this->searches = false;
+    this->first_relay.reset();
+}
+
+std::optional<Instant> ControlSource::unresponsive_since(std::string const& name) const
+{
+    auto const failure = this->relay_failures.find(name);
+    return failure == this->relay_failures.end() ? std::nullopt : std::optional(failure->second.since);
+}
+
 std::vector<BoxRecord> ControlSource::candidates() const
 {
     if (this->order.size() < min_boxes_for_relays)
@@ -129,6 +150,8 @@
 
 std::optional<BoxRecord> ControlSource::relay(Instant now) const
 {
+    if (this->searches)
+        return this->first_relay && !this->is_backed_off(*this->first_relay, now) ? this->first_relay : std::nullopt;
     auto boxes = this->candidates(now);
     // NOTE: A box that serves as a relay is the last to get data from other boxes, unless it can't reach the store.
     for (auto& box : this->fallback_relays(now)) {
@@ -186,6 +209,8 @@
 
 bool ControlSource::reads_store(Instant now) const
 {
+    if (this->searches)
+        return false;
     if (this->is_relay(now) && !this->relay(now))
         return true;
     if (this->confirmed_at)
@@ -200,6 +225,8 @@
 
 bool ControlSource::awaits_first_answer(Instant now) const
 {
+    if (this->searches)
+        return true;
     if (!this->waits_until || now >= *this->waits_until)
         return false;
     if (!this->is_started)
@@ -245,6 +272,9 @@
 
 Duration ControlSource::poll_interval(Instant now) const
 {
+    // NOTE: The first relay may still be reading the store, while all boxes of its failure domain ask it.
+    if (this->searches)
+        return this->poll_interval() / 2;
     if (this->awaits_first_answer(now))
         return this->poll_interval() / 8;
     if (this->is_store_unreachable(now))
@@ -254,7 +284,7 @@
 
 Duration ControlSource::relay_timeout_for(BoxRecord const& relay, Instant now) const
 {
-    if (this->awaits_first_answer(now))
+    if (this->awaits_first_answer(now) && !this->searches)
         return this->poll_interval() / 4;
     return relay.failure_domain == this->failure_domain ? this->relay_timeout() : this->relay_timeout() * 2 / 3;
 }
@@ -265,7 +295,8 @@
     auto const max_pause = Core::from_seconds(Core::to_seconds(base_list_interval) * std::max(1.0, scale));
     if (this->relay(now))
         return max_pause;
-    return std::min(first_list_interval * (1U << std::min(reads, max_doublings)), max_pause);
+    auto const own_max_pause = this->is_relay(now) ? std::min(max_relay_list_interval, max_pause) : max_pause;
+    return std::min(first_list_interval * (1U << std::min(reads, max_doublings)), own_max_pause);
 }
 
 Duration ControlSource::retry_pause(unsigned failures, Instant now) const
--- a/Libraries/LibMembership/ControlSource.h
+++ b/Libraries/LibMembership/ControlSource.h
@@ -33,15 +33,21 @@
     ControlSource(std::string box_name, std::string failure_domain, ControlBounds bounds);
 
     void set_bounds(ControlBounds new_bounds) { this->bounds = new_bounds; }
-    /// After a start, waits at most until this moment for the list of boxes before it reads the store.
-    void wait_for_boxes(Instant until) { this->waits_until = until; }
+    /// This box has just started and looks for a relay. Until it is in the list of boxes, it reads no topic of the
+    /// store.
+    void begin_search() { this->searches = true; }
+    [[nodiscard]] bool is_searching() const { return this->searches; }
+    /// The relay to ask until the list of boxes is known.
+    void use_first_relay(BoxRecord relay) { this->first_relay = std::move(relay); }
+    /// Since when the relay has not responded; empty if it did, or was not asked.
+    [[nodiscard]] std::optional<Instant> unresponsive_since(std::string const& name) const;
     /// This box was suspended until now, and others may resume at the same moment: as after a start, relays are used
     /// first, so that not all boxes read the store at once.
     void after_suspension(Instant now);
-    /// The list of boxes was read from the store.
+    /// The list of boxes was read from the store, or received from a relay.
     void update_boxes(std::vector<BoxRecord> records, Instant now);
-    /// The list of boxes could not be read.
-    void boxes_unavailable() { this->is_started = true; }
+    /// Until the list of boxes is known, this box reads the store itself.
+    void boxes_unavailable();
 
     /// The relay to use now; empty for none.
     [[nodiscard]] std::optional<BoxRecord> relay(Instant now) const;
@@ -99,7 +105,8 @@
     [[nodiscard]] bool retries_one_topic(Instant now) const { return this->has_preferred_peers(now); }
     /// Time limit for a relay's whole response: a slower one is too old when it is complete, since its data is
     /// confirmed no later than the request was sent.
-    [[nodiscard]] Duration max_answer_time() const { return this->max_age(); }
+    /// The first answer is accepted however old: it is long, and the next one brings only what has changed since.
+    [[nodiscard]] Duration max_answer_time() const { return this->searches ? max_first_answer_time : this->max_age(); }
     /// Pause between a relay's reads of the endpoints.
     [[nodiscard]] Duration read_interval() const { return this->tightest_bound() / 5; }
     /// Long-poll time of a relay's read of the configuration. Confirmed data is as old as the read takes and remains in
@@ -140,12 +147,15 @@
     /// The first box that is not backed off after a failure; otherwise, of the boxes with stale data, the one whose
     /// retry is due first.
     [[nodiscard]] std::optional<BoxRecord> first_usable(std::vector<BoxRecord> const& boxes, Instant now) const;
+    void end_search();
     void update_domain_relays();
     void record_stale_answer(std::string const& name, Instant now);
 
     /// Largest age of a relay's data, as a share of the deadlines. The rest is for detecting it and for a read of the
     /// store, which takes a quarter of a second when the store is slow.
     static constexpr double max_age_share = 0.55;
+    /// For the whole list of endpoints, which a relay sends to all boxes of its failure domain at the same time.
+    static constexpr Duration max_first_answer_time { std::chrono::seconds(10) };
     /// In smaller failure domains a relay saves too few calls to be worth its failures.
     static constexpr std::size_t min_boxes_for_relays = 4;
     /// Limits how many boxes become relays when the store is unreachable.
@@ -167,6 +177,8 @@
     static constexpr std::size_t boxes_with_base_list_interval = 30;
     /// For a box that reads the store itself; doubles with each read.
     static constexpr Duration first_list_interval { std::chrono::seconds(2) };
+    /// For one that reads it for others, whose list comes from this one.
+    static constexpr Duration max_relay_list_interval { std::chrono::seconds(10) };
     /// Fallback relays of the own domain: with the first boxes of all domains some ten, all tried within a quarter of
     /// the deadline.
     static constexpr std::size_t max_fallback_peers = 4;
@@ -206,8 +218,10 @@
     /// Whether the list of boxes was read, or the read failed. Until then the box waits, since a relay would save its
     /// first reads.
     bool is_started { false };
-    /// How long a box that has just started waits for the list of boxes, or for a relay's first response.
+    /// How long a box that has just learnt of the other boxes waits for a relay's first response.
     std::optional<Instant> waits_until;
+    bool searches { false };
+    std::optional<BoxRecord> first_relay;
 };
 
 }
--- a/Libraries/LibMembership/EndpointJournal.cpp
+++ b/Libraries/LibMembership/EndpointJournal.cpp
@@ -1,5 +1,6 @@
 #include <LibMembership/EndpointJournal.h>
 
+#include <algorithm>
 #include <set>
 
 namespace Membership {
@@ -17,39 +18,56 @@
 
 }
 
-void EndpointJournal::put(Routing::EndpointRecord const& record)
+void EndpointJournal::restart(std::vector<Routing::EndpointRecord> const& records, std::uint64_t revision)
 {
-    auto& entry = this->entries[record.incarnation];
+    *this = {};
+    this->known_since = revision;
+    for (auto const& record : records)
+        this->put(record, revision);
+    this->advance(revision);
+}
+
+void EndpointJournal::put(Routing::EndpointRecord const& record, std::uint64_t revision)
+{
+    auto const [position, is_new] = this->entries.try_emplace(record.incarnation);
+    auto& entry = position->second;
     if (entry.record == record)
         return;
     if (entry.record && is_later_reading(record, *entry.record)) {
         entry.record = record;
         return;
     }
-    bool const was_removed = !entry.record && entry.changed_at != 0;
-    this->removals -= was_removed ? 1 : 0;
+    this->removals -= is_new || entry.record ? 0 : 1;
     entry.record = record;
-    entry.changed_at = ++this->last_revision;
+    this->touch(position, revision);
 }
 
-bool EndpointJournal::remove(std::string const& incarnation)
+bool EndpointJournal::remove(std::string const& incarnation, std::uint64_t revision)
 {
     auto const found = this->entries.find(incarnation);
     if (found == this->entries.end() || !found->second.record)
         return false;
     found->second.record.reset();
-    found->second.changed_at = ++this->last_revision;
     ++this->removals;
+    this->touch(found, revision);
     this->discard_old_removals();
     return true;
 }
 
-void EndpointJournal::replace_all(std::vector<Routing::EndpointRecord> const& records)
+void EndpointJournal::touch(Entries::iterator entry, std::uint64_t revision)
+{
+    this->by_change.erase({ entry->second.changed_at, entry->first });
+    entry->second.changed_at = revision;
+    this->by_change.emplace(revision, entry->first);
+    this->advance(revision);
+}
+
+void EndpointJournal::replace_all(std::vector<Routing::EndpointRecord> const& records, std::uint64_t revision)
 {
     std::set<std::string> listed;
     for (auto const& record : records) {
         listed.insert(record.incarnation);
-        this->put(record);
+        this->put(record, revision);
     }
     std::vector<std::string> missing;
     for (auto const& [incarnation, entry] : this->entries) {
@@ -57,7 +75,13 @@
             missing.push_back(incarnation);
     }
     for (auto const& incarnation : missing)
-        static_cast<void>(this->remove(incarnation));
+        static_cast<void>(this->remove(incarnation, revision));
+    this->advance(revision);
+}
+
+void EndpointJournal::advance(std::uint64_t revision)
+{
+    this->last_revision = std::max(this->last_revision, revision);
 }
 
 Routing::EndpointRecord const* EndpointJournal::find(std::string const& incarnation) const
@@ -68,11 +92,15 @@
 
 EndpointChanges EndpointJournal::changes_since(std::uint64_t revision) const
 {
-    bool const is_whole = revision == 0 || revision < this->discarded_up_to || revision > this->last_revision;
-    EndpointChanges answer { this->last_revision, is_whole, {} };
+    if (revision != 0 && this->knows_since(revision)) {
+        EndpointChanges answer { this->last_revision, false, {} };
+        for (auto change = this->by_change.lower_bound({ revision + 1, "" }); change != this->by_change.end(); ++change)
+            answer.changes.push_back({ change->second, this->entries.at(change->second).record });
+        return answer;
+    }
+    EndpointChanges answer { this->last_revision, true, {} };
     for (auto const& [incarnation, entry] : this->entries) {
-        bool const is_new = is_whole ? entry.record.has_value() : entry.changed_at > revision;
-        if (is_new)
+        if (entry.record)
             answer.changes.push_back({ incarnation, entry.record });
     }
     return answer;
@@ -80,15 +108,17 @@
 
 void EndpointJournal::discard_old_removals()
 {
-    if (this->removals <= max_removals)
+    if (this->removals <= std::max(min_kept_removals, this->size()))
         return;
     for (auto position = this->entries.begin(); position != this->entries.end();) {
         auto const current = position++;
-        if (!current->second.record)
-            this->entries.erase(current);
+        if (current->second.record)
+            continue;
+        this->by_change.erase({ current->second.changed_at, current->first });
+        this->entries.erase(current);
     }
     this->removals = 0;
-    this->discarded_up_to = this->last_revision;
+    this->known_since = this->last_revision;
 }
 
 }
--- a/Libraries/LibMembership/EndpointJournal.h
+++ b/Libraries/LibMembership/EndpointJournal.h
@@ -24,36 +24,54 @@
 
 /// The list of endpoints with the revision of each entry's last change, so that another box can request only the
 /// changes. A heartbeat alone is no change.
+///
+/// A revision is the offset in the store's log up to which the list is known. So revisions mean the same at all boxes,
+/// and a box that changes its relay still gets only the changes. A change that was received with others counts as one
+/// of the last of them, which sends it twice at worst.
 class EndpointJournal {
 public:
-    void put(Routing::EndpointRecord const& record);
+    /// Begins with a complete list. Nothing is known of the time before.
+    void restart(std::vector<Routing::EndpointRecord> const& records, std::uint64_t revision);
+    void put(Routing::EndpointRecord const& record, std::uint64_t revision);
     /// False if the endpoint was not listed.
-    bool remove(std::string const& incarnation);
-    /// Replaces the whole list.
-    void replace_all(std::vector<Routing::EndpointRecord> const& records);
+    bool remove(std::string const& incarnation, std::uint64_t revision);
+    /// Replaces the whole list by a later one.
+    void replace_all(std::vector<Routing::EndpointRecord> const& records, std::uint64_t revision);
+    /// The list is known up to this revision.
+    void advance(std::uint64_t revision);
 
     /// Null for an endpoint that is not listed.
     [[nodiscard]] Routing::EndpointRecord const* find(std::string const& incarnation) const;
     /// The changes since `revision`; the whole list if these are no longer known.
     [[nodiscard]] EndpointChanges changes_since(std::uint64_t revision) const;
+    /// Whether all changes since `revision` are known.
+    [[nodiscard]] bool knows_since(std::uint64_t revision) const { return revision >= this->known_since; }
     [[nodiscard]] std::uint64_t revision() const { return this->last_revision; }
+    /// Number of listed endpoints.
+    [[nodiscard]] std::size_t size() const { return this->entries.size() - this->removals; }
 
 private:
     struct Entry {
         std::optional<Routing::EndpointRecord> record;
         std::uint64_t changed_at { 0 };
     };
+    using Entries = std::map<std::string, Entry>;
 
+    /// Records that the entry changed.
+    void touch(Entries::iterator entry, std::uint64_t revision);
     void discard_old_removals();
 
-    /// Number of removals that are kept. A box that is further behind gets the whole list.
-    static constexpr std::size_t max_removals = 256;
+    /// Number of removals that are kept at least. Of a long list, as many are kept as there are endpoints, so that a
+    /// replacement of all of them costs no box the whole list. A box that is further behind gets it.
+    static constexpr std::size_t min_kept_removals = 256;
 
-    std::map<std::string, Entry> entries;
+    Entries entries;
+    /// The entries in the order of their last changes.
+    std::set<std::pair<std::uint64_t, std::string>> by_change;
     std::size_t removals { 0 };
     std::uint64_t last_revision { 0 };
-    /// Changes up to this revision may have been discarded.
-    std::uint64_t discarded_up_to { 0 };
+    /// Changes before this revision are not known.
+    std::uint64_t known_since { 0 };
 };
 
 }
--- a/Libraries/LibMembership/RelayMessages.cpp
+++ b/Libraries/LibMembership/RelayMessages.cpp
@@ -99,6 +99,44 @@
     return begin;
 }
 
+/// A compressed text of a message, which arrived with its uncompressed size. Nothing if the size is invalid.
+std::optional<CompressedText> compressed_from(std::string&& bytes, std::uint64_t text_size)
+{
+    Core::LastReason ignored;
+    return CompressedText::from_bytes(std::move(bytes), text_size, ignored);
+}
+
+/// Moves the compressed lists from the message to the answer. False if a size is invalid.
+bool move_lists(wire::ControlAnswer& message, ControlAnswer& answer)
+{
+    if (message.has_compressed_endpoints()) {
+        answer.endpoint_list
+            = compressed_from(std::move(*message.mutable_compressed_endpoints()), message.endpoints_bytes());
+        if (!answer.endpoint_list)
+            return false;
+    }
+    if (!message.has_compressed_box_records())
+        return true;
+    auto records = compressed_from(std::move(*message.mutable_compressed_box_records()), message.box_records_bytes());
+    if (!records)
+        return false;
+    answer.box_records = SharedBoxRecords { message.box_records_fingerprint(), std::move(*records) };
+    return true;
+}
+
+void put_lists(ControlAnswer const& answer, wire::ControlAnswer& message)
+{
+    if (answer.endpoint_list) {
+        message.set_compressed_endpoints(answer.endpoint_list->bytes());
+        message.set_endpoints_bytes(answer.endpoint_list->text_size());
+    }
+    if (!answer.box_records)
+        return;
+    message.set_compressed_box_records(answer.box_records->records.bytes());
+    message.set_box_records_bytes(answer.box_records->records.text_size());
+    message.set_box_records_fingerprint(answer.box_records->fingerprint);
+}
+
 /// Stores the configuration in the message, or returns the bytes that follow the message.
 struct ConfigurationPart {
     wire::ControlAnswer& message;
@@ -133,6 +171,52 @@
 
 }
 
+std::string encode(std::vector<EndpointChange> const& endpoints)
+{
+    wire::EndpointList message;
+    for (auto const& endpoint : endpoints)
+        put_endpoint(endpoint, *message.add_endpoints());
+    return message.SerializeAsString();
+}
+
+std::optional<std::vector<EndpointChange>> decode_endpoints(std::string const& bytes)
+{
+    wire::EndpointList message;
+    if (!message.ParseFromString(bytes))
+        return {};
+    std::vector<EndpointChange> endpoints;
+    endpoints.reserve(static_cast<std::size_t>(message.endpoints_size()));
+    for (auto const& endpoint : message.endpoints()) {
+        auto change = endpoint_from(endpoint);
+        if (!change)
+            return {};
+        endpoints.push_back(std::move(*change));
+    }
+    return endpoints;
+}
+
+std::string encode(BoxRecords const& records)
+{
+    wire::BoxRecords message;
+    for (auto const& [key, value] : records) {
+        auto& record = *message.add_records();
+        record.set_key(key);
+        record.set_value(value);
+    }
+    return message.SerializeAsString();
+}
+
+std::optional<BoxRecords> decode_box_records(std::string const& bytes)
+{
+    wire::BoxRecords message;
+    if (!message.ParseFromString(bytes))
+        return {};
+    BoxRecords records;
+    for (auto const& record : message.records())
+        records.insert_or_assign(record.key(), record.value());
+    return records;
+}
+
 std::string encode(ControlRequest const& request)
 {
     wire::ControlQuestion message;
@@ -141,6 +225,8 @@
     message.set_configuration_version(request.configuration_version);
     message.set_asker(request.requester);
     message.set_asker_domain(request.requester_domain);
+    message.set_box_records_fingerprint(request.box_records_fingerprint);
+    message.set_takes_compressed_endpoints(request.takes_compressed_endpoints);
     for (auto const& [service, totals] : request.work) {
         auto& work = *message.add_work();
         work.set_service(service);
@@ -163,7 +249,7 @@
         || message.work_size() > max_services)
         return {};
     ControlRequest request { message.source(), message.revision(), message.configuration_version(), message.asker(), {},
-        message.asker_domain() };
+        message.asker_domain(), message.box_records_fingerprint(), message.takes_compressed_endpoints() };
     for (auto const& work : message.work())
         request.work.emplace(
             work.service(), Routing::WorkTotals { non_negative(work.answer_work()), non_negative(work.prompt_work()) });
@@ -178,6 +264,7 @@
     message.set_is_whole(answer.endpoints.is_whole);
     for (auto const& change : answer.endpoints.changes)
         put_endpoint(change, *message.add_endpoints());
+    put_lists(answer, message);
     message.set_endpoints_age_us(to_wire(answer.endpoints_age));
     message.set_endpoints_next(answer.endpoints_next);
     message.set_configuration_version(answer.configuration_version);
@@ -229,7 +316,7 @@
     answer.endpoints_age = duration_from(message.endpoints_age_us());
     answer.endpoints_next = message.endpoints_next();
     answer.configuration_version = message.configuration_version();
-    if (!move_configuration(message, answer))
+    if (!move_configuration(message, answer) || !move_lists(message, answer))
         return {};
     answer.configuration_age = duration_from(message.configuration_age_us());
     answer.configuration_next = message.configuration_next();
@@ -249,20 +336,17 @@
     return answer;
 }
 
-std::string encode(BoxRecord const& record)
+namespace {
+
+void put_box(BoxRecord const& record, wire::Box& message)
 {
-    wire::Box message;
     put_address(record.address, *message.mutable_address());
     message.set_failure_domain(record.failure_domain);
     message.set_link_bytes_per_second(record.link_bytes_per_second);
-    return message.SerializeAsString();
 }
 
-std::optional<BoxRecord> decode_box(std::string const& name, std::string const& bytes)
+std::optional<BoxRecord> box_from(std::string const& name, wire::Box const& message)
 {
-    wire::Box message;
-    if (!message.ParseFromString(bytes))
-        return {};
     auto address = address_from(message.address());
     if (!address)
         return {};
@@ -270,3 +354,34 @@
 }
 
 }
+
+std::string encode(BoxRecord const& record)
+{
+    wire::Box message;
+    put_box(record, message);
+    return message.SerializeAsString();
+}
+
+std::optional<BoxRecord> decode_box(std::string const& name, std::string const& bytes)
+{
+    wire::Box message;
+    return message.ParseFromString(bytes) ? box_from(name, message) : std::nullopt;
+}
+
+std::string encode_relay(BoxRecord const& record)
+{
+    wire::Relay message;
+    message.set_name(record.name);
+    put_box(record, *message.mutable_box());
+    return message.SerializeAsString();
+}
+
+std::optional<BoxRecord> decode_relay(std::string const& bytes)
+{
+    wire::Relay message;
+    if (!message.ParseFromString(bytes) || message.name().empty())
+        return {};
+    return box_from(message.name(), message.box());
+}
+
+}
--- a/Libraries/LibMembership/RelayMessages.h
+++ b/Libraries/LibMembership/RelayMessages.h
@@ -9,11 +9,23 @@
 
 namespace Membership {
 
+/// The records of a topic that boxes write, by key, as they are stored.
+using BoxRecords = std::map<std::string, std::string>;
+
+/// A copy of the topic of box records that boxes pass on.
+struct SharedBoxRecords {
+    /// Differs for other records; never 0.
+    std::uint64_t fingerprint { 0 };
+    CompressedText records;
+
+    bool operator==(SharedBoxRecords const&) const = default;
+};
+
 /// A box's request to a relay.
 struct ControlRequest {
-    /// The process from which the requester's list of endpoints comes, drawn at random when it started; 0 for none.
+    /// The store's history to which the requester's list of endpoints belongs; 0 for none.
     std::uint64_t source { 0 };
-    /// The revision of that process's list.
+    /// The revision of the list in that history.
     std::uint64_t revision { 0 };
     std::uint64_t configuration_version { 0 };
     /// Name of the requesting box.
@@ -22,6 +34,10 @@
     std::map<std::string, Routing::WorkTotals> work;
     /// Failure domain of the requester; empty from boxes that use relays of their own domain only.
     std::string requester_domain;
+    /// Of the requester's copy of the topic of box records; 0 for none.
+    std::uint64_t box_records_fingerprint { 0 };
+    /// Whether the requester reads compressed lists of endpoints.
+    bool takes_compressed_endpoints { false };
 
     bool operator==(ControlRequest const&) const = default;
 };
@@ -32,6 +48,8 @@
 /// The store data that a relay has, and its age.
 struct ControlAnswer {
     std::uint64_t source { 0 };
+    /// An earlier state of the whole list, to which `endpoints` are the changes; empty if they are complete.
+    std::optional<CompressedText> endpoint_list;
     EndpointChanges endpoints;
     /// Age of the list of endpoints: time since the moment up to which it is confirmed.
     Duration endpoints_age { 0 };
@@ -49,6 +67,8 @@
     /// The failure domains whose endpoints get no new requests, as of `configuration_next`; empty if the relay doesn't
     /// know.
     std::optional<std::set<std::string>> evacuated_domains;
+    /// Empty if the requester has the same records, or if the relay has none.
+    std::optional<SharedBoxRecords> box_records;
     /// Time since the store responded to the relay again after an outage.
     std::optional<Duration> store_returned_ago;
     /// Era of the store's history that the data belongs to; 0 if the relay doesn't know it.
@@ -75,6 +95,13 @@
     [[nodiscard]] std::string whole() const { return this->shared ? this->own + *this->shared : this->own; }
 };
 
+/// A list of endpoints in the form in which it is compressed.
+[[nodiscard]] std::string encode(std::vector<EndpointChange> const& endpoints);
+[[nodiscard]] std::optional<std::vector<EndpointChange>> decode_endpoints(std::string const& bytes);
+/// Box records in the form in which they are compressed.
+[[nodiscard]] std::string encode(BoxRecords const& records);
+[[nodiscard]] std::optional<BoxRecords> decode_box_records(std::string const& bytes);
+
 // Messages between boxes, and the store's record of a box. Decoders return nothing for other bytes.
 [[nodiscard]] std::string encode(ControlRequest const& request);
 [[nodiscard]] std::optional<ControlRequest> decode_request(std::string const& bytes);
@@ -82,6 +109,9 @@
 [[nodiscard]] std::optional<ControlAnswer> decode_answer(std::string const& bytes);
 /// All but the name, which is the record's key.
 [[nodiscard]] std::string encode(BoxRecord const& record);
+// With the name, for a record whose key is the failure domain.
+[[nodiscard]] std::string encode_relay(BoxRecord const& record);
+[[nodiscard]] std::optional<BoxRecord> decode_relay(std::string const& bytes);
 [[nodiscard]] std::optional<BoxRecord> decode_box(std::string const& name, std::string const& bytes);
 
 }
--- a/Tests/Integration/TestRelay.cpp
+++ b/Tests/Integration/TestRelay.cpp
@@ -25,21 +25,34 @@
             this->start_box(box, { 8000, 8000, 20000, true });
         for (auto const* box : boxes)
             this->wait_ready(box);
+        for (auto const* box : boxes) {
+            wait_until(std::string(box) + " knows all boxes",
+                [&] { return this->metric(box, "cleatbeam_boxes") == static_cast<double>(boxes.size()); });
+        }
         wait_until("one box reads the store for all", [&] { return !this->relay().empty(); });
     }
 
-    /// The box that all others get answers from; empty while there is none.
+    /// The box that all others get answers from now; empty while there is none. Earlier answers don't count, since a
+    /// box that starts may have asked another one first.
     [[nodiscard]] std::string relay() const
     {
-        std::string found;
-        for (auto const* box : boxes) {
-            if (relayed_answers(*this, box) > 0)
-                continue;
-            if (!found.empty())
-                return "";
-            found = box;
-        }
-        return found;
+        std::map<std::string, double> before;
+        for (auto const* box : boxes)
+            before[box] = relayed_answers(*this, box);
+        constexpr double some = 2;
+        std::string asks_nobody;
+        wait_until("all boxes but one have some more answers", [&] {
+            int without = 0;
+            for (auto const* box : boxes) {
+                if (relayed_answers(*this, box) >= before[box] + some)
+                    continue;
+                ++without;
+                asks_nobody = box;
+            }
+            return without <= 1;
+        });
+        bool const has_asked = relayed_answers(*this, asks_nobody) > before[asks_nobody];
+        return has_asked ? "" : asks_nobody;
     }
 
     /// All boxes but this one.
--- a/Tests/LibGateway/ScriptedStore.h
+++ b/Tests/LibGateway/ScriptedStore.h
@@ -107,7 +107,7 @@
     Follower(
         Adapter::Topic topic, FakeStore::Script script, bool without_relay = true, StoreFollower::Pace pace = at_once)
         : state(this->context, Routing::RouterSettings {}, 1)
-        , records(this->state, "box", "domain", 1)
+        , records(this->state, "box", "domain")
         , source("box", "domain", {})
         , store(this->context, std::move(script))
         , follower(this->state, this->records, this->source, this->store.address(), topic, { pace, pace })
--- a/Tests/LibGateway/TestBoxRegistry.cpp
+++ b/Tests/LibGateway/TestBoxRegistry.cpp
@@ -2,6 +2,7 @@
 
 #include "ScriptedStore.h"
 #include <LibGateway/BoxRegistry.h>
+#include <algorithm>
 
 namespace {
 
@@ -32,70 +33,233 @@
     return R"({"items":[)" + items + R"(],"truncated":false,"end":4})";
 }
 
-/// A box that registers itself in a scripted store.
-struct RegisteredBox {
-    RegisteredBox(BoxRegistry::Start start, FakeStore::Script script)
+/// The store's answer to a read of the relay records: this box for the failure domain, or none.
+std::string relay_records(std::optional<Membership::BoxRecord> const& relay, std::uint64_t end)
+{
+    auto const item = relay ? R"({"tls_key":"domain","value":")" + base64(Membership::encode_relay(*relay)) + R"("})"
+                            : std::string();
+    return R"({"items":[)" + item + R"(],"truncated":false,"end":)" + std::to_string(end) + "}";
+}
+
+bool concerns(std::string const& target, std::string_view topic)
+{
+    return target.find(topic) != std::string::npos;
+}
+
+Membership::BoxRecord other_box(std::string const& name, std::uint16_t port = 1)
+{
+    return { name, { "127.0.0.1", port }, "domain", 25'000'000 };
+}
+
+/// A box that starts before a scripted store.
+struct StartingBox {
+    StartingBox(BoxRegistry::Start start, FakeStore::Script script)
         : state(this->context, Routing::RouterSettings {}, 1)
         , source("box", "domain", {})
         , store(this->context, std::move(script))
         , registry(
-              this->state, this->source, this->store.address(), own_record(), [this] { ++this->list_updates; }, 1)
+              this->state, this->source, this->store.address(), own_record(), [this] { ++this->sources_found; },
+              [this] { ++this->list_updates; }, 1)
     {
+        this->source.begin_search();
         asio::co_spawn(
             this->context, [this, start] { return this->registry.run(start); }, asio::detached);
     }
 
+    [[nodiscard]] std::size_t calls(std::string_view call, std::string_view topic) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(this->store.targets,
+            [&](std::string const& target) { return begins_with(target, call) && concerns(target, topic); }));
+    }
+
     asio::io_context context;
     GatewayState state;
     Membership::ControlSource source;
     FakeStore store;
     BoxRegistry registry;
+    int sources_found { 0 };
     /// Attempts to read the list of boxes that have ended, successful or not.
     int list_updates { 0 };
 };
 
-std::optional<Answer> answer_with_full_list(std::string const& target)
+/// A copy of the topic of box records as a relay passes it on, with these boxes.
+Membership::SharedBoxRecords relayed(std::vector<std::string> const& names)
 {
-    return Answer { 200, begins_with(target, "/log-newest") ? full_list() : std::string("{}") };
+    Membership::BoxRecords records;
+    for (auto const& name : names) {
+        auto record = own_record();
+        record.name = name;
+        records.emplace(name, Membership::encode(record));
+    }
+    Core::LastReason reason;
+    return { 17, *Membership::CompressedText::of(Membership::encode(records), reason) };
 }
 
+constexpr std::string_view newest = "/log-newest";
+constexpr std::string_view append = "/log-append";
+constexpr std::string_view relays_topic = "keyed.relays";
+constexpr std::string_view boxes_topic = "keyed.boxes";
+
+}
+
+TEST_CASE("a box that finds a relay reads nothing else, and takes the list of boxes from it")
+{
+    StartingBox box(BoxRegistry::Start::OfThisBox, [](std::string const&) {
+        return Answer { 200, relay_records(other_box("relay"), 1) };
+    });
+    REQUIRE(run_until(box.context, [&] { return box.sources_found > 0; }));
+    CHECK(box.store.targets.size() == 1);
+    CHECK(concerns(box.store.targets[0], relays_topic));
+    CHECK(box.source.relay(Core::monotonic_now())->name == "relay");
+    CHECK(!box.source.reads_store(Core::monotonic_now()));
+    box.registry.apply_relayed(relayed({ "relay", "box", "c", "d" }));
+    CHECK(box.list_updates == 1);
+    CHECK(box.source.boxes().size() == 4);
+    CHECK(!box.source.is_searching());
+    int rounds = 0;
+    REQUIRE(run_until(box.context, [&] { return ++rounds > 300; }));
+    CHECK(box.store.targets.size() == 1);
 }
 
-TEST_CASE("on the first start of all boxes, each writes its record and then reads the list once")
+TEST_CASE("a box that its relay's list lacks writes its record")
 {
-    RegisteredBox box(BoxRegistry::Start::OfAllBoxes, answer_with_full_list);
+    StartingBox box(BoxRegistry::Start::OfThisBox, [](std::string const&) {
+        return Answer { 200, relay_records(other_box("relay"), 1) };
+    });
+    REQUIRE(run_until(box.context, [&] { return box.sources_found > 0; }));
+    box.registry.apply_relayed(relayed({ "relay", "c", "d", "e" }));
+    CHECK(box.list_updates == 1);
+    // The first relay stays in use: a list that lacks the box may be incomplete.
+    CHECK(box.source.is_searching());
+    CHECK(box.source.relay(Core::monotonic_now())->name == "relay");
+    REQUIRE(run_until(box.context, [&] { return box.calls(append, boxes_topic) == 1; }));
+    // The relay's list may still lack it for a while.
+    box.registry.apply_relayed(relayed({ "relay", "c", "d", "e", "f" }));
+    int rounds = 0;
+    REQUIRE(run_until(box.context, [&] { return ++rounds > 1200; }));
+    CHECK(box.calls(append, boxes_topic) == 1);
+}
+
+TEST_CASE("a box of a failure domain without a relay claims, and reads the store and the list of boxes itself")
+{
+    StartingBox box(BoxRegistry::Start::OfThisBox, [](std::string const& target) {
+        if (begins_with(target, append))
+            return Answer { 200, "{}" };
+        return Answer { 200, concerns(target, relays_topic) ? relay_records({}, 7) : full_list() };
+    });
     REQUIRE(run_until(box.context, [&] { return box.list_updates > 0; }));
-    REQUIRE(box.store.targets.size() == 2);
-    CHECK(begins_with(box.store.targets[0], "/log-append"));
-    CHECK(begins_with(box.store.targets[1], "/log-newest"));
+    CHECK(box.calls(append, relays_topic) == 1);
+    CHECK(box.calls(append, "current_rev=7") == 1);
+    CHECK(box.calls(newest, relays_topic) == 2);
+    CHECK(box.calls(newest, boxes_topic) == 1);
     CHECK(box.source.boxes().size() == 4);
+    CHECK(box.calls(append, boxes_topic) == 0);
+}
+
+TEST_CASE("a box that another one was faster than uses that one")
+{
+    bool is_claimed = false;
+    StartingBox box(BoxRegistry::Start::OfThisBox, [&](std::string const& target) {
+        if (begins_with(target, append)) {
+            is_claimed = true;
+            return Answer { 412, R"({"end":8})" };
+        }
+        return Answer { 200, is_claimed ? relay_records(other_box("faster"), 8) : relay_records({}, 7) };
+    });
+    REQUIRE(run_until(box.context, [&] { return box.sources_found > 0; }));
+    CHECK(box.source.relay(Core::monotonic_now())->name == "faster");
+    CHECK(box.calls(newest, boxes_topic) == 0);
 }
 
-TEST_CASE("a box that restarts and finds its record makes one call")
+TEST_CASE("a box that is its failure domain's relay leads when it starts again")
 {
-    RegisteredBox box(BoxRegistry::Start::OfThisBox, answer_with_full_list);
+    StartingBox box(BoxRegistry::Start::OfThisBox, [](std::string const& target) {
+        return Answer { 200, concerns(target, relays_topic) ? relay_records(own_record(), 7) : full_list() };
+    });
     REQUIRE(run_until(box.context, [&] { return box.list_updates > 0; }));
-    CHECK(box.store.targets.size() == 1);
-    CHECK(begins_with(box.store.targets[0], "/log-newest"));
+    CHECK(box.calls(append, "") == 0);
+    CHECK(box.source.reads_store(Core::monotonic_now()));
 }
 
-TEST_CASE("a box that is not listed writes its record and soon reads the list again")
+TEST_CASE("a box whose recorded relay does not respond claims in its place")
 {
-    bool is_written = false;
-    RegisteredBox box(BoxRegistry::Start::OfThisBox, [&](std::string const& target) -> std::optional<Answer> {
-        is_written |= begins_with(target, "/log-append");
-        return Answer { 200, is_written ? full_list() : nothing_newest };
+    StartingBox box(BoxRegistry::Start::OfThisBox, [](std::string const& target) {
+        if (begins_with(target, append))
+            return Answer { 200, "{}" };
+        return Answer { 200, concerns(target, relays_topic) ? relay_records(other_box("gone"), 7) : full_list() };
     });
-    REQUIRE(run_until(box.context, [&] { return box.list_updates > 1; }));
-    REQUIRE(box.store.targets.size() == 3);
-    CHECK(begins_with(box.store.targets[1], "/log-append"));
+    REQUIRE(run_until(box.context, [&] { return box.sources_found > 0; }));
+    box.source.relay_failed("gone", Core::monotonic_now());
+    REQUIRE(run_until(box.context, [&] { return box.list_updates > 0; }));
+    CHECK(box.calls(append, relays_topic) == 1);
     CHECK(box.source.boxes().size() == 4);
 }
 
-TEST_CASE("a box that can't read the list of boxes reads the store itself")
+// Guards against boxes that each read whole topics of a store that can't answer them all.
+TEST_CASE("a box that the store does not answer asks for nothing but its relay")
 {
-    RegisteredBox box(BoxRegistry::Start::OfThisBox, [](std::string const&) { return Answer { 503, "" }; });
-    REQUIRE(run_until(box.context, [&] { return box.list_updates > 0; }));
+    StartingBox box(BoxRegistry::Start::OfThisBox, [](std::string const&) { return Answer { 503, "" }; });
+    REQUIRE(run_until(box.context, [&] { return box.store.targets.size() == 4; }));
+    CHECK(box.calls(newest, relays_topic) == 4);
     CHECK(box.source.boxes().size() == 0);
-    CHECK(box.source.reads_store(Core::monotonic_now()));
+    CHECK(!box.source.reads_store(Core::monotonic_now()));
+}
+
+TEST_CASE(
+    "on the first start of all boxes, each writes its record once and one that leads reads the list after all did")
+{
+    bool is_written = false;
+    bool was_read_before = false;
+    StartingBox box(BoxRegistry::Start::OfAllBoxes, [&](std::string const& target) {
+        is_written |= begins_with(target, append) && concerns(target, boxes_topic);
+        if (begins_with(target, append))
+            return Answer { 200, "{}" };
+        was_read_before |= concerns(target, boxes_topic) && !is_written;
+        return Answer { 200, concerns(target, relays_topic) ? relay_records({}, 0) : full_list() };
+    });
+    REQUIRE(run_until(box.context, [&] { return box.list_updates > 0; }));
+    CHECK(!was_read_before);
+    CHECK(box.calls(append, boxes_topic) == 1);
+    CHECK(box.calls(newest, boxes_topic) == 1);
+    CHECK(box.source.boxes().size() == 4);
+}
+
+TEST_CASE("a box that others ask before they are listed reads the list again, and no more often than needed")
+{
+    StartingBox box(BoxRegistry::Start::OfThisBox, [](std::string const& target) {
+        return Answer { 200, concerns(target, relays_topic) ? relay_records(own_record(), 7) : full_list() };
+    });
+    REQUIRE(run_until(box.context, [&] { return box.calls(newest, boxes_topic) == 1; }));
+    for (int question = 0; question < 10; ++question)
+        box.registry.note_unlisted_box();
+    REQUIRE(run_until(box.context, [&] { return box.calls(newest, boxes_topic) == 2; }));
+    int rounds = 0;
+    REQUIRE(run_until(box.context, [&] { return ++rounds > 300; }));
+    CHECK(box.calls(newest, boxes_topic) == 2);
+}
+
+// Guards against a task that waited for the next list in a loop without a pause, and so stopped all others.
+TEST_CASE("a box whose store comes back from a copy reads the list at once and goes on with its other work")
+{
+    StartingBox box(BoxRegistry::Start::OfThisBox, [](std::string const& target) {
+        return Answer { 200, concerns(target, relays_topic) ? relay_records(own_record(), 7) : full_list() };
+    });
+    REQUIRE(run_until(box.context, [&] { return box.calls(newest, boxes_topic) == 1; }));
+    bool has_worked = false;
+    box.registry.store_restored();
+    asio::post(box.context, [&] { asio::post(box.context, [&] { has_worked = true; }); });
+    REQUIRE(run_until(box.context, [&] { return has_worked; }));
+    REQUIRE(run_until(box.context, [&] { return box.calls(newest, boxes_topic) == 2; }));
+}
+
+TEST_CASE("box records that can't be read change nothing")
+{
+    StartingBox box(BoxRegistry::Start::OfThisBox, [](std::string const&) {
+        return Answer { 200, relay_records(other_box("relay"), 1) };
+    });
+    Core::LastReason reason;
+    box.registry.apply_relayed({ 1, *Membership::CompressedText::of("no records", reason) });
+    box.registry.apply_relayed({ 1, *Membership::CompressedText::of("", reason) });
+    CHECK(box.list_updates == 0);
+    CHECK(box.source.is_searching());
 }
--- a/Tests/LibGateway/TestControlRecords.cpp
+++ b/Tests/LibGateway/TestControlRecords.cpp
@@ -26,6 +26,12 @@
 
 constexpr std::size_t any_length = 1'000'000;
 
+/// Where the log of the endpoints ends at that moment: it grows with the time.
+std::uint64_t offset_at(Instant moment)
+{
+    return static_cast<std::uint64_t>(moment.time_since_epoch().count());
+}
+
 /// An operator's record with this many routes.
 Adapter::KeyedRecord large_configuration(int version, int routes)
 {
@@ -41,9 +47,9 @@
 
 /// A box's records, without a store or other boxes.
 struct Box {
-    explicit Box(std::uint64_t source)
+    explicit Box(int number)
         : state(this->context, Routing::RouterSettings {}, 1)
-        , records(this->state, "b" + std::to_string(source), "a", source)
+        , records(this->state, "b" + std::to_string(number), "a")
     {
     }
 
@@ -51,9 +57,15 @@
     void read(int version, std::vector<Adapter::KeyedRecord> const& endpoints, Instant asked_at)
     {
         this->records.set_next(Adapter::Topic::Operator, 10);
-        this->records.set_next(Adapter::Topic::Endpoints, 20);
         this->records.apply_operator_records({ configuration(version) }, asked_at, Coverage::WholeList);
-        this->records.apply_endpoint_records(endpoints, asked_at, Coverage::WholeList);
+        this->apply_endpoints(endpoints, asked_at, Coverage::WholeList);
+    }
+
+    /// Applies records that a read of the endpoints brought.
+    void apply_endpoints(std::vector<Adapter::KeyedRecord> const& endpoints, Instant asked_at, Coverage coverage)
+    {
+        this->records.set_next(Adapter::Topic::Endpoints, offset_at(asked_at));
+        this->records.apply_endpoint_records(endpoints, asked_at, coverage);
     }
 
     [[nodiscard]] std::uint64_t version() const { return this->state.router.configuration()->version(); }
@@ -98,10 +110,10 @@
     CHECK(box.version() == 7);
     CHECK(box.state.router.endpoint_count() == 2);
     CHECK(box.state.router.configuration_age(at(1400)) == std::chrono::milliseconds(400));
-    CHECK(box.records.next(Adapter::Topic::Endpoints) == std::optional<std::uint64_t>(20));
+    CHECK(box.records.next(Adapter::Topic::Endpoints) == std::optional(offset_at(at(1000))));
     CHECK(box.records.has_endpoints());
 
-    relay.records.apply_endpoint_records(
+    relay.apply_endpoints(
         { endpoint("b", "draining"), { "a", std::nullopt } }, at(1500), Coverage::UpToEnd);
     relay.records.confirm_configuration(at(1500));
     auto const answer = relay.records.answer(box.records.request(at(1600)), any_length, at(1600));
@@ -225,19 +237,123 @@
     CHECK(box.state.router.configuration_age(at(9000)) == std::chrono::seconds(8));
 }
 
-TEST_CASE("after a change of relay the whole list is sent, also by a relay used before")
+TEST_CASE("after a change of relay a box gets the changes only, and has the list of the new relay")
 {
     Box first(1);
     Box second(2);
     Box box(3);
     first.read(7, { endpoint("a"), endpoint("b") }, at(1000));
-    second.read(7, { endpoint("b"), endpoint("c"), endpoint("d") }, at(1100));
+    second.read(7, { endpoint("a"), endpoint("b") }, at(1000));
     CHECK(ask(box, first, at(1000)));
-    CHECK(ask(box, second, at(1200)));
+    second.apply_endpoints(
+        { { "a", std::nullopt }, endpoint("c"), endpoint("d") }, at(1100), Coverage::UpToEnd);
+    auto const answer = second.records.answer(box.records.request(at(1200)), any_length, at(1200));
+    REQUIRE(answer);
+    CHECK(!answer->endpoints.is_whole);
+    CHECK(answer->endpoints.changes.size() == 3);
+    CHECK(box.records.apply_relayed(*answer, "a", at(1200)));
     CHECK(box.state.router.endpoint_count() == 3);
-    auto const answer = first.records.answer(box.records.request(at(1300)), any_length, at(1300));
+    CHECK(box.records.next(Adapter::Topic::Endpoints) == std::optional(offset_at(at(1100))));
+}
+
+TEST_CASE("a relay that has read less of the log takes no change back")
+{
+    Box first(1);
+    Box second(2);
+    Box box(3);
+    first.read(7, { endpoint("a"), endpoint("b") }, at(1000));
+    second.read(7, { endpoint("a"), endpoint("b") }, at(1000));
+    first.apply_endpoints({ { "a", std::nullopt } }, at(1100), Coverage::UpToEnd);
+    CHECK(ask(box, first, at(1100)));
+    second.records.apply_endpoint_records({}, at(1200), Coverage::UpToEnd);
+    CHECK(ask(box, second, at(1200)));
+    CHECK(box.state.router.endpoint_count() == 1);
+    CHECK(box.records.next(Adapter::Topic::Endpoints) == std::optional(offset_at(at(1100))));
+}
+
+TEST_CASE("a relay that doesn't know the changes since the box's list sends the whole list")
+{
+    Box first(1);
+    Box second(2);
+    Box box(3);
+    first.read(7, { endpoint("a"), endpoint("b") }, at(1000));
+    CHECK(ask(box, first, at(1000)));
+    second.read(7, { endpoint("b"), endpoint("c") }, at(1100));
+    second.apply_endpoints({ endpoint("b"), endpoint("c") }, at(1100), Coverage::WholeList);
+    Box third(4);
+    third.records.set_next(Adapter::Topic::Operator, 10);
+    third.records.apply_operator_records({ configuration(7) }, at(1100), Coverage::WholeList);
+    third.apply_endpoints({ endpoint("b"), endpoint("c") }, at(1100), Coverage::WholeList);
+    auto const answer = third.records.answer(box.records.request(at(1200)), any_length, at(1200));
     REQUIRE(answer);
     CHECK(answer->endpoints.is_whole);
+    CHECK(box.records.apply_relayed(*answer, "a", at(1200)));
+    CHECK(box.state.router.endpoint_count() == 2);
+}
+
+TEST_CASE("a long list is sent compressed, the same to all boxes that need it, with what changed since")
+{
+    Box relay(1);
+    std::vector<Adapter::KeyedRecord> many;
+    for (int number = 0; number < 1000; ++number)
+        many.push_back(endpoint("i-" + std::to_string(number)));
+    relay.read(7, many, at(1000));
+    Box box(2);
+    auto const first = relay.records.answer(box.records.request(at(1000)), any_length, at(1000));
+    REQUIRE(first);
+    REQUIRE(first->endpoint_list);
+    CHECK(first->endpoints.changes.empty());
+    CHECK(Membership::encode(*first).own.size() < 20'000);
+
+    relay.apply_endpoints(
+        { { "i-7", std::nullopt }, endpoint("new"), endpoint("i-8", "draining") }, at(1100), Coverage::UpToEnd);
+    auto const second = relay.records.answer(box.records.request(at(1100)), any_length, at(1100));
+    REQUIRE(second);
+    CHECK(second->endpoint_list->share_bytes() == first->endpoint_list->share_bytes());
+    CHECK(second->endpoints.changes.size() == 3);
+    CHECK(box.records.apply_relayed(*Membership::decode_answer(Membership::encode(*second).whole()), "a", at(1100)));
+    CHECK(box.state.router.endpoint_count() == 1000);
+    CHECK(box.state.router.usable_endpoints("s", at(1100)) == 999);
+
+    std::vector<Adapter::KeyedRecord> changed;
+    for (int number = 0; number < 200; ++number)
+        changed.push_back(endpoint("i-" + std::to_string(number), "draining"));
+    relay.apply_endpoints(changed, at(1200), Coverage::UpToEnd);
+    auto const third = relay.records.answer({ 0, 0, 0, "b9", {}, "a", 0, true }, any_length, at(1200));
+    REQUIRE(third);
+    CHECK(third->endpoint_list->share_bytes() != first->endpoint_list->share_bytes());
+    CHECK(third->endpoints.changes.empty());
+}
+
+TEST_CASE("a box of an earlier version gets the whole list as it is")
+{
+    Box relay(1);
+    std::vector<Adapter::KeyedRecord> many;
+    for (int number = 0; number < 1000; ++number)
+        many.push_back(endpoint("i-" + std::to_string(number)));
+    relay.read(7, many, at(1000));
+    Membership::ControlRequest earlier;
+    earlier.requester = "b2";
+    auto const answer = relay.records.answer(earlier, any_length, at(1000));
+    REQUIRE(answer);
+    CHECK(!answer->endpoint_list);
+    CHECK(answer->endpoints.changes.size() == 1000);
+}
+
+TEST_CASE("a compressed list that is damaged changes nothing")
+{
+    Box relay(1);
+    std::vector<Adapter::KeyedRecord> many;
+    for (int number = 0; number < 1000; ++number)
+        many.push_back(endpoint("i-" + std::to_string(number)));
+    relay.read(7, many, at(1000));
+    Box box(2);
+    auto answer = relay.records.answer(box.records.request(at(1000)), any_length, at(1000));
+    REQUIRE(answer);
+    Core::LastReason reason;
+    answer->endpoint_list = Membership::CompressedText::of("no list of endpoints", reason);
+    static_cast<void>(box.records.apply_relayed(*answer, "a", at(1000)));
+    CHECK(!box.records.has_endpoints());
 }
 
 TEST_CASE("boxes with the same relay use its division of the engines")
@@ -305,13 +421,13 @@
     {
         CHECK(ask(box, relay, now));
         box.records.store_returned(now);
-        box.records.apply_endpoint_records(removal, now, Coverage::UpToEnd);
+        box.apply_endpoints(removal, now, Coverage::UpToEnd);
         CHECK(box.state.router.endpoint_count() == 1);
     }
     SUBCASE("not confirmed, so the entry may have expired during the outage")
     {
         box.records.store_returned(now);
-        box.records.apply_endpoint_records(removal, now, Coverage::UpToEnd);
+        box.apply_endpoints(removal, now, Coverage::UpToEnd);
         CHECK(box.state.router.endpoint_count() == 2);
     }
 }
@@ -384,14 +500,14 @@
     REQUIRE(requester.records.apply_relayed(ask(200), "a", at(200)));
     CHECK(endpoints_sent_by(requester, at(200)).front().record->started_at == 1000);
 
-    relay.records.apply_endpoint_records({ started_at("a", 2000) }, at(300), Coverage::UpToEnd);
+    relay.apply_endpoints({ started_at("a", 2000) }, at(300), Coverage::UpToEnd);
     REQUIRE(requester.records.apply_relayed(ask(400), "a", at(400)));
     CHECK(endpoints_sent_by(requester, at(400)).front().record->started_at == 2000);
 
     // A relay of an older version omits the start time, and a delayed record is of the earlier instance.
-    relay.records.apply_endpoint_records({ endpoint("b") }, at(500), Coverage::UpToEnd);
+    relay.apply_endpoints({ endpoint("b") }, at(500), Coverage::UpToEnd);
     REQUIRE(requester.records.apply_relayed(without_start_times(ask(600)), "a", at(600)));
-    requester.records.apply_endpoint_records({ started_at("a", 1000) }, at(700), Coverage::UpToEnd);
+    requester.apply_endpoints({ started_at("a", 1000) }, at(700), Coverage::UpToEnd);
     CHECK(endpoints_sent_by(requester, at(700)).front().record->started_at == 2000);
     CHECK(requester.state.router.endpoint_count() == 2);
 }
@@ -401,16 +517,16 @@
     Box box(1);
     box.read(7, { endpoint("a"), endpoint("b") }, at(100));
     Adapter::KeyedRecord const broken { "a", R"({"service":"s"})" };
-    box.records.apply_endpoint_records({ broken, endpoint("c") }, at(200), Coverage::UpToEnd);
+    box.apply_endpoints({ broken, endpoint("c") }, at(200), Coverage::UpToEnd);
     CHECK(box.state.router.endpoint_count() == 2);
     auto const rejected = [&box] {
         auto const text = box.state.metrics.to_text();
         return text.find("cleatbeam_bad_records_total{kind=\"endpoint\"} 1") != std::string::npos;
     };
     CHECK(rejected());
-    box.records.apply_endpoint_records({ endpoint("a") }, at(300), Coverage::UpToEnd);
+    box.apply_endpoints({ endpoint("a") }, at(300), Coverage::UpToEnd);
     CHECK(box.state.router.endpoint_count() == 3);
-    box.records.apply_endpoint_records({ broken, endpoint("b") }, at(400), Coverage::WholeList);
+    box.apply_endpoints({ broken, endpoint("b") }, at(400), Coverage::WholeList);
     CHECK(box.state.router.endpoint_count() == 1);
 }
 
@@ -473,7 +589,7 @@
     box.records.set_next(Adapter::Topic::Operator, 10);
     box.records.apply_operator_records(
         { configuration(7), evacuation("a") }, Core::monotonic_now(), Coverage::WholeList);
-    box.records.apply_endpoint_records(endpoints_in_two_domains(), Core::monotonic_now(), Coverage::WholeList);
+    box.apply_endpoints(endpoints_in_two_domains(), Core::monotonic_now(), Coverage::WholeList);
     CHECK(usable(box) == 1);
 }
 
--- a/Tests/LibGateway/TestRelayFollower.cpp
+++ b/Tests/LibGateway/TestRelayFollower.cpp
@@ -84,7 +84,7 @@
 struct RequestingBox {
     RequestingBox(std::string body, std::size_t piece_size)
         : state(this->context, Routing::RouterSettings {}, 1)
-        , records(this->state, "asker", "domain", 1)
+        , records(this->state, "asker", "domain")
         , source("asker", "domain", { bound, bound })
         , relay(this->context, std::move(body), piece_size)
         , follower(
--- a/Tests/LibGateway/TestStoreFromCopy.cpp
+++ b/Tests/LibGateway/TestStoreFromCopy.cpp
@@ -163,7 +163,7 @@
 struct Box {
     explicit Box(std::uint64_t source)
         : state(this->context, Routing::RouterSettings {}, 1)
-        , records(this->state, "b" + std::to_string(source), "a", source)
+        , records(this->state, "b" + std::to_string(source), "a")
     {
     }
 
--- a/Tests/LibMembership/ControlWorld.h
+++ b/Tests/LibMembership/ControlWorld.h
@@ -140,7 +140,6 @@
         }
         if (!box.is_up) {
             box.is_up = true;
-            box.source.wait_for_boxes(this->now + std::chrono::milliseconds(300));
             box.source.update_boxes(this->records, this->now);
         }
         if (this->now >= box.polls_at)
--- a/Tests/LibMembership/TestEndpointJournal.cpp
+++ b/Tests/LibMembership/TestEndpointJournal.cpp
@@ -49,14 +49,14 @@
 TEST_CASE("a heartbeat without other changes is no change")
 {
     EndpointJournal journal;
-    journal.put(endpoint("a"));
-    auto const revision = journal.revision();
-    journal.put(endpoint("a"));
-    CHECK(journal.changes_since(revision).changes.empty());
-    journal.put(endpoint("a", true));
-    auto const changes = journal.changes_since(revision);
+    journal.put(endpoint("a"), 5);
+    journal.put(endpoint("a"), 6);
+    CHECK(journal.changes_since(5).changes.empty());
+    journal.put(endpoint("a", true), 7);
+    auto const changes = journal.changes_since(5);
     REQUIRE(changes.changes.size() == 1);
     CHECK(changes.changes[0].record->draining);
+    CHECK(changes.revision == 7);
 }
 
 TEST_CASE("the time for which an endpoint stays cold is a change only when it does not just pass")
@@ -67,70 +67,98 @@
         return record;
     };
     EndpointJournal journal;
-    journal.put(cold_for(9));
-    auto revision = journal.revision();
-    journal.put(cold_for(7));
-    CHECK(journal.changes_since(revision).changes.empty());
+    journal.put(cold_for(9), 1);
+    journal.put(cold_for(7), 2);
+    CHECK(journal.changes_since(1).changes.empty());
     CHECK(journal.changes_since(0).changes.at(0).record->cold_left == std::chrono::seconds(7));
-    journal.put(cold_for(8));
-    CHECK(journal.changes_since(revision).changes.size() == 1);
-    revision = journal.revision();
-    journal.put(cold_for(0));
-    CHECK(journal.changes_since(revision).changes.size() == 1);
+    journal.put(cold_for(8), 3);
+    CHECK(journal.changes_since(1).changes.size() == 1);
+    journal.put(cold_for(0), 4);
+    CHECK(journal.changes_since(3).changes.size() == 1);
 }
 
-TEST_CASE("a follower of changes has the same list, however often and late it polls")
+TEST_CASE("followers that poll any of several journals of a log have the same list, however often and late they poll")
 {
     pcg32 random(7);
-    EndpointJournal journal;
+    std::uint64_t offset = 1;
+    std::vector<EndpointJournal> journals(3);
     std::map<std::string, Routing::EndpointRecord> truth;
     std::vector<Follower> followers(3);
+    auto const list = [&truth] {
+        std::vector<Routing::EndpointRecord> records;
+        for (auto const& [name, record] : truth)
+            records.push_back(record);
+        return records;
+    };
+    auto const poll = [&](Follower& follower) { follower.poll(journals[random(journals.size())]); };
     for (int step = 0; step < 5000; ++step) {
         auto const name = "e" + std::to_string(random(400));
-        switch (random(8)) {
-        case 0:
-        case 1:
-            journal.remove(name);
+        bool const is_removal = random(4) == 0;
+        bool const is_draining = random(4) == 0;
+        ++offset;
+        if (is_removal)
             truth.erase(name);
-            break;
-        case 2:
-            if (random(50) == 0) {
-                truth = { { name, endpoint(name) } };
-                journal.replace_all({ endpoint(name) });
-            }
-            break;
-        default:
-            bool const is_draining = random(4) == 0;
-            journal.put(endpoint(name, is_draining));
+        else
             truth.insert_or_assign(name, endpoint(name, is_draining));
-            break;
+        for (auto& journal : journals) {
+            // NOTE: One that begins anew knows nothing of the time before.
+            if (random(1000) == 0)
+                journal.restart(list(), offset);
+            else if (random(100) == 0)
+                journal.replace_all(list(), offset);
+            else if (is_removal)
+                journal.remove(name, offset);
+            else
+                journal.put(endpoint(name, is_draining), offset);
+            journal.advance(offset);
         }
-        // NOTE: The last follower polls so rarely that the journal has discarded removals meanwhile.
         if (random(3) == 0)
-            followers[0].poll(journal);
+            poll(followers[0]);
         if (random(40) == 0)
-            followers[1].poll(journal);
+            poll(followers[1]);
+        // NOTE: This follower polls so rarely that the journals have discarded removals meanwhile.
         if (random(1500) == 0)
-            followers[2].poll(journal);
+            poll(followers[2]);
     }
     for (auto& follower : followers) {
-        follower.poll(journal);
+        poll(follower);
         CHECK(follower.known == truth);
     }
 }
 
-TEST_CASE("a revision that the journal never had returns the whole list")
+TEST_CASE(
+    "a journal sends the whole list for a revision from before it began, and nothing for a later one than its own")
 {
     EndpointJournal journal;
-    journal.put(endpoint("a"));
-    CHECK(journal.changes_since(99).is_whole);
+    journal.restart({ endpoint("a") }, 50);
     CHECK(journal.changes_since(0).is_whole);
-    CHECK(!journal.changes_since(journal.revision()).is_whole);
+    CHECK(journal.changes_since(49).is_whole);
+    CHECK(!journal.changes_since(50).is_whole);
+    CHECK(!journal.changes_since(99).is_whole);
+    CHECK(journal.changes_since(99).changes.empty());
+    CHECK(journal.changes_since(99).revision == 50);
+}
+
+// Guards against whole lists for all boxes in a release, which removes far more endpoints than a fixed number.
+TEST_CASE("the replacement of a long list's endpoints costs a box that is behind no whole list")
+{
+    constexpr std::size_t endpoints = 10'000;
+    EndpointJournal journal;
+    std::uint64_t offset = 1;
+    for (std::size_t number = 0; number < endpoints; ++number)
+        journal.put(endpoint("old-" + std::to_string(number)), offset);
+    auto const begin = offset;
+    for (std::size_t number = 0; number < endpoints / 2; ++number) {
+        journal.put(endpoint("new-" + std::to_string(number)), ++offset);
+        journal.remove("old-" + std::to_string(number), ++offset);
+    }
+    CHECK(!journal.changes_since(begin).is_whole);
+    CHECK(journal.changes_since(begin).changes.size() == endpoints);
 }
 
 TEST_CASE("messages between boxes are decoded as they were encoded")
 {
-    ControlRequest const request { 77, 5, 9, "b1", { { "pool", { 12.5, 3 } } }, "a" };
+    ControlRequest const request { 77, 5, 9, "b1", { { "pool", { 12.5, 3 } } }, "a", 99, true };
     CHECK(decode_request(encode(request)) == request);
     ControlAnswer answer;
     answer.source = 1;
@@ -145,6 +173,8 @@
     answer.store_returned_ago = std::chrono::seconds(3);
     answer.answer_shares = { { "pool", 0.25 } };
     answer.evacuated_domains = { "hall", "other hall" };
+    answer.endpoint_list = compressed(encode(std::vector<EndpointChange> { { "c", endpoint("c") } }));
+    answer.box_records = SharedBoxRecords { 17, compressed(encode(BoxRecords { { "b1", "x" } })) };
     answer.endpoints.changes[0].record->cold_left = std::chrono::milliseconds(1500);
     CHECK(decode_answer(encode(answer).whole()) == answer);
     answer.configuration.reset();
@@ -152,6 +182,12 @@
     CHECK(decode_answer(encode(answer).whole()) == answer);
     BoxRecord const record { "b1", { "10.0.0.9", 7340 }, "hall", 25'000'000 };
     CHECK(decode_box("b1", encode(record)) == record);
+    CHECK(decode_relay(encode_relay(record)) == record);
+    CHECK(!decode_relay(encode(record)));
+    std::vector<EndpointChange> const endpoints { { "a", endpoint("a") }, { "b", endpoint("b", true) } };
+    CHECK(decode_endpoints(encode(endpoints)) == endpoints);
+    BoxRecords const records { { "b1", std::string("\0\xff", 2) }, { "b2", "" } };
+    CHECK(decode_box_records(encode(records)) == records);
 }
 
 TEST_CASE("answers with the same configuration share its bytes")
