--- a/Libraries/LibPlatform/Base64.cpp
+++ b/Libraries/LibPlatform/Base64.cpp
@@ -22,7 +22,7 @@
         reinterpret_cast<unsigned char const*>(text.data()), static_cast<int>(text.size()));
     if (length < 0)
         return {};
-    // NOTE: The decoder counts padding as bytes.
+    // NOTE: The decoder returns a zero byte for each padding character.
     auto padding = text.ends_with("==") ? 2U : text.ends_with("=") ? 1U : 0U;
     bytes.resize(static_cast<std::size_t>(length) - padding);
     return bytes;
--- a/Libraries/LibPlatform/Base64.h
+++ b/Libraries/LibPlatform/Base64.h
@@ -6,8 +6,9 @@
 
 namespace Platform {
 
+/// Encodes with padding and without line breaks (RFC 4648).
 [[nodiscard]] std::string to_base64(std::string_view bytes);
-/// Nothing when the text is not base64.
+/// Decodes the same form. Returns nothing for any other text.
 [[nodiscard]] std::optional<std::string> from_base64(std::string_view text);
 
 }
--- a/Libraries/LibPlatform/Digest.h
+++ b/Libraries/LibPlatform/Digest.h
@@ -5,7 +5,7 @@
 
 namespace Platform {
 
-/// SHA-256 in lower-case hex.
+/// The SHA-256 digest of a text in lower-case hexadecimal digits.
 [[nodiscard]] std::string sha256_hex(std::string_view text);
 
 }
--- a/Libraries/LibPlatform/HttpAddress.h
+++ b/Libraries/LibPlatform/HttpAddress.h
@@ -5,13 +5,14 @@
 
 namespace Platform {
 
-/// Where a listener is: an IP number and a port.
+/// The IP address and port of an HTTP server.
 struct HttpAddress {
     std::string host;
     int port { 0 };
 
     bool operator==(HttpAddress const&) const = default;
-    /// Reads "10.0.0.7:8000"; nothing for any other form. Port 0 means that the kernel chooses.
+    /// Parses text like "10.0.0.7:8000". Returns nothing for any other form. For a listener, port 0 lets the kernel
+    /// choose a port.
     [[nodiscard]] static std::optional<HttpAddress> try_create(std::string const& text);
     [[nodiscard]] std::string to_string() const { return this->host + ":" + std::to_string(this->port); }
 };
--- a/Libraries/LibPlatform/LogClient.cpp
+++ b/Libraries/LibPlatform/LogClient.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr auto connect_timeout = std::chrono::milliseconds(500);
-constexpr auto read_grace = std::chrono::seconds(2);
-constexpr int most_records_per_read = 1000;
+/// Added to the wait of a read, for the answer's way and its transfer.
+constexpr auto read_timeout_margin = std::chrono::seconds(2);
+constexpr int max_records_per_read = 1000;
 constexpr int status_ok = 200;
 constexpr int status_created = 201;
 
@@ -21,7 +22,7 @@
 
 std::optional<LogPage> parse_page(std::string const& body)
 {
-    // NOTE: The JSON library reports a field of the wrong type by throwing; here that is just a bad answer.
+    // NOTE: The JSON library throws if a field is missing or has another type. Such an answer is treated as unreadable.
     try {
         auto const json = nlohmann::json::parse(body);
         LogPage page;
@@ -68,10 +69,10 @@
     httplib::Client client(this->address.host, this->address.port);
     client.set_tcp_nodelay(true);
     client.set_connection_timeout(connect_timeout);
-    client.set_read_timeout(wait + read_grace);
+    client.set_read_timeout(wait + read_timeout_margin);
     auto const wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
     auto const path = path_of(stream) + "?from=" + std::to_string(from.value())
-        + "&max=" + std::to_string(most_records_per_read) + "&wait_ms=" + std::to_string(wait_ms);
+        + "&max=" + std::to_string(max_records_per_read) + "&wait_ms=" + std::to_string(wait_ms);
     auto const result = client.Get(path);
     if (!result) {
         last_reason.text = httplib::to_string(result.error());
--- a/Libraries/LibPlatform/LogClient.h
+++ b/Libraries/LibPlatform/LogClient.h
@@ -11,6 +11,7 @@
 
 namespace Platform {
 
+/// One record of a stream.
 struct LogRecord {
     Core::Offset offset;
     std::string payload;
@@ -18,26 +19,26 @@
     bool operator==(LogRecord const&) const = default;
 };
 
-/// A stretch of a stream, as one read returns it.
+/// Consecutive records of a stream, as returned by one read.
 struct LogPage {
     std::vector<LogRecord> records;
-    /// The oldest offset still kept.
+    /// The offset of the oldest record that the platform still keeps.
     Core::Offset earliest;
-    /// The offset that the next append will get.
+    /// The offset of the next record to be appended.
     Core::Offset next;
 
     bool operator==(LogPage const&) const = default;
 };
 
-/// The record stands at this offset.
+/// The record was appended at this offset.
 struct Appended {
     Core::Offset offset;
 };
-/// The platform said that it did not take the record.
+/// The record was not appended, and never will be.
 struct AppendRefused {
     std::string reason;
 };
-/// No answer: the record may stand, may turn up later, or may never.
+/// The platform gave no usable answer. The record may have been appended, may be appended later, or never.
 struct AppendUnknown {
     std::string reason;
 };
@@ -45,8 +46,9 @@
 
 /// Client of the platform's append-only log. Each call opens its own connection; safe to use from several threads.
 ///
-/// `POST /streams/NAME/records` takes the payload as it is and answers `{"offset": N}`.
-/// `GET /streams/NAME/records?from=N&max=M&wait_ms=W` answers `earliest`, `next` and `records`, payloads in base64.
+/// `POST /streams/NAME/records` appends its body as the payload and returns `{"offset": N}`.
+/// `GET /streams/NAME/records?from=N&max=M&wait_ms=W` returns `earliest`, `next` and `records`, with payloads in
+/// base64.
 class LogClient {
 public:
     explicit LogClient(HttpAddress address)
@@ -54,9 +56,11 @@
     {
     }
 
+    /// Appends a record. `timeout` limits the wait for the answer.
     [[nodiscard]] AppendResult append(
         std::string const& stream, std::string const& payload, Core::Duration timeout) const;
-    /// Waits up to `wait` for a record at or after `from`. Nothing when the platform does not answer.
+    /// Reads records from offset `from` on, and waits up to `wait` if there are none yet. Returns nothing, with a
+    /// reason, if the platform gives no usable answer.
     [[nodiscard]] std::optional<LogPage> read(
         std::string const& stream, Core::Offset from, Core::Duration wait, Core::LastReason& last_reason) const;
 
--- a/Libraries/LibServer/Box.h
+++ b/Libraries/LibServer/Box.h
@@ -7,7 +7,7 @@
 
 namespace Server {
 
-/// One entry box: all parts of it, from start to planned stop.
+/// One entry box with all its components, from start to graceful shutdown.
 class Box {
 public:
     [[nodiscard]] static std::unique_ptr<Box> try_create(
@@ -16,8 +16,8 @@
     Box(Box const&) = delete;
     Box& operator=(Box const&) = delete;
 
-    /// Planned stop: not ready for the balancer, new work taken through its lag, then no listener, then what is in
-    /// flight is finished. Blocks until all is done.
+    /// Shuts down gracefully: reports the box as not ready, serves new requests until the load balancer has noticed,
+    /// closes the listener and finishes the requests in flight. Blocks until all are finished.
     void drain(Core::Duration balancer_lag);
 
     [[nodiscard]] BoxState& state() { return this->box_state; }
--- a/Libraries/LibServer/BoxSettings.h
+++ b/Libraries/LibServer/BoxSettings.h
@@ -9,27 +9,27 @@
 
 namespace Server {
 
-/// What one box has to know before it can read the shared settings: who it is and where it listens.
+/// The settings of a single box, which it needs before it can read the shared settings: its name and addresses.
 struct BoxSettings {
     std::string name;
     std::string failure_domain;
-    /// Callers connect here.
+    /// Address of the listener for callers.
     Platform::HttpAddress listen;
-    /// Operators connect here.
+    /// Address of the listener for operators.
     Platform::HttpAddress operator_listen;
     Platform::HttpAddress platform;
-    /// SHA-256 in hex of the operators' key; empty leaves the operator side open to whoever reaches it.
+    /// SHA-256 digest of the operators' key in hexadecimal digits. If empty, operators need no key.
     std::string operator_key_hash;
-    /// Threads for callers' connections, and as many for calls to endpoints.
+    /// Number of threads for callers' connections, and of threads for calls to endpoints.
     int threads { 256 };
     std::size_t largest_body_bytes { 4U << 20U };
-    /// Where to write the ports that the kernel chose; empty for nowhere.
+    /// File for the ports that the kernel chose; empty for none.
     std::string ports_file;
 
     bool operator==(BoxSettings const&) const = default;
 };
 
-/// Reads a box file. Nothing, and at least one fault, when anything is wrong with it.
+/// Parses a box file. Returns nothing, and adds at least one fault, if it is invalid.
 [[nodiscard]] std::optional<BoxSettings> read_box_settings(
     std::string const& text, std::vector<Settings::SettingsFault>& faults);
 
--- a/Libraries/LibServer/BoxState.cpp
+++ b/Libraries/LibServer/BoxState.cpp
@@ -29,7 +29,7 @@
     for (auto const& [pool, shard] : this->shard_by_pool) {
         if (table->pools().contains(pool))
             continue;
-        // NOTE: A pool that is gone keeps its shard, which finishes what it has and gets nothing new.
+        // NOTE: A removed pool keeps its shard, which finishes its requests and gets no new ones.
         Traffic::PoolPolicy empty;
         empty.routing = table->pools().empty() ? Settings::RoutingSettings {} : table->pools().begin()->second.routing;
         shard->reconfigure(std::move(empty), table->version());
--- a/Libraries/LibServer/BoxState.h
+++ b/Libraries/LibServer/BoxState.h
@@ -9,12 +9,12 @@
 
 namespace Server {
 
-/// What the listeners and followers of a box share: the settings in force and the pools.
+/// State that is shared by the listeners and followers of a box: the settings in force and the pools.
 class BoxState {
 public:
     BoxState(BoxSettings settings, ShardServices services, std::uint64_t seed);
 
-    /// Puts a new version in force. Older or equal versions are left aside.
+    /// Applies a new version of the settings. Ignores versions that are not newer.
     void take_settings(std::shared_ptr<RoutingTable const> const& table);
     [[nodiscard]] std::shared_ptr<RoutingTable const> table() const;
     [[nodiscard]] std::shared_ptr<PoolShard> shard(std::string const& pool) const;
--- a/Libraries/LibServer/CallerServer.cpp
+++ b/Libraries/LibServer/CallerServer.cpp
@@ -22,7 +22,7 @@
     return fmt::format("{:016x}", id.value());
 }
 
-/// An error in the form that the callers' API has.
+/// An error in the format of the callers' API.
 std::string error_body(std::string const& message, std::string const& type, std::string const& field, Reason reason)
 {
     nlohmann::json error { { "message", message }, { "type", type }, { "code", Core::to_string(reason) } };
@@ -58,7 +58,7 @@
     return "";
 }
 
-/// The event that ends a stream which can't be completed, so that it is never taken for a short answer.
+/// The event that ends an incomplete stream, so that it is not taken for a complete short answer.
 std::string broken_stream_event(RequestFlow const& flow, End const& end)
 {
     auto body = nlohmann::json::parse(error_body(message_of(end.outcome), "server_error", "", end.reason));
--- a/Libraries/LibServer/CallerServer.h
+++ b/Libraries/LibServer/CallerServer.h
@@ -9,7 +9,7 @@
 
 namespace Server {
 
-/// The callers' side: takes requests, waits for what becomes of them and passes answers on as they come.
+/// The HTTP server for callers: accepts requests, waits for their outcome and forwards answers as they arrive.
 class CallerServer {
 public:
     [[nodiscard]] static std::unique_ptr<CallerServer> try_create(
--- a/Libraries/LibServer/Credentials.h
+++ b/Libraries/LibServer/Credentials.h
@@ -4,7 +4,7 @@
 
 namespace Server {
 
-/// Takes the same time wherever the texts differ.
+/// Compares two texts in a time that does not depend on where they differ.
 [[nodiscard]] bool equal_in_constant_time(std::string_view left, std::string_view right);
 
 /// The key in an `Authorization: Bearer KEY` header value; empty for any other form.
--- a/Libraries/LibServer/FateService.cpp
+++ b/Libraries/LibServer/FateService.cpp
@@ -16,7 +16,7 @@
 constexpr Core::Duration append_timeout { std::chrono::seconds(2) };
 constexpr Core::Duration longest_claim_wait { std::chrono::seconds(2) };
 constexpr Core::Duration longest_holder_wait { std::chrono::seconds(3) };
-/// Without an answer from the log for this long, new claims are refused at once.
+/// If the log has not answered for this long, new claims are refused at once.
 constexpr Core::Duration log_lost_after { std::chrono::milliseconds(1500) };
 constexpr auto pause_after_failure = std::chrono::milliseconds(100);
 constexpr std::uint64_t page_records = 1000;
@@ -33,7 +33,7 @@
         { Outcome::Completed, Reason::AnswerReplayed, {} } };
 }
 
-/// The end that a verdict stands for; a key that is still held may have run.
+/// The outcome of a verdict. A request whose key is still claimed may have run.
 KeyedEnd end_of(Fate::Verdict const& verdict)
 {
     if (auto const* answer = std::get_if<Fate::Rejection>(&verdict))
@@ -253,7 +253,7 @@
         }
         for (auto const& record : page->records)
             this->apply(record, record.offset == *this->oldest_read);
-        // NOTE: A gap means that retention passed this reader by, so what lay in it can't be known any more.
+        // NOTE: A gap means that records were discarded before this reader got to them, so their content is unknown.
         if (page->records.empty() && page->earliest > this->next_to_read)
             this->next_to_read = page->earliest;
         this->ledger.remove_expired(Core::wall_clock_milliseconds());
--- a/Libraries/LibServer/FateService.h
+++ b/Libraries/LibServer/FateService.h
@@ -14,12 +14,12 @@
 struct FateServiceSettings {
     Platform::HttpAddress platform;
     Fate::FateLimits limits;
-    /// Appends a second that all boxes together may make for fates.
+    /// Appends per second to the fates stream, for all boxes together.
     double appends_per_second { 200 };
     int boxes { 1 };
 };
 
-/// The shell around the fate ledger: reads the fates stream, appends in batches, and runs keyed attempts by it.
+/// Connects the fate ledger to the log: reads the fates stream, appends records in batches, and runs keyed attempts.
 ///
 /// One thread follows the stream and, in between, reads it backwards until the window is covered; one thread appends,
 /// paced so that all boxes together keep inside their share of the log's rate.
@@ -59,7 +59,7 @@
     std::condition_variable changed;
     Fate::FateLedger ledger;
     std::vector<Fate::Record> to_append;
-    /// The stretch of the stream that has been applied: from oldest_read up to, not including, next_to_read.
+    /// The range of offsets that has been applied, from oldest_read to before next_to_read.
     std::optional<Core::Offset> oldest_read;
     Core::Offset next_to_read;
     std::optional<std::int64_t> oldest_stamp;
--- a/Libraries/LibServer/HttpListener.h
+++ b/Libraries/LibServer/HttpListener.h
@@ -10,7 +10,7 @@
 
 namespace Server {
 
-/// Bounds of a listener, so that slow or idle connections can't hold up the others.
+/// Limits of a listener, so that slow or idle connections don't delay others.
 struct ListenerLimits {
     int threads { 64 };
     std::chrono::milliseconds read_timeout { 5000 };
@@ -19,7 +19,7 @@
     std::size_t largest_body_bytes { 4U << 20U };
 };
 
-/// An HTTP server on its own thread. Stopping it lets the requests in flight end first.
+/// An HTTP server on its own thread. Requests in flight are finished before it stops.
 class HttpListener {
 public:
     [[nodiscard]] static std::unique_ptr<HttpListener> try_create(Platform::HttpAddress const& address,
--- a/Libraries/LibServer/LoadPoller.h
+++ b/Libraries/LibServer/LoadPoller.h
@@ -7,7 +7,7 @@
 
 namespace Server {
 
-/// Asks every endpoint for its load, in turn, from a few threads.
+/// Polls the load of all endpoints in turn, using a few threads.
 class LoadPoller {
 public:
     explicit LoadPoller(BoxState& state);
--- a/Libraries/LibServer/Metrics.cpp
+++ b/Libraries/LibServer/Metrics.cpp
@@ -54,7 +54,7 @@
           *this->registry, "cleatbeam_records_dropped_total", "Decision records overwritten before anyone read them.")
                           .Add({}))
 {
-    // NOTE: Each reason shows from the start with 0, so that an alert on it does not depend on its first event.
+    // NOTE: Each reason is exported from the start with 0, so that an alert can detect its first increase.
     for (std::size_t index = 0; index < Core::reason_count; ++index) {
         auto const reason = std::string(Core::to_string(static_cast<Core::Reason>(index)));
         this->refusals.Add({ { "reason", reason } });
--- a/Libraries/LibServer/Metrics.h
+++ b/Libraries/LibServer/Metrics.h
@@ -31,7 +31,7 @@
     void count_append(Platform::AppendResult const& result);
     void count_records_dropped(std::uint64_t records);
 
-    /// The text form that scrapers read.
+    /// All metrics in the Prometheus text format.
     [[nodiscard]] std::string to_text() const;
 
 private:
--- a/Libraries/LibServer/OperatorServer.h
+++ b/Libraries/LibServer/OperatorServer.h
@@ -6,8 +6,8 @@
 
 namespace Server {
 
-/// The operators' side: metrics, health, status and explanations, on a listener and with a key of its own.
-/// `/live` and `/ready` need no key, because the balancer asks them.
+/// The HTTP server for operators: metrics, health, status and explanations. Has its own address and key.
+/// `/live` and `/ready` need no key, since the load balancer polls them.
 class OperatorServer {
 public:
     [[nodiscard]] static std::unique_ptr<OperatorServer> try_create(BoxState& state, Core::LastReason& last_reason);
--- a/Libraries/LibServer/PoolShard.h
+++ b/Libraries/LibServer/PoolShard.h
@@ -15,7 +15,7 @@
 
 namespace Server {
 
-/// What became of a keyed request without an endpoint having been asked.
+/// The outcome of a keyed request that was not sent to an endpoint.
 struct KeyedEnd {
     AttemptReport report;
     End end;
@@ -29,14 +29,15 @@
     KeyedAttempts(KeyedAttempts const&) = delete;
     KeyedAttempts& operator=(KeyedAttempts const&) = delete;
     virtual ~KeyedAttempts() = default;
-    /// The end of a request whose key is decided already, so that it need not queue. May wait for another's run.
+    /// The outcome of a request whose key is already settled, so that it need not be queued. May wait for a run of the
+    /// same key elsewhere.
     [[nodiscard]] virtual std::optional<KeyedEnd> decide_before_queueing(RequestFlow const& flow) = 0;
     [[nodiscard]] virtual AttemptReport run(RequestFlow& flow, Send const& send) = 0;
     /// How many boxes share the log's rate.
     virtual void set_boxes(int boxes) = 0;
 };
 
-/// What the shards of a box share.
+/// Dependencies that the shards of a box share.
 struct ShardServices {
     UpstreamCaller& upstream;
     Metrics& metrics;
@@ -45,14 +46,14 @@
     KeyedAttempts& keyed_attempts;
 };
 
-/// One pool's traffic engine under its own lock, and the carrying out of what it decides.
+/// The traffic engine of one pool with its own lock. Carries out the engine's decisions.
 class PoolShard {
 public:
     PoolShard(std::string pool, Traffic::PoolPolicy policy, Core::Offset settings_version, std::uint64_t seed,
         ShardServices services);
 
     void reconfigure(Traffic::PoolPolicy policy, Core::Offset settings_version);
-    /// `checks_keys` says that the pool's endpoints run a key at most once by themselves.
+    /// `checks_keys`: whether the pool's endpoints themselves run each key at most once.
     void submit(std::shared_ptr<RequestFlow> const& flow, bool checks_keys);
     void abandon(RequestFlow& flow);
     void take_report(Core::EndpointId endpoint, Traffic::LoadReport const& report);
--- a/Libraries/LibServer/RequestFlow.h
+++ b/Libraries/LibServer/RequestFlow.h
@@ -16,16 +16,16 @@
 
 namespace Server {
 
-/// The answer begins.
+/// The answer has begun.
 struct Head {
     int status { 200 };
     std::string content_type;
 };
-/// A piece of the answer, as it came.
+/// A piece of the answer.
 struct Chunk {
     std::string bytes;
 };
-/// The request is over. Nothing follows.
+/// The request has ended. The last event of a flow.
 struct End {
     Core::Outcome outcome { Core::Outcome::Completed };
     Core::Reason reason { Core::Reason::None };
@@ -33,7 +33,7 @@
 };
 using FlowEvent = std::variant<Head, Chunk, End>;
 
-/// What is sent to an endpoint.
+/// A request as it is sent to an endpoint.
 struct UpstreamRequest {
     std::string path;
     std::string content_type;
@@ -44,7 +44,7 @@
     bool operator==(UpstreamRequest const&) const = default;
 };
 
-/// One request on its way: the caller's thread takes events out, the endpoint's thread puts them in.
+/// The events of one request, passed from the thread that calls the endpoint to the caller's thread.
 class RequestFlow {
 public:
     RequestFlow(Traffic::RequestFacts facts, std::string class_name, std::string account_name,
@@ -66,9 +66,9 @@
     void push(FlowEvent event) { this->events.push(std::move(event)); }
     [[nodiscard]] FlowEvent pop();
 
-    /// The caller has gone. Stops the running attempt when the class is repeatable.
+    /// The caller has disconnected. Cancels the running attempt if the class is repeatable.
     void caller_has_gone();
-    /// Stops the running attempt, which will be placed again.
+    /// Cancels the running attempt. The request will be placed again.
     void preempt();
     [[nodiscard]] bool is_caller_gone() const { return this->caller_gone; }
     [[nodiscard]] bool is_preempted() const { return this->preempted; }
@@ -85,7 +85,7 @@
     void set_may_have_run() { this->may_have_run = true; }
     [[nodiscard]] bool has_perhaps_run() const { return this->may_have_run; }
 
-    /// What the key's fate says, where it says more than the attempt's end.
+    /// The outcome by the key's fate, if it is more exact than that of the attempt.
     void set_fate_end(End end);
     [[nodiscard]] std::optional<End> fate_end();
 
--- a/Libraries/LibServer/RequestReader.h
+++ b/Libraries/LibServer/RequestReader.h
@@ -18,11 +18,11 @@
     std::string body;
 };
 
-/// Why a request was refused before any decision was taken on it.
+/// Why a request was rejected before it was submitted.
 struct InputError {
     int status { 400 };
     Core::Reason reason { Core::Reason::MalformedBody };
-    /// The field at fault; empty when there is no single one.
+    /// The invalid field; empty if the fault is in no single one.
     std::string field;
     std::string message;
 
--- a/Libraries/LibServer/RoutingTable.h
+++ b/Libraries/LibServer/RoutingTable.h
@@ -12,7 +12,7 @@
 
 namespace Server {
 
-/// Gives each name one number for the life of the process, so that ids outlast a change of settings.
+/// Assigns each name an id that stays the same until the process ends, also when the settings change.
 class NameTable {
 public:
     [[nodiscard]] std::uint32_t number_of(std::string const& name);
@@ -28,7 +28,7 @@
     NameTable endpoints;
 };
 
-/// One version of the settings in the form that requests are looked up in. Immutable.
+/// One version of the settings, indexed for looking up requests. Immutable.
 class RoutingTable {
 public:
     struct Account {
@@ -46,11 +46,11 @@
         Settings::SettingsDocument const& document, std::string const& failure_domain, NameTables& names);
 
     [[nodiscard]] Core::Offset version() const { return this->settings_version; }
-    /// The account that a key belongs to. Looks at every hash, whichever matches.
+    /// The account that a key belongs to. Always compares all hashes, so that the time reveals no match.
     [[nodiscard]] Account const* find_account(std::string_view key) const;
     [[nodiscard]] RequestClass const* find_class(std::string const& name) const;
     [[nodiscard]] std::string const* pool_of_model(std::string const& model) const;
-    /// The pool of the longest path prefix that fits.
+    /// The pool with the longest path prefix that matches.
     [[nodiscard]] std::string const* pool_of_path(std::string_view path) const;
     [[nodiscard]] std::map<std::string, Traffic::PoolPolicy> const& pools() const { return this->policies; }
     [[nodiscard]] bool pool_checks_keys(std::string const& pool) const;
--- a/Libraries/LibServer/SettingsFollower.h
+++ b/Libraries/LibServer/SettingsFollower.h
@@ -10,7 +10,7 @@
 
 inline constexpr char const* settings_stream = "settings";
 
-/// Reads the settings stream in order and puts each accepted version in force.
+/// Reads the settings stream in order and applies each accepted version.
 class SettingsFollower {
 public:
     explicit SettingsFollower(BoxState& state);
--- a/Libraries/LibServer/UpstreamCaller.h
+++ b/Libraries/LibServer/UpstreamCaller.h
@@ -9,14 +9,14 @@
 
 namespace Server {
 
-/// What became of one attempt at an endpoint.
+/// The result of one attempt at an endpoint.
 struct AttemptReport {
     Traffic::AttemptResult result { Traffic::AttemptResult::Completed };
     int status { 0 };
     std::string content_type;
-    /// The answer; empty for one that was passed on as it came.
+    /// The answer; empty if it was forwarded while it arrived.
     std::string body;
-    /// Whether the answer went to the caller piece by piece.
+    /// Whether the answer was forwarded to the caller in pieces.
     bool was_passed_on { false };
     /// Why it failed, for logs.
     std::string error;
