--- a/Tests/LibGateway/TestControlRecords.cpp
+++ b/Tests/LibGateway/TestControlRecords.cpp
@@ -24,6 +24,16 @@
             + state + "\"}" };
 }
 
+/// So many endpoints, named by number.
+std::vector<Adapter::KeyedRecord> endpoints(std::size_t count, std::string const& state = "ready")
+{
+    std::vector<Adapter::KeyedRecord> records;
+    records.reserve(count);
+    for (std::size_t number = 0; number < count; ++number)
+        records.push_back(endpoint("i-" + std::to_string(number), state));
+    return records;
+}
+
 constexpr std::size_t any_length = 1'000'000;
 
 /// Where the log of the endpoints ends at that moment: it grows with the time.
@@ -113,8 +123,7 @@
     CHECK(box.records.next(Adapter::Topic::Endpoints) == std::optional(offset_at(at(1000))));
     CHECK(box.records.has_endpoints());
 
-    relay.apply_endpoints(
-        { endpoint("b", "draining"), { "a", std::nullopt } }, at(1500), Coverage::UpToEnd);
+    relay.apply_endpoints({ endpoint("b", "draining"), { "a", std::nullopt } }, at(1500), Coverage::UpToEnd);
     relay.records.confirm_configuration(at(1500));
     auto const answer = relay.records.answer(box.records.request(at(1600)), any_length, at(1600));
     REQUIRE(answer);
@@ -245,8 +254,7 @@
     first.read(7, { endpoint("a"), endpoint("b") }, at(1000));
     second.read(7, { endpoint("a"), endpoint("b") }, at(1000));
     CHECK(ask(box, first, at(1000)));
-    second.apply_endpoints(
-        { { "a", std::nullopt }, endpoint("c"), endpoint("d") }, at(1100), Coverage::UpToEnd);
+    second.apply_endpoints({ { "a", std::nullopt }, endpoint("c"), endpoint("d") }, at(1100), Coverage::UpToEnd);
     auto const answer = second.records.answer(box.records.request(at(1200)), any_length, at(1200));
     REQUIRE(answer);
     CHECK(!answer->endpoints.is_whole);
@@ -294,10 +302,7 @@
 TEST_CASE("a long list is sent compressed, the same to all boxes that need it, with what changed since")
 {
     Box relay(1);
-    std::vector<Adapter::KeyedRecord> many;
-    for (int number = 0; number < 1000; ++number)
-        many.push_back(endpoint("i-" + std::to_string(number)));
-    relay.read(7, many, at(1000));
+    relay.read(7, endpoints(1000), at(1000));
     Box box(2);
     auto const first = relay.records.answer(box.records.request(at(1000)), any_length, at(1000));
     REQUIRE(first);
@@ -315,10 +320,7 @@
     CHECK(box.state.router.endpoint_count() == 1000);
     CHECK(box.state.router.usable_endpoints("s", at(1100)) == 999);
 
-    std::vector<Adapter::KeyedRecord> changed;
-    for (int number = 0; number < 200; ++number)
-        changed.push_back(endpoint("i-" + std::to_string(number), "draining"));
-    relay.apply_endpoints(changed, at(1200), Coverage::UpToEnd);
+    relay.apply_endpoints(endpoints(200, "draining"), at(1200), Coverage::UpToEnd);
     auto const third = relay.records.answer({ 0, 0, 0, "b9", {}, "a", 0, true }, any_length, at(1200));
     REQUIRE(third);
     CHECK(third->endpoint_list->share_bytes() != first->endpoint_list->share_bytes());
@@ -328,10 +330,7 @@
 TEST_CASE("a box of an earlier version gets the whole list as it is")
 {
     Box relay(1);
-    std::vector<Adapter::KeyedRecord> many;
-    for (int number = 0; number < 1000; ++number)
-        many.push_back(endpoint("i-" + std::to_string(number)));
-    relay.read(7, many, at(1000));
+    relay.read(7, endpoints(1000), at(1000));
     Membership::ControlRequest earlier;
     earlier.requester = "b2";
     auto const answer = relay.records.answer(earlier, any_length, at(1000));
@@ -343,10 +342,7 @@
 TEST_CASE("a compressed list that is damaged changes nothing")
 {
     Box relay(1);
-    std::vector<Adapter::KeyedRecord> many;
-    for (int number = 0; number < 1000; ++number)
-        many.push_back(endpoint("i-" + std::to_string(number)));
-    relay.read(7, many, at(1000));
+    relay.read(7, endpoints(1000), at(1000));
     Box box(2);
     auto answer = relay.records.answer(box.records.request(at(1000)), any_length, at(1000));
     REQUIRE(answer);
--- a/Tests/LibMembership/TestEndpointJournal.cpp
+++ b/Tests/LibMembership/TestEndpointJournal.cpp
@@ -86,6 +86,7 @@
     std::vector<Follower> followers(3);
     auto const list = [&truth] {
         std::vector<Routing::EndpointRecord> records;
+        records.reserve(truth.size());
         for (auto const& [name, record] : truth)
             records.push_back(record);
         return records;
--- a/Tests/LibRouting/TestColdEndpoints.cpp
+++ b/Tests/LibRouting/TestColdEndpoints.cpp
@@ -31,6 +31,7 @@
     explicit Boxes(int count)
     {
         std::vector<std::string> names;
+        names.reserve(static_cast<std::size_t>(count));
         for (int number = 0; number < count; ++number)
             names.push_back("box-" + std::to_string(number));
         RouterSettings settings;
