--- a/Tests/LibMembership/TestRelaySearch.cpp
+++ b/Tests/LibMembership/TestRelaySearch.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <set>
 
 namespace {
 
@@ -32,7 +33,7 @@
     {
         auto const begin = this->now;
         while (this->now - begin < limit && !this->are_all_served())
-            this->step();
+            this->run(check_interval);
         return this->now - begin;
     }
     void run(Duration duration)
@@ -70,6 +71,7 @@
 private:
     static constexpr std::size_t domains = 5;
     static constexpr Duration step_length = milliseconds(1);
+    static constexpr Duration check_interval = milliseconds(20);
     static constexpr Duration round_trip = milliseconds(4);
     static constexpr Duration timeout = milliseconds(700);
     /// Of the store, for all boxes together.
@@ -105,17 +107,14 @@
         auto const number = static_cast<std::uint64_t>(&box - this->boxes.data());
         box.search = RelaySearch(box.record, number + ++this->restarts * this->boxes.size());
         box.acts_at = this->now + milliseconds(this->random(300));
+        this->leading.erase(box.record.name);
         box.leads = box.has_call = false;
         box.follows.reset();
     }
 
     [[nodiscard]] bool is_served(Box const& box) const
     {
-        if (box.leads)
-            return true;
-        return box.follows && std::ranges::any_of(this->boxes, [&](Box const& other) {
-            return other.record.name == *box.follows && other.leads;
-        });
+        return box.leads || (box.follows && this->leading.contains(*box.follows));
     }
 
     void step()
@@ -138,6 +137,7 @@
             this->follow(box, follow->relay);
         } else if (std::holds_alternative<RelaySearch::Lead>(step)) {
             box.leads = true;
+            this->leading.insert(box.record.name);
             box.acts_at = Instant::max();
         } else {
             this->begin_call(box, number, std::holds_alternative<RelaySearch::Claim>(step));
@@ -194,6 +194,8 @@
 
     Instant now { seconds(1000) };
     std::vector<Box> boxes;
+    /// Names of the boxes that lead.
+    std::set<std::string> leading;
     std::map<std::string, BoxRecord> records;
     std::uint64_t end { 0 };
     Queue reads;
