LibGateway: Let a box that searches for its relay go on when the store comes back from a copy

Cause: the search waited in write_queued(), which returns at once while the list has to be read again; a new era during the search asked for that, so the search ran without a pause and the whole box stood still for good. Ruled out: load, since it hung without sanitizers too. Conclusion: a task that waits must have a wait that nothing skips.

--- a/Libraries/LibGateway/BoxRegistry.cpp
+++ b/Libraries/LibGateway/BoxRegistry.cpp
@@ -96,6 +96,9 @@
 {
     while (this->source.is_searching()) {
         auto const now = monotonic_now();
+        // NOTE: There is no list yet that could be read again, and write_queued() doesn't wait while one has to be
+        // read.
+        this->must_read = false;
         this->register_if_due(now);
         this->check_first_relay(now);
         auto const step = this->relay_search.next(now);
--- a/Tests/LibGateway/TestBoxRegistry.cpp
+++ b/Tests/LibGateway/TestBoxRegistry.cpp
@@ -252,6 +252,21 @@
     REQUIRE(run_until(box.context, [&] { return box.calls(newest, boxes_topic) == 2; }));
 }
 
+// Guards against a search that never paused after the store came back from a copy, and so stopped the whole box.
+TEST_CASE("a box that is still searching when the store comes back from a copy goes on with its other work")
+{
+    StartingBox box(BoxRegistry::Start::OfThisBox, [](std::string const&) {
+        return Answer { 200, relay_records(other_box("relay"), 1) };
+    });
+    REQUIRE(run_until(box.context, [&] { return box.sources_found > 0; }));
+    box.registry.store_restored();
+    bool has_worked = false;
+    asio::steady_timer timer(box.context, std::chrono::milliseconds(300));
+    timer.async_wait([&](error_code) { has_worked = true; });
+    REQUIRE(run_until(box.context, [&] { return has_worked; }));
+    CHECK(box.source.is_searching());
+}
+
 TEST_CASE("box records that can't be read change nothing")
 {
     StartingBox box(BoxRegistry::Start::OfThisBox, [](std::string const&) {
