LibGateway: Take a relay's place in the log only if it confirmed the version in the store

Ruled out: a search for a first relay that goes on for ever (both logs show its end), two boxes that follow each other, a store that gives no answer (its calls succeeded from then on).

Now: a relay's confirmation that is later than the restore counts as having found the version; without it the place is not taken over, and the box reads the newest record itself when it has to read.

Besides: the harness keeps the logs of its boxes if CLEATBEAM_KEEP_LOGS is set; these logs showed the cause.

--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -509,6 +509,12 @@
     if (answer.configuration_version != this->version())
         return answer.configuration_version < this->version();
     this->confirm_configuration(relayed_configuration_confirmed_at);
+    auto const& era_began_at = this->history.era_began_at();
+    if (!era_began_at || relayed_configuration_confirmed_at > *era_began_at)
+        this->version_in_store = std::max(this->version_in_store, answer.configuration_version);
+    // NOTE: Reads from the relay's position on would not return the version, so they could never confirm it.
+    if (this->version_in_store < this->version())
+        return true;
     this->set_next(Adapter::Topic::Operator,
         std::max(this->next(Adapter::Topic::Operator).value_or(0), answer.configuration_next));
     return true;
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -207,7 +207,7 @@
     std::set<std::string> evacuated_domains;
     /// How far the operator's topic was read, here or at a relay, when the evacuated domains were known.
     Position evacuations_position;
-    /// The newest version that this box has read from the store in its current era.
+    /// The newest version that this box or a relay of it has read from the store in its current era.
     std::uint64_t version_in_store { 0 };
     /// The newest version reported by other boxes, which the store may have lost.
     std::uint64_t version_reported { 0 };
--- a/Tests/Harness/Cluster.cpp
+++ b/Tests/Harness/Cluster.cpp
@@ -46,7 +46,8 @@
 Cluster::~Cluster()
 {
     this->processes.clear();
-    std::filesystem::remove_all(this->folder);
+    if (std::getenv("CLEATBEAM_KEEP_LOGS") == nullptr)
+        std::filesystem::remove_all(this->folder);
 }
 
 void Cluster::start_standin(std::string const& name, std::string const& role, std::vector<std::string> const& flags)
