LibMembership: Let a searching box read the store once its relay's data gets too old

Cause, from the logs: until a box is in the list of boxes it reads no topic of the store, though it serves as soon as it has data. While its first relay reads a long record, its answers are outdated; the box counted them as silence, backed off from the relay for 3 s, searched for another one, and its lease ran out. The same rule left a box for as long as its relay could not reach the store.

Ruled out: a slow reader on the box's own link (it had not begun to read), the relay's end.

Now: a box whose relay's data was recent once and is no longer reads the store itself, as listed boxes do; its retries become as rare as those of a large fleet, since it doesn't know how many boxes there are. Outdated answers are no silence. A first relay without recent data is given up after the same 8 s as one without a list. Which relay is given up, and why, is decided in RelaySearch and tested there.

--- a/Libraries/LibGateway/BoxRegistry.cpp
+++ b/Libraries/LibGateway/BoxRegistry.cpp
@@ -83,7 +83,6 @@
         if (this->registry.first_relay != step.relay) {
             Log::EventLine("relay_search_ended").with("outcome", "follows").with("relay", step.relay.name).info();
             this->registry.first_relay = step.relay;
-            this->registry.follows_since = monotonic_now();
             this->registry.source.use_first_relay(step.relay);
             this->registry.on_source_found();
         }
@@ -113,14 +112,14 @@
 {
     if (!this->first_relay)
         return;
-    auto const silent_since = this->source.unresponsive_since(this->first_relay->name);
-    bool const is_silent = silent_since && now - *silent_since >= max_relay_silence;
-    bool const waits_for_list = !this->copy && now - this->follows_since >= max_list_wait;
-    if (!is_silent && !waits_for_list)
+    RelaySearch::RelayState const relay { this->source.unresponsive_since(this->first_relay->name),
+        this->copy.has_value(), this->source.has_recent_data(now) };
+    auto const loss = this->relay_search.loss(relay, now);
+    if (!loss)
         return;
     Log::EventLine("first_relay_lost")
         .with("relay", this->first_relay->name)
-        .with("reason", is_silent ? "does not respond" : "has sent no list of boxes")
+        .with("reason", to_string(*loss))
         .warning();
     this->relay_search.relay_lost(this->first_relay->name, now);
     this->first_relay.reset();
--- a/Libraries/LibGateway/BoxRegistry.h
+++ b/Libraries/LibGateway/BoxRegistry.h
@@ -107,10 +107,7 @@
     static constexpr Core::Duration registration_grace { std::chrono::seconds(15) };
     /// Interval of the check whether the first relay responds and has sent the list of boxes.
     static constexpr Core::Duration search_check_interval { std::chrono::milliseconds(100) };
-    /// A first relay that refuses connections for this long is gone: processes that end are started again sooner.
-    static constexpr Core::Duration max_relay_silence { std::chrono::milliseconds(1200) };
-    /// A first relay reads the store and, on the first start, waits for all records before it sends the list of boxes.
-    static constexpr Core::Duration max_list_wait { settling_time + std::chrono::milliseconds(4500) };
+    static_assert(settling_time < Membership::RelaySearch::max_list_wait);
 
     /// Records that a process remembers beside its box record, about 100 bytes each.
     static constexpr std::size_t max_written_records = 256;
@@ -123,9 +120,8 @@
     OnBoxesRead on_boxes_read;
     OnOtherRecord on_other_record;
     Membership::RelaySearch relay_search;
-    /// The first relay in use, and since when.
+    /// The first relay in use.
     std::optional<Membership::BoxRecord> first_relay;
-    Core::Instant follows_since;
     /// The end of the topic of relay records when it was last read.
     std::uint64_t relay_records_end { 0 };
     /// Whether this box's relay record is in the store, as far as known.
--- a/Libraries/LibMembership/ControlSource.cpp
+++ b/Libraries/LibMembership/ControlSource.cpp
@@ -178,6 +178,9 @@
     // NOTE: A relay that receives its first request has to read the store before its data is recent.
     if (!this->stale_since)
         this->stale_since = now;
+    // NOTE: A box that searches has no other relay to ask.
+    if (this->searches)
+        return;
     if (!this->is_store_unreachable(now) && now - *this->stale_since <= this->relay_timeout())
         return;
     // NOTE: The relay responds, so it is retried soon: this finds the first box that reaches the store again.
@@ -210,7 +213,7 @@
 bool ControlSource::reads_store(Instant now) const
 {
     if (this->searches)
-        return false;
+        return this->confirmed_at && !this->is_recent(*this->confirmed_at, now);
     if (this->is_relay(now) && !this->relay(now))
         return true;
     if (this->confirmed_at)
@@ -308,6 +311,9 @@
         auto const scaled = Core::from_seconds(Core::to_seconds(max_store_pause) * std::max(1.0, scale));
         max_pause = std::min(scaled, max_scaled_store_pause);
         first = std::max(first, max_pause / 2);
+    } else if (this->searches) {
+        // NOTE: The number of boxes is not known yet, and all of them may have started together.
+        max_pause = max_scaled_store_pause;
     }
     auto const pause = std::min(first * (1U << std::min(failures, max_doublings)), max_pause);
     /// Boxes that lost the store at the same moment retry at times spread over half of the pause.
--- a/Libraries/LibMembership/ControlSource.h
+++ b/Libraries/LibMembership/ControlSource.h
@@ -34,7 +34,7 @@
 
     void set_bounds(ControlBounds new_bounds) { this->bounds = new_bounds; }
     /// This box has just started and looks for a relay. Until it is in the list of boxes, it reads no topic of the
-    /// store.
+    /// store, unless a relay provided recent data and then no longer does.
     void begin_search() { this->searches = true; }
     [[nodiscard]] bool is_searching() const { return this->searches; }
     /// The relay to ask until the list of boxes is known.
@@ -74,6 +74,11 @@
     [[nodiscard]] bool has_recent_contact(Instant now) const;
     /// Whether other boxes use this one as a relay.
     [[nodiscard]] bool is_relay(Instant now) const;
+    /// Whether a relay provided data that is still recent enough.
+    [[nodiscard]] bool has_recent_data(Instant now) const
+    {
+        return this->confirmed_at && this->is_recent(*this->confirmed_at, now);
+    }
     /// Whether data confirmed up to this moment is recent enough.
     [[nodiscard]] bool is_recent(Instant confirmed_at, Instant now) const;
     [[nodiscard]] BoxDirectory const& boxes() const { return this->directory; }
--- a/Libraries/LibMembership/RelaySearch.cpp
+++ b/Libraries/LibMembership/RelaySearch.cpp
@@ -1,5 +1,6 @@
 #include <LibMembership/RelaySearch.h>
 
+#include <LibCore/Verify.h>
 #include <algorithm>
 #include <random>
 
@@ -34,6 +35,7 @@
     }
     if (found && !this->lost_relays.contains(found->name)) {
         this->relay = found;
+        this->follows_since = now;
         this->claims_at.reset();
         return;
     }
@@ -60,6 +62,19 @@
     this->reads_at = now;
 }
 
+std::optional<RelaySearch::RelayLoss> RelaySearch::loss(RelayState const& state, Instant now) const
+{
+    if (!this->relay)
+        return std::nullopt;
+    if (state.silent_since && now - *state.silent_since >= max_relay_silence)
+        return RelayLoss::DoesNotRespond;
+    if (now - this->follows_since < max_list_wait)
+        return std::nullopt;
+    if (!state.has_sent_list)
+        return RelayLoss::SentNoList;
+    return state.has_recent_data ? std::nullopt : std::optional(RelayLoss::HasOutdatedData);
+}
+
 void RelaySearch::relay_lost(std::string const& name, Instant now)
 {
     this->lost_relays.insert(name);
@@ -72,4 +87,17 @@
     return Duration { std::uniform_int_distribution<Duration::rep>(0, limit.count())(this->random) };
 }
 
+std::string_view to_string(RelaySearch::RelayLoss loss)
+{
+    switch (loss) {
+    case RelaySearch::RelayLoss::DoesNotRespond:
+        return "does not respond";
+    case RelaySearch::RelayLoss::SentNoList:
+        return "has sent no list of boxes";
+    case RelaySearch::RelayLoss::HasOutdatedData:
+        return "has no recent data";
+    }
+    VERIFY(false);
+}
+
 }
--- a/Libraries/LibMembership/RelaySearch.h
+++ b/Libraries/LibMembership/RelaySearch.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <pcg_random.hpp>
 #include <set>
+#include <string_view>
 #include <variant>
 
 namespace Membership {
@@ -42,6 +43,25 @@
     };
     using Step = std::variant<ReadRecord, Follow, Claim, Lead, Wait>;
 
+    /// What this box knows of the relay that it follows.
+    struct RelayState {
+        /// Since when it has not responded; empty if it did.
+        std::optional<Instant> silent_since;
+        bool has_sent_list { false };
+        bool has_recent_data { false };
+
+        bool operator==(RelayState const&) const = default;
+    };
+    /// Why a relay is of no use.
+    enum class RelayLoss {
+        DoesNotRespond,
+        SentNoList,
+        HasOutdatedData,
+    };
+    /// A relay reads the store and, on the first start, waits for all records before it sends the list of boxes. After
+    /// this time it must have sent the list, and its data must be recent.
+    static constexpr Duration max_list_wait { std::chrono::seconds(8) };
+
     RelaySearch(BoxRecord const& own, std::uint64_t seed);
 
     /// What to do now.
@@ -53,7 +73,9 @@
     void claimed() { this->is_leading = true; }
     /// Another box appended a record first.
     void claim_failed(Instant now);
-    /// The relay can't be reached, or has had no data for too long.
+    /// Why the relay that this box follows has to be given up; empty if it does not.
+    [[nodiscard]] std::optional<RelayLoss> loss(RelayState const& state, Instant now) const;
+    /// The relay was given up.
     void relay_lost(std::string const& name, Instant now);
 
 private:
@@ -67,6 +89,9 @@
     /// All boxes may be in this state, and find each other within this time of the store's return.
     static constexpr Duration max_pause_limit { std::chrono::seconds(2) };
 
+    /// A relay that refuses connections for this long is gone: processes that end are started again sooner.
+    static constexpr Duration max_relay_silence { std::chrono::milliseconds(1200) };
+
     [[nodiscard]] Duration random_up_to(Duration limit);
 
     std::string own_name;
@@ -74,6 +99,7 @@
     pcg32 random;
     bool is_leading { false };
     std::optional<BoxRecord> relay;
+    Instant follows_since;
     std::set<std::string> lost_relays;
     /// When this box may append itself; unset until it found that it has to.
     std::optional<Instant> claims_at;
@@ -83,4 +109,6 @@
     unsigned failures { 0 };
 };
 
+[[nodiscard]] std::string_view to_string(RelaySearch::RelayLoss loss);
+
 }
--- a/Tests/LibMembership/TestControlSource.cpp
+++ b/Tests/LibMembership/TestControlSource.cpp
@@ -97,6 +97,43 @@
     CHECK(!source.reads_store(at(2200)));
 }
 
+// Guards against a box that had data, was not listed yet, and let its lease end while its relay had nothing newer.
+TEST_CASE("a box that searches reads the store when its first relay's data, once recent, gets too old")
+{
+    ControlSource source("b1", "a", { bound, bound });
+    source.begin_search();
+    source.use_first_relay(box("b2"));
+    source.relay_answered("b2", at(0), at(5000));
+    // It never had recent data: its relay may still be reading the store for all.
+    CHECK(!source.reads_store(at(5000)));
+    source.relay_answered("b2", at(5100), at(5200));
+    CHECK(!source.reads_store(at(6200)));
+    CHECK(source.reads_store(at(6201)));
+    source.relay_answered("b2", at(6250), at(6300));
+    CHECK(!source.reads_store(at(6300)));
+}
+
+// Guards against a box without data that took outdated answers for silence and then asked nobody.
+TEST_CASE("a box that searches goes on asking a first relay whose data is outdated")
+{
+    ControlSource source("b1", "a", { bound, bound });
+    source.begin_search();
+    source.use_first_relay(box("b2"));
+    for (std::int64_t time = 5000; time < 8000; time += 100)
+        source.relay_answered("b2", at(0), at(time));
+    CHECK(source.relay(at(8000)));
+    CHECK(!source.unresponsive_since("b2"));
+    CHECK(!source.has_recent_data(at(8000)));
+}
+
+TEST_CASE("boxes that search and lose the store retry it less and less often, as they don't know how many they are")
+{
+    ControlSource source("b1", "a", { bound, bound });
+    source.begin_search();
+    CHECK(source.retry_pause(0, at(0)) < std::chrono::milliseconds(200));
+    CHECK(source.retry_pause(20, at(0)) > std::chrono::seconds(4));
+}
+
 TEST_CASE("after a relay fails the next box is used, the store once data is too old, and the first relay again later")
 {
     auto source = source_of(order().back());
--- a/Tests/LibMembership/TestRelaySearch.cpp
+++ b/Tests/LibMembership/TestRelaySearch.cpp
@@ -302,3 +302,22 @@
             < std::get<RelaySearch::Wait>(second.next(now)).duration);
     }
 }
+
+// Guards against a box that goes on waiting for a relay that responds but can't reach the store.
+TEST_CASE("a box gives up a relay that is silent, and after a while one without a list or without recent data")
+{
+    using RelayState = RelaySearch::RelayState;
+    using RelayLoss = RelaySearch::RelayLoss;
+    RelaySearch search({ "b1", { "10.0.0.1", 7000 }, "a", wide }, 1);
+    Instant const start { seconds(1) };
+    auto const late = start + RelaySearch::max_list_wait;
+    search.record_read(BoxRecord { "b2", { "10.0.0.2", 7000 }, "a", wide }, start);
+    CHECK(search.loss(RelayState { start, true, true }, start + seconds(2)) == RelayLoss::DoesNotRespond);
+    CHECK(!search.loss(RelayState {}, late - milliseconds(1)));
+    CHECK(search.loss(RelayState { {}, false, true }, late) == RelayLoss::SentNoList);
+    CHECK(search.loss(RelayState { {}, true, false }, late) == RelayLoss::HasOutdatedData);
+    CHECK(!search.loss(RelayState { {}, true, true }, late));
+    search.relay_lost("b2", late);
+    CHECK(!search.loss(RelayState { start, false, false }, late));
+    CHECK(std::holds_alternative<RelaySearch::ReadRecord>(search.next(late)));
+}
