LibLeader: Order no servers in evacuated failure domains, and theirs in the others

Cause: the plan counts the servers that accept requests, and those of an evacuated failure domain don't. So it took them for servers that did not start, ordered them again there at growing intervals, where they get no request, and asked the other failure domains for no more than their share of the demand.

Now the plan is made without the evacuated failure domains; their last orders stay, since the evacuation is taken back.

Before: the new test of TestFleetPlan fails without the line that leaves them out. After: it passes.

--- a/Libraries/LibGateway/FleetOperator.cpp
+++ b/Libraries/LibGateway/FleetOperator.cpp
@@ -63,7 +63,9 @@
         this->state.metrics.set_servers(service.name, domain, "permanent", counts.permanent);
         this->state.metrics.set_servers(service.name, domain, "revocable", counts.revocable);
     }
-    for (auto const& order : plan.due_orders(*service.scaling, running, now)) {
+    // NOTE: Servers of an evacuated failure domain keep running as ordered before, and get no new requests.
+    auto const scaling = Leader::without_domains(*service.scaling, this->state.router.evacuated());
+    for (auto const& order : plan.due_orders(scaling, running, now)) {
         if (!co_await this->leadership.may_act() || this->leadership.identity().fencing_token != this->term)
             co_return;
         co_await this->place_order(service, order, running);
--- a/Libraries/LibLeader/FleetPlan.cpp
+++ b/Libraries/LibLeader/FleetPlan.cpp
@@ -45,6 +45,12 @@
 
 }
 
+Routing::ServerScaling without_domains(Routing::ServerScaling scaling, std::set<std::string> const& domains)
+{
+    std::erase_if(scaling.domain_prices, [&](auto const& price) { return domains.contains(price.first); });
+    return scaling;
+}
+
 void FleetPlan::observe_demand(std::optional<double> servers, Instant now)
 {
     if (!servers)
--- a/Libraries/LibLeader/FleetPlan.h
+++ b/Libraries/LibLeader/FleetPlan.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -65,6 +66,10 @@
 
 using FleetPolicy = std::variant<MaximumFleet, FollowDemand>;
 
+/// The scaling without these failure domains, so that the others get the servers that the demand needs.
+[[nodiscard]] Routing::ServerScaling without_domains(
+    Routing::ServerScaling scaling, std::set<std::string> const& domains);
+
 /// Decides how many servers of a service are ordered, of which kind and in which failure domain.
 ///
 /// For demand in bursts shorter than a server's start-up, where revocable servers cost a fraction of permanent ones but
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -105,6 +105,12 @@
     }
 }
 
+std::set<std::string> RequestRouter::evacuated() const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    return this->evacuated_domains;
+}
+
 bool RequestRouter::is_known_domain(std::string const& domain) const
 {
     std::scoped_lock const guard(this->endpoints_lock);
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -127,6 +127,7 @@
 
     /// Sets the failure domains whose endpoints get no new requests.
     void set_evacuated_domains(std::set<std::string> domains, Instant now);
+    [[nodiscard]] std::set<std::string> evacuated() const;
     /// Whether the settings name the failure domain.
     [[nodiscard]] bool is_known_domain(std::string const& domain) const;
 
--- a/Tests/LibLeader/TestFleetPlan.cpp
+++ b/Tests/LibLeader/TestFleetPlan.cpp
@@ -167,6 +167,24 @@
     CHECK(platform.running.at("a").revocable >= 36);
 }
 
+// Guards against orders for servers that may get no requests, while the other failure domains are short of them.
+TEST_CASE("while a failure domain is evacuated, its servers are ordered in the others and its own orders stay")
+{
+    FleetPlan plan(FollowDemand { 1.5, std::chrono::seconds(30) });
+    auto platform = with_permanent(20);
+    platform.run(plan, 0, 40'000, 40.0);
+    CHECK(total(platform.running, ServerKind::Revocable) + 3 == 60);
+    auto running = platform.running;
+    running.erase("a");
+    for (auto const& order : plan.due_orders(without_domains(scaling(), { "a" }), running, at(40'000))) {
+        CHECK(order.domain != "a");
+        if (order.kind == ServerKind::Revocable)
+            CHECK(order.count == 29);
+    }
+    CHECK(plan.due_orders(without_domains(scaling(), { "a", "b", "c" }), {}, at(40'000)).empty());
+    CHECK(plan.due_orders(scaling(), platform.running, at(40'000)).empty());
+}
+
 TEST_CASE("an order whose servers did not start is repeated at growing intervals")
 {
     FleetPlan plan(MaximumFleet {});
