platform: Read load reports that have a fourth figure, and log those that can't be read

Cause: a load report was read only with exactly three figures. Where endpoints add how long work takes at the moment, the whole report was dropped, so a box knew only what boxes told each other; nothing said so.

Now three or four figures are read, the fourth is kept beside the others and logged as told_work_time_percent, and a report that can't be read is logged with its request (unreadable_load). Placement does not use the fourth figure: it changes many times a second, and no trial was made.

Before: the new test of TestRequestCodec fails. After: it passes.

--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -80,6 +80,10 @@
         line.with("told_draining", "yes");
     if (attempt.reported_backoff)
         line.with("told_retry_after_s", Core::to_seconds(*attempt.reported_backoff));
+    if (attempt.reported_load && attempt.reported_load->work_time_percent)
+        line.with("told_work_time_percent", *attempt.reported_load->work_time_percent);
+    if (!attempt.unreadable_load.empty())
+        line.with("unreadable_load", attempt.unreadable_load);
     if (!attempt.detail.empty())
         line.with("detail", attempt.detail);
     line.info();
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -220,6 +220,8 @@
     attempt.status = this->call->head().result_int();
     attempt.reported_draining = facts.is_draining;
     attempt.reported_backoff = facts.backoff;
+    attempt.reported_load = facts.load;
+    attempt.unreadable_load = facts.unreadable_load;
     if (facts.rate_limit)
         attempt.reported_rate_limit = facts.rate_limit->per_second;
     if (!facts.is_other_endpoint)
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -54,6 +54,9 @@
     bool reported_draining { false };
     /// How long the endpoint asked this box to send no requests.
     std::optional<Core::Duration> reported_backoff;
+    /// The endpoint's load report, if it sent one, and the beginning of one that can't be read.
+    std::optional<Routing::ReportedLoad> reported_load;
+    std::string unreadable_load;
     /// Description of the failure for the log. Empty if there was none.
     std::string detail;
 };
--- a/Libraries/LibRouting/EndpointLoad.h
+++ b/Libraries/LibRouting/EndpointLoad.h
@@ -17,6 +17,8 @@
     int running { 0 };
     int waiting { 0 };
     int slots { 1 };
+    /// How long work takes there at this moment, in percent of the usual time; empty if the endpoint doesn't say.
+    std::optional<int> work_time_percent {};
 
     bool operator==(ReportedLoad const&) const = default;
 };
--- a/Tests/PlatformAdapter/TestRequestCodec.cpp
+++ b/Tests/PlatformAdapter/TestRequestCodec.cpp
@@ -161,6 +161,24 @@
     CHECK_FALSE(facts("HTTP/1.1 200 OK\r\nX-Server-Load: 3,0\r\n").load);
 }
 
+// Guards against a box that dropped the whole report where it has a fourth figure.
+TEST_CASE("a load report may say how long work takes, and one that can't be read is kept for the log")
+{
+    auto const facts = [](std::string const& value) {
+        return decode_answer(answer_head("HTTP/1.1 200 OK\r\nX-Server-Load: " + value + "\r\n\r\n"), "9c41");
+    };
+    CHECK(facts("3,0,8,250").load == Routing::ReportedLoad { 3, 0, 8, 250 });
+    CHECK(facts(" 3 , 0 , 8 , 100 ").load == Routing::ReportedLoad { 3, 0, 8, 100 });
+    CHECK(facts("3,0,8,100").unreadable_load.empty());
+    for (std::string const unreadable :
+        { "3,0,8,", "3,0,8,100,1", "3,0,8,x", "3,0,8,-1", "-3,0,8,100", "3,0", "busy", "99999999999,0,8,100" }) {
+        CAPTURE(unreadable);
+        CHECK_FALSE(facts(unreadable).load);
+        CHECK(facts(unreadable).unreadable_load == unreadable);
+    }
+    CHECK(facts(std::string(1000, 'x')).unreadable_load.size() == 40);
+}
+
 TEST_CASE("the rate limit that an endpoint names is read from its answer's head")
 {
     auto const limit = [](std::string const& line) {
