LibGateway: Count request bodies toward the memory limit while they arrive

Cause: a body counted only after its last byte had come.

Now each piece counts when it is read; a request that the limit has no room for is refused at once with 503 and memory-limit, before the rest of its body has come, and what it counted is released with its connection.

Not done: a bound for each account.

Renamed: Tests/LibGateway/TestCallerConnection to TestClientConnection, after the class that it tests.

--- a/Libraries/LibGateway/ClientConnection.cpp
+++ b/Libraries/LibGateway/ClientConnection.cpp
@@ -62,10 +62,12 @@
         if (!co_await this->read_request(parser))
             break;
         is_open = co_await this->serve_request(parser);
+        this->release_body();
         this->is_busy = false;
         if (this->state.is_stopping)
             this->close_if_idle();
     }
+    this->release_body();
     this->disarm_guard();
     error_code ignored;
     this->socket.close(ignored);
@@ -92,7 +94,9 @@
         co_await this->answer_bad_request(status_request_timeout, Reason::DeadlinePassed, "the request took too long");
         co_return false;
     }
-    if (is_parse_error(error)) {
+    if (error == asio::error::no_buffer_space) {
+        co_await this->answer_bad_request(status_unavailable, Reason::MemoryLimit, "too many request bodies in memory");
+    } else if (is_parse_error(error)) {
         auto const [status, reason] = bad_request_for(error);
         co_await this->answer_bad_request(status, reason, error.message());
     }
@@ -120,20 +124,29 @@
         auto const [error, bytes] = co_await http::async_read_some(this->socket, this->buffer, parser, as_value);
         if (error)
             co_return error;
+        // NOTE: Counted while it arrives, since bodies that many clients send slowly fill the memory as well.
+        if (!this->count_body(parser.get().body().size()))
+            co_return asio::error::no_buffer_space;
     }
     co_return error_code {};
 }
 
+bool ClientConnection::count_body(std::size_t bytes)
+{
+    this->state.body_bytes += bytes - this->counted_body_bytes;
+    this->counted_body_bytes = bytes;
+    return this->state.body_bytes <= this->state.max_held_body_bytes;
+}
+
+void ClientConnection::release_body()
+{
+    this->state.body_bytes -= std::exchange(this->counted_body_bytes, 0);
+}
+
 Task<bool> ClientConnection::serve_request(Parser& parser)
 {
     auto request = parser.release();
-    auto const body_bytes = request.body().size();
     bool const keeps_connection = request.keep_alive();
-    if (this->state.body_bytes + body_bytes > this->state.max_held_body_bytes) {
-        co_await this->answer_bad_request(status_unavailable, Reason::MemoryLimit, "too many request bodies in memory");
-        co_return false;
-    }
-    this->state.body_bytes += body_bytes;
     ++this->state.requests;
     ++this->request_number;
     auto const served = std::make_shared<RequestExchange>(
@@ -144,7 +157,6 @@
     this->exchange.reset();
     ++this->request_number;
     --this->state.requests;
-    this->state.body_bytes -= body_bytes;
     co_return is_open;
 }
 
--- a/Libraries/LibGateway/ClientConnection.h
+++ b/Libraries/LibGateway/ClientConnection.h
@@ -25,7 +25,11 @@
     [[nodiscard]] Task<bool> wait_for_request();
     /// Reads one request. Returns false if the connection must be closed.
     [[nodiscard]] Task<bool> read_request(Parser& parser);
+    /// Reads the head and the body. The error is `no_buffer_space` if all bodies together would exceed their limit.
     [[nodiscard]] Task<error_code> read_head_and_body(Parser& parser);
+    /// Counts what was read of the body so far. Returns false if all bodies together exceed their limit.
+    [[nodiscard]] bool count_body(std::size_t bytes);
+    void release_body();
     [[nodiscard]] Task<bool> serve_request(Parser& parser);
     [[nodiscard]] Task<void> answer_bad_request(unsigned status, Core::Reason reason, std::string_view detail);
     void watch_for_close();
@@ -42,6 +46,8 @@
     /// handlers compare this with the value they were armed with.
     std::uint64_t guard_generation { 0 };
     bool guard_fired { false };
+    /// The part of GatewayState::body_bytes that belongs to this connection.
+    std::size_t counted_body_bytes { 0 };
     /// True from the first byte of a request until its answer is sent.
     bool is_busy { false };
     /// The request being served. Weak, since the exchange itself keeps this connection alive.
--- a/Tests/LibGateway/TestCallerConnection.cpp
+++ b/Tests/LibGateway/TestClientConnection.cpp
@@ -240,3 +240,65 @@
     auto const size = connection.sockets.far.read_some(asio::buffer(piece), error);
     CHECK(std::string_view(piece.data(), size).starts_with("HTTP/1.1 408 "));
 }
+
+// Guards against memory that many clients fill with bodies that they never send to the end.
+TEST_CASE("a body counts toward the box's memory while it arrives, and no longer once its client is gone")
+{
+    ServedConnection connection;
+    connection.send(head);
+    connection.send("12345");
+    REQUIRE(run_until(connection.context, [&] { return connection.state.body_bytes == 5; }));
+    connection.sockets.far.close();
+    CHECK(run_until(connection.context, [&] { return connection.caller.use_count() == 1; }));
+    CHECK(connection.state.body_bytes == 0);
+}
+
+TEST_CASE("a request whose body doesn't fit into the memory is refused before the rest of the body has arrived")
+{
+    Connection connection;
+    connection.state.max_held_body_bytes = 4;
+    connection.send(head);
+    connection.send("12345");
+    CHECK(connection.receives("memory-limit"));
+    CHECK(connection.received.starts_with("HTTP/1.1 503 "));
+    CHECK(run_until(connection.context, [&] { return connection.caller.use_count() == 1; }));
+    CHECK(connection.state.body_bytes == 0);
+}
+
+// Guards against a box that reads on from an endpoint for a client that reads nothing.
+TEST_CASE("a client that stops reading stops its endpoint, and gets the rest once it reads again")
+{
+    /// More than the kernel's buffers of both connections hold.
+    constexpr std::size_t answer_bytes = 64 * 1024 * 1024;
+    ServedConnection connection;
+    connection.send("GET /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 7\r\n\r\n");
+    REQUIRE(connection.arrives());
+    asio::write(connection.at_endpoint,
+        asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(answer_bytes) + "\r\n\r\n"));
+    connection.at_endpoint.non_blocking(true);
+    std::string const piece(64 * 1024, 'x');
+    std::size_t sent = 0;
+    auto last_taken = Core::monotonic_now();
+    auto const send_more = [&] {
+        error_code error;
+        auto const rest = std::min(piece.size(), answer_bytes - sent);
+        auto const taken = connection.at_endpoint.write_some(asio::buffer(piece.data(), rest), error);
+        sent += taken;
+        if (taken > 0)
+            last_taken = Core::monotonic_now();
+    };
+    REQUIRE(run_until(connection.context, [&] {
+        send_more();
+        return Core::monotonic_now() - last_taken > idle;
+    }));
+    CHECK(sent < answer_bytes);
+    connection.sockets.far.non_blocking(true);
+    std::size_t received = 0;
+    CHECK(run_until(connection.context, [&] {
+        send_more();
+        std::array<char, 64 * 1024> buffer {};
+        error_code error;
+        received += connection.sockets.far.read_some(asio::buffer(buffer), error);
+        return received > answer_bytes;
+    }));
+}
