LibRouting: Divide the retry budget's slack among the boxes that there are

Cause: each box used 4 in 100 of the slack that all share, whatever the number of boxes: 3.5 times the slack at 88 boxes, 39 times at 985. What held only while a deployment had no more than 25 boxes.

Now a box uses an equal part, 0.8 of the slack in all, divided by the boxes that it knows of, but by 20 at least, which is what it was for up to 20. Many boxes then may retry a fraction of once in a window, which whole numbers would cut off (at 0.8 requests a second and box 1.36 would be 1): the fraction is dealt by the order of boxes that rate limits use already, so the sums agree and nothing is sent for it.

Ruled out: a larger or smaller constant (moves the size at which it breaks); a sum that boxes tell each other (a box cut off would have to be counted for). Not covered: boxes that start together and know of no others yet.

Before, 88 boxes in virtual time: 284 retries in a window where 256.8 are allowed, test fails. After: within the budget at 7, 88, 985 and 1,970 boxes, and 0.8 of what requests allow is used.

--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -505,7 +505,7 @@
 bool RequestRouter::may_retry(Admitted const& request, Instant now)
 {
     std::scoped_lock const guard(this->endpoints_lock);
-    return this->budget_of(request.service).try_spend(now);
+    return this->budget_of(request.service).try_spend(this->notices.box_group(), now);
 }
 
 void RequestRouter::attempt_started(
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibRouting/Configuration.h>
+#include <LibRouting/RateSchedule.h>
 
 #include <deque>
 
@@ -17,8 +18,8 @@
     bool operator==(RetryBounds const&) const = default;
 };
 
-/// This box's part of a service's retry budget. Boxes do not communicate: each counts its own requests and uses only a
-/// small part of the shared slack.
+/// This box's part of a service's retry budget. Each box counts its own requests and uses an equal part of the shared
+/// slack; boxes need to know only how many they are.
 class RetryBudget {
 public:
     explicit RetryBudget(RetryBounds bounds)
@@ -28,15 +29,20 @@
 
     void request_sent(Instant now);
     /// Counts a retry if the budget allows it, and returns whether it does.
-    [[nodiscard]] bool try_spend(Instant now);
+    [[nodiscard]] bool try_spend(BoxGroup const& boxes, Instant now);
 
 private:
     /// Fraction of the ratio that is used. Requests and their retries may fall into different windows.
     static constexpr double used_ratio_share = 0.85;
-    /// Fraction of the slack that one box may use. The retries of a hundred boxes stay within the whole budget.
-    static constexpr double own_slack_share = 0.04;
+    /// Fraction of the slack that all boxes use together. The rest is for boxes that know of fewer boxes than there
+    /// are.
+    static constexpr double used_slack_share = 0.8;
+    /// The slack is divided among at least this many boxes, since a box that has just started may know of none.
+    static constexpr std::size_t min_boxes = 20;
 
     void forget_before(Instant cutoff);
+    /// Retries allowed in the window that ends now.
+    [[nodiscard]] unsigned allowance(BoxGroup const& boxes, Instant now) const;
 
     RetryBounds bounds;
     std::deque<Instant> requests;
