--- a/Tests/Harness/Cluster.cpp
+++ b/Tests/Harness/Cluster.cpp
@@ -24,9 +24,9 @@
 
 void wait_until(std::string const& what, std::function<bool()> const& condition)
 {
-    // The bound only ends a test that would wait for ever; no test depends on how long a wait took.
-    constexpr int most_looks = 4000;
-    for (int look = 0; look < most_looks; ++look) {
+    // NOTE: Only ends a test that would wait forever; no result depends on the duration of a wait.
+    constexpr int max_checks = 4000;
+    for (int check = 0; check < max_checks; ++check) {
         if (condition())
             return;
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
--- a/Tests/Harness/Cluster.h
+++ b/Tests/Harness/Cluster.h
@@ -13,9 +13,9 @@
 
 namespace Harness {
 
-/// What a caller got.
+/// A client's view of one answer.
 struct Reply {
-    /// 0 when the connection broke without an answer.
+    /// 0 if the connection broke without an answer.
     int status { 0 };
     std::string body;
     std::string outcome;
@@ -24,10 +24,11 @@
     std::string retry_after;
 };
 
-/// Waits until the condition holds. Ends the test as failed when it never does.
+/// Waits until the condition holds. Fails the test if it does not within a generous time.
 void wait_until(std::string const& what, std::function<bool()> const& condition);
 
-/// Real processes on loopback, on ports that the kernel chose, for one test.
+/// Real processes for one test, on loopback and ephemeral ports. Their logs are deleted at the end unless the
+/// environment variable CLEATBEAM_KEEP_LOGS is set.
 class Cluster {
 public:
     Cluster();
@@ -35,10 +36,10 @@
     Cluster(Cluster const&) = delete;
     Cluster& operator=(Cluster const&) = delete;
 
-    /// Starts a stand-in of the role under a name of the test's choice.
+    /// Starts a stand-in (`Programs/standin`) with this role. `name` identifies it in the other functions.
     void start_standin(std::string const& name, std::string const& role, std::vector<std::string> const& flags = {});
     void start_box(std::string const& name, int threads = 64);
-    /// Starts a box of the users' platform with this settings file; its ports for clients, readiness and metrics.
+    /// Starts `cleatbeam route` with this settings file. Returns its ports for clients, readiness and metrics.
     std::array<int, 3> start_route(std::string const& name, std::string const& settings_file);
     /// Publishes a settings document and waits until all boxes are ready.
     void publish(std::string const& document);
--- a/Tests/Harness/FaultProxy.cpp
+++ b/Tests/Harness/FaultProxy.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Closes so that the peer sees a reset.
+/// Closes the socket with a reset.
 void reset(tcp::socket& socket)
 {
     error_code ignored;
@@ -96,7 +96,7 @@
         co_await this->wait_while_held(is_answer);
         if (read_error) {
             error_code ignored;
-            // NOTE: An end is passed on as an end, anything else as a reset, as the peer would have seen it.
+            // NOTE: An orderly end is forwarded as one, anything else as a reset.
             if (read_error == asio::error::eof)
                 to.shutdown(tcp::socket::shutdown_send, ignored);
             else
--- a/Tests/Harness/FaultProxy.h
+++ b/Tests/Harness/FaultProxy.h
@@ -8,23 +8,23 @@
 
 namespace Harness {
 
-/// What a proxy does with the connections that pass through it.
+/// A network fault that a proxy simulates on all its connections.
 enum class Fault {
     None,
-    /// Bytes wait 150 ms on their way.
+    /// All bytes are delayed.
     Delayed,
-    /// What the far side says is held back; what the near side says arrives.
+    /// Bytes from the target are held back; bytes to the target pass.
     CutOneWay,
-    /// Nothing passes; connections stay open.
+    /// No bytes pass; connections stay open.
     Silent,
-    /// Connections are reset, and new ones too.
+    /// Open connections and new ones are reset.
     Reset,
-    /// Answers pass at the proxy's rate, which all its connections share; what the near side says passes at once.
+    /// Bytes from the target pass at the proxy's rate, which all connections share; bytes to the target pass at once.
     Narrow,
 };
 
-/// A proxy on loopback between two processes under test, with a thread of its own. Its port stays the same while the
-/// process behind it comes and goes.
+/// A proxy on loopback between two processes under test, with its own thread. Its port stays the same while the target
+/// process is restarted.
 class FaultProxy {
 public:
     FaultProxy();
@@ -33,12 +33,12 @@
     FaultProxy& operator=(FaultProxy const&) = delete;
 
     [[nodiscard]] int port() const { return this->acceptor.local_endpoint().port(); }
-    /// The port on loopback that new connections are passed on to.
+    /// The loopback port that new connections are forwarded to.
     void set_target(int port) { this->target = port; }
     void set_fault(Fault changed);
-    /// What Fault::Narrow lets through, in bytes a second; more than 0.
+    /// Rate of Fault::Narrow in bytes per second; more than 0.
     void set_rate(std::uint64_t bytes_per_second) { this->rate = bytes_per_second; }
-    /// Bytes of answers that were passed on so far.
+    /// Bytes from the target that were forwarded so far.
     [[nodiscard]] std::uint64_t answer_bytes() const { return this->passed_answer_bytes; }
 
 private:
@@ -59,9 +59,10 @@
     void reset_all();
 
     static constexpr std::size_t chunk_bytes = 16 * 1024;
-    /// What a narrow link passes on at once: small, so that an answer keeps coming and connections take turns.
+    /// Bytes that a narrow link forwards at a time: few, so that answers arrive continuously and connections take
+    /// turns.
     static constexpr std::size_t narrow_piece_bytes = 4 * 1024;
-    /// Bytes a second of a narrow link unless a test sets another rate: a record of 100 KB takes a second.
+    /// Rate of a narrow link, in bytes per second, unless a test sets another: a record of 100 KB takes a second.
     static constexpr std::uint64_t default_rate = 100'000;
     static constexpr auto delay = std::chrono::milliseconds(150);
     static constexpr auto look_again = std::chrono::milliseconds(10);
@@ -72,9 +73,9 @@
     std::atomic<Fault> fault { Fault::None };
     std::atomic<std::uint64_t> rate { default_rate };
     std::atomic<std::uint64_t> passed_answer_bytes { 0 };
-    // Used by the proxy's own thread only.
+    // Used only by the proxy's thread.
     std::list<std::weak_ptr<Pair>> pairs;
-    /// When all that was let onto the narrow link has passed.
+    /// When the narrow link will have transferred all bytes that were forwarded to it.
     Core::Instant link_free_at;
     std::thread thread;
 };
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -6,64 +6,64 @@
 
 namespace Harness {
 
-/// What the settings file of a box says where tests differ. Short bounds, so that a test of what runs out waits for a
-/// second and not for five.
+/// The settings of a box that differ between tests. The bounds are short, so that tests of expiry take a second instead
+/// of five.
 struct BoxBounds {
     int apply_milliseconds { 500 };
     int drain_milliseconds { 300 };
     int revoke_milliseconds { 3000 };
     /// Whether the boxes can reach each other.
     bool has_peers { false };
-    /// Where the box finds the store, if not at the store's own port: a proxy before it.
+    /// Port at which the box reaches the store, such as that of a proxy; 0 for the store's own.
     int store_port { 0 };
-    /// The box's link as its settings file tells it, in Mbit/s. Narrows nothing by itself.
+    /// Capacity of the box's link according to its settings, in Mbit/s. Does not limit the actual link.
     int link_megabits { 1000 };
     std::string_view failure_domain { "hall-1" };
-    /// Whether the settings say that all boxes start for the first time.
+    /// Whether, according to the settings, all boxes start for the first time.
     bool is_first_start { false };
-    /// Whether one box reports usage and orders servers, from the stand-in platform that start_cloud() starts.
+    /// Whether one box reports usage and orders servers. Needs start_cloud().
     bool has_leader { false };
     int lease_milliseconds { 1000 };
 };
 
-/// Real boxes (`cleatbeam route`) before stand-ins of the users' store and servers, for one test.
+/// Real boxes (`cleatbeam route`) with stand-ins for the platform's store and the endpoints, for one test.
 class PlatformCluster {
 public:
     PlatformCluster();
 
-    /// Starts a server of a service; its id is its name.
+    /// Starts an endpoint of a service; its id is its name.
     void start_server(std::string const& name, std::string const& service, std::vector<std::string> const& flags = {});
-    /// Starts the servers that have ended again, each under its id, as before. Returns which.
+    /// Restarts the endpoints that have ended, under the same ids, and returns their names.
     std::vector<std::string> restart_ended_servers();
     void start_box(std::string const& name, BoxBounds const& bounds = {});
-    /// Starts the stand-in that takes usage reports and orders of servers.
+    /// Starts the stand-in that accepts usage reports and orders of servers.
     void start_cloud();
-    /// What it took, in order.
+    /// The calls that the stand-in accepted, in order.
     [[nodiscard]] nlohmann::json taken_calls() const { return this->cluster.journal("cloud"); }
     void set_cloud_mode(std::string const& mode) const;
-    /// Writes the operator's record: three routes (a stream, a call that may be repeated, one that may not) and one
-    /// account that holds the keys. Further routes, some 170 bytes each, make it as large as a test wants it.
+    /// Writes the operator's record: three routes (streaming, idempotent, not idempotent) and one account with these
+    /// keys. Further routes, about 170 bytes each, make the record larger.
     void configure(int version, std::vector<std::string> const& keys, int further_routes = 0);
-    /// Waits until the box takes clients.
+    /// Waits until the box is ready.
     void wait_ready(std::string const& box) const;
     void set_store_mode(std::string const& mode) const;
-    /// The store comes back from a copy that lacks what was written in the last so many milliseconds.
+    /// Restores the store from a copy that lacks the writes of the last `lost_milliseconds`.
     void restore_store(int lost_milliseconds) const;
 
     /// Sends a request through a box.
     [[nodiscard]] Reply send(std::string const& box, std::string const& path, std::string const& attempt,
         std::map<std::string, std::string> headers = {}) const;
-    /// The same with this body, where several attempts are of one request.
+    /// The same with this body, so that several attempts can be of one request.
     [[nodiscard]] Reply send_body(std::string const& box, std::string const& path, std::string const& attempt,
         std::string const& body, std::map<std::string, std::string> headers = {}) const;
-    /// How many of the servers that were started have ended by themselves.
+    /// Number of endpoints that have ended by themselves.
     [[nodiscard]] int ended_servers() const;
-    /// Drops the entries of servers that have ended, as the platform does when they lapse; the stand-in store keeps
-    /// all.
+    /// Removes the entries of endpoints that have ended, as the platform does when they expire. The stand-in store
+    /// keeps them otherwise.
     void drop_ended_servers() const;
-    /// How often the servers have run an attempt, all together.
+    /// How often all endpoints together have run an attempt.
     [[nodiscard]] int runs(std::string const& attempt) const;
-    /// The same for these servers.
+    /// The same for some endpoints.
     [[nodiscard]] int runs(std::string const& attempt, std::vector<std::string> const& of) const;
     [[nodiscard]] nlohmann::json journal(std::string const& server) const { return this->cluster.journal(server); }
     [[nodiscard]] int store_port() const { return this->cluster.port("store"); }
@@ -71,9 +71,9 @@
     [[nodiscard]] Process& process(std::string const& name) { return this->cluster.process(name); }
     [[nodiscard]] std::string get(std::string const& name, std::string const& path) const;
     [[nodiscard]] std::string metrics(std::string const& box) const;
-    /// Sum of a metric's samples whose line begins so; 0 if there is none.
+    /// Sum of all samples of the metric whose line starts with `begin`; 0 if there are none.
     [[nodiscard]] double metric(std::string const& box, std::string const& begin) const;
-    /// Version of the configuration in force; 0 if there is none.
+    /// Version of the configuration in force; 0 for none.
     [[nodiscard]] int version_in_force(std::string const& box) const;
     [[nodiscard]] std::string log_of(std::string const& name) const { return this->cluster.log_of(name); }
 
--- a/Tests/Harness/Process.h
+++ b/Tests/Harness/Process.h
@@ -6,7 +6,7 @@
 
 namespace Harness {
 
-/// A process that this test started. Ended, by its id, when this goes.
+/// A child process of the test. The destructor kills it.
 class Process {
 public:
     Process(std::string const& program, std::vector<std::string> const& arguments, std::string const& log_file);
@@ -14,9 +14,9 @@
     Process(Process const&) = delete;
     Process& operator=(Process const&) = delete;
 
-    /// SIGKILL, and waits until it is gone.
+    /// Sends SIGKILL and waits for the process.
     void kill();
-    /// SIGTERM, and waits; the exit code.
+    /// Sends SIGTERM, waits, and returns the exit code.
     int terminate();
     void freeze() const;
     void thaw() const;
--- a/Tests/Soak/Clients.h
+++ b/Tests/Soak/Clients.h
@@ -19,30 +19,30 @@
     Stream,
 };
 
-/// What a client sent and what it was told.
+/// A request of a client and its answer.
 struct Exchange {
     std::string attempt;
     RequestKind kind { RequestKind::Once };
     std::string key;
     Clock::time_point sent_at;
-    /// 0 where no whole answer came.
+    /// 0 if no complete answer arrived.
     int status { 0 };
     std::string body;
 };
 
-/// Clients that send requests over kept connections, each to all boxes in turn, until they are stopped.
+/// Clients that send requests over persistent connections, each to all boxes in turn, until they are stopped.
 class Clients {
 public:
-    /// `ports` are those of the boxes and stay the same; `seed` decides on what is sent.
+    /// `ports` are the client ports of the boxes; `seed` determines the requests.
     Clients(std::vector<int> ports, std::uint64_t seed);
     ~Clients();
     Clients(Clients const&) = delete;
     Clients& operator=(Clients const&) = delete;
 
-    /// Ends the sending and gives all that was sent.
+    /// Stops sending and returns all requests.
     [[nodiscard]] std::vector<Exchange> finish();
 
-    /// The events of each stream.
+    /// Number of events in each stream.
     static constexpr int stream_events = 20;
 
 private:
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -7,11 +7,12 @@
 #include <cstdlib>
 #include <pcg_random.hpp>
 
-/// Real boxes before stand-ins of the users' store and servers, under faults drawn from a seed: boxes are killed,
-/// paused and stopped, the store fails in its ways, and the ways from clients to boxes and from boxes to the store are
-/// delayed, cut, narrowed and reset; the operator writes large configurations one after another. What clients were told
-/// is compared with what servers ran, and the last configuration has to come into force everywhere. A second play adds
-/// a store that comes back from copies, and a platform to which one box reports usage.
+/// Real boxes with stand-ins for the platform's store and the endpoints, under faults drawn from a seed: boxes are
+/// killed, paused and stopped, the store fails in several ways, and connections from clients to boxes and from boxes to
+/// the store are delayed, cut, narrowed and reset, while the operator writes large configurations in quick succession.
+/// The answers of clients are compared with the journals of the endpoints, and the last configuration must come into
+/// force on all boxes. Further plays add a store that is restored from copies and a platform to which one box reports
+/// usage, or endpoints with rate limits that reject requests or drain.
 namespace {
 
 using namespace Soak;
@@ -21,13 +22,13 @@
 
 constexpr std::array box_names { "b1", "b2", "b3", "b4", "b5" };
 constexpr std::array server_names { "m1", "m2", "d1", "d2" };
-/// A key must not be served this long after it was taken away.
+/// A key must not be accepted this long after its revocation.
 constexpr auto revoke_within = std::chrono::milliseconds(3000);
-/// Boxes tell one another of narrow links, so that none passes a large configuration on and each reads it itself.
+/// The links that boxes announce: so narrow that no box relays a large configuration and each reads it from the store.
 constexpr Harness::BoxBounds bounds { 1000, 1000, 3000, true, 0, 1 };
-/// A record of some 120 KB, which takes a narrow link 1.2 s.
+/// A record of about 120 KB, whose transfer over a narrow link takes 1.2 s.
 constexpr int many_routes = 700;
-/// A record that takes a narrow link 2.4 s: longer than any read waits at the store.
+/// A record whose transfer over a narrow link takes 2.4 s: longer than any long poll of the store.
 constexpr int max_route_count = 2 * many_routes;
 
 std::uint64_t from_environment(char const* name, std::uint64_t otherwise)
@@ -36,13 +37,13 @@
     return text != nullptr ? std::stoull(text) : otherwise;
 }
 
-/// What is played beside the faults of all seeds.
+/// Faults in addition to those that every play draws.
 enum class Play {
     Plain,
-    /// The store comes back from a copy now and then, and its writers write again; one box reports usage and orders
-    /// servers, from a platform that fails at times.
+    /// The store is sometimes restored from a copy, after which its writers repeat their writes; one box reports usage
+    /// to and orders servers from a platform that fails at times.
     CopiesAndLeader,
-    /// Servers name rate limits, turn all away for a time and say that they leave, and take it back.
+    /// Endpoints announce rate limits, reject all requests for a time, announce that they drain, and revoke all of it.
     EndpointReports,
 };
 
@@ -74,7 +75,7 @@
         return ports;
     }
 
-    /// One fault more; those drawn before may still last.
+    /// Adds one fault; earlier ones may still be active.
     void strike()
     {
         if (this->play == Play::CopiesAndLeader)
@@ -120,7 +121,7 @@
         }
     }
 
-    /// What the platform took: never two reports of one window that differ, and no token of two boxes.
+    /// Checks the calls that the platform accepted: no two different reports of one window, and no token of two boxes.
     void check_leader_calls() const
     {
         if (this->play != Play::CopiesAndLeader)
@@ -154,7 +155,7 @@
         }
     }
 
-    /// Takes the second key away; the moment at which the store has acknowledged that.
+    /// Revokes the second key. Returns when the store acknowledged it.
     Clock::time_point revoke()
     {
         this->cluster.set_store_mode("");
@@ -163,7 +164,7 @@
         return Clock::now();
     }
 
-    /// With links to the store that are narrow and nothing else wrong, a large configuration comes into force.
+    /// Checks that a large configuration comes into force over narrow links to the store without other faults.
     void configure_over_narrow_links()
     {
         this->wait_in_force();
@@ -209,7 +210,7 @@
         constexpr std::array paths { "/limit/3", "/limit/0.5", "/limit/", "/retry-after/0.5", "/retry-after/2",
             "/retry-after/" };
         static_cast<void>(this->cluster.get(name, paths[this->random_of_play(paths.size())]));
-        // NOTE: The other server of each service stays, since a box doesn't soon use one again that it was told leaves.
+        // NOTE: The other endpoint of each service stays, since a box does not soon reuse one that announced a drain.
         if (this->random_of_play(4) == 0)
             static_cast<void>(this->cluster.get(this->random_of_play(2) == 0 ? "m1" : "d1", "/leave"));
     }
@@ -223,7 +224,7 @@
         this->to_box[index].set_target(this->cluster.client_port(box_names[index]));
     }
 
-    /// Up to three versions in a row, some of them large. The operator writes them when the store takes them.
+    /// Writes up to three versions in a row, some of them large, as soon as the store accepts them.
     void write_series()
     {
         this->cluster.set_store_mode("");
@@ -259,7 +260,7 @@
     }
 
     pcg32 random;
-    /// Apart, so that a seed's faults are the same in both plays.
+    /// Separate generators, so that a seed's faults are the same in all plays.
     pcg32 random_of_play;
     Play play;
     int version { 0 };
@@ -278,7 +279,7 @@
     return text;
 }
 
-/// How often each attempt was run, by the servers' own journals.
+/// How often each attempt was run, according to the journals of the endpoints.
 std::map<std::string, int> runs_of(Site const& site)
 {
     std::map<std::string, int> runs;
@@ -290,7 +291,7 @@
     return runs;
 }
 
-/// Refusals with these say that the request has not run and never will.
+/// Whether the status promises that the request has not run and never will.
 bool says_not_run(int status)
 {
     return status == 503 || status == 429 || status == 408 || status == 421;
