LibGateway: Let the compressed list of endpoints be a class of its own

ControlRecords compressed the list, kept it, decided when it is too old and put an answer's parts together again; CompressedEndpointList does this now, and ControlRecords only asks for it.

--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -387,48 +387,19 @@
 {
     answer.source = this->list_history();
     auto const known = request.source == answer.source ? request.revision : 0;
-    bool const is_long = this->journal.size() >= min_compressed_endpoints;
+    bool const is_long = this->journal.size() >= CompressedEndpointList::min_endpoints;
     bool const is_whole = known == 0 || !this->journal.knows_since(known);
-    if (!is_whole || !is_long || !request.takes_compressed_endpoints) {
-        answer.endpoints = this->journal.changes_since(known);
+    bool const is_compressed = is_whole && is_long && request.takes_compressed_endpoints;
+    auto const* const list = is_compressed ? this->compressed_list.update(this->journal) : nullptr;
+    if (list == nullptr) {
+        answer.endpoints = this->journal.changes_since(is_compressed ? 0 : known);
         return;
     }
-    this->update_compressed_list();
-    if (!this->compressed_list) {
-        answer.endpoints = this->journal.changes_since(0);
-        return;
-    }
-    answer.endpoint_list = this->compressed_list->text;
-    answer.endpoints = this->journal.changes_since(this->compressed_list->revision);
+    answer.endpoint_list = list->text;
+    answer.endpoints = this->journal.changes_since(list->revision);
     answer.endpoints.is_whole = true;
 }
 
-void ControlRecords::update_compressed_list()
-{
-    auto const& made = this->compressed_list;
-    auto const max_changes = static_cast<std::size_t>(static_cast<double>(this->journal.size()) * max_changed_share);
-    if (made && this->journal.knows_since(made->revision)
-        && this->journal.changes_since(made->revision).changes.size() <= max_changes)
-        return;
-    auto const begun_at = monotonic_now();
-    auto const list = this->journal.changes_since(0);
-    auto const text = Membership::encode(list.changes);
-    Core::LastReason reason;
-    auto compressed = Membership::CompressedText::of(text, reason);
-    if (!compressed) {
-        Log::EventLine("endpoints_not_compressed").with("reason", reason.text).warning();
-        this->compressed_list.reset();
-        return;
-    }
-    Log::EventLine("endpoints_compressed")
-        .with("count", list.changes.size())
-        .with("bytes", text.size())
-        .with("compressed_bytes", compressed->bytes().size())
-        .with("took_ms", Core::to_milliseconds(monotonic_now() - begun_at))
-        .info();
-    this->compressed_list = CompressedList { list.revision, std::move(*compressed) };
-}
-
 std::optional<Membership::ControlAnswer> ControlRecords::answer(
     Membership::ControlRequest const& request, std::size_t max_configuration_bytes, Instant now)
 {
@@ -548,34 +519,15 @@
 
 std::optional<std::vector<Routing::EndpointRecord>> ControlRecords::whole_list(Membership::ControlAnswer const& answer)
 {
-    std::map<std::string, Routing::EndpointRecord> listed;
-    auto const add = [&listed](std::vector<Membership::EndpointChange> const& changes) {
-        for (auto const& change : changes) {
-            if (change.record)
-                listed.insert_or_assign(change.incarnation, *change.record);
-            else
-                listed.erase(change.incarnation);
-        }
-    };
-    if (answer.endpoint_list) {
-        Core::LastReason reason;
-        auto const text = answer.endpoint_list->text(reason);
-        auto const endpoints = text ? Membership::decode_endpoints(*text) : std::nullopt;
-        if (!endpoints) {
-            this->state.metrics.count_bad_record("endpoints");
-            Log::EventLine("endpoint_list_rejected")
-                .with("reason", text ? "not a list of endpoints" : reason.text)
-                .with("bytes", answer.endpoint_list->bytes().size())
-                .error();
-            return {};
-        }
-        add(*endpoints);
+    Core::LastReason reason;
+    auto records = whole_endpoint_list(answer, reason);
+    if (!records) {
+        this->state.metrics.count_bad_record("endpoints");
+        Log::EventLine("endpoint_list_rejected")
+            .with("reason", reason.text)
+            .with("bytes", answer.endpoint_list->bytes().size())
+            .error();
     }
-    add(answer.endpoints.changes);
-    std::vector<Routing::EndpointRecord> records;
-    records.reserve(listed.size());
-    for (auto& [incarnation, record] : listed)
-        records.push_back(std::move(record));
     return records;
 }
 
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/CompressedEndpointList.h>
 #include <LibGateway/Leadership.h>
 #include <LibMembership/DemandPool.h>
 #include <LibMembership/DepartedEndpoints.h>
@@ -148,8 +149,6 @@
     [[nodiscard]] std::uint64_t list_history() const;
     /// Adds the endpoints that the requester lacks to the answer.
     void put_endpoints(Membership::ControlRequest const& request, Membership::ControlAnswer& answer);
-    /// Compresses the whole list unless the last compressed one is still good.
-    void update_compressed_list();
     /// The whole list that an answer brings; empty if it can't be read.
     [[nodiscard]] std::optional<std::vector<Routing::EndpointRecord>> whole_list(
         Membership::ControlAnswer const& answer);
@@ -170,10 +169,6 @@
     /// outage may be one interval old, which leaves at least two.
     static constexpr Core::Duration min_expiry_time { std::chrono::seconds(2) };
 
-    /// Lists with at least this many endpoints are sent compressed.
-    static constexpr std::size_t min_compressed_endpoints = 64;
-    /// The compressed list is made anew when this fraction of it has changed.
-    static constexpr double max_changed_share = 0.1;
     /// The division of the engines changes within seconds, and hundreds of boxes ask for it.
     static constexpr Core::Duration answer_shares_interval { std::chrono::milliseconds(100) };
 
@@ -186,12 +181,7 @@
     Membership::EndpointJournal journal;
     /// The era to which the journal's revisions belong.
     std::uint64_t journal_era { 0 };
-    /// The list of endpoints of a revision, which all requesters of the whole list share.
-    struct CompressedList {
-        std::uint64_t revision { 0 };
-        Membership::CompressedText text;
-    };
-    std::optional<CompressedList> compressed_list;
+    CompressedEndpointList compressed_list;
     /// Why entries can't be read, by key.
     std::map<std::string, std::string> rejected_endpoints;
     /// Demand of this failure domain only: each domain divides the engines by its own demand.
