Tests: Reword the integration tests, and leave the stories of two of them to their pages

Comments only, in the field's terms. TestCrashingRequest and TestLargeConfiguration told their stories at the top; these stand in docs/incidents already, so a line on the failure that each guards against is left.

--- a/Tests/Integration/TestCallerSide.cpp
+++ b/Tests/Integration/TestCallerSide.cpp
@@ -15,7 +15,7 @@
 
 constexpr int whole_length = 40;
 
-/// One engine, or two, behind one box.
+/// One box with one or two engines.
 class ModelCluster : public Harness::Cluster {
 public:
     explicit ModelCluster(int engines)
@@ -57,7 +57,7 @@
     [[nodiscard]] int runs(std::string const& engine) const { return static_cast<int>(this->journal(engine).size()); }
 };
 
-/// Whether the stream holds all pieces of this request's answer, in order, and its closing event.
+/// Whether the stream contains all events of this request's answer, in order, and the final event.
 bool is_whole_stream(std::string const& text, std::string const& token)
 {
     std::size_t at = 0;
@@ -69,7 +69,7 @@
     return text.ends_with("data: [DONE]\n\n");
 }
 
-/// A TCP connection to a box on which nothing, or only a drip, is sent.
+/// A TCP connection to a box on which nothing, or only single bytes, are sent.
 class IdleConnection {
 public:
     explicit IdleConnection(int port)
--- a/Tests/Integration/TestCrashingRequest.cpp
+++ b/Tests/Integration/TestCrashingRequest.cpp
@@ -4,18 +4,7 @@
 #include <chrono>
 #include <thread>
 
-/// What users saw: an engine ended every second, each time with five to ten answers of other client accounts; forty in
-/// a day of two minutes.
-///
-/// Order of events: one client sent the same request (path, account, body) again and again, to any box. Each engine
-/// that began to run it ended; the client was told 502 and came back. Every box placed it as if it were the first time,
-/// and where an engine refused the connection, at the next one within 3 ms.
-///
-/// Cause: nothing outlived one try of a request. No box kept, or told another, that an endpoint had ended under it.
-///
-/// Evidence: under each of the eleven ends that the boxes' logs cover there was one request of that account and prompt,
-/// with its head sent and no event; no other was under more than two. With fingerprints in the log the runs under the
-/// ends are the same request.
+// Guards against a request that ends every endpoint that runs it, one after the other, through any box.
 namespace {
 
 constexpr auto client_pause = std::chrono::milliseconds(200);
@@ -57,7 +46,7 @@
     for (auto const* box : CrashingSite::boxes)
         CHECK(site.send(box, path, std::string("harmless-") + box).status == 200);
 
-    // What all boxes knew outlives them. Boxes that start know of no endpoint that has ended but what the list says.
+    // The refusal survives the restart of all boxes, which know of ended endpoints only what the list says.
     site.drop_ended_servers();
     for (auto const* box : CrashingSite::boxes)
         site.process(box).kill();
--- a/Tests/Integration/TestEndpointBackoff.cpp
+++ b/Tests/Integration/TestEndpointBackoff.cpp
@@ -6,7 +6,7 @@
 TEST_CASE("an endpoint that turned a request away and said when to come back gets nothing from that box until then")
 {
     constexpr double backoff_seconds = 3;
-    /// After the answer that says so, and the requests that may reach the endpoint from then on.
+    /// Requests that were under way when the endpoint asked for the pause may still arrive: how long, and how many.
     constexpr double slack_ms = 500;
     constexpr int most_in_backoff = 2;
 
--- a/Tests/Integration/TestLargeConfiguration.cpp
+++ b/Tests/Integration/TestLargeConfiguration.cpp
@@ -3,17 +3,7 @@
 #include <Harness/FaultProxy.h>
 #include <Harness/PlatformCluster.h>
 
-/// What users saw: after each large configuration, boxes with narrow links went on serving routes and keys that it had
-/// dropped, then refused everybody; boxes with wide links had it at once.
-///
-/// Order of events: the operator's record grew to half a megabyte and was acknowledged; narrow boxes lost the
-/// operator's topic though bytes came all the time and the store failed nothing; their lease aged and ran out; seconds
-/// later one read happened to come whole.
-///
-/// Cause: a read had 0.5 s for its whole answer, and one that was cut off began again at the first byte. What takes the
-/// link longer than that never comes whole, and a box that starts never becomes ready.
-///
-/// Evidence: the page on large configurations in docs/incidents.
+// Guards against configurations that boxes with narrow links never receive, since every read of them is cut off.
 namespace {
 
 using Harness::BoxBounds;
@@ -22,18 +12,18 @@
 using Harness::PlatformCluster;
 using Harness::wait_until;
 
-/// Some 120 KB of record.
+/// Gives a record of about 120 KB.
 constexpr int many_routes = 700;
-/// Less than that record, and more than all else that a box reads while a test runs.
+/// Less than that record, and more than everything else that a box reads during a test.
 constexpr double large_record_bytes = 100'000;
-/// The record takes this link 1.5 s, and 2 s as base64.
+/// Transfers the record in 1.5 s, in base64 in 2 s.
 constexpr std::uint64_t narrow_rate = 80'000;
-/// Wide enough that no lease runs out while two such records pass one after the other.
+/// Long enough that no lease expires during two such transfers in a row.
 constexpr BoxBounds wide_bounds { 3000, 3000, 8000 };
 /// More than three boxes of a failure domain: one of them reads the store for the others.
 constexpr std::array box_names { "b1", "b2", "b3", "b4", "b5" };
 
-/// Boxes that each reach the store over a link of their own, which is as wide as loopback at first.
+/// Boxes that reach the store over links of their own, which have the capacity of loopback until narrow() is called.
 struct Site : PlatformCluster {
     Site() { this->start_server("d1", "desk"); }
 
@@ -59,7 +49,7 @@
         return this->log_of(name).find("event=not_ready") == std::string::npos;
     }
 
-    /// Whether the box has lost the operator's topic; reads of the other topic may fail sooner.
+    /// Whether reads of the operator's topic fail. Reads of the other topic may fail earlier.
     [[nodiscard]] bool has_lost_store(std::string const& name) const
     {
         return this->log_of(name).find("event=store_lost topic=operator") != std::string::npos;
@@ -79,7 +69,7 @@
     std::map<std::string, FaultProxy> links;
 };
 
-/// A site with one box, and with five that ask one of them; configured small, ready, then behind narrow links.
+/// One box, or five with a common relay, that are ready with a small configuration and then get narrow links.
 struct NarrowSite : Site {
     NarrowSite()
     {
@@ -93,7 +83,7 @@
         {
             this->names = { box_names.begin(), box_names.end() };
             bounds.has_peers = true;
-            // NOTE: So no box passes a large configuration on, and each has to read it from the store.
+            // NOTE: With such links no box relays a large configuration, so each has to read it from the store.
             bounds.link_megabits = 1;
         }
         for (auto const& name : this->names)
@@ -117,7 +107,7 @@
     std::vector<std::string> names;
 };
 
-/// Every box comes to this version, read it itself, obeys it and was ready all the time.
+/// Checks that each box has read this version itself, applies it, and was always ready.
 void check_in_force_everywhere(NarrowSite& site, std::uint64_t version)
 {
     for (auto const& name : site.names) {
@@ -162,7 +152,7 @@
 {
     Site site;
     site.configure(1, { "key", "other" });
-    // A lease of 4.5 s, of which the wait at the store and the part that arrives use 2.
+    // A lease of 4.5 s, of which the long poll and the partial transfer take 2 s.
     site.start_behind_link("b1", { 3000, 3000, 5000 });
     site.wait_ready("b1");
     site.narrow("b1");
--- a/Tests/Integration/TestLeader.cpp
+++ b/Tests/Integration/TestLeader.cpp
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 
-/// One box reports usage and orders servers for all, with real boxes before stand-ins of the store, the servers and the
-/// platform.
+/// Real boxes, one of which reports usage and orders servers for all, with stand-ins for the store, the endpoints and
+/// the platform.
 namespace {
 
 using Harness::PlatformCluster;
@@ -33,7 +33,7 @@
         this->start_box(box, bounds);
     }
 
-    /// The box that says it leads; empty if there is none, or more than one.
+    /// The box that considers itself the leader; empty if none or several do.
     [[nodiscard]] std::string leader() const
     {
         std::string found;
@@ -47,7 +47,7 @@
         return found;
     }
 
-    /// Requests of the account in all windows that were reported, each window once.
+    /// Requests of the account in all reported windows, each window counted once.
     [[nodiscard]] std::uint64_t reported() const
     {
         std::uint64_t sum = 0;
@@ -56,7 +56,7 @@
         return sum;
     }
 
-    /// The counts that the platform took, by window.
+    /// The counts that the platform accepted, by window.
     [[nodiscard]] std::map<std::uint64_t, json> reports() const
     {
         std::map<std::uint64_t, json> reports;
@@ -64,13 +64,13 @@
             if (call["call"] != "/usage")
                 continue;
             auto const [position, is_first] = reports.try_emplace(call["window_id"], call["counts"]);
-            // The rule that must hold whatever happens: no window is reported twice with other counts.
+            // No window may be reported twice with different counts.
             CHECK(position->second == call["counts"]);
         }
         return reports;
     }
 
-    /// Sends so many requests, a part of them to each of the boxes.
+    /// Sends this number of requests, spread over the boxes.
     void serve(std::vector<std::string> const& boxes, int requests)
     {
         for (int number = 0; number < requests; ++number) {
@@ -79,7 +79,7 @@
         }
     }
 
-    /// No token is of two boxes, and none falls.
+    /// Checks that no token belongs to two boxes and that tokens never decrease.
     void check_tokens() const
     {
         std::map<std::uint64_t, std::string> boxes_by_token;
--- a/Tests/Integration/TestOneKey.cpp
+++ b/Tests/Integration/TestOneKey.cpp
@@ -11,7 +11,7 @@
 using Harness::Reply;
 using Harness::wait_until;
 
-/// Two boxes before a plain service that does not check keys, and one that does.
+/// Two boxes, a plain service that does not check keys, and one that does.
 class KeyedCluster : public Harness::Cluster {
 public:
     KeyedCluster()
@@ -52,7 +52,7 @@
         return std::async(std::launch::async, [this, box, key] { return this->send(box, key); });
     }
 
-    /// How often the key ran.
+    /// How often requests with the key were run.
     [[nodiscard]] int runs(std::string const& key, std::string const& endpoint = "service") const
     {
         int runs = 0;
@@ -69,7 +69,7 @@
         wait_until(
             "the log holds " + std::to_string(count) + " fate records", [&] { return this->fate_records() >= count; });
     }
-    /// Sends again, as a caller does after Retry-After, until the answer is final.
+    /// Retries as a client does after Retry-After, until the answer is final.
     [[nodiscard]] Reply send_until_final(std::string const& box, std::string const& key) const
     {
         Reply reply;
@@ -199,7 +199,7 @@
         CHECK(cluster.runs(key) == 1);
         CHECK(is_whole(later));
     } else {
-        // It gave up on its claim, which only it could run, so the key is settled as not run.
+        // It gave up its claim, with which nobody else could run the request, so the key is settled as not run.
         CHECK(woken.outcome == "undecided");
         wait_until("the claim is settled", [&] { return cluster.send("two", key).outcome == "not-run"; });
         CHECK(cluster.runs(key) == 0);
--- a/Tests/Integration/TestRateLimitedEndpoint.cpp
+++ b/Tests/Integration/TestRateLimitedEndpoint.cpp
@@ -8,12 +8,12 @@
 
 constexpr double limit_per_second = 1;
 constexpr double window_ms = 4000;
-/// What may reach the endpoint in a window: one and a half times its limit, and five.
+/// Requests that may reach the endpoint in a window: one and a half times its limit plus five.
 constexpr auto most_in_window = static_cast<std::size_t>(1.5 * limit_per_second * window_ms / 1000 + 5);
 
 std::string const name_limit = "/limit/" + std::to_string(limit_per_second);
 
-/// The most requests in any window, among those that arrived after the first so many.
+/// The largest number of requests in any window, without the first ones.
 std::size_t most_arrivals(std::vector<double> const& arrivals, std::size_t skipped)
 {
     std::size_t most = 0;
--- a/Tests/Integration/TestRefusedRequestRunsAgain.cpp
+++ b/Tests/Integration/TestRefusedRequestRunsAgain.cpp
@@ -8,7 +8,7 @@
 
 constexpr auto once = "/once/x";
 
-/// Sends the harmful request until it is refused at every box; how many servers have ended by then.
+/// Sends the harmful request until all boxes refuse it. Returns how many endpoints have ended by then.
 int come_back_until_refused(CrashingSite& site)
 {
     std::size_t refusals = 0;
@@ -28,7 +28,7 @@
     REQUIRE(ended <= CrashingSite::tolerated_ends + CrashingSite::tolerated_sends);
     auto const restarted = site.restart_ended_servers();
     REQUIRE(site.ended_servers() == 0);
-    // Only those that started again are left to answer.
+    // From here on only restarted endpoints can answer.
     for (int number = 1; number <= CrashingSite::server_count; ++number) {
         auto const server = "d" + std::to_string(number);
         if (std::ranges::find(restarted, server) == restarted.end())
@@ -48,7 +48,7 @@
 
 TEST_CASE("copies of a request that an endpoint crashed under take few others with them, however many come at once")
 {
-    // Each run lasts longer than a client's way to the next box.
+    // Each run takes longer than a client needs to reach the next box.
     CrashingSite site({ "--crash_after_ms=300" });
     static_cast<void>(site.try_harmful(once));
     Harness::wait_until("all boxes know of the crash", [&] {
--- a/Tests/Integration/TestRelay.cpp
+++ b/Tests/Integration/TestRelay.cpp
@@ -14,7 +14,7 @@
     return site.metric(box, "cleatbeam_relay_questions_total{outcome=\"answered\"}");
 }
 
-/// Five boxes of one failure domain that can reach each other, with wide bounds: none runs out while a test is slow.
+/// Five boxes of one failure domain that can reach each other, with bounds that do not expire when a test runs slowly.
 struct Site : PlatformCluster {
     Site()
     {
@@ -32,8 +32,8 @@
         wait_until("one box reads the store for all", [&] { return !this->relay().empty(); });
     }
 
-    /// The box that all others get answers from now; empty while there is none. Earlier answers don't count, since a
-    /// box that starts may have asked another one first.
+    /// The box whose answers all others use now; empty if there is none. Earlier answers don't count, since a box that
+    /// starts may first use another relay.
     [[nodiscard]] std::string relay() const
     {
         std::map<std::string, double> before;
@@ -92,14 +92,14 @@
 {
     Site site;
     auto const first = site.relay();
-    // A box's last read of its own waits at the store for 1.2 s, and the relay is asked every 0.8 s.
+    // A box's last own read waits at the store for 1.2 s; relays are polled every 0.8 s.
     constexpr double some = 4;
     for (auto const& name : Site::others(first))
         wait_until(name + " reads the store no more", [&] { return relayed_answers(site, name) >= some; });
     std::map<std::string, double> before;
     for (auto const* name : boxes)
         before[name] = site.metric(name, "cleatbeam_store_bytes_total");
-    // Uncompressed, the link of a box carries the record in more time than a relay may take for all of an answer.
+    // Uncompressed, the record takes the link of a box longer than a whole answer of a relay may take.
     constexpr int routes = 5000;
     constexpr double record_bytes = 800'000;
     site.configure(2, { "key" }, routes);
@@ -186,7 +186,7 @@
     std::vector<std::string> names;
 
 private:
-    /// Calls to the store so far, by box.
+    /// Number of calls to the store, by box.
     [[nodiscard]] std::map<std::string, double> calls() const
     {
         std::map<std::string, double> calls;
--- a/Tests/Integration/TestRoute.cpp
+++ b/Tests/Integration/TestRoute.cpp
@@ -8,7 +8,7 @@
 using Harness::PlatformCluster;
 using Harness::wait_until;
 
-/// Three boxes, two servers for streams, two for calls, configured and ready.
+/// Three boxes that are configured and ready, two endpoints for streams and two for plain calls.
 struct Site : PlatformCluster {
     Site()
     {
@@ -47,7 +47,7 @@
         for (auto const* kind : { "s-", "o-", "r-" })
             CHECK(site.runs(kind + name) == 1);
     }
-    // The endpoint learns the account, never the key, and gets what is left of the client's time.
+    // The endpoint receives the account, never the key, and the client's remaining time.
     auto const run = [&] {
         for (auto const* server : { "d1", "d2" }) {
             auto const journal = site.journal(server);
@@ -76,7 +76,7 @@
         });
         CHECK(site.send(box, "/once/x", std::string("k3-") + box).status == 200);
     }
-    // An older version that turns up later changes nothing.
+    // An older version that arrives later changes nothing.
     site.configure(3, { "key", "other" });
     site.configure(6, { "key", "third" });
     wait_until("the newer version is in force", [&] {
