--- a/Programs/capacity/main.cpp
+++ b/Programs/capacity/main.cpp
@@ -22,7 +22,7 @@
     return std::chrono::duration<double>(Clock::now() - start).count();
 }
 
-/// Bytes that the allocator has handed out.
+/// Allocated bytes.
 std::size_t bytes_in_use()
 {
     auto const info = mallinfo2();
--- a/Programs/cleatbeam/CommandLine.h
+++ b/Programs/cleatbeam/CommandLine.h
@@ -11,7 +11,7 @@
     exit_usage = 2,
 };
 
-/// One subcommand: its help and the flags it takes.
+/// A subcommand with its help text and its flags.
 struct Subcommand {
     std::string_view name;
     std::string_view arguments;
--- a/Programs/cleatbeam/ExplainLog.cpp
+++ b/Programs/cleatbeam/ExplainLog.cpp
@@ -20,7 +20,7 @@
 {
     std::vector<ToldEvent> events;
     for (std::string line; std::getline(lines, line);) {
-        // NOTE: Most lines are of other requests; looking for the id first spares reading their pairs.
+        // NOTE: Most lines belong to other requests; searching for the id first avoids parsing them.
         if (line.find(request) == std::string::npos)
             continue;
         auto pairs = Log::parse_line(line);
--- a/Programs/cleatbeam/ExplainLog.h
+++ b/Programs/cleatbeam/ExplainLog.h
@@ -2,6 +2,6 @@
 
 #include <string>
 
-/// Tells the story of one request from a box's log lines, in order and in words. `file` is a path, or "-" for standard
-/// input. The exit code says whether anything was found.
+/// Prints what happened to one request, in order, according to a box's log lines. `file` is a path, or "-" for standard
+/// input. Returns an exit code, which says whether any line was found.
 int explain_from_log(std::string const& request, std::string const& file);
--- a/Programs/cleatbeam/FileText.h
+++ b/Programs/cleatbeam/FileText.h
@@ -5,5 +5,5 @@
 #include <optional>
 #include <string>
 
-/// All of a file; nothing when it can't be read.
+/// The content of a file; empty if it can't be read.
 [[nodiscard]] std::optional<std::string> read_file(std::string const& path, Core::LastReason& last_reason);
--- a/Programs/cleatbeam/Route.cpp
+++ b/Programs/cleatbeam/Route.cpp
@@ -21,7 +21,7 @@
 {
     if (FLAGS_ports_file.empty())
         return;
-    // NOTE: Written aside and renamed, so that nobody reads a half of it.
+    // NOTE: Written to a temporary file and renamed, so that nobody reads it incomplete.
     auto const draft = FLAGS_ports_file + ".draft";
     std::ofstream(draft) << ports.front << " " << ports.readiness << " " << ports.metrics << "\n";
     if (std::rename(draft.c_str(), FLAGS_ports_file.c_str()) != 0)
--- a/Programs/cleatbeam/Serve.cpp
+++ b/Programs/cleatbeam/Serve.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-/// Blocks the signals that end a box, so that only the waiting main thread takes them.
+/// Blocks the termination signals, so that only the waiting main thread receives them.
 sigset_t block_end_signals()
 {
     sigset_t signals;
--- a/Programs/cleatbeam/SettingsCommands.cpp
+++ b/Programs/cleatbeam/SettingsCommands.cpp
@@ -51,7 +51,7 @@
     {
     }
 
-    /// Applies the next page. False when the platform did not answer.
+    /// Applies the next page. False if the platform did not answer.
     [[nodiscard]] bool read_on(std::string const& own_nonce, Core::Duration wait, Core::LastReason& last_reason)
     {
         auto const page = this->log.read(settings_stream, this->next, wait, last_reason);
@@ -131,7 +131,7 @@
         std::cerr << "cleatbeam: the platform's log refused the record: " << refused->reason << "\n";
         return exit_failure;
     }
-    // NOTE: Without an answer the record may stand all the same; only reading it back tells.
+    // NOTE: Without an answer the record may have been written; only reading it back shows that.
     for (int failed_reads = 0; failed_reads < most_failed_reads;) {
         if (!reader.read_on(publication.nonce, log_wait, last_reason) || reader.is_at_end)
             ++failed_reads;
--- a/Programs/standin/HttpSession.h
+++ b/Programs/standin/HttpSession.h
@@ -4,7 +4,7 @@
 
 #include <functional>
 
-/// A small HTTP server for stand-ins: one task a connection, and handlers that write their own answers.
+/// A small HTTP server for stand-ins, with one task per connection and handlers that write their own answers.
 namespace Standin {
 
 namespace asio = Gateway::asio;
@@ -23,7 +23,7 @@
 
     tcp::socket socket;
 
-    /// Sends a whole answer with a length; extra headers end with line ends.
+    /// Sends a whole answer with a Content-Length. Each extra header ends with a line end.
     [[nodiscard]] Task<bool> answer(unsigned status, std::string const& body, std::string const& headers = {});
     [[nodiscard]] Task<bool> send(std::string const& bytes);
 };
@@ -31,7 +31,7 @@
 /// Serves one request; false if the connection is to be closed.
 using Handler = std::function<Task<bool>(std::shared_ptr<Session> session, Request request)>;
 
-/// Listens on loopback on a port that the kernel chooses, and serves for as long as the context runs.
+/// Listens on an ephemeral loopback port and serves as long as the context runs.
 std::uint16_t serve(asio::io_context& context, Handler handler);
 
 /// The value of a parameter in a target's query; empty if it is absent.
--- a/Programs/standin/LoadPlan.h
+++ b/Programs/standin/LoadPlan.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-/// One request that falls due at a set time.
+/// A request with its scheduled time.
 struct PlannedRequest {
     double due_seconds { 0 };
     std::size_t class_index { 0 };
@@ -16,6 +16,6 @@
     bool urgent_fits { true };
 };
 
-/// Draws all arrivals of a run before it starts, so that every policy gets the same ones.
+/// Draws all arrivals of a run before it starts, so that they are the same for every policy.
 [[nodiscard]] std::vector<PlannedRequest> plan_load(Scenario const& scenario, double seconds, std::uint64_t seed,
     double token_ms, double batch_slope, double prefill_token_ms);
--- a/Programs/standin/LoadReport.h
+++ b/Programs/standin/LoadReport.h
@@ -5,21 +5,21 @@
 #include <map>
 #include <string>
 
-/// What the caller of one request saw in the end.
+/// How a request ended for its client.
 enum class SeenOutcome {
     Completed,
     NotRun,
     Undecided,
     Unknown,
-    /// The caller's patience ended first.
+    /// The client's time limit passed first.
     GivenUp,
-    /// The connection broke without an outcome.
+    /// The connection broke before a complete answer.
     NoAnswer,
 };
 
 struct RequestResult {
     SeenOutcome outcome { SeenOutcome::NoAnswer };
-    /// From when it was due, in milliseconds; meaningful for completed ones.
+    /// Time from the scheduled start to the end, in milliseconds; only for completed requests.
     double target_ms { 0 };
     double whole_ms { 0 };
     bool wrong_answer { false };
@@ -27,7 +27,7 @@
     bool was_refused { false };
 };
 
-/// What the endpoints' journals say of one request.
+/// Entries about one request in the journals of the endpoints.
 struct JournalCount {
     int runs { 0 };
     long tokens { 0 };
--- a/Programs/standin/Scenario.h
+++ b/Programs/standin/Scenario.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-/// A class of requests as the load generator sends it. Latencies in milliseconds.
+/// A class of requests of the load generator. Latencies are in milliseconds.
 struct LoadClass {
     std::string name;
     int tier { 0 };
@@ -23,7 +23,7 @@
     double patience_ms { 5000 };
     double floor { 0 };
     bool late_answer_useful { true };
-    /// How often the caller comes back after Retry-After.
+    /// How often the client retries after Retry-After.
     int most_returns { 0 };
 };
 
@@ -31,7 +31,7 @@
 struct LoadPhase {
     double share_of_time { 0 };
     std::vector<double> demand;
-    /// Whether the top tier's own demand fits its pools.
+    /// Whether the capacity suffices for the demand of the highest tier alone.
     bool urgent_fits { true };
 };
 
--- a/Programs/standin/SlotScheduler.h
+++ b/Programs/standin/SlotScheduler.h
@@ -5,7 +5,7 @@
 #include <mutex>
 #include <set>
 
-/// The slots of an engine: the most urgent waiting request gets the next one; equal ones in order of arrival.
+/// The slots of an engine. The most urgent waiting request gets the next free one, equal ones in order of arrival.
 class SlotScheduler {
 public:
     explicit SlotScheduler(int slots)
@@ -13,7 +13,7 @@
     {
     }
 
-    /// Blocks until a slot is had; false when `is_gone` says that the caller left meanwhile.
+    /// Blocks until a slot is free. False if the client left meanwhile, according to `is_gone`.
     [[nodiscard]] bool acquire(int priority, std::function<bool()> const& is_gone);
     void release();
     [[nodiscard]] int running();
--- a/Programs/standin/Standin.h
+++ b/Programs/standin/Standin.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-/// The stand-ins: small processes that take the place of what cleatbeam serves and uses. Not shipped.
+/// Stand-ins: small processes that replace clients, endpoints and platform in tests. Not shipped.
 int run_platform();
 int run_endpoint();
 int run_load();
@@ -13,7 +13,7 @@
 int run_server();
 int run_cloud();
 
-/// Writes "PORT\n" to a file, aside and renamed. Does nothing for an empty path.
+/// Writes "PORT\n" to a temporary file and renames it. Does nothing for an empty path.
 void write_port_file(std::string const& path, int port);
 /// Blocks until SIGTERM or SIGINT, which must be blocked in all threads.
 void block_end_signals();
--- a/Tests/LibGateway/TestControlRecords.cpp
+++ b/Tests/LibGateway/TestControlRecords.cpp
@@ -636,7 +636,7 @@
 constexpr std::uint64_t original_era = 1;
 constexpr std::uint64_t copied_era = 2;
 
-/// A box that read version 5 four seconds ago, and whose store came back from a copy a second later.
+/// A box that read a version four seconds ago and whose store was restored from a copy a second later.
 struct BoxAfterCopy : Box {
     BoxAfterCopy(int number, int version)
         : Box(number)
