LibGateway: Keep the known boxes when the store comes back from a copy without them

The leader read the list at once, knew only itself from then on, and told nobody that it leads; the second box claimed after its lease, then the third, 4 s in all, and the third one's first window came after the one with the nine requests, whose counts were lost.

Ruled out: requests that were not served (all nine were), a platform that refused a report (it took all).

Now: for 15 s after a restore, records that the box knows and the store lacks stay in its list, as the store's endpoints do; and each box writes its own record again within 3 s, whether or not a list lacks it, since the lists that it gets may come from a box that kept it. That is one more call for each box and restore.

Left: counts are still lost if leaders follow each other that fast for another reason.

--- a/Libraries/LibGateway/BoxRegistry.cpp
+++ b/Libraries/LibGateway/BoxRegistry.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/BoxRegistry.h>
 
+#include <LibCore/Verify.h>
 #include <LibGateway/HttpStatus.h>
 #include <LibGateway/WholeTopic.h>
 #include <LibLog/EventLog.h>
@@ -208,8 +209,9 @@
         Membership::BoxRecords listed;
         for (auto const& record : *records)
             listed.emplace(record.key, record.value.value_or(""));
-        this->apply_records(listed);
         this->rewrite_missing(listed);
+        this->add_lost_records(listed);
+        this->apply_records(listed);
         co_await this->delete_stale_records();
         bool const is_registered = !this->registers_at;
         if (is_registered)
@@ -320,11 +322,24 @@
 {
     this->must_read = true;
     // NOTE: The copy may lack what this box has written.
-    this->registered_at.reset();
+    auto const now = monotonic_now();
+    this->registers_at = now + this->random_up_to(registration_spread);
+    this->keeps_lost_records_until = now + registration_grace;
     this->has_relay_record = false;
     this->pause.interrupt();
 }
 
+void BoxRegistry::add_lost_records(Membership::BoxRecords& listed) const
+{
+    if (!this->copy || !this->keeps_lost_records_until || monotonic_now() >= *this->keeps_lost_records_until)
+        return;
+    Core::LastReason reason;
+    auto const text = this->copy->records.text(reason);
+    auto const known = text ? Membership::decode_box_records(*text) : std::nullopt;
+    VERIFY(known.has_value());
+    listed.insert(known->begin(), known->end());
+}
+
 void BoxRegistry::rewrite_missing(Membership::BoxRecords const& listed)
 {
     for (auto const& [key, value] : this->written_records) {
--- a/Libraries/LibGateway/BoxRegistry.h
+++ b/Libraries/LibGateway/BoxRegistry.h
@@ -86,6 +86,9 @@
     /// Writes queued records in order, also those that are queued meanwhile, until the time given.
     [[nodiscard]] Task<void> write_queued(Core::Instant until);
     [[nodiscard]] Task<void> delete_stale_records();
+    /// Adds the known records that a store lacks which was restored from a copy a short time ago. Their boxes are
+    /// running and write them again.
+    void add_lost_records(Membership::BoxRecords& listed) const;
     /// Queues the records that this process has written and that the store no longer lists.
     void rewrite_missing(Membership::BoxRecords const& listed);
     /// Counts the call. Logs any answer but a success, and returns nothing for it.
@@ -129,6 +132,8 @@
     /// When this box's record is to be written; empty if it is not due.
     std::optional<Core::Instant> registers_at;
     std::optional<Core::Instant> registered_at;
+    /// Until then a list may lack boxes that are running, since the store was restored from a copy.
+    std::optional<Core::Instant> keeps_lost_records_until;
     /// Boxes that started together have written their records by then.
     Core::Instant settled_at;
     /// When the list of boxes is read next, if this box has to read it.
--- a/Tests/LibGateway/TestBoxRegistry.cpp
+++ b/Tests/LibGateway/TestBoxRegistry.cpp
@@ -252,6 +252,27 @@
     REQUIRE(run_until(box.context, [&] { return box.calls(newest, boxes_topic) == 2; }));
 }
 
+// Guards against a leader that told no other box of itself, since the copy of the store lacked all of them.
+TEST_CASE(
+    "a box keeps the boxes that it knows when the store comes back from a copy without them, and writes its record")
+{
+    bool is_restored = false;
+    StartingBox box(BoxRegistry::Start::OfThisBox, [&](std::string const& target) {
+        if (begins_with(target, append))
+            return Answer { 200, "{}" };
+        if (concerns(target, relays_topic))
+            return Answer { 200, relay_records(own_record(), 7) };
+        return Answer { 200, is_restored ? R"({"items":[],"truncated":false,"end":9})" : full_list() };
+    });
+    REQUIRE(run_until(box.context, [&] { return box.list_updates == 1; }));
+    REQUIRE(box.calls(append, boxes_topic) == 0);
+    is_restored = true;
+    box.registry.store_restored();
+    REQUIRE(run_until(box.context, [&] { return box.list_updates == 2; }));
+    CHECK(box.source.boxes().size() == 4);
+    CHECK(run_until(box.context, [&] { return box.calls(append, boxes_topic) == 1; }));
+}
+
 // Guards against a search that never paused after the store came back from a copy, and so stopped the whole box.
 TEST_CASE("a box that is still searching when the store comes back from a copy goes on with its other work")
 {
