Tests: Divide the tests of ControlRecords, and make the route to the service "desk" in one place

TestControlRecords had grown to 682 lines with three subjects: 463 are left; evacuations are in TestEvacuationRecords, records after a restore in TestRecordsAfterCopy, what they share in RelayedRecords.h. Five tests of LibRouting wrote the same route field by field: DeskRoute.h.

--- a/Tests/LibGateway/TestControlRecords.cpp
+++ b/Tests/LibGateway/TestControlRecords.cpp
@@ -1,28 +1,10 @@
 #include <TestMain.h>
 
-#include <LibGateway/ControlRecords.h>
+#include "RelayedRecords.h"
 
 namespace {
 
-using namespace Gateway;
-using Core::Instant;
-
-Instant at(std::int64_t milliseconds)
-{
-    return Instant { std::chrono::milliseconds(milliseconds) };
-}
-
-Adapter::KeyedRecord configuration(int version)
-{
-    return { "config", R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})" };
-}
-
-Adapter::KeyedRecord endpoint(std::string const& name, std::string const& state = "ready")
-{
-    return { name,
-        R"({"service":"s","address":"10.0.0.1:80","zone":"","version":"v1","slots":4,"cold_left_ms":0,"call_seq":1,"state":")"
-            + state + "\"}" };
-}
+using namespace RelayedRecords;
 
 /// So many endpoints, named by number.
 std::vector<Adapter::KeyedRecord> endpoints(std::size_t count, std::string const& state = "ready")
@@ -34,14 +16,6 @@
     return records;
 }
 
-constexpr std::size_t any_length = 1'000'000;
-
-/// Where the log of the endpoints ends at that moment: it grows with the time.
-std::uint64_t offset_at(Instant moment)
-{
-    return static_cast<std::uint64_t>(moment.time_since_epoch().count());
-}
-
 /// An operator's record with this many routes.
 Adapter::KeyedRecord large_configuration(int version, int routes)
 {
@@ -55,44 +29,6 @@
     return { "config", text + "]}" };
 }
 
-/// A box's records, without a store or other boxes.
-struct Box {
-    explicit Box(int number)
-        : state(this->context, Routing::RouterSettings {}, 1)
-        , records(this->state, "b" + std::to_string(number), "a")
-    {
-    }
-
-    /// Reads both topics completely.
-    void read(int version, std::vector<Adapter::KeyedRecord> const& endpoints, Instant asked_at)
-    {
-        this->records.set_next(Adapter::Topic::Operator, 10);
-        this->records.apply_operator_records({ configuration(version) }, asked_at, Coverage::WholeList);
-        this->apply_endpoints(endpoints, asked_at, Coverage::WholeList);
-    }
-
-    /// Applies records that a read of the endpoints brought.
-    void apply_endpoints(std::vector<Adapter::KeyedRecord> const& endpoints, Instant asked_at, Coverage coverage)
-    {
-        this->records.set_next(Adapter::Topic::Endpoints, offset_at(asked_at));
-        this->records.apply_endpoint_records(endpoints, asked_at, coverage);
-    }
-
-    [[nodiscard]] std::uint64_t version() const { return this->state.router.configuration()->version(); }
-
-    asio::io_context context;
-    GatewayState state;
-    ControlRecords records;
-};
-
-/// One request of a box to a relay. Both use the same clock, and answers take no time.
-bool ask(Box& requester, Box& relay, Instant now, std::size_t max_configuration_bytes = any_length)
-{
-    auto const answer = relay.records.answer(requester.records.request(now), max_configuration_bytes, now);
-    REQUIRE(answer);
-    return requester.records.apply_relayed(*answer, "a", now);
-}
-
 /// The answer at 1100 ms of a relay with version 7 to a box that read version 6 at the moment given.
 Membership::ControlAnswer answer_with_version_7(Box& relay, Box& box, Instant box_read_at)
 {
@@ -525,158 +461,3 @@
     box.apply_endpoints({ broken, endpoint("b") }, at(400), Coverage::WholeList);
     CHECK(box.state.router.endpoint_count() == 1);
 }
-
-namespace {
-
-Adapter::KeyedRecord evacuation(std::string const& domain)
-{
-    return { "evacuate/" + domain, "{}" };
-}
-
-Adapter::KeyedRecord evacuation_end(std::string const& domain)
-{
-    return { "evacuate/" + domain, std::nullopt };
-}
-
-/// Applies records of the operator's topic that were appended up to this offset.
-void append(Box& box, std::uint64_t next, std::vector<Adapter::KeyedRecord> const& records)
-{
-    box.records.set_next(Adapter::Topic::Operator, next);
-    box.records.apply_operator_records(records, Core::monotonic_now(), Coverage::UpToEnd);
-}
-
-/// Endpoints that may get requests, of one in failure domain "a" and one in "b".
-std::size_t usable(Box const& box)
-{
-    return box.state.router.usable_endpoints("s", Core::monotonic_now());
-}
-
-std::vector<Adapter::KeyedRecord> endpoints_in_two_domains()
-{
-    auto const in_domain = [](std::string const& domain) {
-        return Adapter::KeyedRecord { "i-" + domain,
-            R"({"service":"s","address":"10.0.0.1:80","version":"v1","slots":4,"cold_left_ms":0,"call_seq":1,"state":"ready","zone":")"
-                + domain + "\"}" };
-    };
-    return { in_domain("a"), in_domain("b") };
-}
-
-}
-
-TEST_CASE("an evacuation reaches the boxes behind a relay, and so does its end")
-{
-    Box relay(1);
-    Box box(2);
-    relay.read(7, endpoints_in_two_domains(), Core::monotonic_now());
-    CHECK(ask(box, relay, Core::monotonic_now()));
-    CHECK(usable(box) == 2);
-    append(relay, 11, { evacuation("a") });
-    CHECK(usable(relay) == 1);
-    CHECK(ask(box, relay, Core::monotonic_now()));
-    CHECK(usable(box) == 1);
-    append(relay, 12, { evacuation_end("a") });
-    CHECK(ask(box, relay, Core::monotonic_now()));
-    CHECK(usable(box) == 2);
-}
-
-TEST_CASE("a box that starts during an evacuation applies it")
-{
-    Box box(1);
-    box.records.set_next(Adapter::Topic::Operator, 10);
-    box.records.apply_operator_records(
-        { configuration(7), evacuation("a") }, Core::monotonic_now(), Coverage::WholeList);
-    box.apply_endpoints(endpoints_in_two_domains(), Core::monotonic_now(), Coverage::WholeList);
-    CHECK(usable(box) == 1);
-}
-
-TEST_CASE("an outdated relay takes no evacuation back and brings none back")
-{
-    Box relay(1);
-    Box box(2);
-    relay.read(7, endpoints_in_two_domains(), Core::monotonic_now());
-    box.read(7, endpoints_in_two_domains(), Core::monotonic_now());
-    append(box, 12, { evacuation("a") });
-    CHECK(ask(box, relay, Core::monotonic_now()));
-    CHECK(usable(box) == 1);
-    append(relay, 13, { evacuation("b") });
-    append(box, 14, { evacuation_end("a"), evacuation_end("b") });
-    CHECK(ask(box, relay, Core::monotonic_now()));
-    CHECK(usable(box) == 2);
-}
-
-TEST_CASE("the answer of a relay that doesn't know of evacuations takes none back")
-{
-    Box relay(1);
-    Box box(2);
-    relay.read(7, endpoints_in_two_domains(), Core::monotonic_now());
-    box.read(7, endpoints_in_two_domains(), Core::monotonic_now());
-    append(box, 12, { evacuation("a") });
-    auto const now = Core::monotonic_now();
-    append(relay, 20, {});
-    auto answer = relay.records.answer(box.records.request(now), any_length, now);
-    REQUIRE(answer);
-    answer->evacuated_domains.reset();
-    CHECK(box.records.apply_relayed(*answer, "a", now));
-    CHECK(usable(box) == 1);
-}
-
-TEST_CASE("an evacuation that can't be read changes nothing")
-{
-    Box box(1);
-    box.read(7, endpoints_in_two_domains(), Core::monotonic_now());
-    append(box, 11, { evacuation("a") });
-    append(box, 12, { { "evacuate/a", "{" }, { "evacuate/b", "{" }, { "evacuate/", "{}" } });
-    CHECK(usable(box) == 1);
-    append(box, 13, { evacuation_end("a") });
-    CHECK(usable(box) == 2);
-}
-
-namespace {
-
-constexpr std::uint64_t original_era = 1;
-constexpr std::uint64_t copied_era = 2;
-
-/// A box that read a version four seconds ago and whose store was restored from a copy a second later.
-struct BoxAfterCopy : Box {
-    BoxAfterCopy(int number, int version)
-        : Box(number)
-    {
-        auto const read_at = this->now - std::chrono::seconds(4);
-        static_cast<void>(this->records.observe_era(original_era, {}, read_at));
-        this->read(version, {}, read_at);
-        static_cast<void>(this->records.observe_era(copied_era, this->now - std::chrono::seconds(3), this->now));
-    }
-
-    [[nodiscard]] Core::Duration configuration_age() const { return this->state.router.configuration_age(this->now); }
-
-    Instant now { Core::monotonic_now() };
-};
-
-}
-
-// Guards against a box that never held its lease again: it had the place in the log from a relay, after the record.
-TEST_CASE("a box whose relay has not confirmed its version in the store's copy reads the version there itself")
-{
-    BoxAfterCopy relay(1, 5);
-    BoxAfterCopy box(2, 1);
-    relay.records.set_next(Adapter::Topic::Operator, 10);
-    relay.apply_endpoints({}, relay.now, Coverage::WholeList);
-    REQUIRE(ask(box, relay, box.now));
-    REQUIRE(box.version() == 5);
-    CHECK(!box.records.next(Adapter::Topic::Operator));
-    box.read(5, {}, box.now);
-    CHECK(box.configuration_age() == Core::Duration { 0 });
-}
-
-TEST_CASE("a box whose relay has confirmed its version in the store's copy goes on where the relay is in the log")
-{
-    BoxAfterCopy relay(1, 5);
-    BoxAfterCopy box(2, 1);
-    relay.read(5, {}, relay.now);
-    REQUIRE(ask(box, relay, box.now));
-    REQUIRE(box.version() == 5);
-    CHECK(box.records.next(Adapter::Topic::Operator) == 10);
-    auto const read_at = box.now + std::chrono::milliseconds(100);
-    box.records.apply_operator_records({}, read_at, Coverage::UpToEnd);
-    CHECK(box.state.router.configuration_age(read_at) == Core::Duration { 0 });
-}
--- a/Tests/LibRouting/TestColdEndpoints.cpp
+++ b/Tests/LibRouting/TestColdEndpoints.cpp
@@ -1,5 +1,6 @@
 #include <TestMain.h>
 
+#include "DeskRoute.h"
 #include <LibRouting/RequestRouter.h>
 #include <algorithm>
 
@@ -39,13 +40,7 @@
         settings.cold = bounds;
         Configuration contents;
         contents.version = 1;
-        Route route;
-        route.name = "r";
-        route.host = "h";
-        route.path_prefix = "/";
-        route.timeout = seconds(3);
-        route.services = { { "desk", 1 } };
-        contents.routes = { route };
+        contents.routes = { route_to_desk("/", RouteKind::NonIdempotent, 1) };
         contents.services = { { "desk", 96, {} } };
         contents.services[0].cold_rate = cold_rate;
         auto const snapshot = std::make_shared<ConfigurationSnapshot const>(std::move(contents));
--- a/Tests/LibRouting/TestEndpointReports.cpp
+++ b/Tests/LibRouting/TestEndpointReports.cpp
@@ -1,5 +1,6 @@
 #include <TestMain.h>
 
+#include "DeskRoute.h"
 #include <LibRouting/RequestRouter.h>
 #include <set>
 
@@ -18,15 +19,8 @@
 
 Route route_of(std::string prefix, unsigned priority)
 {
-    Route route;
-    route.name = prefix;
-    route.host = "h";
-    route.path_prefix = std::move(prefix);
-    route.kind = RouteKind::Idempotent;
-    route.timeout = seconds(3);
+    auto route = route_to_desk(std::move(prefix), RouteKind::Idempotent, 2);
     route.priority = priority;
-    route.services = { { "desk", 1 } };
-    route.max_attempts = 2;
     return route;
 }
 
--- a/Tests/LibRouting/TestEvacuation.cpp
+++ b/Tests/LibRouting/TestEvacuation.cpp
@@ -1,5 +1,6 @@
 #include <TestMain.h>
 
+#include "DeskRoute.h"
 #include <LibRouting/RequestRouter.h>
 #include <set>
 
@@ -37,14 +38,7 @@
     {
         Configuration contents;
         contents.version = ++this->version;
-        Route route;
-        route.name = "r";
-        route.host = "h";
-        route.path_prefix = "/";
-        route.kind = RouteKind::Idempotent;
-        route.timeout = seconds(3);
-        route.services = { { "desk", 1 } };
-        route.max_attempts = 3;
+        auto route = route_to_desk("/", RouteKind::Idempotent, 3);
         route.allowed_regions = std::move(of_route);
         contents.routes = { route };
         contents.services = { { "desk", 96, {} } };
--- a/Tests/LibRouting/TestRequestRouter.cpp
+++ b/Tests/LibRouting/TestRequestRouter.cpp
@@ -1,5 +1,6 @@
 #include <TestMain.h>
 
+#include "DeskRoute.h"
 #include <LibRouting/RequestRouter.h>
 #include <set>
 
@@ -16,15 +17,8 @@
 
 Route route_named(std::string prefix, RouteKind kind, unsigned attempts)
 {
-    Route route;
-    route.name = prefix;
-    route.host = "h";
-    route.path_prefix = std::move(prefix);
-    route.kind = kind;
-    route.timeout = seconds(3);
+    auto route = route_to_desk(std::move(prefix), kind, attempts);
     route.priority = 2;
-    route.services = { { "desk", 1 } };
-    route.max_attempts = attempts;
     return route;
 }
 
--- a/Tests/LibRouting/TestTurnedAway.cpp
+++ b/Tests/LibRouting/TestTurnedAway.cpp
@@ -1,5 +1,6 @@
 #include <TestMain.h>
 
+#include "DeskRoute.h"
 #include <LibRouting/RequestRouter.h>
 #include <pcg_random.hpp>
 #include <queue>
@@ -29,15 +30,7 @@
     {
         Configuration contents;
         contents.version = 1;
-        Route route;
-        route.name = "r";
-        route.host = "h";
-        route.path_prefix = "/";
-        route.kind = RouteKind::NonIdempotent;
-        route.timeout = seconds(3);
-        route.services = { { "desk", 1 } };
-        route.max_attempts = 1;
-        contents.routes = { route };
+        contents.routes = { route_to_desk("/", RouteKind::NonIdempotent, 1) };
         contents.services = { { "desk", 96, {} } };
         this->router.offer_configuration(
             std::make_shared<ConfigurationSnapshot const>(std::move(contents)), at(seconds(0)));
