LibGateway: Say when a box reaches no endpoint any more, and since when

Cause: logs and metrics can't tell a box that is cut off from all endpoints from a service that is down, nor how many endpoints were tried before a request was answered 503. Ruled out: counting silent endpoints as evidence, since a sound endpoint may be silent for a second; counting answers on open connections, since these may work on while new ones are refused. Two connections to other endpoints confirm or end the suspicion that a failed or unanswered request gives, at most each half second. No decision about a request depends on it.

--- a/Libraries/LibGateway/EndpointCheck.cpp
+++ b/Libraries/LibGateway/EndpointCheck.cpp
@@ -18,8 +18,13 @@
 Task<EndpointCheckResult> check_endpoint(GatewayState& state, Core::EndpointId endpoint, Routing::SocketAddress address)
 {
     error_code error;
+    auto const began = Core::monotonic_now();
     state.metrics.count_endpoint_connection();
     auto connection = co_await state.connections.connect(endpoint, std::move(address), error);
+    if (error)
+        state.reachability.connect_failed(endpoint, began);
+    else
+        state.reachability.connected();
     if (error == asio::error::connection_refused)
         co_return EndpointCheckResult::Refuses;
     if (error)
--- a/Libraries/LibGateway/EndpointConnections.cpp
+++ b/Libraries/LibGateway/EndpointConnections.cpp
@@ -64,6 +64,21 @@
     co_return connection;
 }
 
+Task<bool> EndpointConnections::stays_open_for(SharedConnection connection, Core::Duration duration)
+{
+    asio::steady_timer timer(connection->socket.get_executor(), duration);
+    // NOTE: Cancelling doesn't stop a timer handler that is already queued when the wait ends.
+    auto const is_over = std::make_shared<bool>(false);
+    timer.async_wait([connection, is_over](error_code cancelled) {
+        error_code ignored;
+        if (!cancelled && !*is_over)
+            connection->socket.cancel(ignored);
+    });
+    auto const [error] = co_await connection->socket.async_wait(tcp::socket::wait_read, as_value);
+    *is_over = true;
+    co_return error == asio::error::operation_aborted;
+}
+
 void EndpointConnections::release(SharedConnection connection, Core::Instant now)
 {
     auto& kept = this->idle[connection->endpoint];
--- a/Libraries/LibGateway/EndpointConnections.h
+++ b/Libraries/LibGateway/EndpointConnections.h
@@ -49,6 +49,8 @@
     /// Opens a new connection. Returns null and sets `error` on failure or timeout.
     [[nodiscard]] Task<SharedConnection> connect(
         EndpointId endpoint, Routing::SocketAddress address, error_code& error);
+    /// Returns false if the endpoint closes or resets the idle connection within `duration`.
+    [[nodiscard]] static Task<bool> stays_open_for(SharedConnection connection, Core::Duration duration);
     /// Adds the connection to the pool for the next request.
     void release(SharedConnection connection, Core::Instant now);
     /// Closes all idle connections to an endpoint.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -109,6 +109,7 @@
         asio::co_spawn(this->context, this->metrics_listener->run(), asio::detached);
     asio::co_spawn(this->context, this->accept_clients(), asio::detached);
     asio::co_spawn(this->context, this->run_housekeeping(), asio::detached);
+    asio::co_spawn(this->context, this->state.reachability.run(), asio::detached);
     asio::co_spawn(this->context, this->wait_for_signals(), asio::detached);
     this->state.on_suspension = [this](Core::Duration suspended) { this->handle_suspension(suspended); };
     asio::co_spawn(this->context, this->watch_for_suspension(), asio::detached);
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -76,6 +76,7 @@
           gauge(*this->registry, "cleatbeam_refused_requests", "Requests refused because they crash endpoints"))
     , limited_endpoints(gauge(
           *this->registry, "cleatbeam_limited_endpoints", "Endpoints that report a rate limit for all boxes together"))
+    , is_cut_off(gauge(*this->registry, "cleatbeam_endpoints_unreachable", "1 while this box reaches no endpoint"))
 {
 }
 
@@ -196,6 +197,11 @@
     this->endpoints.Set(static_cast<double>(count));
 }
 
+void GatewayMetrics::set_is_cut_off(bool is_cut_off)
+{
+    this->is_cut_off.Set(is_cut_off ? 1 : 0);
+}
+
 void GatewayMetrics::set_limited_endpoints(std::size_t count)
 {
     this->limited_endpoints.Set(static_cast<double>(count));
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -60,6 +60,8 @@
     void set_refused_requests(std::size_t count);
     /// Sets the number of endpoints that report a rate limit.
     void set_limited_endpoints(std::size_t count);
+    /// Sets whether this box is cut off from all endpoints.
+    void set_is_cut_off(bool is_cut_off);
     /// Sets the number of boxes listed in the store, including this one.
     void set_boxes(std::size_t count);
 
@@ -95,6 +97,7 @@
     prometheus::Gauge& boxes;
     prometheus::Gauge& refused_requests;
     prometheus::Gauge& limited_endpoints;
+    prometheus::Gauge& is_cut_off;
 };
 
 }
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -5,6 +5,7 @@
 #include <LibGateway/EndpointConnections.h>
 #include <LibGateway/EndpointNoticeExchange.h>
 #include <LibGateway/GatewayMetrics.h>
+#include <LibGateway/ReachabilityMonitor.h>
 #include <LibLeader/SharedClock.h>
 #include <LibLeader/UsageCounts.h>
 #include <LibRouting/RequestRouter.h>
@@ -18,6 +19,7 @@
         : context(context)
         , router(std::move(settings), seed)
         , connections(context)
+        , reachability(context, this->router, this->connections, this->metrics)
         , crash_exchange(context, this->metrics)
         , endpoint_notice_exchange(this->router)
     {
@@ -49,6 +51,7 @@
     Routing::RequestRouter router;
     EndpointConnections connections;
     GatewayMetrics metrics;
+    ReachabilityMonitor reachability;
     CrashExchange crash_exchange;
     EndpointNoticeExchange endpoint_notice_exchange;
     Leader::SharedClock clock;
--- /dev/null
+++ b/Libraries/LibGateway/ReachabilityMonitor.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <LibGateway/EndpointConnections.h>
+#include <LibGateway/GatewayMetrics.h>
+#include <LibRouting/EndpointReachability.h>
+#include <LibRouting/RequestRouter.h>
+
+namespace Gateway {
+
+/// Finds out whether this box is cut off from the endpoints while the rest of the network still reaches it.
+///
+/// What requests show is confirmed by opening connections to a few other endpoints, since a box with few requests would
+/// learn too late and one with a broken endpoint too much. While the box is cut off, it goes on trying.
+class ReachabilityMonitor {
+public:
+    ReachabilityMonitor(asio::io_context& context, Routing::RequestRouter& router, EndpointConnections& connections,
+        GatewayMetrics& metrics)
+        : context(context)
+        , router(router)
+        , connections(connections)
+        , metrics(metrics)
+        , pause(context)
+    {
+    }
+
+    /// Runs until the event loop is stopped.
+    [[nodiscard]] Task<void> run();
+
+    [[nodiscard]] bool is_cut_off() const { return this->reachability.is_cut_off(); }
+    /// A connection to an endpoint was established.
+    void connected();
+    /// A connection attempt that began at `began` failed.
+    void connect_failed(EndpointId endpoint, Core::Instant began);
+    /// A request that was sent at `sent_at` got no answer, or its connection broke.
+    void unanswered(Core::Instant sent_at);
+    /// An endpoint sent an answer.
+    void answered(Core::Instant now) { this->last_answer = now; }
+    /// Whether an endpoint other than `refusing`, which refuses connections, accepts one after `since`. Then the
+    /// refusal is the endpoint's own. True as well if there is no other endpoint to ask.
+    [[nodiscard]] Task<bool> is_own_refusal(EndpointId refusing, Core::Instant since);
+
+private:
+    /// Tries to connect to a few endpoints at the same time. Returns whether there was one to try.
+    [[nodiscard]] Task<bool> check(std::vector<EndpointId> excluded);
+    [[nodiscard]] Task<void> try_connection(Routing::KnownEndpoint endpoint);
+    void apply(Routing::EndpointReachability::Change change, Core::Instant now);
+
+    /// Endpoints to which a check connects.
+    static constexpr std::size_t checked_endpoints = 2;
+    /// Interval of checks while the box is cut off, and the least time between two checks that succeed.
+    static constexpr Core::Duration check_interval { std::chrono::milliseconds(500) };
+    static constexpr Core::Duration idle_interval { std::chrono::minutes(1) };
+    /// A device on the way may accept a connection and reset it at once. A round trip takes a few milliseconds.
+    static constexpr Core::Duration reset_wait { std::chrono::milliseconds(20) };
+
+    static constexpr std::size_t max_refusing_endpoints = 64;
+
+    asio::io_context& context;
+    Routing::RequestRouter& router;
+    EndpointConnections& connections;
+    GatewayMetrics& metrics;
+    InterruptibleTimer pause;
+    Routing::EndpointReachability reachability;
+    /// When the box was last found to be cut off.
+    Core::Instant cut_off_at;
+    Core::Instant last_answer { Core::Instant::min() };
+    /// Whether requests gave reason for a check.
+    bool is_suspected { false };
+    /// Endpoints that refused connections while others accepted them, the latest last.
+    std::vector<EndpointId> refusing_endpoints;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/EndpointReachability.cpp
@@ -0,0 +1,28 @@
+#include <LibRouting/EndpointReachability.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Routing {
+
+EndpointReachability::Change EndpointReachability::connected(Instant now)
+{
+    this->last_connected = std::max(this->last_connected, now);
+    this->failed.clear();
+    return std::exchange(this->cut_off, false) ? Change::Restored : Change::None;
+}
+
+EndpointReachability::Change EndpointReachability::connect_failed(
+    EndpointId endpoint, Instant began, std::size_t endpoint_count)
+{
+    if (this->has_connected_since(began) || this->is_cut_off())
+        return Change::None;
+    if (std::ranges::find(this->failed, endpoint) == this->failed.end())
+        this->failed.push_back(endpoint);
+    if (this->failed.size() < std::min(min_failed_endpoints, endpoint_count))
+        return Change::None;
+    this->cut_off = true;
+    return Change::CutOff;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/EndpointReachability.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <LibCore/Ids.h>
+#include <LibCore/Time.h>
+
+#include <vector>
+
+namespace Routing {
+
+using Core::Duration;
+using Core::EndpointId;
+using Core::Instant;
+
+/// Whether this box can open connections to endpoints.
+///
+/// An endpoint that can't be connected to has probably ended. A box that fails at several endpoints in a row, and
+/// connects to none in between, is itself cut off from them. Only new connections count: open ones may work on while
+/// new ones are refused, and an endpoint that doesn't answer for a while is no evidence at all.
+class EndpointReachability {
+public:
+    enum class Change {
+        None,
+        /// The box is cut off from now on.
+        CutOff,
+        /// The box is no longer cut off.
+        Restored,
+    };
+
+    /// A connection to an endpoint was established.
+    [[nodiscard]] Change connected(Instant now);
+    /// A connection attempt that began at `began` failed. `endpoint_count` is the number of endpoints that this box may
+    /// send to.
+    [[nodiscard]] Change connect_failed(EndpointId endpoint, Instant began, std::size_t endpoint_count);
+
+    [[nodiscard]] bool is_cut_off() const { return this->cut_off; }
+    /// Whether a connection was established after `begin`.
+    [[nodiscard]] bool has_connected_since(Instant begin) const { return this->last_connected >= begin; }
+    /// The endpoints at which attempts have failed since the last established connection.
+    [[nodiscard]] std::vector<EndpointId> const& failed_endpoints() const { return this->failed; }
+
+private:
+    /// Endpoints that must fail in a row. With a third of all endpoints down, one series in 27 is this long by chance,
+    /// and the next established connection ends it.
+    static constexpr std::size_t min_failed_endpoints = 3;
+
+    Instant last_connected { Instant::min() };
+    std::vector<EndpointId> failed;
+    bool cut_off { false };
+};
+
+}
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <ranges>
 
 namespace Routing {
 
@@ -190,6 +191,29 @@
     return this->directory.size();
 }
 
+std::vector<KnownEndpoint> RequestRouter::sample_endpoints(
+    std::size_t count, std::vector<EndpointId> const& excluded, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    std::set<std::string> excluded_domains;
+    for (auto const id : excluded) {
+        if (auto const* const endpoint = this->directory.find(id))
+            excluded_domains.insert(endpoint->record.failure_domain);
+    }
+    std::vector<KnownEndpoint const*> candidates;
+    for (auto const& [incarnation, endpoint] : this->directory.all()) {
+        if (this->is_usable(endpoint, now) && std::ranges::find(excluded, endpoint.id) == excluded.end())
+            candidates.push_back(&endpoint);
+    }
+    std::ranges::shuffle(candidates, this->random);
+    std::ranges::stable_partition(
+        candidates, [&](auto const* endpoint) { return !excluded_domains.contains(endpoint->record.failure_domain); });
+    std::vector<KnownEndpoint> sample;
+    for (auto const* const endpoint : std::views::take(candidates, static_cast<std::ptrdiff_t>(count)))
+        sample.push_back(*endpoint);
+    return sample;
+}
+
 std::size_t RequestRouter::usable_endpoints(std::string_view service, Instant now) const
 {
     std::scoped_lock const guard(this->endpoints_lock);
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -145,6 +145,10 @@
     /// Removes expired endpoints. Returns the endpoints that were removed since the last call.
     [[nodiscard]] std::vector<EndpointId> expire_endpoints(Instant now);
     [[nodiscard]] std::size_t endpoint_count() const;
+    /// Up to `count` random endpoints that may get new requests and are not in `excluded`, whatever their services.
+    /// Those in failure domains without excluded endpoints are preferred.
+    [[nodiscard]] std::vector<KnownEndpoint> sample_endpoints(
+        std::size_t count, std::vector<EndpointId> const& excluded, Instant now);
     /// Number of endpoints of a service that may get new requests.
     [[nodiscard]] std::size_t usable_endpoints(std::string_view service, Instant now) const;
 
