LibGateway: Count a connection as evidence only once it has answered or stayed open

Cause: a device on the way may accept a connection and reset it at once. Each request of a box that was cut off in this way opened a connection first, which ended the series of failures, so the box never said that it was cut off. Ruled out: leaving checks to find it, since every request's connection took the evidence of the check back.

--- a/Libraries/LibGateway/EndpointCheck.cpp
+++ b/Libraries/LibGateway/EndpointCheck.cpp
@@ -23,8 +23,6 @@
     auto connection = co_await state.connections.connect(endpoint, std::move(address), error);
     if (error)
         state.reachability.connect_failed(endpoint, began);
-    else
-        state.reachability.connected();
     if (error == asio::error::connection_refused)
         co_return EndpointCheckResult::Refuses;
     if (error)
--- a/Libraries/LibGateway/ReachabilityMonitor.cpp
+++ b/Libraries/LibGateway/ReachabilityMonitor.cpp
@@ -28,10 +28,15 @@
     }
 }
 
-void ReachabilityMonitor::connected()
+void ReachabilityMonitor::answered(Core::Instant opened_at)
 {
-    auto const now = monotonic_now();
-    this->apply(this->reachability.connected(now), now);
+    this->last_answer = monotonic_now();
+    this->connected(opened_at);
+}
+
+void ReachabilityMonitor::connected(Core::Instant opened_at)
+{
+    this->apply(this->reachability.connected(opened_at), monotonic_now());
 }
 
 void ReachabilityMonitor::connect_failed(EndpointId endpoint, Core::Instant began)
@@ -101,7 +106,7 @@
         co_return;
     }
     std::erase(this->refusing_endpoints, endpoint.id);
-    this->connected();
+    this->connected(monotonic_now());
     this->connections.release(std::move(connection), monotonic_now());
 }
 
--- a/Libraries/LibGateway/ReachabilityMonitor.h
+++ b/Libraries/LibGateway/ReachabilityMonitor.h
@@ -27,14 +27,12 @@
     [[nodiscard]] Task<void> run();
 
     [[nodiscard]] bool is_cut_off() const { return this->reachability.is_cut_off(); }
-    /// A connection to an endpoint was established.
-    void connected();
     /// A connection attempt that began at `began` failed.
     void connect_failed(EndpointId endpoint, Core::Instant began);
     /// A request that was sent at `sent_at` got no answer, or its connection broke.
     void unanswered(Core::Instant sent_at);
-    /// An endpoint sent an answer.
-    void answered(Core::Instant now) { this->last_answer = now; }
+    /// An endpoint sent an answer on a connection that was opened at `opened_at`.
+    void answered(Core::Instant opened_at);
     /// Whether an endpoint other than `refusing`, which refuses connections, accepts one after `since`. Then the
     /// refusal is the endpoint's own. True as well if there is no other endpoint to ask.
     [[nodiscard]] Task<bool> is_own_refusal(EndpointId refusing, Core::Instant since);
@@ -43,6 +41,8 @@
     /// Tries to connect to a few endpoints at the same time. Returns whether there was one to try.
     [[nodiscard]] Task<bool> check(std::vector<EndpointId> excluded);
     [[nodiscard]] Task<void> try_connection(Routing::KnownEndpoint endpoint);
+    /// A connection that was opened at `opened_at` works.
+    void connected(Core::Instant opened_at);
     void apply(Routing::EndpointReachability::Change change, Core::Instant now);
 
     /// Endpoints to which a check connects.
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -166,7 +166,10 @@
     auto const error = co_await this->call->open(endpoint, attempt.placed.endpoint.address);
     attempt.reused_connection = this->call->is_reused();
     attempt.connection_opened = this->call->connection_opened_at();
-    this->report_connection(attempt, error);
+    if (this->is_cancelled())
+        this->state.reachability.unanswered(attempt.started);
+    else if (error)
+        this->state.reachability.connect_failed(endpoint, attempt.started);
     auto const now = monotonic_now();
     bool const has_endpoint_left = !error && !this->state.router.may_receive(endpoint, now);
     bool const is_at_limit = !error && !has_endpoint_left && !this->state.router.may_send(attempt.placed, now);
@@ -188,16 +191,6 @@
     co_return end;
 }
 
-void RequestExchange::report_connection(Attempt const& attempt, error_code error) const
-{
-    if (this->is_cancelled())
-        this->state.reachability.unanswered(attempt.started);
-    else if (error)
-        this->state.reachability.connect_failed(attempt.placed.choice.endpoint, attempt.started);
-    else if (!attempt.reused_connection)
-        this->state.reachability.connected();
-}
-
 void RequestExchange::send_request(Attempt const& attempt)
 {
     ++this->sent_attempts;
@@ -229,7 +222,7 @@
         attempt.connection_broke = !this->is_cancelled() && !this->was_endpoint_silent;
         co_return this->end_of_broken_answer();
     }
-    this->state.reachability.answered(monotonic_now());
+    this->state.reachability.answered(attempt.connection_opened);
     attempt.status = this->call->head().result_int();
     attempt.reported_draining = facts.is_draining;
     attempt.reported_backoff = facts.backoff;
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -83,8 +83,6 @@
     /// Ends a request for which the router found no endpoint, at the first attempt or a later one.
     [[nodiscard]] Task<void> end_unplaced(Routing::Rejected const& rejected);
     [[nodiscard]] Task<AttemptEnd> try_endpoint(Attempt& attempt);
-    /// Reports to the reachability monitor whether a connection could be opened.
-    void report_connection(Attempt const& attempt, error_code error) const;
     void send_request(Attempt const& attempt);
     [[nodiscard]] Task<AttemptEnd> send_and_receive(Attempt& attempt);
     [[nodiscard]] Task<AttemptEnd> forward_answer(Attempt& attempt);
--- a/Libraries/LibRouting/EndpointReachability.cpp
+++ b/Libraries/LibRouting/EndpointReachability.cpp
@@ -5,9 +5,11 @@
 
 namespace Routing {
 
-EndpointReachability::Change EndpointReachability::connected(Instant now)
+EndpointReachability::Change EndpointReachability::connected(Instant opened_at)
 {
-    this->last_connected = std::max(this->last_connected, now);
+    if (opened_at < this->last_failed_attempt)
+        return Change::None;
+    this->last_connected = std::max(this->last_connected, opened_at);
     this->failed.clear();
     return std::exchange(this->cut_off, false) ? Change::Restored : Change::None;
 }
@@ -15,7 +17,10 @@
 EndpointReachability::Change EndpointReachability::connect_failed(
     EndpointId endpoint, Instant began, std::size_t endpoint_count)
 {
-    if (this->has_connected_since(began) || this->is_cut_off())
+    if (this->has_connected_since(began))
+        return Change::None;
+    this->last_failed_attempt = std::max(this->last_failed_attempt, began);
+    if (this->is_cut_off())
         return Change::None;
     if (std::ranges::find(this->failed, endpoint) == this->failed.end())
         this->failed.push_back(endpoint);
--- a/Libraries/LibRouting/EndpointReachability.h
+++ b/Libraries/LibRouting/EndpointReachability.h
@@ -26,8 +26,9 @@
         Restored,
     };
 
-    /// A connection to an endpoint was established.
-    [[nodiscard]] Change connected(Instant now);
+    /// A connection to an endpoint that was opened at `opened_at` works. Those opened before the last failed attempt
+    /// began don't show that another one would succeed.
+    [[nodiscard]] Change connected(Instant opened_at);
     /// A connection attempt that began at `began` failed. `endpoint_count` is the number of endpoints that this box may
     /// send to.
     [[nodiscard]] Change connect_failed(EndpointId endpoint, Instant began, std::size_t endpoint_count);
@@ -44,6 +45,8 @@
     static constexpr std::size_t min_failed_endpoints = 3;
 
     Instant last_connected { Instant::min() };
+    /// When the latest of the attempts began that have failed in a row.
+    Instant last_failed_attempt { Instant::min() };
     std::vector<EndpointId> failed;
     bool cut_off { false };
 };
--- a/Tests/LibRouting/TestEndpointReachability.cpp
+++ b/Tests/LibRouting/TestEndpointReachability.cpp
@@ -47,6 +47,16 @@
     CHECK(reachability.failed_endpoints().empty());
 }
 
+TEST_CASE("answers on connections that were open before the failures are no evidence of reach")
+{
+    EndpointReachability reachability;
+    for (std::uint32_t number = 1; number <= 3; ++number)
+        static_cast<void>(reachability.connect_failed(EndpointId { number }, start + milliseconds(10), many));
+    CHECK(reachability.connected(start) == Change::None);
+    CHECK(reachability.is_cut_off());
+    CHECK(reachability.connected(start + milliseconds(11)) == Change::Restored);
+}
+
 TEST_CASE("where there are few endpoints, all of them have to fail")
 {
     EndpointReachability reachability;
