Tests: Show that clients of a box that is cut off from all endpoints are not served

A proxy before an endpoint finds the box that opened a connection by its socket, since all processes share one address.

--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -17,6 +17,7 @@
 DEFINE_int32(server_slots, 64, "requests at once");
 DEFINE_int32(work_ms, 5, "time for a plain call, and between two events of a stream");
 DEFINE_int32(heartbeat_ms, 200, "time between two records in the store");
+DEFINE_int32(listed_port, 0, "port in the server's record, such as that of a proxy; 0 for its own");
 DEFINE_string(crash_on, "", "the process ends when it runs a request whose body holds this text");
 DEFINE_int32(crash_after_ms, 0, "how long it runs such a request before it ends");
 
@@ -36,7 +37,7 @@
 
     void start(std::uint16_t port)
     {
-        this->address = "127.0.0.1:" + std::to_string(port);
+        this->address = "127.0.0.1:" + std::to_string(FLAGS_listed_port == 0 ? port : FLAGS_listed_port);
         asio::co_spawn(this->context, this->keep_listed(), asio::detached);
     }
 
--- a/Tests/Harness/FaultProxy.cpp
+++ b/Tests/Harness/FaultProxy.cpp
@@ -1,4 +1,5 @@
 #include "FaultProxy.h"
+#include "SocketOwner.h"
 
 #include <LibGateway/Asio.h>
 #include <algorithm>
@@ -41,6 +42,35 @@
         asio::post(this->context, [this] { this->reset_all(); });
 }
 
+void FaultProxy::set_fault_for(pid_t process, Fault changed)
+{
+    asio::post(this->context, [this, process, changed] { this->apply_fault_for(process, changed); });
+}
+
+void FaultProxy::apply_fault_for(pid_t process, Fault changed)
+{
+    this->faults_by_process[process] = changed;
+    for (auto const& weak : this->pairs) {
+        auto const pair = weak.lock();
+        if (!pair || !owns_connection(process, pair->near_port, this->acceptor.local_endpoint().port()))
+            continue;
+        pair->is_silent = changed == Fault::Silent;
+        if (changed == Fault::Reset) {
+            reset(pair->near);
+            reset(pair->far);
+        }
+    }
+}
+
+Fault FaultProxy::fault_of_opener(std::uint16_t near_port) const
+{
+    for (auto const& [process, process_fault] : this->faults_by_process) {
+        if (process_fault != Fault::None && owns_connection(process, near_port, this->acceptor.local_endpoint().port()))
+            return process_fault;
+    }
+    return Fault::None;
+}
+
 void FaultProxy::reset_all()
 {
     for (auto const& weak : this->pairs) {
@@ -58,12 +88,16 @@
         auto [error, socket] = co_await this->acceptor.async_accept(as_value);
         if (error)
             co_return;
-        if (this->fault == Fault::Reset) {
+        error_code ignored;
+        auto const near_port = socket.remote_endpoint(ignored).port();
+        auto const opener_fault = this->fault_of_opener(near_port);
+        if (this->fault == Fault::Reset || opener_fault == Fault::Reset || opener_fault == Fault::RefuseNew) {
             reset(socket);
             continue;
         }
         std::erase_if(this->pairs, [](auto const& weak) { return weak.expired(); });
-        auto const pair = std::make_shared<Pair>(Pair { std::move(socket), tcp::socket(this->context) });
+        auto const pair = std::make_shared<Pair>(
+            Pair { std::move(socket), tcp::socket(this->context), near_port, opener_fault == Fault::Silent });
         this->pairs.push_back(pair);
         asio::co_spawn(this->context, this->connect(pair), asio::detached);
     }
@@ -93,7 +127,7 @@
         auto const [read_error, read] = co_await from.async_read_some(asio::buffer(bytes), as_value);
         if (this->fault == Fault::Delayed)
             co_await sleep_for(delay);
-        co_await this->wait_while_held(is_answer);
+        co_await this->wait_while_held(*pair, is_answer);
         if (read_error) {
             error_code ignored;
             // NOTE: An orderly end is forwarded as one, anything else as a reset.
@@ -103,20 +137,21 @@
                 reset(to);
             co_return;
         }
-        if (co_await this->write(to, { bytes.data(), read }, is_answer)) {
+        if (co_await this->write(*pair, { bytes.data(), read }, is_answer)) {
             reset(from);
             co_return;
         }
     }
 }
 
-Task<error_code> FaultProxy::write(tcp::socket& socket, std::string_view bytes, bool is_answer)
+Task<error_code> FaultProxy::write(Pair& pair, std::string_view bytes, bool is_answer)
 {
+    auto& socket = is_answer ? pair.near : pair.far;
     while (!bytes.empty()) {
         auto const piece = bytes.substr(0, this->is_narrow(is_answer) ? narrow_piece_bytes : bytes.size());
         if (this->is_narrow(is_answer))
             co_await this->wait_for_link(piece.size());
-        co_await this->wait_while_held(is_answer);
+        co_await this->wait_while_held(pair, is_answer);
         auto const [error, written] = co_await asio::async_write(socket, asio::buffer(piece), as_value);
         if (error)
             co_return error;
@@ -135,9 +170,9 @@
     co_await sleep_for(this->link_free_at - now);
 }
 
-Task<void> FaultProxy::wait_while_held(bool is_answer)
+Task<void> FaultProxy::wait_while_held(Pair const& pair, bool is_answer)
 {
-    while (this->holds(is_answer))
+    while (this->holds(is_answer) || pair.is_silent)
         co_await sleep_for(look_again);
 }
 
--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -98,6 +98,23 @@
     this->server_flags[name] = std::move(all);
 }
 
+void PlatformCluster::start_proxied_server(
+    std::string const& name, std::string const& service, std::vector<std::string> const& flags)
+{
+    auto& proxy = *this->proxies.emplace(name, std::make_unique<FaultProxy>()).first->second;
+    auto all = flags;
+    all.push_back("--listed_port=" + std::to_string(proxy.port()));
+    this->start_server(name, service, all);
+    proxy.set_target(this->cluster.port(name));
+}
+
+void PlatformCluster::cut_off(std::string const& box, Fault fault)
+{
+    auto const process = this->process(box).process_id();
+    for (auto const& [name, proxy] : this->proxies)
+        proxy->set_fault_for(process, fault);
+}
+
 std::vector<std::string> PlatformCluster::restart_ended_servers()
 {
     std::vector<std::string> restarted;
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Cluster.h"
+#include "FaultProxy.h"
 
 #include <string_view>
 
@@ -33,6 +34,11 @@
 
     /// Starts an endpoint of a service; its id is its name.
     void start_server(std::string const& name, std::string const& service, std::vector<std::string> const& flags = {});
+    /// Starts an endpoint that boxes reach through a proxy of its own, so that cut_off() works for it.
+    void start_proxied_server(
+        std::string const& name, std::string const& service, std::vector<std::string> const& flags = {});
+    /// Sets the fault of the box's connections to all proxied endpoints, as FaultProxy::set_fault_for.
+    void cut_off(std::string const& box, Fault fault);
     /// Restarts the endpoints that have ended, under the same ids, and returns their names.
     std::vector<std::string> restart_ended_servers();
     void start_box(std::string const& name, BoxBounds const& bounds = {});
@@ -82,6 +88,7 @@
     [[nodiscard]] std::string environment_of(std::string const& name, BoxBounds const& bounds) const;
 
     Cluster cluster;
+    std::map<std::string, std::unique_ptr<FaultProxy>> proxies;
     std::vector<std::string> servers;
     std::map<std::string, std::vector<std::string>> server_flags;
     std::map<std::string, std::array<int, 3>> box_ports;
--- a/Tests/Harness/Process.h
+++ b/Tests/Harness/Process.h
@@ -18,6 +18,7 @@
     void kill();
     /// Sends SIGTERM, waits, and returns the exit code.
     int terminate();
+    [[nodiscard]] pid_t process_id() const { return this->id; }
     void freeze() const;
     void thaw() const;
 
