LibGateway: Serve clients by way of another box while this one reaches no endpoint

Cause: a box had one way to an endpoint, its own sockets. Nothing that one request learnt helped the next, and no other box was asked. Ruled out: not being ready in place of it. Why it works: a box that can't connect to six endpoints in a row hands its clients' requests to another box, which is the sender of all attempts, so limits, backoffs, drains and the retry budget stay sums over boxes. A box that is cut off too says so; a request is never handed on twice; a body stays in its regions; what may have run is not sent again.

--- a/Libraries/LibCore/Reason.cpp
+++ b/Libraries/LibCore/Reason.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/Reason.h>
 #include <LibCore/Verify.h>
+#include <algorithm>
 
 namespace Core {
 
@@ -73,10 +74,19 @@
     "request-probed",
     "attempts-spent",
     "memory-limit",
+    "endpoints-unreachable",
 };
 
 }
 
+std::optional<Reason> reason_from_name(std::string_view name)
+{
+    auto const found = std::ranges::find(reason_names, name);
+    if (found == reason_names.end())
+        return {};
+    return static_cast<Reason>(found - reason_names.begin());
+}
+
 std::string_view to_string(Reason reason)
 {
     auto const index = static_cast<std::size_t>(reason);
--- a/Libraries/LibCore/Reason.h
+++ b/Libraries/LibCore/Reason.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <string_view>
 
 namespace Core {
@@ -90,6 +91,7 @@
     RequestProbed,
     AttemptsSpent,
     MemoryLimit,
+    EndpointsUnreachable,
     Count,
 };
 
@@ -97,6 +99,8 @@
 
 /// The kebab-case name used in responses, counters, logs and decision records.
 [[nodiscard]] std::string_view to_string(Reason reason);
+/// The reason of this name; nothing if there is none.
+[[nodiscard]] std::optional<Reason> reason_from_name(std::string_view name);
 [[nodiscard]] std::string_view to_string(Outcome outcome);
 
 }
--- a/Libraries/LibGateway/ClientConnection.cpp
+++ b/Libraries/LibGateway/ClientConnection.cpp
@@ -34,9 +34,10 @@
 
 }
 
-ClientConnection::ClientConnection(GatewayState& state, tcp::socket socket)
+ClientConnection::ClientConnection(GatewayState& state, tcp::socket socket, Peer peer)
     : state(state)
     , socket(std::move(socket))
+    , peer(peer)
     , guard(state.context)
 {
     ++this->state.clients;
@@ -149,8 +150,8 @@
     bool const keeps_connection = request.keep_alive();
     ++this->state.requests;
     ++this->request_number;
-    auto const served = std::make_shared<RequestExchange>(
-        this->state, std::move(request), ClientSide { this->shared_socket(), keeps_connection });
+    auto const served = std::make_shared<RequestExchange>(this->state, std::move(request),
+        ClientSide { this->shared_socket(), keeps_connection, this->peer == Peer::Box });
     this->exchange = served;
     this->watch_for_close();
     bool const is_open = co_await served->run();
@@ -235,7 +236,12 @@
 Routing::ClientLimits ClientConnection::limits() const
 {
     auto const configuration = this->state.router.configuration();
-    return configuration ? configuration->configuration().limits : Routing::ClientLimits {};
+    auto limits = configuration ? configuration->configuration().limits : Routing::ClientLimits {};
+    if (this->peer == Peer::Client)
+        return limits;
+    limits.max_header_bytes += forwarding_header_bytes;
+    limits.idle_timeout = std::max(limits.idle_timeout, box_idle_timeout);
+    return limits;
 }
 
 }
--- a/Libraries/LibGateway/ClientConnection.h
+++ b/Libraries/LibGateway/ClientConnection.h
@@ -7,7 +7,13 @@
 /// A client connection: reads requests one at a time and serves each through a RequestExchange.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
 public:
-    ClientConnection(GatewayState& state, tcp::socket socket);
+    enum class Peer {
+        Client,
+        /// Another box, which forwards requests of its clients.
+        Box,
+    };
+
+    ClientConnection(GatewayState& state, tcp::socket socket, Peer peer);
     ~ClientConnection();
     ClientConnection(ClientConnection const&) = delete;
     ClientConnection& operator=(ClientConnection const&) = delete;
@@ -38,8 +44,14 @@
     [[nodiscard]] std::shared_ptr<tcp::socket> shared_socket();
     [[nodiscard]] Routing::ClientLimits limits() const;
 
+    /// What a box adds to the head of a request that it forwards takes less.
+    static constexpr std::uint32_t forwarding_header_bytes = 16 * 1024;
+    /// Longer than a box keeps an idle connection, so that it closes the connection first and sends nothing meanwhile.
+    static constexpr Core::Duration box_idle_timeout { std::chrono::seconds(30) };
+
     GatewayState& state;
     tcp::socket socket;
+    Peer peer;
     flat_buffer buffer;
     asio::steady_timer guard;
     /// Incremented when the guard is armed or disarmed. Cancelling doesn't stop a handler that is already queued, so
--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -81,18 +81,22 @@
                 .warning();
         return true;
     }
-    std::optional<tcp::acceptor> acceptor;
-    // NOTE: A wider type than the port's, since the last port may be the highest possible one.
-    for (unsigned port = this->ports->first; port <= this->ports->last && !acceptor; ++port)
-        acceptor = listen_on(this->state.context, { this->ports->host, static_cast<std::uint16_t>(port) }, last_reason);
+    auto acceptor = this->listen_for_boxes(last_reason);
     if (!acceptor)
         return false;
+    this->forwarding_acceptor = this->listen_for_boxes(last_reason);
+    if (!this->forwarding_acceptor) {
+        Log::EventLine("forwarding_impossible").with("reason", last_reason.text).warning();
+        last_reason.text.clear();
+    }
     this->listener.emplace(
         std::move(*acceptor),
         [this](std::string_view path, std::string const& body) { return this->answer_request(path, body); },
         this->max_connections);
     Membership::BoxRecord own { this->box_name, { this->ports->host, this->listener->port() }, this->failure_domain,
-        this->link_bytes_per_second };
+        this->link_bytes_per_second,
+        this->forwarding_acceptor ? this->forwarding_acceptor->local_endpoint().port() : std::uint16_t { 0 } };
+    this->state.forwarder.set_boxes(this->source.boxes(), this->box_name);
     LoadExchange::StoreVersionHandlers version_handlers {
         [this](Core::Instant now) { return this->records.store_versions(now); },
         [this](auto const& versions, Core::Instant sent_at) {
@@ -117,6 +121,15 @@
     return true;
 }
 
+std::optional<tcp::acceptor> ControlPlane::listen_for_boxes(Core::LastReason& last_reason)
+{
+    std::optional<tcp::acceptor> acceptor;
+    // NOTE: A wider type than the port's, since the last port may be the highest possible one.
+    for (unsigned port = this->ports->first; port <= this->ports->last && !acceptor; ++port)
+        acceptor = listen_on(this->state.context, { this->ports->host, static_cast<std::uint16_t>(port) }, last_reason);
+    return acceptor;
+}
+
 void ControlPlane::connect_box_records()
 {
     this->records.set_box_records_relay({
--- a/Libraries/LibGateway/ControlPlane.h
+++ b/Libraries/LibGateway/ControlPlane.h
@@ -21,6 +21,11 @@
 
     /// Listens for other boxes if the platform provides ports for them. False, with a reason, on failure.
     [[nodiscard]] bool open_listener(Core::LastReason& last_reason);
+    /// The acceptor for requests that other boxes forward, once; empty if they can't reach this box.
+    [[nodiscard]] std::optional<tcp::acceptor> take_forwarding_acceptor()
+    {
+        return std::exchange(this->forwarding_acceptor, std::nullopt);
+    }
     /// Starts all tasks, which run until the event loop is stopped.
     void start();
     void set_environment(Adapter::BoxEnvironment const& environment);
@@ -35,6 +40,8 @@
     [[nodiscard]] StoreFollower::Paces operator_paces() const;
     [[nodiscard]] StoreFollower::Paces endpoints_paces(Core::Duration drain_within) const;
     [[nodiscard]] InternalHttpResponse answer_request(std::string_view path, std::string const& body);
+    /// Listens on the first free port for other boxes. Empty, with a reason, on failure.
+    [[nodiscard]] std::optional<tcp::acceptor> listen_for_boxes(Core::LastReason& last_reason);
     void connect_crash_exchange();
     void connect_box_records();
     void open_leadership(Membership::BoxRecord const& own);
@@ -90,6 +97,7 @@
     bool is_first_start;
     bool has_requested_notices { false };
     std::optional<InternalHttpServer> listener;
+    std::optional<tcp::acceptor> forwarding_acceptor;
     /// Empty if other boxes can't reach this one.
     std::optional<BoxRegistry> registry;
     std::optional<LoadExchange> loads;
--- a/Libraries/LibGateway/EndpointCall.cpp
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -7,7 +7,7 @@
 
 Task<error_code> EndpointCall::open(EndpointId endpoint, Routing::SocketAddress address)
 {
-    this->connection = this->state.connections.acquire_idle(endpoint, Core::monotonic_now());
+    this->connection = this->connections.acquire_idle(endpoint, Core::monotonic_now());
     this->reused = this->connection != nullptr;
     if (this->reused) {
         this->opened_at = this->connection->opened_at;
@@ -15,7 +15,7 @@
     }
     error_code error;
     this->state.metrics.count_endpoint_connection();
-    this->connection = co_await this->state.connections.connect(endpoint, std::move(address), error);
+    this->connection = co_await this->connections.connect(endpoint, std::move(address), error);
     if (this->connection)
         this->opened_at = this->connection->opened_at;
     if (!error && this->is_aborted)
@@ -104,7 +104,7 @@
     }
     if (auto const timeout = Adapter::decode_keep_alive_timeout(this->head()))
         used->keep_alive_timeout = timeout;
-    this->state.connections.release(std::move(used), now);
+    this->connections.release(std::move(used), now);
 }
 
 }
--- a/Libraries/LibGateway/EndpointCall.h
+++ b/Libraries/LibGateway/EndpointCall.h
@@ -10,8 +10,9 @@
 class EndpointCall : public std::enable_shared_from_this<EndpointCall> {
 public:
     /// `attempt` is the client's id of the request, which the endpoint echoes in its answer.
-    EndpointCall(GatewayState& state, std::string attempt, bool is_head_request)
+    EndpointCall(GatewayState& state, EndpointConnections& connections, std::string attempt, bool is_head_request)
         : state(state)
+        , connections(connections)
         , attempt(std::move(attempt))
         , is_head_request(is_head_request)
     {
@@ -46,6 +47,7 @@
     static constexpr std::uint32_t max_answer_head_bytes = 64 * 1024;
 
     GatewayState& state;
+    EndpointConnections& connections;
     std::string attempt;
     bool is_head_request;
     SharedConnection connection;
--- a/Libraries/LibGateway/EndpointConnections.cpp
+++ b/Libraries/LibGateway/EndpointConnections.cpp
@@ -102,6 +102,15 @@
     this->idle.erase(found);
 }
 
+void EndpointConnections::close_all_idle()
+{
+    for (auto const& [endpoint, kept] : this->idle) {
+        for (auto const& connection : kept)
+            connection->abort();
+    }
+    this->idle.clear();
+}
+
 void EndpointConnections::close_expired(Core::Instant now)
 {
     for (auto& [endpoint, kept] : this->idle) {
--- a/Libraries/LibGateway/EndpointConnections.h
+++ b/Libraries/LibGateway/EndpointConnections.h
@@ -55,6 +55,8 @@
     void release(SharedConnection connection, Core::Instant now);
     /// Closes all idle connections to an endpoint.
     void close_idle(EndpointId endpoint);
+    /// Closes all idle connections.
+    void close_all_idle();
     /// Closes connections that have been idle for too long.
     void close_expired(Core::Instant now);
 
--- a/Libraries/LibGateway/ExchangeRetries.cpp
+++ b/Libraries/LibGateway/ExchangeRetries.cpp
@@ -33,7 +33,7 @@
         return this->admitted->expiry;
     if (this->crashes_endpoints)
         return Reason::RequestCrashesEndpoints;
-    if (this->sent_attempts >= this->admitted->route->max_attempts)
+    if (this->sent_attempts >= this->max_attempts())
         return Reason::AttemptsSpent;
     if (this->last_end == AttemptEnd::Unknown && !this->admitted->route->is_repeatable())
         return Reason::RetryNotAllowed;
@@ -52,21 +52,19 @@
     // NOTE: may_retry_failure has already spent from the retry budget.
     if (end == AttemptEnd::EndpointError)
         return true;
-    return this->sent_attempts < this->admitted->route->max_attempts
-        && this->state.router.may_retry(*this->admitted, monotonic_now());
+    return this->sent_attempts < this->max_attempts() && this->state.router.may_retry(*this->admitted, monotonic_now());
 }
 
 bool RequestExchange::may_retry_failure()
 {
     return !this->has_client_left && this->admitted->route->is_repeatable()
-        && this->sent_attempts < this->admitted->route->max_attempts
-        && this->state.router.may_retry(*this->admitted, monotonic_now());
+        && this->sent_attempts < this->max_attempts() && this->state.router.may_retry(*this->admitted, monotonic_now());
 }
 
 Task<EndpointCheckResult> RequestExchange::check_broken_connection(Attempt attempt, bool was_in_use)
 {
     auto const& placed = attempt.placed;
-    auto const check_result = co_await check_endpoint(this->state, placed.choice.endpoint, placed.endpoint.address);
+    auto check_result = co_await check_endpoint(this->state, placed.choice.endpoint, placed.endpoint.address);
     this->log_broken_connection(attempt, check_result);
     if (was_in_use && check_result == EndpointCheckResult::Refuses)
         this->state.crash_exchange.report_crash(
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -80,6 +80,7 @@
         [this](std::string_view path, std::string const&) { return this->answer_readiness(path); });
     if (!this->control.open_listener(last_reason))
         return false;
+    this->boxes_acceptor = this->control.take_forwarding_acceptor();
     if (!this->options.metrics_port)
         return true;
     auto metrics_acceptor = listen_on(this->context, { "0.0.0.0", *this->options.metrics_port }, last_reason);
@@ -107,7 +108,10 @@
     asio::co_spawn(this->context, this->readiness->run(), asio::detached);
     if (this->metrics_listener)
         asio::co_spawn(this->context, this->metrics_listener->run(), asio::detached);
-    asio::co_spawn(this->context, this->accept_clients(), asio::detached);
+    asio::co_spawn(
+        this->context, this->accept(*this->clients_acceptor, ClientConnection::Peer::Client), asio::detached);
+    if (this->boxes_acceptor)
+        asio::co_spawn(this->context, this->accept(*this->boxes_acceptor, ClientConnection::Peer::Box), asio::detached);
     asio::co_spawn(this->context, this->run_housekeeping(), asio::detached);
     asio::co_spawn(this->context, this->state.reachability.run(), asio::detached);
     asio::co_spawn(this->context, this->wait_for_signals(), asio::detached);
@@ -118,12 +122,12 @@
     spdlog::default_logger()->flush();
 }
 
-Task<void> Gateway::accept_clients()
+Task<void> Gateway::accept(tcp::acceptor& acceptor, ClientConnection::Peer peer)
 {
-    while (this->clients_acceptor->is_open()) {
-        auto [error, socket] = co_await this->clients_acceptor->async_accept(as_value);
+    while (acceptor.is_open()) {
+        auto [error, socket] = co_await acceptor.async_accept(as_value);
         if (error) {
-            if (this->clients_acceptor->is_open())
+            if (acceptor.is_open())
                 Log::EventLine("accept_failed").with("reason", error.message()).warning();
             co_await sleep_for(std::chrono::milliseconds(10));
             continue;
@@ -134,7 +138,7 @@
         }
         error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
-        auto const client = std::make_shared<ClientConnection>(this->state, std::move(socket));
+        auto const client = std::make_shared<ClientConnection>(this->state, std::move(socket), peer);
         this->clients.push_back(client);
         // NOTE: run() keeps the connection alive only once it has started. The lambda does so until then.
         asio::co_spawn(
@@ -150,6 +154,7 @@
         for (auto const endpoint : this->state.router.expire_endpoints(now))
             this->state.connections.close_idle(endpoint);
         this->state.connections.close_expired(now);
+        this->state.forwarder.connections().close_expired(now);
         this->remove_closed_clients();
         this->log_readiness_change();
         if (auto const changed_at = change_time(this->options.settings_path); changed_at != this->settings_changed_at)
@@ -173,6 +178,7 @@
     this->state.router.after_suspension(now);
     this->control.after_suspension(now);
     this->state.connections.close_expired(now);
+    this->state.forwarder.connections().close_expired(now);
     std::size_t expired = 0;
     for (auto const& weak : this->clients) {
         auto const client = weak.lock();
@@ -211,6 +217,8 @@
     co_await sleep_for(std::min(balancer_lag, shutdown_deadline - signalled_at));
     error_code ignored;
     this->clients_acceptor->close(ignored);
+    if (this->boxes_acceptor)
+        this->boxes_acceptor->close(ignored);
     this->state.shutdown_deadline = shutdown_deadline;
     while (monotonic_now() < shutdown_deadline) {
         for (auto const& weak : this->clients) {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -40,7 +40,8 @@
     Gateway(Adapter::BoxEnvironment environment, GatewayOptions options);
 
     [[nodiscard]] bool open_listeners(Core::LastReason& last_reason);
-    [[nodiscard]] Task<void> accept_clients();
+    /// Accepts connections until the acceptor is closed.
+    [[nodiscard]] Task<void> accept(tcp::acceptor& acceptor, ClientConnection::Peer peer);
     [[nodiscard]] Task<void> run_housekeeping();
     [[nodiscard]] Task<void> watch_for_suspension();
     /// Updates all state that depends on time after the box was suspended for the given duration.
@@ -75,6 +76,8 @@
     GatewayState state;
     ControlPlane control;
     std::optional<tcp::acceptor> clients_acceptor;
+    /// For requests that other boxes forward; empty if they can't reach this one.
+    std::optional<tcp::acceptor> boxes_acceptor;
     std::optional<InternalHttpServer> readiness;
     std::optional<InternalHttpServer> metrics_listener;
     std::list<std::weak_ptr<ClientConnection>> clients;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -77,6 +77,11 @@
     , limited_endpoints(gauge(
           *this->registry, "cleatbeam_limited_endpoints", "Endpoints that report a rate limit for all boxes together"))
     , is_cut_off(gauge(*this->registry, "cleatbeam_endpoints_unreachable", "1 while this box reaches no endpoint"))
+    , forwarded_requests(counters(*this->registry, "cleatbeam_forwarded_requests_total",
+          "Requests forwarded to another box while this one was cut off from the endpoints, by result"))
+    , requests_from_boxes(counters(
+          *this->registry, "cleatbeam_requests_from_boxes_total", "Requests that other boxes forwarded to this one")
+                              .Add({}))
 {
 }
 
@@ -197,6 +202,16 @@
     this->endpoints.Set(static_cast<double>(count));
 }
 
+void GatewayMetrics::count_forwarded_request(std::string_view result)
+{
+    this->forwarded_requests.Add({ { "result", std::string(result) } }).Increment();
+}
+
+void GatewayMetrics::count_request_from_box()
+{
+    this->requests_from_boxes.Increment();
+}
+
 void GatewayMetrics::set_is_cut_off(bool is_cut_off)
 {
     this->is_cut_off.Set(is_cut_off ? 1 : 0);
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -60,6 +60,10 @@
     void set_refused_requests(std::size_t count);
     /// Sets the number of endpoints that report a rate limit.
     void set_limited_endpoints(std::size_t count);
+    /// Counts a request that this box forwarded to another one while it was cut off from the endpoints.
+    void count_forwarded_request(std::string_view result);
+    /// Counts a request that another box forwarded to this one.
+    void count_request_from_box();
     /// Sets whether this box is cut off from all endpoints.
     void set_is_cut_off(bool is_cut_off);
     /// Sets the number of boxes listed in the store, including this one.
@@ -98,6 +102,8 @@
     prometheus::Gauge& refused_requests;
     prometheus::Gauge& limited_endpoints;
     prometheus::Gauge& is_cut_off;
+    prometheus::Family<prometheus::Counter>& forwarded_requests;
+    prometheus::Counter& requests_from_boxes;
 };
 
 }
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -6,6 +6,7 @@
 #include <LibGateway/EndpointNoticeExchange.h>
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/ReachabilityMonitor.h>
+#include <LibGateway/RequestForwarder.h>
 #include <LibLeader/SharedClock.h>
 #include <LibLeader/UsageCounts.h>
 #include <LibRouting/RequestRouter.h>
@@ -20,6 +21,7 @@
         , router(std::move(settings), seed)
         , connections(context)
         , reachability(context, this->router, this->connections, this->metrics)
+        , forwarder(context, this->router, seed)
         , crash_exchange(context, this->metrics)
         , endpoint_notice_exchange(this->router)
     {
@@ -52,6 +54,7 @@
     EndpointConnections connections;
     GatewayMetrics metrics;
     ReachabilityMonitor reachability;
+    RequestForwarder forwarder;
     CrashExchange crash_exchange;
     EndpointNoticeExchange endpoint_notice_exchange;
     Leader::SharedClock clock;
--- a/Libraries/LibGateway/ReachabilityMonitor.cpp
+++ b/Libraries/LibGateway/ReachabilityMonitor.cpp
@@ -57,15 +57,17 @@
     this->pause.interrupt();
 }
 
-Task<bool> ReachabilityMonitor::is_own_refusal(EndpointId refusing, Core::Instant since)
+Task<bool> ReachabilityMonitor::is_own_refusal(EndpointId refusing)
 {
-    if (!this->reachability.has_connected_since(since)) {
-        auto excluded = this->refusing_endpoints;
-        excluded.push_back(refusing);
-        bool const has_checked = co_await this->check(std::move(excluded));
-        if (has_checked && !this->reachability.has_connected_since(since))
-            co_return false;
-    }
+    auto excluded = this->refusing_endpoints;
+    excluded.push_back(refusing);
+    // NOTE: One after the other, since the first one usually accepts, and the request may be sent again meanwhile.
+    auto const others = this->router.sample_endpoints(max_others_asked, excluded, monotonic_now());
+    bool does_any_accept = others.empty();
+    for (std::size_t asked = 0; asked < others.size() && !does_any_accept; ++asked)
+        does_any_accept = co_await this->accepts_connection(others[asked]);
+    if (!does_any_accept)
+        co_return false;
     std::erase(this->refusing_endpoints, refusing);
     if (this->refusing_endpoints.size() >= max_refusing_endpoints)
         this->refusing_endpoints.erase(this->refusing_endpoints.begin());
@@ -73,6 +75,17 @@
     co_return true;
 }
 
+Task<bool> ReachabilityMonitor::accepts_connection(Routing::KnownEndpoint endpoint)
+{
+    error_code error;
+    this->metrics.count_endpoint_connection();
+    auto connection = co_await this->connections.connect(endpoint.id, endpoint.record.address, error);
+    if (error)
+        co_return false;
+    this->connections.release(std::move(connection), monotonic_now());
+    co_return true;
+}
+
 Task<bool> ReachabilityMonitor::check(std::vector<EndpointId> excluded)
 {
     auto const began = monotonic_now();
@@ -125,8 +138,11 @@
     if (this->last_answer != Core::Instant::min())
         line.with("last_answer_ms_ago", Core::to_milliseconds(now - this->last_answer));
     line.warning();
-    if (is_cut_off)
-        this->cut_off_at = now;
+    if (!is_cut_off)
+        return;
+    this->cut_off_at = now;
+    // NOTE: A request on one of them might get no answer, and then could not be sent elsewhere.
+    this->connections.close_all_idle();
 }
 
 }
--- a/Libraries/LibGateway/ReachabilityMonitor.h
+++ b/Libraries/LibGateway/ReachabilityMonitor.h
@@ -33,20 +33,23 @@
     void unanswered(Core::Instant sent_at);
     /// An endpoint sent an answer on a connection that was opened at `opened_at`.
     void answered(Core::Instant opened_at);
-    /// Whether an endpoint other than `refusing`, which refuses connections, accepts one after `since`. Then the
-    /// refusal is the endpoint's own. True as well if there is no other endpoint to ask.
-    [[nodiscard]] Task<bool> is_own_refusal(EndpointId refusing, Core::Instant since);
+    /// Whether an endpoint other than `refusing`, which refuses connections, accepts one. Then the refusal is the
+    /// endpoint's own. True as well if there is no other endpoint to ask.
+    [[nodiscard]] Task<bool> is_own_refusal(EndpointId refusing);
 
 private:
     /// Tries to connect to a few endpoints at the same time. Returns whether there was one to try.
     [[nodiscard]] Task<bool> check(std::vector<EndpointId> excluded);
+    [[nodiscard]] Task<bool> accepts_connection(Routing::KnownEndpoint endpoint);
     [[nodiscard]] Task<void> try_connection(Routing::KnownEndpoint endpoint);
     /// A connection that was opened at `opened_at` works.
     void connected(Core::Instant opened_at);
     void apply(Routing::EndpointReachability::Change change, Core::Instant now);
 
     /// Endpoints to which a check connects.
-    static constexpr std::size_t checked_endpoints = 2;
+    static constexpr std::size_t checked_endpoints = 3;
+    /// Endpoints that are asked whether a refusal is another one's own. After a series of crashes some refuse as well.
+    static constexpr std::size_t max_others_asked = 8;
     /// Interval of checks while the box is cut off, and the least time between two checks that succeed.
     static constexpr Core::Duration check_interval { std::chrono::milliseconds(500) };
     static constexpr Core::Duration idle_interval { std::chrono::minutes(1) };
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -44,7 +44,7 @@
 {
     this->state.check_for_suspension();
     Core::LastReason last_reason;
-    auto const head = Adapter::decode_request(this->request, last_reason);
+    auto head = Adapter::decode_request(this->request, last_reason);
     if (!head) {
         Log::EventLine("request_malformed").with("reason", last_reason.text).info();
         co_await this->answer(status_bad_request, Reason::MalformedRequest, {});
@@ -56,6 +56,10 @@
         co_await this->refuse({ Reason::ConfigurationMissing, retry_after_start });
         co_return this->keeps_client && !this->client_is_broken;
     }
+    if (auto const refusal = this->accept_forwarded(*head)) {
+        co_await this->refuse(*refusal);
+        co_return this->keeps_client && !this->client_is_broken;
+    }
     auto decision = this->state.router.admit(*head, this->arrived);
     if (auto const* const rejected = std::get_if<Routing::Rejected>(&decision)) {
         co_await this->refuse(*rejected);
@@ -97,6 +101,8 @@
             co_await this->end_unplaced({ Reason::RequestProbed, retry_after_probe });
             co_return;
         }
+        if (this->goes_through_other_box() && co_await this->serve_through_other_box())
+            co_return;
         auto decision = this->state.router.place(*this->admitted, this->workload, this->tried, monotonic_now());
         if (auto const* const rejected = std::get_if<Routing::Rejected>(&decision)) {
             co_await this->end_unplaced(*rejected);
@@ -161,8 +167,8 @@
     auto const endpoint = attempt.placed.choice.endpoint;
     this->log_placement(attempt);
     this->state.router.attempt_started(*this->admitted, this->workload, attempt.placed.choice, attempt.started);
-    this->call
-        = std::make_shared<EndpointCall>(this->state, this->attempt_id, this->request.method() == http::verb::head);
+    this->call = std::make_shared<EndpointCall>(
+        this->state, this->state.connections, this->attempt_id, this->request.method() == http::verb::head);
     auto const error = co_await this->call->open(endpoint, attempt.placed.endpoint.address);
     attempt.reused_connection = this->call->is_reused();
     attempt.connection_opened = this->call->connection_opened_at();
@@ -194,20 +200,24 @@
 void RequestExchange::send_request(Attempt const& attempt)
 {
     ++this->sent_attempts;
-    bool const has_body = !this->request.body().empty() || this->request.count(http::field::content_length) > 0
-        || this->request.chunked();
     Adapter::ForwardedFields forwarded;
     forwarded.account = this->admitted->account;
     forwarded.expected_incarnation = attempt.placed.endpoint.incarnation;
     forwarded.urgency = this->admitted->urgency;
     forwarded.remaining = this->admitted->expires - monotonic_now();
-    if (has_body)
+    if (this->has_body())
         forwarded.body_bytes = this->request.body().size();
     forwarded.last_event_id = this->events.last_id();
     this->call->send(Adapter::encode_request(this->request, forwarded), asio::buffer(this->request.body()),
         this->shared_from_this());
 }
 
+bool RequestExchange::has_body() const
+{
+    return !this->request.body().empty() || this->request.count(http::field::content_length) > 0
+        || this->request.chunked();
+}
+
 Task<AttemptEnd> RequestExchange::send_and_receive(Attempt& attempt)
 {
     this->send_request(attempt);
@@ -272,7 +282,7 @@
     this->splits_events = is_chunked && this->admitted->route->kind == RouteKind::Streaming
         && this->admitted->route->can_resume && attempt.status == status_ok;
     bool const is_buffered = length && *length <= max_buffered_answer_bytes;
-    auto out = Adapter::encode_answer(head, { this->framing, this->keeps_client });
+    auto out = Adapter::encode_answer(head, { this->framing, this->keeps_client, this->box_details({}, {}) });
     co_return co_await this->forward_body(attempt, std::move(out), is_buffered);
 }
 
@@ -327,11 +337,14 @@
     if (this->answer_begun)
         return;
     auto const now = monotonic_now();
+    this->state.metrics.observe_first_byte(this->admitted->route->name, now - this->arrived);
+    // NOTE: The box that sent the request to an endpoint counts it.
+    if (attempt.placed.endpoint.incarnation.empty())
+        return;
     // NOTE: An engine starts a request with its first token. A plain service answers when it has finished, so it
     // started when the request was sent.
     this->count_started(this->admitted->is_engine ? now : attempt.started);
     this->state.router.attempt_answered(*this->admitted, attempt.placed.choice, now - attempt.started, now);
-    this->state.metrics.observe_first_byte(this->admitted->route->name, now - this->arrived);
 }
 
 void RequestExchange::measure_event_rate(std::string_view received)
@@ -363,7 +376,7 @@
     this->keeps_client = this->keeps_client && !this->state.is_stopping;
     this->state.metrics.count_refusal(reason);
     auto const bytes = Adapter::encode_local_answer({ status, this->attempt_id, reason, retry_after, this->keeps_client,
-        this->request.method() == http::verb::head });
+        this->request.method() == http::verb::head, this->box_details(reason, retry_after) });
     this->log_end(status, reason);
     co_await this->send_to_client(bytes);
 }
@@ -414,7 +427,7 @@
 {
     this->was_endpoint_silent = false;
     auto const& route = *this->admitted->route;
-    bool const may_go_elsewhere = route.kind == RouteKind::Idempotent && this->sent_attempts < route.max_attempts
+    bool const may_go_elsewhere = route.kind == RouteKind::Idempotent && this->sent_attempts < this->max_attempts()
         && route.goal > Core::Duration { 0 };
     if (!may_go_elsewhere)
         return;
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -4,6 +4,7 @@
 #include <LibGateway/EndpointCheck.h>
 #include <LibGateway/EventRateMeter.h>
 #include <LibGateway/EventSplitter.h>
+#include <LibMembership/ForwardedRequest.h>
 #include <LibRouting/RequestFingerprint.h>
 
 namespace Gateway {
@@ -15,6 +16,8 @@
     std::shared_ptr<tcp::socket> socket;
     /// Whether the client wants to keep the connection open.
     bool keeps_connection { true };
+    /// Whether the client is another box, which forwards requests of its clients.
+    bool is_box { false };
 };
 
 /// How an attempt at an endpoint ended. Decides whether the request may be retried.
@@ -57,6 +60,9 @@
     /// The endpoint's load report, if it sent one, and the beginning of one that can't be read.
     std::optional<Routing::ReportedLoad> reported_load;
     std::string unreadable_load;
+    /// Why another box that the request was forwarded to did not serve it, and when a client should retry.
+    Core::Reason refusal { Core::Reason::None };
+    std::optional<Core::Duration> refused_for;
     /// Description of the failure for the log. Empty if there was none.
     std::string detail;
 };
@@ -83,6 +89,21 @@
     /// Ends a request for which the router found no endpoint, at the first attempt or a later one.
     [[nodiscard]] Task<void> end_unplaced(Routing::Rejected const& rejected);
     [[nodiscard]] Task<AttemptEnd> try_endpoint(Attempt& attempt);
+    [[nodiscard]] bool goes_through_other_box() const;
+    /// Forwards the request to other boxes until one serves or refuses it. Returns false if none could decide.
+    [[nodiscard]] Task<bool> serve_through_other_box();
+    [[nodiscard]] Task<AttemptEnd> try_box(Membership::BoxRecord const& box, Attempt& attempt);
+    void send_to_box();
+    [[nodiscard]] Task<AttemptEnd> receive_from_box(Attempt& attempt);
+    /// Reads what another box sent with the request, if one forwarded it. Returns why this box can't serve it.
+    [[nodiscard]] std::optional<Routing::Rejected> accept_forwarded(Routing::RequestHead& head);
+    /// What the box that forwarded the request has to know of the answer; empty for a request of a client.
+    [[nodiscard]] std::string box_details(
+        std::optional<Core::Reason> refusal, std::optional<Core::Duration> retry_after) const;
+    void log_forwarding(Membership::BoxRecord const& box, Attempt const& attempt) const;
+    /// How many endpoints may get the request from this box.
+    [[nodiscard]] unsigned max_attempts() const;
+    [[nodiscard]] bool has_body() const;
     void send_request(Attempt const& attempt);
     [[nodiscard]] Task<AttemptEnd> send_and_receive(Attempt& attempt);
     [[nodiscard]] Task<AttemptEnd> forward_answer(Attempt& attempt);
@@ -137,6 +158,9 @@
 
     /// Limit for attempts that failed before any byte was sent, not counting hosts that refuse the connection.
     static constexpr unsigned max_unsent_attempts = 3;
+    /// How many other boxes are asked to serve a request. Where half of all boxes are cut off, one request in eight
+    /// meets only such boxes, until it is known which these are.
+    static constexpr std::size_t max_asked_boxes = 3;
     /// Pause before a broken connection is checked again. A process closes its sockets within some milliseconds of its
     /// end, more on a busy host.
     static constexpr Core::Duration repeated_check_pause { std::chrono::milliseconds(50) };
@@ -172,6 +196,10 @@
     EventRateMeter event_rate;
     Adapter::BodyFraming framing { Adapter::BodyFraming::Empty };
     std::vector<Core::EndpointId> tried;
+    /// Boxes that the request was forwarded to.
+    std::vector<std::string> asked_boxes;
+    /// What another box told of the request when it forwarded it here.
+    std::optional<Membership::ForwardedRequest> forwarded;
     unsigned sent_attempts { 0 };
     unsigned unsent_attempts { 0 };
     AttemptEnd last_end { AttemptEnd::NotSent };
--- a/Libraries/LibMembership/BoxDirectory.h
+++ b/Libraries/LibMembership/BoxDirectory.h
@@ -22,6 +22,8 @@
     SocketAddress address;
     std::string failure_domain;
     std::uint64_t link_bytes_per_second { 0 };
+    /// Port at the same host for clients' requests that other boxes forward; 0 if the box takes none.
+    std::uint16_t forwarding_port { 0 };
 
     bool operator==(BoxRecord const&) const = default;
 };
--- a/Libraries/LibMembership/RelayMessages.cpp
+++ b/Libraries/LibMembership/RelayMessages.cpp
@@ -6,6 +6,7 @@
 #include <google/protobuf/io/coded_stream.h>
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 #include <google/protobuf/wire_format_lite.h>
+#include <limits>
 
 namespace Membership {
 
@@ -343,14 +344,16 @@
     put_address(record.address, *message.mutable_address());
     message.set_failure_domain(record.failure_domain);
     message.set_link_bytes_per_second(record.link_bytes_per_second);
+    message.set_forwarding_port(record.forwarding_port);
 }
 
 std::optional<BoxRecord> box_from(std::string const& name, wire::Box const& message)
 {
     auto address = address_from(message.address());
-    if (!address)
+    if (!address || message.forwarding_port() > std::numeric_limits<std::uint16_t>::max())
         return {};
-    return BoxRecord { name, std::move(*address), message.failure_domain(), message.link_bytes_per_second() };
+    return BoxRecord { name, std::move(*address), message.failure_domain(), message.link_bytes_per_second(),
+        static_cast<std::uint16_t>(message.forwarding_port()) };
 }
 
 }
--- a/Libraries/LibRouting/EndpointReachability.h
+++ b/Libraries/LibRouting/EndpointReachability.h
@@ -40,9 +40,9 @@
     [[nodiscard]] std::vector<EndpointId> const& failed_endpoints() const { return this->failed; }
 
 private:
-    /// Endpoints that must fail in a row. With a third of all endpoints down, one series in 27 is this long by chance,
-    /// and the next established connection ends it.
-    static constexpr std::size_t min_failed_endpoints = 3;
+    /// Endpoints that must fail in a row. With half of all endpoints down, one series in 64 is this long by chance, and
+    /// the next established connection ends it.
+    static constexpr std::size_t min_failed_endpoints = 6;
 
     Instant last_connected { Instant::min() };
     /// When the latest of the attempts began that have failed in a row.
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
-#include <ranges>
 
 namespace Routing {
 
@@ -206,11 +205,11 @@
             candidates.push_back(&endpoint);
     }
     std::ranges::shuffle(candidates, this->random);
-    std::ranges::stable_partition(
-        candidates, [&](auto const* endpoint) { return !excluded_domains.contains(endpoint->record.failure_domain); });
+    std::stable_partition(candidates.begin(), candidates.end(),
+        [&](auto const* endpoint) { return !excluded_domains.contains(endpoint->record.failure_domain); });
     std::vector<KnownEndpoint> sample;
-    for (auto const* const endpoint : std::views::take(candidates, static_cast<std::ptrdiff_t>(count)))
-        sample.push_back(*endpoint);
+    for (std::size_t index = 0; index < std::min(count, candidates.size()); ++index)
+        sample.push_back(*candidates[index]);
     return sample;
 }
 
@@ -248,11 +247,13 @@
     admitted.expiry = timeout_is_first ? Reason::RouteTimeoutPassed : Reason::DeadlinePassed;
     std::scoped_lock const guard(this->endpoints_lock);
     admitted.id = RequestId { this->next_request++ };
-    admitted.service = this->draw_service(*route);
+    admitted.service = this->service_for(head, *route);
     auto const* const service = configuration->find_service(admitted.service);
     admitted.is_engine = service != nullptr && service->engine.has_value();
-    this->budget_of(admitted.service).request_sent(now);
-    if (admitted.is_engine)
+    bool const is_counted_elsewhere = head.assigned_service.has_value();
+    if (!is_counted_elsewhere)
+        this->budget_of(admitted.service).request_sent(now);
+    if (admitted.is_engine && !is_counted_elsewhere)
         this->demands[admitted.service].add(head.workload, now);
     admitted.configuration = std::move(configuration);
     return admitted;
@@ -414,6 +415,34 @@
         && (request.account_settings == nullptr || is_in(request.account_settings->allowed_regions));
 }
 
+bool RequestRouter::may_pass_through(Admitted const& request, std::string const& failure_domain) const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    return this->is_region_allowed(request, failure_domain);
+}
+
+std::vector<EndpointId> RequestRouter::endpoint_ids(std::vector<std::string> const& incarnations) const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    std::vector<EndpointId> ids;
+    for (auto const& incarnation : incarnations) {
+        if (auto const* const endpoint = this->directory.find(incarnation))
+            ids.push_back(endpoint->id);
+    }
+    return ids;
+}
+
+std::vector<std::string> RequestRouter::incarnations(std::vector<EndpointId> const& endpoints) const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    std::vector<std::string> incarnations;
+    for (auto const id : endpoints) {
+        if (auto const* const endpoint = this->directory.find(id))
+            incarnations.push_back(endpoint->record.incarnation);
+    }
+    return incarnations;
+}
+
 SharedMicroseconds RequestRouter::shared_time(Instant now) const
 {
     return static_cast<SharedMicroseconds>((now.time_since_epoch() + this->shared_clock_ahead).count());
@@ -630,6 +659,14 @@
     return { Reason::ConfigurationAging, retry_after_gap };
 }
 
+std::string RequestRouter::service_for(RequestHead const& head, Route const& route)
+{
+    if (head.assigned_service
+        && std::ranges::find(route.services, *head.assigned_service, &ServiceShare::service) != route.services.end())
+        return *head.assigned_service;
+    return this->draw_service(route);
+}
+
 std::string const& RequestRouter::draw_service(Route const& route)
 {
     static std::string const none;
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -32,6 +32,8 @@
     /// How long the client waits after the request was read.
     std::optional<Duration> patience;
     Workload workload;
+    /// The service that another box assigned the request to, which admitted and counted it before it forwarded it here.
+    std::optional<std::string> assigned_service {};
 
     bool operator==(RequestHead const&) const = default;
 };
@@ -156,6 +158,13 @@
     /// Chooses an endpoint that is not in `tried`. Checks again whether the request may still run.
     [[nodiscard]] std::variant<Placed, Rejected> place(
         Admitted const& request, Workload const& workload, std::vector<EndpointId> const& tried, Instant now);
+    /// Whether a box of the failure domain may handle the request's body. With restricted regions only boxes within
+    /// them may, since the client's own region is not known.
+    [[nodiscard]] bool may_pass_through(Admitted const& request, std::string const& failure_domain) const;
+    /// The known endpoints of these incarnations.
+    [[nodiscard]] std::vector<EndpointId> endpoint_ids(std::vector<std::string> const& incarnations) const;
+    /// The incarnations of these endpoints, without those that are gone.
+    [[nodiscard]] std::vector<std::string> incarnations(std::vector<EndpointId> const& endpoints) const;
     /// Whether an endpoint that was just chosen may still get a request: it may have begun to drain while this box
     /// connected to it.
     [[nodiscard]] bool may_receive(EndpointId endpoint, Instant now) const;
@@ -287,6 +296,8 @@
     [[nodiscard]] bool is_usable(KnownEndpoint const& endpoint, Instant now) const;
     /// The endpoints of a service that may get new requests, in the same order on every box.
     [[nodiscard]] std::vector<KnownEndpoint const*> usable(std::string_view service, Instant now) const;
+    /// The service that another box assigned the request to, if the route has it, or a random one of the route.
+    [[nodiscard]] std::string service_for(RequestHead const& head, Route const& route);
     [[nodiscard]] std::string const& draw_service(Route const& route);
     /// The load of a known endpoint; null if it is gone.
     [[nodiscard]] EndpointLoad* load_of(EndpointId endpoint);
--- a/Tests/Harness/SocketOwner.cpp
+++ b/Tests/Harness/SocketOwner.cpp
@@ -14,22 +14,17 @@
 std::string inode_of(std::uint16_t local_port, std::uint16_t remote_port)
 {
     constexpr std::string_view loopback = "0100007F";
-    auto const local = fmt::format("{}:{:04X}", loopback, local_port);
-    auto const remote = fmt::format("{}:{:04X}", loopback, remote_port);
+    auto const pair = fmt::format(" {0}:{1:04X} {0}:{2:04X} ", loopback, local_port, remote_port);
     std::ifstream table("/proc/net/tcp");
     for (std::string line; std::getline(table, line);) {
-        std::istringstream words(line);
-        std::string number;
-        std::string from;
-        std::string to;
-        words >> number >> from >> to;
-        if (from != local || to != remote)
+        auto const found = line.find(pair);
+        if (found == std::string::npos)
             continue;
-        constexpr int words_before_inode = 6;
+        constexpr int words_before_inode = 5;
+        std::istringstream words(line.substr(found + pair.size()));
         std::string word;
-        for (int skipped = 0; skipped < words_before_inode; ++skipped)
+        for (int skipped = 0; skipped <= words_before_inode; ++skipped)
             words >> word;
-        words >> word;
         return word;
     }
     return {};
--- a/Tests/LibGateway/TestClientConnection.cpp
+++ b/Tests/LibGateway/TestClientConnection.cpp
@@ -13,7 +13,8 @@
     Connection()
         : state(this->context, Routing::RouterSettings {}, 1)
         , sockets(this->context)
-        , caller(std::make_shared<ClientConnection>(this->state, std::move(this->sockets.near)))
+        , caller(std::make_shared<ClientConnection>(
+              this->state, std::move(this->sockets.near), ClientConnection::Peer::Client))
     {
         this->state.max_held_body_bytes = 1024 * 1024;
         asio::co_spawn(
@@ -73,7 +74,8 @@
             { "i", "desk", { "127.0.0.1", this->endpoint.local_endpoint().port() }, "hall", 6, false },
             Core::monotonic_now());
         this->endpoint.non_blocking(true);
-        this->caller = std::make_shared<ClientConnection>(this->state, std::move(this->sockets.near));
+        this->caller = std::make_shared<ClientConnection>(
+            this->state, std::move(this->sockets.near), ClientConnection::Peer::Client);
         asio::co_spawn(
             this->context, [caller = this->caller] { return caller->run(); }, asio::detached);
     }
--- /dev/null
+++ b/Tests/LibGateway/TestForwardedRequest.cpp
@@ -0,0 +1,208 @@
+#include <TestMain.h>
+
+#include "ScriptedExchange.h"
+#include <LibGateway/ClientConnection.h>
+
+using namespace Gateway;
+
+namespace {
+
+/// A listener whose queue is full, so that connecting to it neither succeeds nor fails.
+struct UnreachableHost {
+    explicit UnreachableHost(asio::io_context& context)
+        : acceptor(context)
+    {
+        tcp::endpoint const any(asio::ip::address_v4::loopback(), 0);
+        this->acceptor.open(any.protocol());
+        this->acceptor.bind(any);
+        this->acceptor.listen(0);
+        for (auto& socket : this->queued) {
+            socket.emplace(context);
+            socket->async_connect(this->acceptor.local_endpoint(), [](error_code) {});
+        }
+    }
+    [[nodiscard]] std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
+
+    tcp::acceptor acceptor;
+    std::array<std::optional<tcp::socket>, 4> queued;
+};
+
+/// A port on loopback at which nothing listens.
+std::uint16_t closed_port(asio::io_context& context)
+{
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return acceptor.local_endpoint().port();
+}
+
+/// A box that can't connect to any endpoint, and another one that can, unless a test says otherwise.
+struct TwoBoxes : Exchange {
+    explicit TwoBoxes(RouteKind kind, unsigned attempts = 2)
+        : Exchange(kind, attempts, endpoint_count)
+        , other(this->context, Routing::RouterSettings { "hall", {}, { 0.2, std::chrono::seconds(10), 100 }, {} }, 2)
+        , boxes_acceptor(this->context, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , unreachable(this->context)
+    {
+        this->other.router.offer_configuration(this->state.router.configuration(), Core::monotonic_now());
+        this->other.max_clients = 10;
+        this->other.max_held_body_bytes = 1 << 20;
+        for (int index = 0; index < endpoint_count; ++index)
+            this->put(this->other, index, this->endpoints[index]->acceptor.local_endpoint().port());
+        this->cut_off(this->state, this->unreachable.port());
+        this->boxes.replace_all({ { "a", {}, "hall" },
+            { "b", { "127.0.0.1", 1 }, "hall", 0, this->boxes_acceptor.local_endpoint().port() } });
+        this->state.forwarder.set_boxes(this->boxes, "a");
+        this->other.forwarder.set_boxes(this->boxes, "b");
+        asio::co_spawn(this->context, this->state.reachability.run(), asio::detached);
+        asio::co_spawn(this->context, this->other.reachability.run(), asio::detached);
+        asio::co_spawn(
+            this->context, [this] { return this->accept(); }, asio::detached);
+    }
+
+    void put(GatewayState& box, int index, std::uint16_t port) const
+    {
+        box.router.put_endpoint(
+            { "i-" + std::to_string(index), "desk", { "127.0.0.1", port }, "hall", 6, false }, Core::monotonic_now());
+    }
+    void cut_off(GatewayState& box, std::uint16_t port) const
+    {
+        for (int index = 0; index < endpoint_count; ++index)
+            this->put(box, index, port);
+    }
+    Task<void> accept()
+    {
+        for (;;) {
+            auto [error, accepted] = co_await this->boxes_acceptor.async_accept(as_value);
+            if (error)
+                co_return;
+            this->connection
+                = std::make_shared<ClientConnection>(this->other, std::move(accepted), ClientConnection::Peer::Box);
+            asio::co_spawn(
+                this->context, [served = this->connection] { return served->run(); }, asio::detached);
+        }
+    }
+    void wait_until_cut_off()
+    {
+        REQUIRE(this->reach([&] { return this->state.reachability.is_cut_off(); }));
+    }
+
+    static constexpr int endpoint_count = 4;
+
+    GatewayState other;
+    tcp::acceptor boxes_acceptor;
+    UnreachableHost unreachable;
+    Membership::BoxDirectory boxes;
+    std::shared_ptr<ClientConnection> connection;
+};
+
+}
+
+TEST_CASE("a request is served by way of another box where this one can't connect to any endpoint")
+{
+    auto kind = RouteKind::Idempotent;
+    SUBCASE("repeatable")
+    {
+        kind = RouteKind::Idempotent;
+    }
+    SUBCASE("not repeatable")
+    {
+        kind = RouteKind::NonIdempotent;
+    }
+    TwoBoxes site(kind);
+    site.start("body");
+    auto const where = site.wait_for_arrival();
+    auto const& arrived = site.endpoints[where]->connections[0]->received;
+    CHECK(arrived.starts_with("POST /x HTTP/1.1\r\n"));
+    CHECK(arrived.find("X-Expect-Instance: i-" + std::to_string(where)) != std::string::npos);
+    CHECK(arrived.find("Cleatbeam") == std::string::npos);
+    CHECK(arrived.find("X-Key") == std::string::npos);
+    site.endpoints[where]->answer(whole_answer);
+    REQUIRE(site.ends());
+    CHECK(site.received == whole_answer);
+    CHECK(site.arrival_count() == 1);
+    CHECK(site.keeps_client);
+}
+
+TEST_CASE("events of a forwarded stream are passed on as they come, and it is cancelled when its client leaves")
+{
+    TwoBoxes site(RouteKind::Streaming);
+    site.start();
+    auto& endpoint = *site.endpoints[site.wait_for_arrival()];
+    endpoint.answer(stream_head + "6\r\nid: 1\n\r\n");
+    REQUIRE(site.reach([&] { return site.received.find("id: 1") != std::string::npos; }));
+    CHECK_FALSE(site.has_ended);
+    site.exchange->client_left();
+    REQUIRE(site.ends());
+    CHECK(site.reach([&] { return endpoint.connections[0]->is_closed; }));
+}
+
+TEST_CASE("two boxes that are cut off don't send a request to and fro, and it is told as not run")
+{
+    TwoBoxes site(RouteKind::NonIdempotent);
+    site.cut_off(site.other, closed_port(site.context));
+    site.start("body");
+    REQUIRE(site.ends());
+    CHECK(site.received.starts_with("HTTP/1.1 503 "));
+    CHECK(site.received.find("Retry-After: ") != std::string::npos);
+    CHECK(site.arrival_count() == 0);
+    CHECK(site.state.clients == 0);
+}
+
+TEST_CASE("a box with an earlier version of the configuration doesn't serve a forwarded request")
+{
+    TwoBoxes site(RouteKind::NonIdempotent);
+    site.use_accounts({ "hall", {}, { 0.2, std::chrono::seconds(10), 100 }, {} });
+    site.start("body");
+    REQUIRE(site.ends());
+    CHECK(site.received.starts_with("HTTP/1.1 503 "));
+    CHECK(site.arrival_count() == 0);
+}
+
+TEST_CASE("a forwarded request that may have run when the other box ends is not sent again")
+{
+    TwoBoxes site(RouteKind::NonIdempotent, 3);
+    site.start("body");
+    static_cast<void>(site.wait_for_arrival());
+    site.connection->close_if_idle();
+    site.boxes_acceptor.close();
+    site.context.post([&] { site.endpoints[0]->poll(); });
+    for (auto& endpoint : site.endpoints) {
+        for (auto& connection : endpoint->connections)
+            connection->socket.close();
+    }
+    REQUIRE(site.ends());
+    CHECK(site.received.starts_with("HTTP/1.1 502 "));
+    CHECK(site.arrival_count() == 1);
+}
+
+TEST_CASE("what endpoints reject at the other box is told as not run")
+{
+    std::string const refusal
+        = "HTTP/1.1 503 Full\r\nX-Attempt-Id: 9c41\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    TwoBoxes site(RouteKind::NonIdempotent, 1);
+    site.start("body");
+    site.endpoints[site.wait_for_arrival()]->answer(refusal);
+    REQUIRE(site.ends());
+    CHECK(site.received.starts_with("HTTP/1.1 503 "));
+    CHECK(site.received.find("Retry-After: ") != std::string::npos);
+}
+
+TEST_CASE("a request that must stay in its regions passes through no box outside of them")
+{
+    TwoBoxes site(RouteKind::NonIdempotent);
+    auto changed = site.state.router.configuration()->configuration();
+    ++changed.version;
+    changed.routes[0].allowed_regions = { "here" };
+    Routing::RouterSettings settings { "hall", {}, { 0.2, std::chrono::seconds(10), 100 }, {} };
+    settings.domain_regions = { { "hall", "here" }, { "far-hall", "there" } };
+    site.boxes.replace_all({ { "b", { "127.0.0.1", 1 }, "far-hall", 0, site.boxes_acceptor.local_endpoint().port() } });
+    for (auto* box : { &site.state, &site.other }) {
+        box->router.set_settings(settings);
+        box->router.offer_configuration(
+            std::make_shared<Routing::ConfigurationSnapshot const>(changed), Core::monotonic_now());
+    }
+    site.start("body");
+    REQUIRE(site.ends());
+    CHECK(site.received.starts_with("HTTP/1.1 503 "));
+    CHECK(site.arrival_count() == 0);
+    CHECK(site.connection == nullptr);
+}
