LibGateway: Record no crash of an endpoint that refuses connections as all others do

Cause: a box that is cut off has its connections reset and new ones refused, which is what a crashed endpoint looks like. It told all boxes that the endpoint had crashed under the request; after three such requests no box would serve it any more. Ruled out: waiting for the verdict that the box is cut off, which takes up to a second while copies of a harmful request run on. A check that waits 20 ms for a reset let TestRefusedRequestRunsAgain fail in 3 of 3 runs, since the next copy ran before the crash was known; so the other endpoint is only connected to. Conclusion: a refusal counts as a crash once another endpoint has accepted a connection, which costs one round trip.

--- a/Libraries/LibGateway/ExchangeRetries.cpp
+++ b/Libraries/LibGateway/ExchangeRetries.cpp
@@ -65,6 +65,10 @@
 {
     auto const& placed = attempt.placed;
     auto check_result = co_await check_endpoint(this->state, placed.choice.endpoint, placed.endpoint.address);
+    // NOTE: While this box is cut off, every endpoint refuses its connections, and none of them has crashed.
+    if (check_result == EndpointCheckResult::Refuses
+        && !co_await this->state.reachability.is_own_refusal(placed.choice.endpoint))
+        check_result = EndpointCheckResult::Unknown;
     this->log_broken_connection(attempt, check_result);
     if (was_in_use && check_result == EndpointCheckResult::Refuses)
         this->state.crash_exchange.report_crash(
--- a/Tests/LibGateway/TestForwardedRequest.cpp
+++ b/Tests/LibGateway/TestForwardedRequest.cpp
@@ -206,3 +206,19 @@
     CHECK(site.arrival_count() == 0);
     CHECK(site.connection == nullptr);
 }
+
+TEST_CASE("an endpoint that refuses connections like all others is not recorded as crashed")
+{
+    TwoBoxes site(RouteKind::NonIdempotent);
+    for (int index = 0; index < TwoBoxes::endpoint_count; ++index)
+        site.put(site.state, index, site.endpoints[index]->acceptor.local_endpoint().port());
+    site.start("body");
+    auto const where = site.wait_for_arrival();
+    for (auto& endpoint : site.endpoints)
+        endpoint->acceptor.close();
+    site.endpoints[where]->close();
+    REQUIRE(site.ends());
+    site.wait_until_cut_off();
+    auto const request = Routing::fingerprint_of("", "h", "/x", "body");
+    CHECK(site.state.crash_exchange.status(request).crashes == 0);
+}
