LibRouting: Send brittle endpoints fewer requests than they can reject

Cause: an endpoint may say that it fails if it has to reject more than some requests within a second (Server-Brittle). Ruled out: each box going by its own rejections, since every one of 985 boxes would have to meet its own; a notice of the condition alone, since it doesn't say that the endpoint is full. Conclusion: the first rejection is told to all boxes, and they share a limit that even its rejection in full would not exceed; it doubles each second.

--- a/Libraries/LibGateway/EndpointNoticeExchange.cpp
+++ b/Libraries/LibGateway/EndpointNoticeExchange.cpp
@@ -23,6 +23,16 @@
         .info();
 }
 
+void log_rejection(Routing::EndpointRejection const& rejection, std::string_view origin)
+{
+    Log::EventLine("brittle_endpoint_rejected")
+        .with("endpoint", rejection.endpoint.incarnation)
+        .with("max_rejections_per_s", rejection.max_rejections)
+        .with("ms_ago", Core::to_milliseconds(monotonic_now() - rejection.at))
+        .with("told_by", origin)
+        .info();
+}
+
 /// Calls `send` with as many messages as it takes to hold all notices.
 template <typename Send> void send_in_messages(std::vector<Routing::EndpointNotice> const& notices, Send send)
 {
@@ -40,7 +50,7 @@
 void EndpointNoticeExchange::request_notices() const
 {
     if (this->to_boxes)
-        this->to_boxes(Membership::encode({ {}, true }, monotonic_now()), some_boxes);
+        this->to_boxes(Membership::encode({ {}, true, {} }, monotonic_now()), some_boxes);
 }
 
 Task<void> EndpointNoticeExchange::run()
@@ -71,11 +81,20 @@
             .with("endpoint", placed.endpoint.incarnation)
             .with("backoff_s", Core::to_seconds(*report.backoff))
             .info();
+    if (change.rejection)
+        this->report_rejection(*change.rejection);
     if (!change.notice)
         return;
     log_change(*change.notice, "own");
     if (this->to_boxes)
-        this->to_boxes(Membership::encode({ { *change.notice }, false }, monotonic_now()), all_boxes);
+        this->to_boxes(Membership::encode({ { *change.notice }, false, {} }, monotonic_now()), all_boxes);
+}
+
+void EndpointNoticeExchange::report_rejection(Routing::EndpointRejection const& rejection) const
+{
+    log_rejection(rejection, "own");
+    if (this->to_boxes)
+        this->to_boxes(Membership::encode({ {}, false, { rejection } }, monotonic_now()), all_boxes);
 }
 
 void EndpointNoticeExchange::receive(EndpointNoticeMessage const& message, Reply const& reply)
@@ -85,6 +104,10 @@
         if (this->router.apply_notice(notice, now))
             log_change(notice, "box");
     }
+    for (auto const& rejection : message.rejections) {
+        if (this->router.apply_rejection(rejection))
+            log_rejection(rejection, "box");
+    }
     if (message.requests_all)
         send_in_messages(this->router.active_notices(now), reply);
 }
--- a/Libraries/LibGateway/EndpointNoticeExchange.h
+++ b/Libraries/LibGateway/EndpointNoticeExchange.h
@@ -39,6 +39,8 @@
 
 private:
     void send_some();
+    /// Tells all other boxes at once, since each of them may send the endpoint another request.
+    void report_rejection(Routing::EndpointRejection const& rejection) const;
 
     static constexpr Core::Duration send_interval { std::chrono::seconds(1) };
     /// Boxes to which notices or requests are sent at a time. Each second every box sends to this many others, so all
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -241,8 +241,9 @@
     if (facts.rate_limit)
         attempt.reported_rate_limit = facts.rate_limit->per_second;
     if (!facts.is_other_endpoint)
-        this->state.endpoint_notice_exchange.endpoint_answered(
-            attempt.placed, { facts.rate_limit, facts.is_draining, !facts.not_run, facts.backoff }, attempt.started);
+        this->state.endpoint_notice_exchange.endpoint_answered(attempt.placed,
+            { facts.rate_limit, facts.is_draining, !facts.not_run, facts.backoff, facts.max_rejections },
+            attempt.started);
     auto const endpoint = attempt.placed.choice.endpoint;
     if (facts.load)
         this->state.router.update_reported_load(endpoint, *facts.load, monotonic_now());
--- a/Libraries/LibMembership/EndpointNoticeMessage.h
+++ b/Libraries/LibMembership/EndpointNoticeMessage.h
@@ -14,6 +14,7 @@
     std::vector<Routing::EndpointNotice> notices;
     /// The sender requests all notices of the receiver.
     bool requests_all { false };
+    std::vector<Routing::EndpointRejection> rejections {};
 
     bool operator==(EndpointNoticeMessage const&) const = default;
 };
--- /dev/null
+++ b/Libraries/LibRouting/BrittleEndpoints.cpp
@@ -0,0 +1,53 @@
+#include <LibRouting/BrittleEndpoints.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Routing {
+
+void BrittleEndpoints::apply_answer(EndpointId id, std::optional<double> max_rejections)
+{
+    if (max_rejections)
+        this->entries[id].max_rejections = max_rejections;
+    else if (auto const known = this->entries.find(id); known != this->entries.end())
+        known->second.max_rejections.reset();
+}
+
+bool BrittleEndpoints::rejected(EndpointId id, double max_rejections, Instant at)
+{
+    auto& entry = this->entries[id];
+    bool const is_news = !entry.rejected_at || at - *entry.rejected_at >= news_interval;
+    entry.rejected_at = std::max(at, entry.rejected_at.value_or(at));
+    entry.max_rejections_then = max_rejections;
+    return is_news;
+}
+
+bool BrittleEndpoints::is_brittle(EndpointId id) const
+{
+    auto const known = this->entries.find(id);
+    return known != this->entries.end() && known->second.max_rejections.has_value();
+}
+
+std::optional<double> BrittleEndpoints::limit_of(EndpointId id, Instant now) const
+{
+    auto const known = this->entries.find(id);
+    if (known == this->entries.end() || !known->second.rejected_at)
+        return {};
+    auto const doublings = static_cast<int>((now - *known->second.rejected_at) / doubling_time);
+    if (doublings >= max_doublings)
+        return {};
+    auto const first = std::max(min_limit, known->second.max_rejections_then * first_share);
+    return std::ldexp(first, std::max(doublings, 0));
+}
+
+bool BrittleEndpoints::may_send(EndpointId id, SharedLimit const& limit, SendPriority rank)
+{
+    return this->entries[id].share.may_send(limit, rank);
+}
+
+void BrittleEndpoints::count_send(EndpointId id, SharedLimit const& limit)
+{
+    this->entries[id].share.count_send(limit);
+}
+
+}
--- a/Libraries/LibRouting/EndpointNotices.h
+++ b/Libraries/LibRouting/EndpointNotices.h
@@ -30,6 +30,16 @@
     bool operator==(EndpointNotice const&) const = default;
 };
 
+/// A request that an endpoint rejected which can't reject many, as boxes report it to each other.
+struct EndpointRejection {
+    EndpointInstance endpoint;
+    /// How many requests it can reject within a second without failing.
+    double max_rejections { 0 };
+    Instant at {};
+
+    bool operator==(EndpointRejection const&) const = default;
+};
+
 /// Conditions that endpoints report in their answers, and whether this box may send to an endpoint now.
 ///
 /// A box that sees a change sends a notice to the other boxes, so that they know the condition before the endpoint has
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -158,6 +158,7 @@
     this->notices.forget(id);
     this->backoffs.forget(id);
     this->cold.forget(id);
+    this->brittle.forget(id);
 }
 
 void RequestRouter::forget_notices_of_moved()
@@ -316,14 +317,14 @@
             choices.backed_off.push_back(id);
             continue;
         }
-        if (!this->may_send_now(id, limit_if_cold, rank, now)) {
+        if (this->may_be_overrun(request, *endpoint, now) || !this->may_send_now(id, limit_if_cold, rank, now)) {
             choices.at_limit.push_back(id);
             continue;
         }
         auto const found = this->loads.find(id);
         bool const is_healthy = found == this->loads.end() || found->second.takes_work(now);
-        bool const is_limited
-            = this->notices.limit_of(id).per_second.has_value() || (limit_if_cold && this->cold.is_cold(id, now));
+        bool const is_limited = this->notices.limit_of(id).per_second.has_value()
+            || (limit_if_cold && this->cold.is_cold(id, now)) || this->brittle.limit_of(id, now).has_value();
         auto& candidates = is_healthy ? choices.healthy : choices.unhealthy;
         (is_limited ? candidates.limited : candidates.usual).push_back(endpoint);
     }
@@ -338,7 +339,8 @@
         Duration longest_slot { 0 };
         for (auto const id : choices.at_limit) {
             auto const limit = this->notices.limit_of(id).per_second;
-            for (auto const& per_second : { limit, limit ? std::nullopt : limit_if_cold }) {
+            for (auto const& per_second :
+                { limit, limit ? std::nullopt : limit_if_cold, this->brittle.limit_of(id, now) }) {
                 if (per_second)
                     longest_slot = std::max(longest_slot, RateSchedule(*per_second).slot_length());
             }
@@ -373,21 +375,43 @@
     return cold_limit(*service->cold_rate, this->settings.cold);
 }
 
-SharedLimit RequestRouter::shared_cold_limit(
+SharedLimit RequestRouter::shared_limit(
     double per_second, std::string_view endpoint, SharedMicroseconds shared_now) const
 {
     return { per_second, endpoint, this->notices.box_group(), shared_now };
 }
 
+std::optional<SharedLimit> RequestRouter::brittle_limit(EndpointId id, Instant now) const
+{
+    auto const per_second = this->brittle.limit_of(id, now);
+    if (!per_second)
+        return {};
+    return this->shared_limit(*per_second, this->directory.find(id)->record.incarnation, this->shared_time(now));
+}
+
+bool RequestRouter::may_be_overrun(Admitted const& request, KnownEndpoint const& endpoint, Instant now) const
+{
+    if (!this->brittle.is_brittle(endpoint.id))
+        return false;
+    auto const load = this->loads.find(endpoint.id);
+    if (load == this->loads.end())
+        return false;
+    // NOTE: A plain service ends requests faster than boxes report them to each other.
+    auto const running
+        = request.is_engine ? load->second.running(now) : static_cast<double>(load->second.own_running());
+    return running >= endpoint.record.slots;
+}
+
 bool RequestRouter::may_send_now(EndpointId id, std::optional<double> limit_if_cold, SendPriority rank, Instant now)
 {
     auto const shared_now = this->shared_time(now);
     if (!this->notices.may_send(id, rank, shared_now))
         return false;
+    if (auto const limit = this->brittle_limit(id, now); limit && !this->brittle.may_send(id, *limit, rank))
+        return false;
     if (!limit_if_cold)
         return true;
-    auto const limit
-        = this->shared_cold_limit(*limit_if_cold, this->directory.find(id)->record.incarnation, shared_now);
+    auto const limit = this->shared_limit(*limit_if_cold, this->directory.find(id)->record.incarnation, shared_now);
     return this->cold.may_send(id, limit, rank, now);
 }
 
@@ -395,10 +419,13 @@
 {
     auto const shared_now = this->shared_time(now);
     bool is_counted = this->notices.count_send(id, shared_now);
+    if (auto const limit = this->brittle_limit(id, now)) {
+        this->brittle.count_send(id, *limit);
+        is_counted = true;
+    }
     if (!limit_if_cold)
         return is_counted;
-    auto const limit
-        = this->shared_cold_limit(*limit_if_cold, this->directory.find(id)->record.incarnation, shared_now);
+    auto const limit = this->shared_limit(*limit_if_cold, this->directory.find(id)->record.incarnation, shared_now);
     is_counted |= this->cold.count_send(id, limit, now);
     return is_counted;
 }
@@ -484,9 +511,21 @@
         return {};
     if (report.took_request)
         this->backoffs.request_accepted(id, sent_at);
+    this->brittle.apply_answer(id, report.max_rejections);
+    std::optional<EndpointRejection> rejection;
+    if (report.max_rejections && !report.took_request && this->brittle.rejected(id, *report.max_rejections, now))
+        rejection = { instance_of(placed.endpoint), *report.max_rejections, now };
     bool const backoff_began = report.backoff && this->backoffs.start(id, *report.backoff, now);
     EndpointCondition const reported { report.limit.value_or(this->notices.limit_of(id)), report.is_draining };
-    return { this->notices.apply_answer(id, instance_of(placed.endpoint), reported, sent_at, now), backoff_began };
+    return { this->notices.apply_answer(id, instance_of(placed.endpoint), reported, sent_at, now), backoff_began,
+        rejection };
+}
+
+bool RequestRouter::apply_rejection(EndpointRejection const& rejection)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    auto const* const known = this->directory.find(rejection.endpoint.incarnation);
+    return known != nullptr && this->brittle.rejected(known->id, rejection.max_rejections, rejection.at);
 }
 
 bool RequestRouter::apply_notice(EndpointNotice const& notice, Instant now)
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Reason.h>
+#include <LibRouting/BrittleEndpoints.h>
 #include <LibRouting/ColdEndpoints.h>
 #include <LibRouting/ConfigurationLease.h>
 #include <LibRouting/EndpointBackoffs.h>
@@ -196,6 +197,8 @@
         bool took_request { true };
         /// How long the endpoint asked for no requests from this box.
         std::optional<Duration> backoff {};
+        /// How many requests the endpoint can reject within a second without failing; unset if it reported none.
+        std::optional<double> max_rejections {};
     };
     /// The effect of an endpoint's report.
     struct ReportEffect {
@@ -203,11 +206,15 @@
         std::optional<EndpointNotice> notice;
         /// Whether a new backoff began.
         bool backoff_began { false };
+        /// The rejection to report to other boxes, if a brittle endpoint rejected the request.
+        std::optional<EndpointRejection> rejection {};
     };
     [[nodiscard]] ReportEffect record_answer(
         Placed const& placed, EndpointReport const& report, Instant sent_at, Instant now);
     /// Applies a notice of another box. Returns whether it is newer than the known one and concerns a known endpoint.
     bool apply_notice(EndpointNotice const& notice, Instant now);
+    /// Applies the rejection of a request of another box. Returns whether it is news and concerns a known endpoint.
+    bool apply_rejection(EndpointRejection const& rejection);
     /// As EndpointNotices::active.
     [[nodiscard]] std::vector<EndpointNotice> active_notices(Instant now) const;
     /// Endpoints that have a rate limit.
@@ -283,10 +290,14 @@
     void update_cold(EndpointRecord const& record, Instant now);
     /// The limit of a service's endpoints while they are cold; unset if they never are.
     [[nodiscard]] std::optional<double> cold_limit_of(Admitted const& request) const;
-    [[nodiscard]] SharedLimit shared_cold_limit(
+    [[nodiscard]] SharedLimit shared_limit(
         double per_second, std::string_view endpoint, SharedMicroseconds shared_now) const;
     /// Counts the request against this box's shares of the endpoint's limits. Returns false if it has no limit.
     bool count_send(EndpointId id, std::optional<double> cold_limit, Instant now);
+    /// Whether the endpoint would fail if it had to reject requests, and is not known to have room for one more.
+    [[nodiscard]] bool may_be_overrun(Admitted const& request, KnownEndpoint const& endpoint, Instant now) const;
+    /// The limit of a brittle endpoint that has rejected requests.
+    [[nodiscard]] std::optional<SharedLimit> brittle_limit(EndpointId id, Instant now) const;
     /// Whether this box's share of the endpoint's limits allows a request.
     [[nodiscard]] bool may_send_now(EndpointId id, std::optional<double> cold_limit, SendPriority rank, Instant now);
     /// Whether route and account both allow the region of the failure domain.
@@ -312,6 +323,7 @@
     EndpointNotices notices;
     EndpointBackoffs backoffs;
     ColdEndpoints cold;
+    BrittleEndpoints brittle;
     std::set<std::string> evacuated_domains;
     Duration shared_clock_ahead { 0 };
     std::unordered_map<std::string, RetryBudget> budgets;
--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -58,8 +58,10 @@
         if (!this->retry_after.empty())
             co_return co_await session->answer(
                 503, "", "X-Not-Executed: 1\r\nRetry-After: " + this->retry_after + "\r\n");
-        if (this->running >= FLAGS_server_slots)
-            co_return co_await session->answer(503, "", "X-Not-Executed: 1\r\n");
+        if (this->running >= FLAGS_server_slots) {
+            this->count_rejection();
+            co_return co_await session->answer(503, "", "X-Not-Executed: 1\r\n" + this->brittle_header());
+        }
         ++this->running;
         this->report_run(request, attempt);
         if (!FLAGS_crash_on.empty() && request.body().find(FLAGS_crash_on) != std::string::npos) {
@@ -83,6 +85,8 @@
             this->limit = target.substr(limit_path.size());
         else if (target.starts_with(retry_after_path))
             this->retry_after = target.substr(retry_after_path.size());
+        else if (target.starts_with(brittle_path))
+            this->max_rejections = target.substr(brittle_path.size());
         else if (target == "/leave" || target == "/stay")
             this->tells_draining = target == "/leave";
         else
@@ -90,6 +94,23 @@
         return "{}";
     }
 
+    [[nodiscard]] std::string brittle_header() const
+    {
+        return this->max_rejections.empty() ? "" : "Server-Brittle: " + this->max_rejections + "\r\n";
+    }
+
+    /// Ends the process if it has rejected too many requests within a second.
+    void count_rejection()
+    {
+        if (this->max_rejections.empty())
+            return;
+        auto const now = Core::monotonic_now();
+        this->rejections.push_back(now);
+        std::erase_if(this->rejections, [now](auto at) { return now - at > std::chrono::seconds(1); });
+        if (static_cast<double>(this->rejections.size()) > std::stod(this->max_rejections))
+            std::_Exit(EXIT_FAILURE);
+    }
+
     void report_run(Request const& request, std::string const& attempt)
     {
         auto& run = this->runs.try_emplace(attempt, json::object()).first->second;
@@ -107,7 +128,7 @@
             attempt, FLAGS_incarnation, attempt, this->running, FLAGS_server_slots,
             this->is_draining ? "Connection: close\r\n" : "",
             this->limit.empty() ? "" : "Server-Limit: " + this->limit + "\r\n",
-            this->tells_draining ? "Server-Leaving: 1\r\n" : "");
+            (this->tells_draining ? "Server-Leaving: 1\r\n" : "") + this->brittle_header());
         auto const events = std::string(request["X-Standin-Events"]);
         if (events.empty()) {
             co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_work_ms));
@@ -174,6 +195,10 @@
     /// Behind it come the seconds after which boxes may come back, while all requests are turned away; nothing ends it.
     static constexpr std::string_view retry_after_path = "/retry-after/";
 
+    /// Behind it come the requests that the server can reject in a second, which it names from then on; nothing ends
+    /// it.
+    static constexpr std::string_view brittle_path = "/brittle/";
+
     asio::io_context& context;
     std::string address;
     Core::Instant started { Core::monotonic_now() };
@@ -181,6 +206,8 @@
     std::vector<double> arrivals_ms;
     std::string limit;
     std::string retry_after;
+    std::string max_rejections;
+    std::vector<Core::Instant> rejections;
     /// Whether answers say that the server drains; its entry in the store doesn't.
     bool tells_draining { false };
     std::map<std::string, json> runs;
--- a/Tests/PlatformAdapter/TestRequestCodec.cpp
+++ b/Tests/PlatformAdapter/TestRequestCodec.cpp
@@ -192,6 +192,23 @@
         CHECK_FALSE(limit(std::string("Server-Limit: ") + unreadable + "\r\n"));
 }
 
+TEST_CASE("how many requests an endpoint can reject is read from its answer's head, and nothing from what is no number")
+{
+    auto const read = [](std::string const& value) {
+        HttpAnswerHead head;
+        head.result(503);
+        head.set("Server-Brittle", value);
+        return decode_answer(head, "9c41").max_rejections;
+    };
+    CHECK(read("5") == 5);
+    CHECK(read(" 0.5") == 0.5);
+    CHECK(read("0") == 0);
+    for (auto const* text : { "", "-1", "many", "5,5", "inf", "nan", "1e999" }) {
+        CAPTURE(text);
+        CHECK_FALSE(read(text));
+    }
+}
+
 TEST_CASE("an endpoint that leaves is told by its answer's head")
 {
     auto const leaving = [](std::string const& line) {
