Tests: Let the soak cut boxes off from all endpoints and silence endpoints

Cause: no play of the soak had a fault between boxes and endpoints, so neither the incident nor a silent endpoint could show in it. Conclusion: a fourth play, with its own draws.

--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -12,7 +12,7 @@
 /// the store are delayed, cut, narrowed and reset, while the operator writes large configurations in quick succession.
 /// The answers of clients are compared with the journals of the endpoints, and the last configuration must come into
 /// force on all boxes. Further plays add a store that is restored from copies and a platform to which one box reports
-/// usage, or endpoints with rate limits that reject requests or drain.
+/// usage, endpoints with rate limits that reject requests or drain, or boxes that are cut off from all endpoints.
 namespace {
 
 using namespace Soak;
@@ -45,6 +45,9 @@
     CopiesAndLeader,
     /// Endpoints announce rate limits, reject all requests for a time, announce that they drain, and revoke all of it.
     EndpointReports,
+    /// Boxes are cut off from all endpoints while everything else reaches them; endpoints are silent for a second, and
+    /// announce that they can't reject many requests.
+    CutOff,
 };
 
 class Site {
@@ -57,7 +60,7 @@
         if (this->play == Play::CopiesAndLeader)
             this->cluster.start_cloud();
         for (auto const* name : server_names)
-            this->cluster.start_server(name, name[0] == 'm' ? "model" : "desk");
+            this->start_server(name);
         this->write_configuration(0);
         for (std::size_t index = 0; index < box_names.size(); ++index) {
             this->to_store[index].set_target(this->cluster.store_port());
@@ -82,6 +85,8 @@
             this->strike_leader_or_history();
         if (this->play == Play::EndpointReports)
             this->strike_endpoint_reports();
+        if (this->play == Play::CutOff)
+            this->strike_endpoint_links();
         auto const index = this->random(static_cast<std::uint32_t>(box_names.size()));
         auto const* const name = box_names[index];
         switch (this->random(10)) {
@@ -148,6 +153,13 @@
                 for (auto const* path : { "/limit/", "/retry-after/", "/stay" })
                     static_cast<void>(this->cluster.get(name, path));
         }
+        if (this->play == Play::CutOff) {
+            this->thaw_server();
+            for (auto const* name : server_names)
+                static_cast<void>(this->cluster.get(name, "/brittle/"));
+            for (auto const* name : box_names)
+                this->cluster.cut_off(name, Fault::None);
+        }
         for (std::size_t index = 0; index < box_names.size(); ++index) {
             this->thaw(index);
             this->to_store[index].set_fault(Fault::None);
@@ -215,6 +227,44 @@
             static_cast<void>(this->cluster.get(this->random_of_play(2) == 0 ? "m1" : "d1", "/leave"));
     }
 
+    void start_server(std::string const& name)
+    {
+        auto const* const service = name[0] == 'm' ? "model" : "desk";
+        if (this->play == Play::CutOff)
+            this->cluster.start_proxied_server(name, service);
+        else
+            this->cluster.start_server(name, service);
+    }
+
+    void strike_endpoint_links()
+    {
+        this->thaw_server();
+        auto const* const box = box_names[this->random_of_play(static_cast<std::uint32_t>(box_names.size()))];
+        auto const* const server = server_names[this->random_of_play(static_cast<std::uint32_t>(server_names.size()))];
+        switch (this->random_of_play(4)) {
+        case 0:
+        case 1:
+            this->cluster.cut_off(box,
+                std::array { Fault::Reset, Fault::RefuseNew, Fault::Silent, Fault::None }[this->random_of_play(4)]);
+            break;
+        case 2:
+            this->cluster.process(server).freeze();
+            this->frozen_server = server;
+            break;
+        default:
+            static_cast<void>(
+                this->cluster.get(server, std::array { "/brittle/1000", "/brittle/" }[this->random_of_play(2)]));
+            break;
+        }
+    }
+
+    /// A silent endpoint goes on after the time between two strikes, at the latest.
+    void thaw_server()
+    {
+        if (!this->frozen_server.empty())
+            this->cluster.process(std::exchange(this->frozen_server, {})).thaw();
+    }
+
     void start_box(std::size_t index)
     {
         auto settings = bounds;
@@ -269,6 +319,8 @@
     std::array<FaultProxy, box_names.size()> to_store;
     std::array<FaultProxy, box_names.size()> to_box;
     std::array<bool, box_names.size()> is_frozen {};
+    /// The endpoint that is silent now; empty for none.
+    std::string frozen_server;
 };
 
 std::string whole_stream(std::string const& attempt)
@@ -369,3 +421,8 @@
 {
     play(Play::EndpointReports);
 }
+
+TEST_CASE("and where boxes are cut off from all endpoints, and endpoints are silent for a while")
+{
+    play(Play::CutOff);
+}
