LibGateway: Ask up to six boxes to serve a request that this one can't

Cause: where the boxes of two failure domains out of three are cut off, 8 in 27 requests would meet three boxes that are cut off too. Ruled out: remembering which boxes are cut off as the only means: a box with less than a request a second forgets it in between. Conclusion: a box that is cut off refuses within a round trip, so further ones cost little. The fuzzer reads what boxes tell each other of forwarded requests as well.

--- a/Fuzz/FuzzRecords.cpp
+++ b/Fuzz/FuzzRecords.cpp
@@ -3,6 +3,7 @@
 
 #include <LibMembership/CrashMessages.h>
 #include <LibMembership/EndpointNoticeMessage.h>
+#include <LibMembership/ForwardedRequest.h>
 #include <LibMembership/LoadMessages.h>
 #include <LibMembership/RelayMessages.h>
 #include <cstddef>
@@ -70,13 +71,22 @@
             std::abort();
         break;
     }
-    default: {
+    case 10: {
         constexpr std::int64_t now = 1'790'000'000'000;
         auto const crash = Membership::decode_crash_record(text, now);
         if (crash && crash->age > Routing::CrashLedger::retention)
             std::abort();
         break;
     }
+    default: {
+        auto const request = Membership::decode_forwarded_request(text);
+        if (request && Membership::decode_forwarded_request(Membership::encode(*request)) != request)
+            std::abort();
+        auto const answer = Membership::decode_forwarded_answer(text);
+        if (answer && Membership::decode_forwarded_answer(Membership::encode(*answer)) != answer)
+            std::abort();
+        break;
+    }
     }
 }
 
@@ -86,7 +96,7 @@
 {
     if (size == 0)
         return 0;
-    constexpr std::uint8_t readers = 11;
+    constexpr std::uint8_t readers = 12;
     constexpr std::uint8_t first_of_boxes = 4;
     auto const reader = static_cast<std::uint8_t>(data[0] % readers);
     std::string const text(reinterpret_cast<char const*>(data) + 1, size - 1);
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -158,9 +158,9 @@
 
     /// Limit for attempts that failed before any byte was sent, not counting hosts that refuse the connection.
     static constexpr unsigned max_unsent_attempts = 3;
-    /// How many other boxes are asked to serve a request. Where half of all boxes are cut off, one request in eight
-    /// meets only such boxes, until it is known which these are.
-    static constexpr std::size_t max_asked_boxes = 3;
+    /// How many other boxes are asked to serve a request. One that is cut off as well refuses within a round trip.
+    /// Where two thirds of all boxes are, one request in eleven meets only such boxes.
+    static constexpr std::size_t max_asked_boxes = 6;
     /// Pause before a broken connection is checked again. A process closes its sockets within some milliseconds of its
     /// end, more on a busy host.
     static constexpr Core::Duration repeated_check_pause { std::chrono::milliseconds(50) };
--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -36,6 +36,7 @@
 printf '\10\202\1\33\12\22\11\1\0\0\0\0\0\0\0\21\2\0\0\0\0\0\0\0\22\3\12\1a\30\2' >"$folder/corpus-FuzzRecords/crashes"
 printf '\11\202\2\13\12\3\12\1a\20\2\210\2\1' >"$folder/corpus-FuzzRecords/news"
 printf '\12\202\1\22\11\1\0\0\0\0\0\0\0\21\2\0\0\0\0\0\0\0\212\1\3\12\1a\220\1\3' >"$folder/corpus-FuzzRecords/crash"
+printf '\13%s' 080112046465736b18022203692d31 >"$folder/corpus-FuzzRecords/forwarded"
 
 for target in FuzzSettings FuzzRequest FuzzRecords; do
     clang++ -fsanitize=fuzzer,address,undefined "$folder/targets/Fuzz_$target.cpp.o" "$folder/libraries.a" -o "$folder/$target" \
