LibGateway: Don't take a box for unable because a client left while it was connected to

Cause: a request whose client left while the connection to another box was being opened marked that box as unable to serve for a second, so the next requests passed it over. Conclusion: a cancelled request says nothing of the box.

--- a/Libraries/LibGateway/ExchangeForwarding.cpp
+++ b/Libraries/LibGateway/ExchangeForwarding.cpp
@@ -37,6 +37,8 @@
             co_await this->end_unplaced({ attempt.refusal, attempt.refused_for });
             co_return true;
         }
+        if (this->last_end == AttemptEnd::NotSent && this->is_cancelled())
+            break;
         if (is_refused || this->last_end == AttemptEnd::NotSent) {
             this->state.forwarder.mark_unable(box->name, monotonic_now());
             continue;
