Tests: Print how many requests brittle endpoints served

Cause: the message of TestBrittleEndpoint printed {?} in place of the number, since the test library can't print atomic values. Ruled out: nothing. Conclusion: the message tells what was served.

--- a/Tests/Integration/TestBrittleEndpoint.cpp
+++ b/Tests/Integration/TestBrittleEndpoint.cpp
@@ -49,5 +49,5 @@
     load.clear();
     CHECK(site.ended_servers() <= tolerated_failures);
     CHECK(served > 0);
-    MESSAGE(served << " served, " << site.ended_servers() << " servers failed");
+    MESSAGE(served.load() << " served, " << site.ended_servers() << " servers failed");
 }
