LibGateway: Tell a request that another box has no memory for as not run

What callers saw: 502 for a request that had not run, where the box that it was forwarded to refused it before reading it whole (too many bodies in memory). A client may not repeat it after 502, though it could. Cause: such refusals come from ClientConnection, which left out what a box adds to its answers; without it the forwarding box takes an answer for one that tells nothing. Ruled out: taking every answer without the details for a refusal, since a broken box could send anything. Besides, cases for what a client or an endpoint writes into these headers, for details that can't be read, and for a box that breaks the connection after it took a request; the case that had this name played an endpoint that breaks off, and is named so now. Conclusion: one function makes the details for both.

--- a/Libraries/LibGateway/ClientConnection.cpp
+++ b/Libraries/LibGateway/ClientConnection.cpp
@@ -169,7 +169,8 @@
         .with("reason", Core::to_string(reason))
         .with("detail", detail)
         .info();
-    auto const bytes = Adapter::encode_local_answer({ status, "", reason, {}, false, false });
+    auto const box_details = this->peer == Peer::Box ? this->state.forwarder.answer_details(reason, {}) : std::string();
+    auto const bytes = Adapter::encode_local_answer({ status, "", reason, {}, false, false, box_details });
     auto const [error, written] = co_await asio::async_write(this->socket, asio::buffer(bytes), as_value);
     if (!error)
         co_await close_after_answer(this->shared_socket());
--- a/Libraries/LibGateway/ExchangeForwarding.cpp
+++ b/Libraries/LibGateway/ExchangeForwarding.cpp
@@ -138,11 +138,7 @@
 
 std::string RequestExchange::box_details(std::optional<Reason> refusal, std::optional<Core::Duration> retry_after) const
 {
-    if (!this->client.is_box)
-        return {};
-    auto const configuration = this->state.router.configuration();
-    return Membership::encode(
-        Membership::ForwardedAnswer { configuration ? configuration->version() : 0, refusal, retry_after });
+    return this->client.is_box ? this->state.forwarder.answer_details(refusal, retry_after) : std::string();
 }
 
 unsigned RequestExchange::max_attempts() const
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -33,6 +33,14 @@
     return is_outdated ? admitted : std::max(admitted, this->seen_version);
 }
 
+std::string RequestForwarder::answer_details(
+    std::optional<Core::Reason> refusal, std::optional<Core::Duration> retry_after) const
+{
+    auto const configuration = this->router.configuration();
+    return Membership::encode(
+        Membership::ForwardedAnswer { configuration ? configuration->version() : 0, refusal, retry_after });
+}
+
 EndpointId RequestForwarder::connection_id(std::string const& box)
 {
     auto const next = static_cast<std::uint32_t>(this->ids.size() + 1);
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/EndpointConnections.h>
+#include <LibMembership/ForwardedRequest.h>
 #include <LibMembership/ForwardingTargets.h>
 #include <LibRouting/RequestRouter.h>
 
@@ -34,6 +35,11 @@
     /// must not be served by an earlier version.
     [[nodiscard]] std::uint64_t min_configuration(std::uint64_t admitted, Core::Instant now) const;
 
+    /// What the box that forwarded a request has to know of this box's answer, as the value of a header. `refusal` is
+    /// unset if the answer is an endpoint's.
+    [[nodiscard]] std::string answer_details(
+        std::optional<Core::Reason> refusal, std::optional<Core::Duration> retry_after) const;
+
     [[nodiscard]] EndpointConnections& connections() { return this->box_connections; }
     /// Identifies the box in connections().
     [[nodiscard]] EndpointId connection_id(std::string const& box);
--- a/Tests/LibGateway/TestForwardedRequest.cpp
+++ b/Tests/LibGateway/TestForwardedRequest.cpp
@@ -157,23 +157,106 @@
     CHECK(site.arrival_count() == 0);
 }
 
-TEST_CASE("a forwarded request that may have run when the other box ends is not sent again")
+TEST_CASE("a forwarded request whose endpoint breaks off is not sent again")
 {
     TwoBoxes site(RouteKind::NonIdempotent, 3);
     site.start("body");
-    static_cast<void>(site.wait_for_arrival());
-    site.connection->close_if_idle();
-    site.boxes_acceptor.close();
-    site.context.post([&] { site.endpoints[0]->poll(); });
-    for (auto& endpoint : site.endpoints) {
-        for (auto& connection : endpoint->connections)
-            connection->socket.close();
-    }
+    site.endpoints[site.wait_for_arrival()]->close();
     REQUIRE(site.ends());
     CHECK(site.received.starts_with("HTTP/1.1 502 "));
     CHECK(site.arrival_count() == 1);
 }
 
+TEST_CASE("a request that another box had taken when its connection broke may have run, and goes to no further box")
+{
+    auto kind = RouteKind::NonIdempotent;
+    SUBCASE("not repeatable")
+    {
+        kind = RouteKind::NonIdempotent;
+    }
+    SUBCASE("repeatable")
+    {
+        kind = RouteKind::Idempotent;
+    }
+    TwoBoxes site(kind, 3);
+    FakeEndpoint breaking_box(site.context);
+    FakeEndpoint further_box(site.context);
+    site.boxes.replace_all({ { "b", { "127.0.0.1", 1 }, "hall", 9, breaking_box.acceptor.local_endpoint().port() } });
+    site.start("body");
+    REQUIRE(site.reach([&] {
+        breaking_box.poll();
+        return breaking_box.head_count() > 0;
+    }));
+    site.boxes.replace_all({ { "b", { "127.0.0.1", 1 }, "hall", 9, breaking_box.acceptor.local_endpoint().port() },
+        { "c", { "127.0.0.1", 1 }, "hall", 9, further_box.acceptor.local_endpoint().port() } });
+    breaking_box.close();
+    REQUIRE(site.ends());
+    further_box.poll();
+    CHECK(site.received.starts_with("HTTP/1.1 502 "));
+    CHECK(further_box.connections.empty());
+}
+
+TEST_CASE("a request that the other box has no memory for is told as not run")
+{
+    TwoBoxes site(RouteKind::NonIdempotent);
+    site.other.max_held_body_bytes = 0;
+    site.start("body");
+    REQUIRE(site.ends());
+    CHECK(site.received.starts_with("HTTP/1.1 503 "));
+    CHECK(site.received.find("Retry-After: ") != std::string::npos);
+    CHECK(site.arrival_count() == 0);
+}
+
+TEST_CASE("what a client writes into the headers between boxes is neither read nor passed on")
+{
+    TwoBoxes site(RouteKind::NonIdempotent);
+    tcp::socket client(site.context);
+    tcp::acceptor acceptor(site.context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    client.connect(acceptor.local_endpoint());
+    auto const connection
+        = std::make_shared<ClientConnection>(site.other, acceptor.accept(), ClientConnection::Peer::Client);
+    asio::co_spawn(
+        site.context, [connection] { return connection->run(); }, asio::detached);
+    asio::write(client,
+        asio::buffer(std::string("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 9c41\r\nX-Deadline-Ms: 9000\r\n"
+                                 "Cleatbeam-Forwarded: 00\r\nCleatbeam-Answered: 00\r\nContent-Length: 0\r\n\r\n")));
+    auto const where = site.wait_for_arrival();
+    CHECK(site.endpoints[where]->connections[0]->received.find("Cleatbeam") == std::string::npos);
+    site.endpoints[where]->answer("HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\nX-Response-Stamp: s\r\n"
+                                  "Cleatbeam-Answered: 00\r\nContent-Length: 2\r\n\r\nok");
+    client.non_blocking(true);
+    std::string received;
+    REQUIRE(site.reach([&] {
+        std::array<char, 4096> piece {};
+        error_code error;
+        auto const size = client.read_some(asio::buffer(piece), error);
+        received.append(piece.data(), size);
+        return received.ends_with("ok");
+    }));
+    CHECK(received == whole_answer);
+}
+
+TEST_CASE("a forwarded request whose details can't be read is refused and not run")
+{
+    TwoBoxes site(RouteKind::NonIdempotent);
+    tcp::socket box(site.context);
+    box.connect(site.boxes_acceptor.local_endpoint());
+    asio::write(box,
+        asio::buffer(std::string("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 9c41\r\nX-Deadline-Ms: 9000\r\n"
+                                 "Cleatbeam-Forwarded: zz\r\nContent-Length: 0\r\n\r\n")));
+    box.non_blocking(true);
+    std::string received;
+    REQUIRE(site.reach([&] {
+        std::array<char, 4096> piece {};
+        error_code error;
+        auto const size = box.read_some(asio::buffer(piece), error);
+        received.append(piece.data(), size);
+        return received.find("\r\n\r\n") != std::string::npos;
+    }));
+    CHECK(received.starts_with("HTTP/1.1 503 "));
+    CHECK(site.arrival_count() == 0);
+}
+
 TEST_CASE("what endpoints reject at the other box is told as not run")
 {
     std::string const refusal
