--- a/Tests/LibMembership/TestForwarding.cpp
+++ b/Tests/LibMembership/TestForwarding.cpp
@@ -15,6 +15,7 @@
 BoxDirectory boxes(int count, std::uint16_t port = 7)
 {
     std::vector<BoxRecord> records;
+    records.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
         records.push_back(
             { "b" + std::to_string(number), { "127.0.0.1", 1 }, number % 2 == 0 ? "even" : "odd", 0, port });
--- a/Tests/LibRouting/TestBrittleEndpoints.cpp
+++ b/Tests/LibRouting/TestBrittleEndpoints.cpp
@@ -23,6 +23,7 @@
         names.push_back("box-" + std::to_string(number));
     std::vector<BrittleEndpoints> states(box_count);
     std::vector<BoxGroup> groups;
+    groups.reserve(box_count);
     for (auto const& name : names)
         groups.emplace_back(name, names);
     for (auto& state : states)
