LibLeader: Report all counts that are still due after a late takeover

Cause: a new leader looked back two usage windows, whatever their length and however long their reports are in time. Where the windows are short (1 s in the test, reports due after 10 s), a takeover that takes over two seconds leaves counts out for good, though the platform would have accepted them for eight seconds more. A slow takeover is all that is needed: a claim that fails waits for a second and more. TestLeaderLog shows the same in virtual time for three schedules. Ruled out: nothing else was found that loses counts there. Change: the look-back follows from the schedule, by how many windows a report may still be in time; what boxes and the log keep follows with it, so that no constant has to cover the schedule. Windows of 5 s with reports due after 10 s keep two, eight and twelve, as before.

--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -40,13 +40,13 @@
     /// The usage window that contains `moment`, by the clock that all boxes share.
     [[nodiscard]] std::uint64_t usage_window_at(Core::Instant moment) const
     {
-        return Leader::window_at(this->clock.unix_microseconds(moment), this->usage_window);
+        return Leader::window_at(this->clock.unix_microseconds(moment), this->usage_schedule.window_length);
     }
     /// Counts a request of the client account that an endpoint started to run at that moment.
     void count_started_request(std::string const& account, Core::Instant at)
     {
-        if (this->usage_window > Core::Duration { 0 } && !account.empty())
-            this->usage.add(account, this->usage_window_at(at));
+        if (this->usage_schedule.window_length > Core::Duration { 0 } && !account.empty())
+            this->usage.add(account, this->usage_window_at(at), this->usage_schedule);
     }
 
     asio::io_context& context;
@@ -60,7 +60,7 @@
     Leader::SharedClock clock;
     /// Request counts for the usage reports to the platform. A window length of 0 means that usage isn't reported.
     Leader::UsageCounts usage;
-    Core::Duration usage_window { 0 };
+    Leader::UsageSchedule usage_schedule;
     /// Set when the process receives the signal to stop.
     bool is_stopping { false };
     /// Whether this box has just started and hasn't yet received what only other boxes know: a version of the
--- a/Libraries/LibGateway/Leadership.cpp
+++ b/Libraries/LibGateway/Leadership.cpp
@@ -313,7 +313,7 @@
     std::vector<Leader::LogRecord> records;
     for (std::size_t index = 0; index < topic->records.size(); ++index)
         records.push_back({ topic->records[index].key, topic->records[index].value, topic->offsets[index] });
-    this->leader_log = Leader::LeaderLog::from(records, topic->end, era.value_or(0));
+    this->leader_log = Leader::LeaderLog::from(records, topic->end, era.value_or(0), this->state.usage_schedule);
     co_return true;
 }
 
--- a/Libraries/LibGateway/UsageReporter.cpp
+++ b/Libraries/LibGateway/UsageReporter.cpp
@@ -37,7 +37,7 @@
     , send_to_box(std::move(send))
     , connection(state.context, this->settings.address)
 {
-    this->state.usage_window = this->settings.usage_window;
+    this->state.usage_schedule = { this->settings.usage_window, this->settings.usage_due };
 }
 
 void UsageReporter::set_settings(Adapter::LeaderSettings changed)
--- a/Libraries/LibLeader/LeaderLog.cpp
+++ b/Libraries/LibLeader/LeaderLog.cpp
@@ -40,9 +40,11 @@
 
 }
 
-LeaderLog LeaderLog::from(std::vector<LogRecord> const& newest, std::uint64_t end, std::uint64_t era)
+LeaderLog LeaderLog::from(
+    std::vector<LogRecord> const& newest, std::uint64_t end, std::uint64_t era, UsageSchedule const& schedule)
 {
     LeaderLog log;
+    log.schedule = schedule;
     log.log_end = end;
     log.log_era = era;
     for (auto const& record : newest)
@@ -91,7 +93,7 @@
 std::uint64_t LeaderLog::first_window(std::uint64_t current) const
 {
     bool const may_lack_reports = !this->last_claim || this->last_claim->era < this->log_era;
-    auto const lookback_start = current - std::min(current, lookback_windows);
+    auto const lookback_start = current - std::min(current, this->schedule.windows_until_due());
     auto const first = may_lack_reports ? current : std::max(lookback_start, this->last_claim->first_window);
     auto const after_earlier_reports = this->newest_earlier_era_window ? *this->newest_earlier_era_window + 1 : 0;
     auto const after_current_reports = this->current_reports.empty() ? 0 : this->current_reports.rbegin()->first + 1;
@@ -113,7 +115,7 @@
 {
     std::vector<LogRecord> records { { report_key(window, this->log_era), encode_report(window, counts), 0 } };
     for (auto const& [key, old_window] : this->report_keys) {
-        if (old_window + retained_windows < window)
+        if (old_window + this->retained_windows() < window)
             records.push_back({ key, std::nullopt, 0 });
     }
     return records;
@@ -129,8 +131,8 @@
     if (this->current_reports.empty())
         return;
     auto const newest = this->current_reports.rbegin()->first;
-    std::erase_if(
-        this->current_reports, [&](auto const& report) { return report.first + 2 * retained_windows < newest; });
+    std::erase_if(this->current_reports,
+        [&](auto const& report) { return report.first + 2 * this->retained_windows() < newest; });
 }
 
 }
--- a/Libraries/LibLeader/LeaderLog.h
+++ b/Libraries/LibLeader/LeaderLog.h
@@ -41,7 +41,8 @@
 class LeaderLog {
 public:
     /// `end` is the offset after the log's last record. Records that can't be decoded are left out.
-    static LeaderLog from(std::vector<LogRecord> const& newest, std::uint64_t end, std::uint64_t era);
+    static LeaderLog from(
+        std::vector<LogRecord> const& newest, std::uint64_t end, std::uint64_t era, UsageSchedule const& schedule);
 
     [[nodiscard]] std::uint64_t end() const { return this->log_end; }
     [[nodiscard]] std::uint64_t era() const { return this->log_era; }
@@ -59,9 +60,9 @@
     };
     [[nodiscard]] Status status(std::uint64_t process) const;
     /// The first window that a box may report if it claims now, where `current` is the window in progress. Excludes
-    /// windows that have a report and windows that an earlier leader skipped. If the store's present era has no claim,
-    /// all windows that have ended are excluded as well: reports may have been sent that the store lost, and a second
-    /// report with other counts would be worse than none.
+    /// windows that have a report, windows whose report is overdue and windows that an earlier leader skipped. If the
+    /// store's present era has no claim, all windows that have ended are excluded as well: reports may have been sent
+    /// that the store lost, and a second report with other counts would be worse than none.
     [[nodiscard]] std::uint64_t first_window(std::uint64_t current) const;
     /// Reports by window that were written in the store's present era.
     [[nodiscard]] std::map<std::uint64_t, AccountCounts> const& reports() const { return this->current_reports; }
@@ -77,12 +78,16 @@
 private:
     void apply(LogRecord const& record);
 
-    /// Windows before the one in progress that a new leader still reports, if they have no report: they are not due
-    /// yet.
-    static constexpr std::uint64_t lookback_windows = 2;
-    /// A window's report is due some windows after its end; a successor looks back no further.
-    static constexpr std::uint64_t retained_windows = 12;
+    /// Windows whose reports stay in the log: a successor looks back no further.
+    [[nodiscard]] std::uint64_t retained_windows() const
+    {
+        return this->schedule.windows_until_due() + windows_kept_after_due;
+    }
 
+    /// A report may be sent for some time after it was due.
+    static constexpr std::uint64_t windows_kept_after_due = 10;
+
+    UsageSchedule schedule;
     std::uint64_t log_end { 0 };
     std::uint64_t log_era { 0 };
     std::optional<Claim> last_claim;
--- a/Libraries/LibLeader/UsageCounts.cpp
+++ b/Libraries/LibLeader/UsageCounts.cpp
@@ -4,10 +4,10 @@
 
 namespace Leader {
 
-void UsageCounts::add(std::string const& account, std::uint64_t window)
+void UsageCounts::add(std::string const& account, std::uint64_t window, UsageSchedule const& schedule)
 {
     ++this->counts[window][account];
-    if (this->counts.size() > max_windows)
+    if (this->counts.size() > schedule.windows_until_due() + further_windows)
         this->counts.erase(this->counts.begin());
 }
 
--- a/Libraries/LibLeader/UsageCounts.h
+++ b/Libraries/LibLeader/UsageCounts.h
@@ -26,16 +26,30 @@
     return (window + 1) * static_cast<std::uint64_t>(window_length.count());
 }
 
+/// The length of usage windows, and how long after its end a window's report is due.
+struct UsageSchedule {
+    Duration window_length { 0 };
+    Duration due { 0 };
+
+    bool operator==(UsageSchedule const&) const = default;
+
+    /// Windows before the one in progress whose report may still be in time.
+    [[nodiscard]] std::uint64_t windows_until_due() const
+    {
+        return this->window_length > Duration { 0 } ? static_cast<std::uint64_t>(this->due / this->window_length) : 0;
+    }
+};
+
 /// Requests that endpoints began for this box, by usage window and client account.
 class UsageCounts {
 public:
-    void add(std::string const& account, std::uint64_t window);
+    void add(std::string const& account, std::uint64_t window, UsageSchedule const& schedule);
     [[nodiscard]] std::map<std::uint64_t, AccountCounts> const& windows() const { return this->counts; }
 
 private:
-    /// Covers more than the time by which a report may be late, so that a new leader receives all counts without a
-    /// report.
-    static constexpr std::size_t max_windows = 8;
+    /// Windows that are kept besides those whose report may still be in time, so that a new leader receives all counts
+    /// without a report.
+    static constexpr std::uint64_t further_windows = 6;
 
     std::map<std::uint64_t, AccountCounts> counts;
 };
--- a/Tests/Integration/TestLeader.cpp
+++ b/Tests/Integration/TestLeader.cpp
@@ -137,6 +137,23 @@
     site.check_tokens();
 }
 
+// Guards against the loss of counts whose report isn't due yet while nobody leads for several windows.
+TEST_CASE("what boxes counted before a late takeover is reported while it is due")
+{
+    Site site;
+    auto const first = site.leader();
+    site.process(first).kill();
+    site.set_store_mode("reset");
+    auto const others = boxes_without(first);
+    site.serve(others, 10);
+    constexpr std::int64_t windows_without_leader_milliseconds = 4000;
+    auto const late = Core::wall_clock_milliseconds() + windows_without_leader_milliseconds;
+    wait_until("four windows are over", [&] { return Core::wall_clock_milliseconds() > late; });
+    site.set_store_mode("");
+    wait_until("all are reported", [&] { return site.reported() == 10; });
+    site.check_tokens();
+}
+
 TEST_CASE("a leader that stood still finds out that another one leads before it acts")
 {
     Site site;
--- a/Tests/LibLeader/TestLeaderLog.cpp
+++ b/Tests/LibLeader/TestLeaderLog.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr UsageSchedule schedule { std::chrono::seconds(5), std::chrono::seconds(10) };
+
 /// The leader's topic in the store: conditional appends, some executed late, and restores from a copy.
 class Store {
 public:
@@ -30,7 +32,7 @@
         return offset;
     }
 
-    [[nodiscard]] LeaderLog read() const
+    [[nodiscard]] LeaderLog read(UsageSchedule const& usage_schedule = schedule) const
     {
         std::map<std::string, LogRecord> newest;
         for (auto const& record : this->records) {
@@ -42,7 +44,7 @@
         list.reserve(newest.size());
         for (auto const& [key, record] : newest)
             list.push_back(record);
-        return LeaderLog::from(list, this->records.size(), this->era);
+        return LeaderLog::from(list, this->records.size(), this->era, usage_schedule);
     }
 
     void restore_without_last(std::size_t count)
@@ -116,6 +118,15 @@
     CHECK(store.read().first_window(12) == 12);
 }
 
+TEST_CASE("a leader that takes over late loses no counts whose report is not due yet")
+{
+    Store store;
+    REQUIRE(append_claim(store, 1, 80));
+    CHECK(store.read({ std::chrono::seconds(1), std::chrono::seconds(10) }).first_window(100) == 90);
+    CHECK(store.read({ std::chrono::seconds(5), std::chrono::seconds(10) }).first_window(100) == 98);
+    CHECK(store.read({ std::chrono::seconds(1), std::chrono::seconds(60) }).first_window(100) == 80);
+}
+
 // Guards against two different reports of one window: a leader reports a window, the store is restored from a copy
 // without the leader's claim and report, the next leader skips the window and stops, and a third one takes over. A log
 // without any claim must not be treated as that of a new deployment, and a skipped window must remain skipped for later
--- a/Tests/LibLeader/TestUsage.cpp
+++ b/Tests/LibLeader/TestUsage.cpp
@@ -50,11 +50,15 @@
 
 TEST_CASE("a box keeps the counts of the last windows for a new leader")
 {
-    UsageCounts counts;
-    for (std::uint64_t window = 1; window <= 20; ++window)
-        counts.add("a", window);
-    CHECK(counts.windows().size() == 8);
-    CHECK(counts.windows().begin()->first == 13);
+    auto const windows_kept = [](UsageSchedule const& schedule) {
+        UsageCounts counts;
+        for (std::uint64_t window = 1; window <= 20; ++window)
+            counts.add("a", window, schedule);
+        CHECK(counts.windows().begin()->first == 21 - counts.windows().size());
+        return counts.windows().size();
+    };
+    CHECK(windows_kept({ std::chrono::seconds(5), std::chrono::seconds(10) }) == 8);
+    CHECK(windows_kept({ std::chrono::seconds(1), std::chrono::seconds(10) }) == 16);
 }
 
 TEST_CASE("a clock that steps does not move windows while most clocks are right")
