LibRouting: Keep admission, placement and limits of RequestRouter in files of their own

Cause: RequestRouter.cpp had grown to 835 lines with four jobs in it: the configuration and the endpoints that are known, admitting and placing a request, the limits that keep a request from an endpoint, and what boxes tell each other. Ruled out: splitting the class: its parts share one lock for all that is known of the endpoints. Conclusion: no behaviour changed.

--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -243,6 +243,7 @@
     void apply_answer_shares(std::map<std::string, double> const& shares, Instant now);
 
 private:
+    static constexpr double milliseconds_per_second { 1000 };
     /// Time after which a client should retry if an endpoint or a current configuration is missing: about the time in
     /// which the store reports a new one.
     static constexpr Duration retry_after_gap { std::chrono::milliseconds(500) };
--- /dev/null
+++ b/Libraries/LibRouting/RouterPlacement.cpp
@@ -0,0 +1,250 @@
+// How RequestRouter admits a request and chooses its endpoint, or refuses it.
+
+#include <LibRouting/RequestRouter.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Routing {
+
+unsigned urgency_of(Route const& route, ClientAccount const* account)
+{
+    /// Priorities of routes and of accounts that are distinguished; endpoints distinguish ten ranks.
+    constexpr unsigned distinct_priorities = 3;
+    /// Accounts without a priority rank between the others.
+    constexpr unsigned default_priority = 1;
+    auto const of_account = account ? account->priority.value_or(default_priority) : default_priority;
+    return std::min(route.priority, distinct_priorities - 1) * distinct_priorities
+        + std::min(of_account, distinct_priorities - 1);
+}
+
+std::variant<Admitted, Rejected> RequestRouter::admit(RequestHead const& head, Instant now)
+{
+    auto configuration = this->configuration();
+    if (!configuration)
+        return Rejected { Reason::ConfigurationMissing, retry_after_start };
+    auto const* const route = configuration->find_route(head.host, head.target);
+    if (auto const refusal = this->refuse_by_lease(route, now))
+        return *refusal;
+    if (!route)
+        return this->refuse_unknown(Reason::RouteUnknown, now);
+    Admitted admitted;
+    ClientAccount const* account = nullptr;
+    if (configuration->needs_keys() && !route->is_public) {
+        account = configuration->find_account(head.api_key);
+        if (!account)
+            return this->refuse_unknown(Reason::KeyUnknown, now);
+        admitted.account = account->name;
+        admitted.account_settings = account;
+    }
+    admitted.urgency = urgency_of(*route, account);
+    admitted.route = route;
+    admitted.arrived = now;
+    bool const timeout_is_first
+        = !head.patience || (route->timeout > Duration { 0 } && route->timeout < *head.patience);
+    admitted.expires = now + (timeout_is_first ? route->timeout : *head.patience);
+    admitted.expiry = timeout_is_first ? Reason::RouteTimeoutPassed : Reason::DeadlinePassed;
+    std::scoped_lock const guard(this->endpoints_lock);
+    admitted.id = RequestId { this->next_request++ };
+    admitted.service = this->service_for(head, *route);
+    auto const* const service = configuration->find_service(admitted.service);
+    admitted.is_engine = service != nullptr && service->engine.has_value();
+    bool const is_counted_elsewhere = head.assigned_service.has_value();
+    if (!is_counted_elsewhere)
+        this->budget_of(admitted.service).request_sent(now);
+    if (admitted.is_engine && !is_counted_elsewhere)
+        this->demands[admitted.service].add(head.workload, now);
+    admitted.configuration = std::move(configuration);
+    return admitted;
+}
+
+std::variant<Placed, Rejected> RequestRouter::place(
+    Admitted const& request, Workload const& workload, std::vector<EndpointId> const& tried, Instant now)
+{
+    if (auto const refusal = this->refuse_by_lease(request.route, now))
+        return *refusal;
+    if (now >= request.expires)
+        return Rejected { request.expiry, {} };
+    std::scoped_lock const guard(this->endpoints_lock);
+    auto const choices = this->choices(request, tried, now);
+    auto const& candidates = choices.best();
+    auto const for_answers
+        = request.is_engine ? this->demands[request.service].engines_for_answers(candidates.usual.size(), now) : 0;
+    PlacementQuery const query { workload, request.is_engine, for_answers, this->settings.failure_domain, now,
+        request.is_engine ? this->speeds[request.service].speed() : EngineSpeed {}, this->compared_share,
+        this->random() };
+    auto const choice = choose_endpoint(candidates, this->loads, query, this->settings.placement);
+    if (!choice)
+        return this->refuse_unplaced(request, choices, !tried.empty(), now);
+    if (request.is_engine && tried.empty()) {
+        if (auto const refusal = this->refuse_by_wait(request, *choice))
+            return *refusal;
+    }
+    Placed placed { *choice, this->directory.find(choice->endpoint)->record };
+    placed.limit = this->notices.limit_of(choice->endpoint);
+    placed.cold_limit = this->cold_limit_of(request);
+    placed.is_counted_by_limit = this->count_send(choice->endpoint, placed.cold_limit, now);
+    placed.at_limit = choices.at_limit.size();
+    placed.backed_off = choices.backed_off.size();
+    this->backoffs.endpoint_chosen(choice->endpoint, now);
+    return placed;
+}
+
+PlacementCandidates const& RequestRouter::Choices::best() const
+{
+    // NOTE: If no endpoint is considered healthy, the estimate may be wrong, and trying one costs less than refusing.
+    bool const is_any_healthy = !this->healthy.usual.empty() || !this->healthy.limited.empty();
+    return is_any_healthy ? this->healthy : this->unhealthy;
+}
+
+RequestRouter::Choices RequestRouter::choices(
+    Admitted const& request, std::vector<EndpointId> const& tried, Instant now)
+{
+    Choices choices;
+    auto const rank = request.route->priority == 0 ? SendPriority::High : SendPriority::Low;
+    auto const limit_if_cold = this->cold_limit_of(request);
+    for (auto const* const endpoint : this->usable(request.service, now)) {
+        auto const id = endpoint->id;
+        if (std::ranges::find(tried, id) != tried.end())
+            continue;
+        if (!this->is_region_allowed(request, endpoint->record.failure_domain)) {
+            choices.has_other_regions = true;
+            continue;
+        }
+        if (!this->backoffs.may_be_chosen(id, now)) {
+            choices.backed_off.push_back(id);
+            continue;
+        }
+        if (this->may_be_overrun(request, *endpoint, now) || !this->may_send_now(id, limit_if_cold, rank, now)) {
+            choices.at_limit.push_back(id);
+            continue;
+        }
+        auto const found = this->loads.find(id);
+        bool const is_healthy = found == this->loads.end() || found->second.takes_work(now);
+        bool const is_limited = this->notices.limit_of(id).per_second.has_value()
+            || (limit_if_cold && this->cold.is_cold(id, now)) || this->brittle.limit_of(id, now).has_value();
+        auto& candidates = is_healthy ? choices.healthy : choices.unhealthy;
+        (is_limited ? candidates.limited : candidates.usual).push_back(endpoint);
+    }
+    return choices;
+}
+
+Rejected RequestRouter::refuse_unplaced(Admitted const& request, Choices const& choices, bool was_tried, Instant now)
+{
+    auto const jitter = std::ldexp(static_cast<double>(this->random()), -32);
+    if (!choices.at_limit.empty()) {
+        auto const limit_if_cold = this->cold_limit_of(request);
+        Duration longest_slot { 0 };
+        for (auto const id : choices.at_limit) {
+            auto const limit = this->notices.limit_of(id).per_second;
+            for (auto const& per_second :
+                { limit, limit ? std::nullopt : limit_if_cold, this->brittle.limit_of(id, now) }) {
+                if (per_second)
+                    longest_slot = std::max(longest_slot, RateSchedule(*per_second).slot_length());
+            }
+        }
+        return { Reason::EndpointsAtLimit, retry_after_limit(longest_slot, request.route->priority, jitter) };
+    }
+    if (!choices.backed_off.empty()) {
+        auto first = Instant::max();
+        for (auto const id : choices.backed_off)
+            first = std::min(first, this->backoffs.available_at(id));
+        return { Reason::EndpointsBackedOff, retry_after_backoff(first - now, request.route->priority, jitter) };
+    }
+    return { this->reason_for_no_endpoint(request, choices, now), was_tried ? retry_after_full : retry_after_gap };
+}
+
+Reason RequestRouter::reason_for_no_endpoint(Admitted const& request, Choices const& choices, Instant now) const
+{
+    if (choices.has_other_regions)
+        return Reason::NoEndpointInRegion;
+    auto const endpoints = this->directory.usable(request.service, now);
+    bool const is_evacuated = std::ranges::any_of(endpoints, [this](KnownEndpoint const* endpoint) {
+        return this->evacuated_domains.contains(endpoint->record.failure_domain);
+    });
+    return is_evacuated ? Reason::EndpointsEvacuated : Reason::NoEndpoint;
+}
+
+bool RequestRouter::is_region_allowed(Admitted const& request, std::string const& failure_domain) const
+{
+    auto const region = this->settings.domain_regions.find(failure_domain);
+    auto const is_in = [&](std::vector<std::string> const& regions) {
+        return regions.empty()
+            || (region != this->settings.domain_regions.end()
+                && std::ranges::find(regions, region->second) != regions.end());
+    };
+    return is_in(request.route->allowed_regions)
+        && (request.account_settings == nullptr || is_in(request.account_settings->allowed_regions));
+}
+
+bool RequestRouter::may_pass_through(Admitted const& request, std::string const& failure_domain) const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    return this->is_region_allowed(request, failure_domain);
+}
+
+std::optional<Rejected> RequestRouter::refuse_by_lease(Route const* route, Instant now) const
+{
+    std::scoped_lock const guard(this->configuration_lock);
+    if (this->lease.freshness(now) != ConfigurationFreshness::Expired)
+        return {};
+    // NOTE: While the store can't be reached, public routes are served, since no key is needed. A known newer version
+    // stops them too: it may have removed the route or moved it to another service.
+    bool const needs_key = this->lease.current()->needs_keys() && !(route != nullptr && route->is_public);
+    if (!needs_key && !this->lease.is_superseded())
+        return {};
+    return Rejected { Reason::ConfigurationExpired, retry_after_gap };
+}
+
+std::optional<Rejected> RequestRouter::refuse_by_wait(Admitted const& request, PlacementChoice const& choice)
+{
+    auto const wait = Core::from_seconds(choice.figures.backlog_milliseconds / milliseconds_per_second);
+    auto const own_limit = max_wait(request.route->goal, choice.prefill);
+    if (!own_limit || wait <= *own_limit)
+        return {};
+    // NOTE: Engines process urgent requests first, so these wait less than predicted. And no urgent request may be
+    // refused while a less urgent one with a longer goal is still accepted.
+    auto const goal = request.configuration->longest_goal(request.service, request.route->priority);
+    auto const limit = max_wait(goal, choice.prefill);
+    if (wait <= *limit)
+        return {};
+    auto const jitter = std::ldexp(static_cast<double>(this->random()), -32);
+    return Rejected { Reason::BacklogTooLong, retry_after_backlog(wait, *limit, jitter) };
+}
+
+Rejected RequestRouter::refuse_unknown(Reason reason, Instant now) const
+{
+    std::scoped_lock const guard(this->configuration_lock);
+    // NOTE: A newer configuration may contain the route or the key, so a permanent refusal needs a fresh configuration.
+    if (this->lease.freshness(now) == ConfigurationFreshness::Fresh)
+        return { reason, {} };
+    return { Reason::ConfigurationAging, retry_after_gap };
+}
+
+std::string RequestRouter::service_for(RequestHead const& head, Route const& route)
+{
+    if (head.assigned_service
+        && std::ranges::find(route.services, *head.assigned_service, &ServiceShare::service) != route.services.end())
+        return *head.assigned_service;
+    return this->draw_service(route);
+}
+
+std::string const& RequestRouter::draw_service(Route const& route)
+{
+    static std::string const none;
+    if (route.services.empty())
+        return none;
+    double total = 0;
+    for (auto const& share : route.services)
+        total += share.weight;
+    auto const drawn = std::ldexp(static_cast<double>(this->random()), -32) * total;
+    double passed = 0;
+    for (auto const& share : route.services) {
+        passed += share.weight;
+        if (drawn < passed)
+            return share.service;
+    }
+    return route.services.back().service;
+}
+
+}
