LibGateway: Tell in attempt_ended what ended an answer, and whether inside an event

Now attempt_ended says body_ends_with (length, last-chunk, connection, none), and for streams inside_event. EventStreamPosition follows a stream of events with the three line ends, a byte order mark and comments; it only observes here. No decision changes.

Shown by TestEventStreamPosition (4 cases, 1241 assertions, every pair of cuts of three streams). TestEventSplitter passes as before.

--- a/Libraries/LibGateway/EndpointCall.cpp
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -5,6 +5,21 @@
 
 namespace Gateway {
 
+std::string_view to_string(BodyEnd end)
+{
+    switch (end) {
+    case BodyEnd::None:
+        return "none";
+    case BodyEnd::Length:
+        return "length";
+    case BodyEnd::LastChunk:
+        return "last-chunk";
+    case BodyEnd::Connection:
+        break;
+    }
+    return "connection";
+}
+
 Task<error_code> EndpointCall::open(EndpointId endpoint, Routing::SocketAddress address)
 {
     this->connection = this->connections.acquire_idle(endpoint, Core::monotonic_now());
@@ -84,6 +99,15 @@
     co_return error_code {};
 }
 
+BodyEnd EndpointCall::body_end() const
+{
+    if (this->parser->need_eof())
+        return BodyEnd::Connection;
+    if (this->parser->chunked())
+        return BodyEnd::LastChunk;
+    return this->content_length() ? BodyEnd::Length : BodyEnd::None;
+}
+
 void EndpointCall::abort()
 {
     this->is_aborted = true;
--- a/Libraries/LibGateway/EndpointCall.h
+++ b/Libraries/LibGateway/EndpointCall.h
@@ -5,6 +5,18 @@
 
 namespace Gateway {
 
+/// What marks the end of an answer's body.
+enum class BodyEnd {
+    /// There is no body.
+    None,
+    Length,
+    LastChunk,
+    /// The endpoint closes the connection, as after a broken answer.
+    Connection,
+};
+
+[[nodiscard]] std::string_view to_string(BodyEnd end);
+
 /// One request on one connection to an endpoint: reuses or opens a connection, sends the request, reads the answer, and
 /// returns the connection to the pool if it can carry another request.
 class EndpointCall : public std::enable_shared_from_this<EndpointCall> {
@@ -34,7 +46,9 @@
 
     [[nodiscard]] Adapter::HttpAnswerHead const& head() const { return this->parser->get(); }
     [[nodiscard]] boost::optional<std::uint64_t> content_length() const { return this->parser->content_length(); }
-    /// Whether the answer was read to its end.
+    /// Valid after read_head() has succeeded.
+    [[nodiscard]] BodyEnd body_end() const;
+    /// Whether the answer was read to its end. Where the connection marks it, after any orderly close.
     [[nodiscard]] bool is_done() const { return this->parser && this->parser->is_done(); }
     [[nodiscard]] bool is_reused() const { return this->reused; }
     /// When the connection was established. Valid after open() has succeeded.
--- a/Libraries/LibGateway/EventSplitter.cpp
+++ b/Libraries/LibGateway/EventSplitter.cpp
@@ -20,6 +20,7 @@
 
 std::string EventSplitter::append(std::string_view piece)
 {
+    this->follow(piece);
     this->partial.append(piece);
     auto const end = end_of_whole_events(this->partial);
     auto whole = this->partial.substr(0, end);
--- a/Libraries/LibGateway/EventSplitter.h
+++ b/Libraries/LibGateway/EventSplitter.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include <cstdint>
-#include <optional>
+#include <LibGateway/EventStreamPosition.h>
+
 #include <string>
-#include <string_view>
 
 namespace Gateway {
 
@@ -13,16 +12,25 @@
 public:
     /// Appends a received piece and returns all events completed by it, byte for byte.
     [[nodiscard]] std::string append(std::string_view piece);
+    /// Follows a stream whose pieces are forwarded as they arrive.
+    void follow(std::string_view piece) { this->position.advance(piece); }
+    /// Whether what was received ends inside an event.
+    [[nodiscard]] bool is_inside_event() const { return this->position.is_inside_event(); }
     /// The bytes received after the last whole event.
     [[nodiscard]] std::string const& partial_event() const { return this->partial; }
     /// Discards an incomplete event, before another endpoint continues the stream.
-    void discard_partial_event() { this->partial.clear(); }
+    void discard_partial_event()
+    {
+        this->partial.clear();
+        this->position = {};
+    }
     /// The id of the last whole event that has one.
     [[nodiscard]] std::optional<std::string> const& last_id() const { return this->last_event_id; }
 
 private:
     void record_ids(std::string_view events);
 
+    EventStreamPosition position;
     std::string partial;
     std::optional<std::string> last_event_id;
 };
--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -74,6 +74,10 @@
         .with("status", attempt.status)
         .with("reused_connection", yes_or_no(attempt.reused_connection))
         .with("took_ms", Core::to_milliseconds(now - attempt.started));
+    if (attempt.body_end)
+        line.with("body_ends_with", to_string(*attempt.body_end));
+    if (this->is_event_stream)
+        line.with("inside_event", yes_or_no(this->events.is_inside_event()));
     if (attempt.reported_rate_limit)
         line.with("told_limit_per_s", *attempt.reported_rate_limit);
     if (attempt.reported_draining)
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -24,6 +24,16 @@
     }
 }
 
+/// Whether the body consists of server-sent events. Answers of streaming routes do unless they name another type.
+bool has_events(Adapter::HttpAnswerHead const& head, Routing::Route const& route)
+{
+    constexpr std::string_view event_stream = "text/event-stream";
+    auto const type = head[http::field::content_type];
+    if (type.empty())
+        return route.kind == RouteKind::Streaming;
+    return boost::beast::iequals(type.substr(0, type.find_first_of("; ")), event_stream);
+}
+
 constexpr std::string_view last_chunk = "0\r\n\r\n";
 constexpr unsigned http_1_1 = 11;
 
@@ -234,6 +244,7 @@
     }
     this->state.reachability.answered(attempt.connection_opened);
     attempt.status = this->call->head().result_int();
+    attempt.body_end = this->call->body_end();
     attempt.reported_draining = facts.is_draining;
     attempt.reported_backoff = facts.backoff;
     attempt.reported_load = facts.load;
@@ -280,6 +291,7 @@
         this->framing = ends_with_connection ? Adapter::BodyFraming::Empty : Adapter::BodyFraming::Chunked;
     else
         this->framing = length ? Adapter::BodyFraming::Length : Adapter::BodyFraming::Empty;
+    this->is_event_stream = is_chunked && attempt.status == status_ok && has_events(head, *this->admitted->route);
     this->splits_events = is_chunked && this->admitted->route->kind == RouteKind::Streaming
         && this->admitted->route->can_resume && attempt.status == status_ok;
     bool const is_buffered = length && *length <= max_buffered_answer_bytes;
@@ -299,7 +311,7 @@
                 co_return this->end_of_broken_answer();
             }
             this->measure_event_rate(received);
-            piece += this->splits_events ? this->events.append(received) : received;
+            piece += this->forwardable(received);
             if (!is_buffered && !piece.empty())
                 break;
         }
@@ -319,6 +331,15 @@
     co_return AttemptEnd::Delivered;
 }
 
+std::string RequestExchange::forwardable(std::string const& received)
+{
+    if (this->splits_events)
+        return this->events.append(received);
+    if (this->is_event_stream)
+        this->events.follow(received);
+    return received;
+}
+
 AttemptEnd RequestExchange::end_of_broken_answer() const
 {
     if (!this->answer_begun)
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -49,6 +49,8 @@
     Core::Instant connection_opened;
     /// Whether the connection broke on the endpoint's side before the answer was complete.
     bool connection_broke { false };
+    /// What marks the end of the answer's body; unset without an answer.
+    std::optional<BodyEnd> body_end;
     /// Number of endpoint crashes attributed to the request when this attempt began.
     unsigned known_crashes { 0 };
     /// The endpoint's rate limit, in requests per second. Nothing if it reported none or an unreadable one.
@@ -110,6 +112,8 @@
     /// Forwards the body after the encoded head in `out`, which is empty when a stream is continued. A buffered body is
     /// read whole before any of it is forwarded.
     [[nodiscard]] Task<AttemptEnd> forward_body(Attempt& attempt, std::string out, bool is_buffered);
+    /// Returns what can be forwarded of a received piece of the body, and what was held back before.
+    [[nodiscard]] std::string forwardable(std::string const& received);
     [[nodiscard]] AttemptEnd end_of_broken_answer() const;
     [[nodiscard]] std::string framed(std::string const& piece);
     void record_first_piece(Attempt const& attempt);
@@ -219,6 +223,8 @@
     bool client_is_broken { false };
     bool answer_begun { false };
     bool is_counted { false };
+    /// Whether the answer is a stream of events.
+    bool is_event_stream { false };
     /// Whether only whole events are forwarded, so that another endpoint can continue the stream after them.
     bool splits_events { false };
     bool keeps_client { true };
