Tests: Find the owner of a connection, so that cutting a box off takes effect

Cause: rewrote inode_of and counted one word too few, so it returned the timeout column (0) for every connection. No process owned any connection, and FaultProxy::set_fault_for did nothing: TestBoxCutOffFromEndpoints and the soak's play with boxes that are cut off have passed since then without a cut. Found while a new test waited for a box to be cut off: all its connections were served, and the lookup gave inode 0 each time.

Ruled out: the table's form (/proc/net/tcp read beside it has the inode as the seventh word behind the addresses), the process id (printed, right).

--- a/Tests/Harness/SocketOwner.cpp
+++ b/Tests/Harness/SocketOwner.cpp
@@ -20,7 +20,7 @@
         auto const found = line.find(pair);
         if (found == std::string::npos)
             continue;
-        constexpr int words_before_inode = 5;
+        constexpr int words_before_inode = 6;
         std::istringstream words(line.substr(found + pair.size()));
         std::string word;
         for (int skipped = 0; skipped <= words_before_inode; ++skipped)
