Tests: Show that streams broken off inside an event are framed as complete

What callers see: a complete answer that lacks its end.

The stand-in endpoint answers without length and chunks (--ends_with_connection), breaks streams off inside an event (/break-off/N) and goes on behind Last-Event-Id.

--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -20,6 +20,7 @@
 DEFINE_int32(listed_port, 0, "port in the server's record, such as that of a proxy; 0 for its own");
 DEFINE_string(crash_on, "", "the process ends when it runs a request whose body holds this text");
 DEFINE_int32(crash_after_ms, 0, "how long it runs such a request before it ends");
+DEFINE_bool(ends_with_connection, false, "answers have neither a length nor chunks, and end with their connection");
 
 /// A server of the users' platform as their pages tell it: keeps itself in the store, checks who a request is for,
 /// streams events, says what it did not run, and keeps a journal of what it ran.
@@ -87,6 +88,8 @@
             this->retry_after = target.substr(retry_after_path.size());
         else if (target.starts_with(brittle_path))
             this->max_rejections = target.substr(brittle_path.size());
+        else if (target.starts_with(break_off_path))
+            this->broken_event = std::stoi("0" + target.substr(break_off_path.size()));
         else if (target == "/leave" || target == "/stay")
             this->tells_draining = target == "/leave";
         else
@@ -132,17 +135,41 @@
         auto const events = std::string(request["X-Standin-Events"]);
         if (events.empty()) {
             co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_work_ms));
-            co_return co_await session.answer(200, "ran " + attempt, head);
+            co_return co_await this->answer(session, "ran " + attempt, head);
         }
-        if (!co_await session.send(
-                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n"))
+        std::string const last_event(request["Last-Event-Id"]);
+        co_return co_await this->stream(session, head, attempt, std::stoi("0" + last_event) + 1, std::stoi(events));
+    }
+
+    /// Sends an answer that is no stream.
+    static Task<bool> answer(Session& session, std::string const& body, std::string const& head)
+    {
+        if (!FLAGS_ends_with_connection)
+            co_return co_await session.answer(200, body, head);
+        auto const bytes = "HTTP/1.1 200 OK\r\n" + head + "\r\n" + body;
+        static_cast<void>(co_await session.send(bytes));
+        co_return false;
+    }
+
+    /// Streams the events from `first` to `last`. Breaks a stream off inside the event that a test named.
+    Task<bool> stream(Session& session, std::string const& head, std::string const& attempt, int first, int last)
+    {
+        std::string const framing = FLAGS_ends_with_connection ? "" : "Transfer-Encoding: chunked\r\n";
+        if (!co_await session.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + head + framing + "\r\n"))
             co_return false;
-        for (int event = 1; event <= std::stoi(events); ++event) {
+        for (int event = first; event <= last; ++event) {
             co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_work_ms));
-            auto const text = fmt::format("id: {}\ndata: {}:{}\n\n", event, attempt, event);
-            if (!co_await session.send(fmt::format("{:x}\r\n{}\r\n", text.size(), text)))
+            auto text = fmt::format("id: {}\ndata: {}:{}\n\n", event, attempt, event);
+            bool const breaks_off = event == this->broken_event;
+            if (breaks_off)
+                text.resize(text.size() / 2);
+            auto const piece = framing.empty() ? text : fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+            bool const is_sent = co_await session.send(piece);
+            if (!is_sent || breaks_off)
                 co_return false;
         }
+        if (framing.empty())
+            co_return false;
         co_return co_await session.send("0\r\n\r\n");
     }
 
@@ -199,6 +226,10 @@
     /// it.
     static constexpr std::string_view brittle_path = "/brittle/";
 
+    /// Behind it comes the number of the event inside which each stream that reaches it is broken off from then on, by
+    /// an orderly close of the connection; nothing ends it.
+    static constexpr std::string_view break_off_path = "/break-off/";
+
     asio::io_context& context;
     std::string address;
     Core::Instant started { Core::monotonic_now() };
@@ -208,6 +239,8 @@
     std::string retry_after;
     std::string max_rejections;
     std::vector<Core::Instant> rejections;
+    /// 0 for none.
+    int broken_event { 0 };
     /// Whether answers say that the server drains; its entry in the store doesn't.
     bool tells_draining { false };
     std::map<std::string, json> runs;
--- a/Tests/LibGateway/ScriptedExchange.h
+++ b/Tests/LibGateway/ScriptedExchange.h
@@ -111,7 +111,7 @@
 
     void start(std::string body = "")
     {
-        Request request(http::verb::post, "/x", 11);
+        Request request(http::verb::post, "/x", this->http_version);
         request.set(http::field::host, "h");
         request.set("X-Attempt-Id", "9c41");
         request.set("X-Key", "key");
@@ -168,6 +168,8 @@
         return count;
     }
 
+    /// Of the client; 10 or 11.
+    unsigned http_version { 11 };
     asio::io_context context;
     GatewayState state;
     LoopbackPair client;
