LibGateway: Take a stream that ends with its connection inside an event for broken off

What callers saw: streams without their end, framed as complete (ORDER), where the endpoint had broken off the run and closed its connection in order.

Cause: where an answer has neither a length nor chunks, the parser is done at any orderly close, and forward_body took that for the whole answer: last chunk, 'delivered', a success for the record of crashes. Class: the absence of an error taken for evidence of success.

Ruled out: an error that was seen and lost (no detail in any such line), an end that the endpoint framed itself (the stand-in writes none and it fails alike).

Now such a stream is whole only between two events and after at least one, unless it continues another; else the attempt broke: a stream that can be resumed goes on elsewhere behind its last whole event, any other ends without its last chunk (HTTP/1.0: with a reset), one without an event so far is retried or fails. Events end with LF, CR LF or CR, and an end cut between CR and LF is cut. Chunks and lengths say themselves where an answer ends, and are believed. An answer that is no stream and has neither can't be told from a broken one: HTTP has no sign of it.

--- a/Libraries/LibGateway/EventSplitter.cpp
+++ b/Libraries/LibGateway/EventSplitter.cpp
@@ -1,39 +1,32 @@
 #include <LibGateway/EventSplitter.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Gateway {
 
-namespace {
-
-/// Offset behind the last empty line, which ends an event. Lines end with LF or CR LF.
-std::size_t end_of_whole_events(std::string_view text)
-{
-    auto const plain = text.rfind("\n\n");
-    auto const returned = text.rfind("\n\r\n");
-    auto const after_plain = plain == std::string_view::npos ? 0 : plain + 2;
-    auto const after_returned = returned == std::string_view::npos ? 0 : returned + 3;
-    return std::max(after_plain, after_returned);
-}
-
-}
-
 std::string EventSplitter::append(std::string_view piece)
 {
-    this->follow(piece);
-    this->partial.append(piece);
-    auto const end = end_of_whole_events(this->partial);
-    auto whole = this->partial.substr(0, end);
-    this->partial.erase(0, end);
+    auto const boundary = this->position.advance(piece);
+    if (!boundary) {
+        this->partial.append(piece);
+        return {};
+    }
+    auto whole = std::exchange(this->partial, std::string(piece.substr(*boundary)));
+    whole.append(piece.substr(0, *boundary));
     this->record_ids(whole);
     return whole;
 }
 
 void EventSplitter::record_ids(std::string_view events)
 {
+    constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
     constexpr std::string_view field = "id:";
+    if (events.starts_with(byte_order_mark))
+        events.remove_prefix(byte_order_mark.size());
     while (!events.empty()) {
-        auto const end = std::min(events.find('\n'), events.size());
+        // NOTE: Behind the CR of a CR LF this finds an empty line more, which names no id.
+        auto const end = std::min(events.find_first_of("\r\n"), events.size());
         auto line = events.substr(0, end);
         events.remove_prefix(std::min(events.size(), end + 1));
         if (!line.starts_with(field))
@@ -41,8 +34,6 @@
         line.remove_prefix(field.size());
         if (line.starts_with(' '))
             line.remove_prefix(1);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
         this->last_event_id = std::string(line);
     }
 }
--- a/Libraries/LibGateway/EventSplitter.h
+++ b/Libraries/LibGateway/EventSplitter.h
@@ -16,11 +16,14 @@
     void follow(std::string_view piece) { this->position.advance(piece); }
     /// Whether what was received ends inside an event.
     [[nodiscard]] bool is_inside_event() const { return this->position.is_inside_event(); }
+    /// Whether a whole event was received, from any endpoint.
+    [[nodiscard]] bool has_events() const { return this->had_events || this->position.has_events(); }
     /// The bytes received after the last whole event.
     [[nodiscard]] std::string const& partial_event() const { return this->partial; }
     /// Discards an incomplete event, before another endpoint continues the stream.
     void discard_partial_event()
     {
+        this->had_events = this->has_events();
         this->partial.clear();
         this->position = {};
     }
@@ -31,6 +34,8 @@
     void record_ids(std::string_view events);
 
     EventStreamPosition position;
+    /// Whether a whole event was received before the stream was continued.
+    bool had_events { false };
     std::string partial;
     std::optional<std::string> last_event_id;
 };
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -292,8 +292,8 @@
     else
         this->framing = length ? Adapter::BodyFraming::Length : Adapter::BodyFraming::Empty;
     this->is_event_stream = is_chunked && attempt.status == status_ok && has_events(head, *this->admitted->route);
-    this->splits_events = is_chunked && this->admitted->route->kind == RouteKind::Streaming
-        && this->admitted->route->can_resume && attempt.status == status_ok;
+    this->splits_events = this->is_event_stream && this->admitted->route->kind == RouteKind::Streaming
+        && this->admitted->route->can_resume;
     bool const is_buffered = length && *length <= max_buffered_answer_bytes;
     auto out = Adapter::encode_answer(head, { this->framing, this->keeps_client, this->box_details({}, {}) });
     co_return co_await this->forward_body(attempt, std::move(out), is_buffered);
@@ -315,22 +315,42 @@
             if (!is_buffered && !piece.empty())
                 break;
         }
-        if (this->call->is_done() && this->splits_events)
+        bool const is_broken_off = this->is_stream_broken_off();
+        if (is_broken_off) {
+            attempt.detail = "the connection ended inside an event";
+            attempt.connection_broke = !this->is_cancelled();
+            if (piece.empty())
+                co_return this->end_of_broken_answer();
+        } else if (this->call->is_done() && this->splits_events) {
             piece += this->events.partial_event();
+        }
         this->record_first_piece(attempt);
         out += this->framed(piece);
-        if (this->call->is_done() && this->framing == Adapter::BodyFraming::Chunked)
+        if (this->call->is_done() && !is_broken_off && this->framing == Adapter::BodyFraming::Chunked)
             out += last_chunk;
         this->answer_begun = true;
         if (!co_await this->send_to_client(out)) {
             attempt.detail = "connection to the client broke";
             co_return AttemptEnd::BrokenAfterDelivery;
         }
+        if (is_broken_off)
+            co_return this->end_of_broken_answer();
         out.clear();
     } while (!this->call->is_done());
     co_return AttemptEnd::Delivered;
 }
 
+bool RequestExchange::is_stream_broken_off() const
+{
+    bool const may_be_broken_off
+        = this->is_event_stream && this->call->is_done() && this->call->body_end() == BodyEnd::Connection;
+    if (!may_be_broken_off)
+        return false;
+    // NOTE: A stream that another one continues may have no event left.
+    bool const has_begun = this->events.has_events() || Adapter::continues_stream(this->request);
+    return this->events.is_inside_event() || !has_begun;
+}
+
 std::string RequestExchange::forwardable(std::string const& received)
 {
     if (this->splits_events)
