LibGateway: Don't wait for the end of a rejection that only its connection ends

Cause: the body of an answer that is not passed on was read to its end, so that the connection can carry another request. Where neither length nor chunks end it, that is the close of the connection, which may come at the client's deadline, and the connection carries nothing afterwards anyway.

Before: the retry elsewhere does not start (TestRequestRetries, new case, fails); after: at once. The connection is closed by this box.

--- a/Libraries/LibGateway/EndpointCall.cpp
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -90,6 +90,9 @@
 
 Task<error_code> EndpointCall::discard_body()
 {
+    // NOTE: Such a body may stay open for as long as the endpoint likes, and the connection can't be used again.
+    if (this->body_end() == BodyEnd::Connection)
+        co_return http::error::end_of_stream;
     std::string discarded;
     while (!this->parser->is_done()) {
         discarded.clear();
--- a/Libraries/LibGateway/EndpointCall.h
+++ b/Libraries/LibGateway/EndpointCall.h
@@ -38,6 +38,8 @@
     [[nodiscard]] Task<error_code> read_head(Adapter::AnswerFacts& facts);
     /// Appends the next received piece of the body to `piece`.
     [[nodiscard]] Task<error_code> read_piece(std::string& piece);
+    /// Reads the rest of the body, so that the connection can carry another request. Fails where the connection marks
+    /// the body's end.
     [[nodiscard]] Task<error_code> discard_body();
     /// Cancels pending operations by closing the connection. Safe to call at any time.
     void abort();
--- a/Tests/LibGateway/TestRequestRetries.cpp
+++ b/Tests/LibGateway/TestRequestRetries.cpp
@@ -61,6 +61,18 @@
     }
 }
 
+TEST_CASE("a rejection that only its connection ends is retried elsewhere while the connection stays open")
+{
+    Exchange request(RouteKind::NonIdempotent, 2, 2);
+    request.start("body");
+    auto& rejecting = *request.endpoints[request.wait_for_arrival()];
+    rejecting.answer("HTTP/1.1 503 Full\r\nX-Attempt-Id: 9c41\r\nX-Not-Executed: 1\r\n\r\nfull");
+    request.endpoints[request.wait_for_arrival()]->answer(whole_answer);
+    REQUIRE(request.ends());
+    CHECK(request.received.starts_with("HTTP/1.1 200 "));
+    CHECK(request.reach([&] { return rejecting.connections[0]->is_closed; }));
+}
+
 TEST_CASE("a repeatable request's failure is retried once, and the second failure is passed on as it is")
 {
     std::string const failure
