Tests: Let endpoints in the soak answer without length or chunks, and break streams off

One endpoint of each service ends all its answers with the connection; the play with reports of endpoints breaks streams off inside events. A stream that is framed as complete and lacks its end fails the existing comparison with the whole stream.

That the soak catches the fault on the code before the repair was not tried.

--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -43,7 +43,8 @@
     /// The store is sometimes restored from a copy, after which its writers repeat their writes; one box reports usage
     /// to and orders servers from a platform that fails at times.
     CopiesAndLeader,
-    /// Endpoints announce rate limits, reject all requests for a time, announce that they drain, and revoke all of it.
+    /// Endpoints announce rate limits, reject all requests for a time, break streams off inside an event, announce that
+    /// they drain, and revoke all of it.
     EndpointReports,
     /// Boxes are cut off from all endpoints while everything else reaches them; endpoints are silent for a second, and
     /// announce that they can't reject many requests.
@@ -150,7 +151,7 @@
             this->cluster.set_cloud_mode("");
         if (this->play == Play::EndpointReports) {
             for (auto const* name : server_names)
-                for (auto const* path : { "/limit/", "/retry-after/", "/stay" })
+                for (auto const* path : { "/limit/", "/retry-after/", "/break-off/", "/stay" })
                     static_cast<void>(this->cluster.get(name, path));
         }
         if (this->play == Play::CutOff) {
@@ -222,6 +223,9 @@
         constexpr std::array paths { "/limit/3", "/limit/0.5", "/limit/", "/retry-after/0.5", "/retry-after/2",
             "/retry-after/" };
         static_cast<void>(this->cluster.get(name, paths[this->random_of_play(paths.size())]));
+        constexpr std::array break_offs { "/break-off/7", "/break-off/1", "/break-off/", "/break-off/" };
+        static_cast<void>(this->cluster.get(
+            std::array { "m1", "m2" }[this->random_of_play(2)], break_offs[this->random_of_play(break_offs.size())]));
         // NOTE: The other endpoint of each service stays, since a box does not soon reuse one that announced a drain.
         if (this->random_of_play(4) == 0)
             static_cast<void>(this->cluster.get(this->random_of_play(2) == 0 ? "m1" : "d1", "/leave"));
@@ -230,10 +234,14 @@
     void start_server(std::string const& name)
     {
         auto const* const service = name[0] == 'm' ? "model" : "desk";
+        // NOTE: One endpoint of each service sends answers without length or chunks.
+        std::vector<std::string> flags;
+        if (name.ends_with('2'))
+            flags.emplace_back("--ends_with_connection");
         if (this->play == Play::CutOff)
-            this->cluster.start_proxied_server(name, service);
+            this->cluster.start_proxied_server(name, service, flags);
         else
-            this->cluster.start_server(name, service);
+            this->cluster.start_server(name, service, flags);
     }
 
     void strike_endpoint_links()
