LibRouting: Know the software version of endpoints, and tell it in request_placed

Cause: the record can't tell whether a stream was continued at another version: an entry's version is checked and thrown away, relays don't pass it on, and no line says that a client takes a stream up. Now EndpointRecord holds it (from the store and from relays; empty from boxes of earlier versions), request_placed says version, and takes_up with the id that the client named. Placement doesn't look at it. The reason why an empty continuation of a stream is whole now also covers a client that names the attempt without the event.

--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -117,6 +117,7 @@
         .with("configuration", this->admitted->configuration->version())
         .with("configuration_age_ms", Core::to_milliseconds(this->state.router.configuration_age(attempt.started)))
         .with("endpoint", attempt.placed.endpoint.incarnation)
+        .with("version", attempt.placed.endpoint.version)
         .with("attempt", this->sent_attempts + 1)
         .with("candidates", figures.candidates)
         .with("predicted_ms", figures.predicted_milliseconds)
@@ -132,6 +133,8 @@
         .with("backed_off", attempt.placed.backed_off);
     if (attempt.placed.limit.per_second)
         line.with("limit_per_s", *attempt.placed.limit.per_second);
+    if (this->takes_up_stream)
+        line.with("takes_up", this->taken_up_attempt);
     if (this->answer_begun)
         line.with("goes_on_after", this->events.last_id().value_or(""));
     line.info();
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -62,6 +62,8 @@
     }
     this->attempt_id = head->attempt;
     this->workload = head->workload;
+    this->takes_up_stream = head->takes_up_stream;
+    this->taken_up_attempt = head->taken_up_attempt;
     if (this->state.awaits_other_boxes) {
         co_await this->refuse({ Reason::ConfigurationMissing, retry_after_start });
         co_return this->keeps_client && !this->client_is_broken;
@@ -347,7 +349,7 @@
     if (!may_be_broken_off)
         return false;
     // NOTE: A stream that another one continues may have no event left.
-    bool const has_begun = this->events.has_events() || Adapter::continues_stream(this->request);
+    bool const has_begun = this->events.has_events() || this->takes_up_stream;
     return this->events.is_inside_event() || !has_begun;
 }
 
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -192,6 +192,9 @@
     ClientSide client;
     std::string attempt_id;
     Routing::Workload workload;
+    /// As in Routing::RequestHead.
+    bool takes_up_stream { false };
+    std::string taken_up_attempt;
     std::optional<Routing::Admitted> admitted;
     Routing::RequestFingerprint fingerprint;
     Core::Instant arrived;
--- a/Libraries/LibMembership/RelayMessages.cpp
+++ b/Libraries/LibMembership/RelayMessages.cpp
@@ -44,6 +44,7 @@
     message.set_is_revocable(change.record->is_revocable);
     message.set_cold_left_ms(
         static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(change.record->cold_left).count()));
+    message.set_version(change.record->version);
 }
 
 Duration cold_left_from(wire::Endpoint const& message)
@@ -65,7 +66,7 @@
     return EndpointChange { message.incarnation(),
         Routing::EndpointRecord { message.incarnation(), message.service(), std::move(*address),
             message.failure_domain(), message.slots(), message.is_draining(), message.started_at_ms(),
-            message.is_revocable(), cold_left_from(message) } };
+            message.is_revocable(), cold_left_from(message), message.version() } };
 }
 
 std::uint64_t to_wire(Duration duration)
--- a/Libraries/LibRouting/EndpointDirectory.h
+++ b/Libraries/LibRouting/EndpointDirectory.h
@@ -43,6 +43,8 @@
     bool is_revocable { false };
     /// How much longer the endpoint stays cold, counted from when the entry was read; 0 if it is not cold.
     Duration cold_left { 0 };
+    /// Version of the endpoint's software, whose order means nothing; empty if unknown.
+    std::string version {};
 
     bool operator==(EndpointRecord const&) const = default;
 };
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -35,6 +35,10 @@
     Workload workload;
     /// The service that another box assigned the request to, which admitted and counted it before it forwarded it here.
     std::optional<std::string> assigned_service {};
+    /// Whether the client takes up a stream of which it has events, and the id of the attempt that brought the first
+    /// one; the id is empty if the client doesn't name it.
+    bool takes_up_stream { false };
+    std::string taken_up_attempt {};
 
     bool operator==(RequestHead const&) const = default;
 };
