--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -20,6 +20,7 @@
 DEFINE_int32(listed_port, 0, "port in the server's record, such as that of a proxy; 0 for its own");
 DEFINE_string(crash_on, "", "the process ends when it runs a request whose body holds this text");
 DEFINE_int32(crash_after_ms, 0, "how long it runs such a request before it ends");
+DEFINE_string(software_version, "v1", "version of its software in the server's record");
 DEFINE_bool(ends_with_connection, false, "answers have neither a length nor chunks, and end with their connection");
 
 /// A server of the users' platform as their pages tell it: keeps itself in the store, checks who a request is for,
@@ -160,7 +161,7 @@
         for (int event = first; event <= last; ++event) {
             co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_work_ms));
             auto text = fmt::format("id: {}\ndata: {}:{}\n\n", event, attempt, event);
-            bool const breaks_off = event == this->broken_event;
+            bool const breaks_off = event == this->broken_event && first == 1;
             if (breaks_off)
                 text.resize(text.size() / 2);
             auto const piece = framing.empty() ? text : fmt::format("{:x}\r\n{}\r\n", text.size(), text);
@@ -177,8 +178,9 @@
     {
         return json {
             { "service", FLAGS_service }, { "address", this->address }, { "zone", FLAGS_failure_domain },
-            { "version", "v1" }, { "slots", FLAGS_server_slots }, { "state", this->is_draining ? "draining" : "ready" },
-            { "cold_left_ms", 0 }, { "call_seq", this->heartbeats }
+            { "version", FLAGS_software_version }, { "slots", FLAGS_server_slots },
+            { "state", this->is_draining ? "draining" : "ready" }, { "cold_left_ms", 0 },
+            { "call_seq", this->heartbeats }
         }.dump();
     }
 
@@ -226,8 +228,8 @@
     /// it.
     static constexpr std::string_view brittle_path = "/brittle/";
 
-    /// Behind it comes the number of the event inside which each stream that reaches it is broken off from then on, by
-    /// an orderly close of the connection; nothing ends it.
+    /// Behind it comes the number of the event inside which each new stream that reaches it is broken off from then on,
+    /// by an orderly close of the connection; nothing ends it.
     static constexpr std::string_view break_off_path = "/break-off/";
 
     asio::io_context& context;
--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -143,7 +143,10 @@
     json configuration;
     configuration["version"] = version;
     configuration["routes"] = { route("/stream/", "streaming", "model", 1), route("/repeat/", "idempotent", "desk", 2),
-        route("/once/", "non_idempotent", "desk", 1) };
+        route("/once/", "non_idempotent", "desk", 1), route("/talk/", "streaming", "model", 1),
+        route("/resume/", "streaming", "model", 3) };
+    for (auto& entry : configuration["routes"])
+        entry["can_resume"] = entry["name"] == "/talk/" || entry["name"] == "/resume/";
     for (int number = 0; number < further_routes; ++number)
         configuration["routes"].push_back(route("/more-" + std::to_string(number) + "/", "idempotent", "desk", 2));
     json service;
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -47,8 +47,9 @@
     /// The calls that the stand-in accepted, in order.
     [[nodiscard]] nlohmann::json taken_calls() const { return this->cluster.journal("cloud"); }
     void set_cloud_mode(std::string const& mode) const;
-    /// Writes the operator's record: three routes (streaming, idempotent, not idempotent) and one account with these
-    /// keys. Further routes, about 170 bytes each, make the record larger.
+    /// Writes the operator's record and one account with these keys. The routes are streaming (/stream/, and two that
+    /// can be resumed: /talk/ with one attempt, /resume/ with three), idempotent (/repeat/) and not (/once/). Further
+    /// routes, about 170 bytes each, make the record larger.
     void configure(int version, std::vector<std::string> const& keys, int further_routes = 0);
     /// Waits until the box is ready.
     void wait_ready(std::string const& box) const;
