LibGateway: Continue streams only at the software version that began them

What callers saw: one stream with events from two versions of an endpoint's software (ORDER).

Cause: nothing knew which version began a stream. Within one answer the box chose any endpoint of the service; a client that took its stream up at another box got any endpoint there, since its headers name only the attempt that had the first event. Class: a property of the first step that later steps depend on is kept nowhere.

Ruled out as the cause: entries that are out of date (both endpoints had ids of their own).

Now: once a stream that can be resumed is about to send its first whole event, later attempts are restricted to that version, by way of other boxes too (ForwardedRequest, ForwardedAnswer). An origin that nobody knows, or whose service the route no longer leads to, is refused as not run, as is a version without an endpoint that may get requests. A client that names no attempt is served only while the service's entries have one version. An endpoint whose entry changes its version is a new instance.

Not by the store: its rate is shared by all, and a box that can't reach it still has to refuse or serve.

--- a/Libraries/LibCore/Reason.cpp
+++ b/Libraries/LibCore/Reason.cpp
@@ -75,6 +75,8 @@
     "attempts-spent",
     "memory-limit",
     "endpoints-unreachable",
+    "stream-origin-unknown",
+    "no-endpoint-of-version",
 };
 
 }
--- a/Libraries/LibCore/Reason.h
+++ b/Libraries/LibCore/Reason.h
@@ -92,6 +92,8 @@
     AttemptsSpent,
     MemoryLimit,
     EndpointsUnreachable,
+    StreamOriginUnknown,
+    NoEndpointOfVersion,
     Count,
 };
 
--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -117,6 +117,8 @@
     this->connect_crash_exchange();
     this->state.endpoint_notice_exchange.set_transport(
         [this](std::string const& bytes, std::size_t boxes) { this->loads->send(bytes, boxes); });
+    this->state.stream_origin_exchange.set_transport(this->source.boxes(), this->box_name,
+        [this](auto const& address, auto const& bytes) { this->loads->send_to_address(address, bytes); });
     this->open_leadership(own);
     return true;
 }
@@ -163,7 +165,8 @@
 
 bool ControlPlane::handle_message(std::string_view bytes, Routing::SocketAddress const& from)
 {
-    if (this->handle_crash_message(bytes) || this->handle_endpoint_notices(bytes, from))
+    if (this->handle_crash_message(bytes) || this->handle_endpoint_notices(bytes, from)
+        || this->handle_stream_origins(bytes, from))
         return true;
     auto const message = Leader::decode_leader_message(bytes);
     if (message && this->leadership)
@@ -224,6 +227,15 @@
     return true;
 }
 
+bool ControlPlane::handle_stream_origins(std::string_view bytes, Routing::SocketAddress const& from)
+{
+    auto const message = Membership::decode_stream_origins(bytes);
+    if (message)
+        this->state.stream_origin_exchange.receive(
+            *message, from, [this, &from](std::string const& answer) { this->loads->send_to_address(from, answer); });
+    return message.has_value();
+}
+
 void ControlPlane::handle_box_list()
 {
     std::vector<std::string> names;
--- a/Libraries/LibGateway/ControlPlane.h
+++ b/Libraries/LibGateway/ControlPlane.h
@@ -52,6 +52,7 @@
     [[nodiscard]] bool handle_crash_message(std::string_view bytes);
     /// False if the bytes are no endpoint notice message.
     [[nodiscard]] bool handle_endpoint_notices(std::string_view bytes, Routing::SocketAddress const& from);
+    [[nodiscard]] bool handle_stream_origins(std::string_view bytes, Routing::SocketAddress const& from);
     /// Called when the list of boxes was read or could not be read.
     void handle_box_list();
     /// Asks a few boxes for endpoint notices, which a starting box can't read from the store, and waits for an answer.
--- a/Libraries/LibGateway/ExchangeForwarding.cpp
+++ b/Libraries/LibGateway/ExchangeForwarding.cpp
@@ -78,10 +78,10 @@
 void RequestExchange::send_to_box()
 {
     auto const now = monotonic_now();
-    Membership::ForwardedRequest const details {
-        this->state.forwarder.min_configuration(this->admitted->configuration->version(), now), this->admitted->service,
-        this->max_attempts() - this->sent_attempts, this->state.router.incarnations(this->tried)
-    };
+    Membership::ForwardedRequest const details { this->state.forwarder.min_configuration(
+                                                     this->admitted->configuration->version(), now),
+        this->admitted->service, this->max_attempts() - this->sent_attempts,
+        this->state.router.incarnations(this->tried), this->admitted->stream_version };
     auto const encoded = Membership::encode(details);
     Adapter::BoxFields fields { this->admitted->expires - now, {}, this->events.last_id(), encoded };
     if (this->has_body())
@@ -104,6 +104,7 @@
         co_return this->end_of_broken_answer();
     }
     this->state.forwarder.note_configuration(answer->configuration, monotonic_now());
+    attempt.placed.endpoint.version = answer->version;
     if (!answer->refusal)
         co_return co_await this->forward_answer(attempt);
     attempt.refusal = *answer->refusal;
@@ -136,9 +137,10 @@
     return {};
 }
 
-std::string RequestExchange::box_details(std::optional<Reason> refusal, std::optional<Core::Duration> retry_after) const
+std::string RequestExchange::box_details(
+    std::optional<Reason> refusal, std::optional<Core::Duration> retry_after, std::string const& version) const
 {
-    return this->client.is_box ? this->state.forwarder.answer_details(refusal, retry_after) : std::string();
+    return this->client.is_box ? this->state.forwarder.answer_details(refusal, retry_after, version) : std::string();
 }
 
 unsigned RequestExchange::max_attempts() const
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -155,6 +155,7 @@
             this->state.connections.close_idle(endpoint);
         this->state.connections.close_expired(now);
         this->state.forwarder.connections().close_expired(now);
+        this->state.stream_origin_exchange.expire(now);
         this->remove_closed_clients();
         this->log_readiness_change();
         if (auto const changed_at = change_time(this->options.settings_path); changed_at != this->settings_changed_at)
@@ -213,6 +214,7 @@
     auto const shutdown_deadline = signalled_at + this->environment.stop_grace - stop_margin;
     this->state.is_stopping = true;
     Log::EventLine("stop_begun").with("requests_open", this->state.requests).info();
+    this->state.stream_origin_exchange.hand_over();
     // NOTE: The load balancer sends new clients until two probes have failed, so they are served until then.
     co_await sleep_for(std::min(balancer_lag, shutdown_deadline - signalled_at));
     error_code ignored;
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -7,6 +7,7 @@
 #include <LibGateway/GatewayMetrics.h>
 #include <LibGateway/ReachabilityMonitor.h>
 #include <LibGateway/RequestForwarder.h>
+#include <LibGateway/StreamOriginExchange.h>
 #include <LibLeader/SharedClock.h>
 #include <LibLeader/UsageCounts.h>
 #include <LibRouting/RequestRouter.h>
@@ -24,6 +25,7 @@
         , forwarder(context, this->router, seed)
         , crash_exchange(context, this->metrics)
         , endpoint_notice_exchange(this->router)
+        , stream_origin_exchange(context)
     {
     }
 
@@ -57,6 +59,7 @@
     RequestForwarder forwarder;
     CrashExchange crash_exchange;
     EndpointNoticeExchange endpoint_notice_exchange;
+    StreamOriginExchange stream_origin_exchange;
     Leader::SharedClock clock;
     /// Request counts for the usage reports to the platform. A window length of 0 means that usage isn't reported.
     Leader::UsageCounts usage;
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -64,6 +64,7 @@
     this->workload = head->workload;
     this->takes_up_stream = head->takes_up_stream;
     this->taken_up_attempt = head->taken_up_attempt;
+    this->patience = head->patience;
     if (this->state.awaits_other_boxes) {
         co_await this->refuse({ Reason::ConfigurationMissing, retry_after_start });
         co_return this->keeps_client && !this->client_is_broken;
@@ -115,6 +116,10 @@
         }
         if (this->goes_through_other_box() && co_await this->serve_through_other_box())
             co_return;
+        if (auto const refusal = co_await this->resolve_stream_origin()) {
+            co_await this->end_unplaced(*refusal);
+            co_return;
+        }
         auto decision = this->state.router.place(*this->admitted, this->workload, this->tried, monotonic_now());
         if (auto const* const rejected = std::get_if<Routing::Rejected>(&decision)) {
             co_await this->end_unplaced(*rejected);
@@ -297,7 +302,8 @@
     this->splits_events = this->is_event_stream && this->admitted->route->kind == RouteKind::Streaming
         && this->admitted->route->can_resume;
     bool const is_buffered = length && *length <= max_buffered_answer_bytes;
-    auto out = Adapter::encode_answer(head, { this->framing, this->keeps_client, this->box_details({}, {}) });
+    auto const details = this->box_details({}, {}, attempt.placed.endpoint.version);
+    auto out = Adapter::encode_answer(head, { this->framing, this->keeps_client, details });
     co_return co_await this->forward_body(attempt, std::move(out), is_buffered);
 }
 
@@ -326,6 +332,7 @@
         } else if (this->call->is_done() && this->splits_events) {
             piece += this->events.partial_event();
         }
+        this->note_stream_began(attempt);
         this->record_first_piece(attempt);
         out += this->framed(piece);
         if (this->call->is_done() && !is_broken_off && this->framing == Adapter::BodyFraming::Chunked)
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -90,6 +90,11 @@
     [[nodiscard]] Task<void> end_unserved(unsigned last_status);
     /// Ends a request for which the router found no endpoint, at the first attempt or a later one.
     [[nodiscard]] Task<void> end_unplaced(Routing::Rejected const& rejected);
+    /// Finds out which endpoints may continue a stream that the client takes up. Returns why this box can't tell.
+    [[nodiscard]] Task<std::optional<Routing::Rejected>> resolve_stream_origin();
+    /// Restricts later attempts to the endpoints that may continue the stream, once it has begun, and makes its origin
+    /// known to other boxes. Must be called before the first event is sent to the client.
+    void note_stream_began(Attempt const& attempt);
     [[nodiscard]] Task<AttemptEnd> try_endpoint(Attempt& attempt);
     [[nodiscard]] bool goes_through_other_box() const;
     /// Forwards the request to other boxes until one serves or refuses it. Returns false if none could decide.
@@ -100,8 +105,8 @@
     /// Reads what another box sent with the request, if one forwarded it. Returns why this box can't serve it.
     [[nodiscard]] std::optional<Routing::Rejected> accept_forwarded(Routing::RequestHead& head);
     /// What the box that forwarded the request has to know of the answer; empty for a request of a client.
-    [[nodiscard]] std::string box_details(
-        std::optional<Core::Reason> refusal, std::optional<Core::Duration> retry_after) const;
+    [[nodiscard]] std::string box_details(std::optional<Core::Reason> refusal,
+        std::optional<Core::Duration> retry_after, std::string const& version = {}) const;
     void log_forwarding(Membership::BoxRecord const& box, Attempt const& attempt) const;
     /// How many endpoints may get the request from this box.
     [[nodiscard]] unsigned max_attempts() const;
@@ -182,6 +187,10 @@
     static constexpr Core::Duration retry_after_draining { std::chrono::milliseconds(20) };
     /// Retry-After while a box that has just started waits for other boxes.
     static constexpr Core::Duration retry_after_start { std::chrono::milliseconds(150) };
+    /// Retry-After for a stream whose origin is unknown here: longer than messages between boxes take.
+    static constexpr Core::Duration retry_after_unknown_stream { std::chrono::milliseconds(100) };
+    /// For how long streams can be taken up again at the most, whatever clients and routes allow.
+    static constexpr Core::Duration max_stream_age { std::chrono::minutes(10) };
     /// Retry-After while a probe of the same request runs: about the duration of a run.
     static constexpr Core::Duration retry_after_probe { std::chrono::milliseconds(300) };
     /// Retry-After when endpoints refused the request: a few service times.
@@ -195,6 +204,8 @@
     /// As in Routing::RequestHead.
     bool takes_up_stream { false };
     std::string taken_up_attempt;
+    /// How long the client waits in all.
+    std::optional<Core::Duration> patience;
     std::optional<Routing::Admitted> admitted;
     Routing::RequestFingerprint fingerprint;
     Core::Instant arrived;
--- a/Libraries/LibGateway/RequestForwarder.cpp
+++ b/Libraries/LibGateway/RequestForwarder.cpp
@@ -34,11 +34,11 @@
 }
 
 std::string RequestForwarder::answer_details(
-    std::optional<Core::Reason> refusal, std::optional<Core::Duration> retry_after) const
+    std::optional<Core::Reason> refusal, std::optional<Core::Duration> retry_after, std::string const& version) const
 {
     auto const configuration = this->router.configuration();
     return Membership::encode(
-        Membership::ForwardedAnswer { configuration ? configuration->version() : 0, refusal, retry_after });
+        Membership::ForwardedAnswer { configuration ? configuration->version() : 0, refusal, retry_after, version });
 }
 
 EndpointId RequestForwarder::connection_id(std::string const& box)
--- a/Libraries/LibGateway/RequestForwarder.h
+++ b/Libraries/LibGateway/RequestForwarder.h
@@ -36,9 +36,9 @@
     [[nodiscard]] std::uint64_t min_configuration(std::uint64_t admitted, Core::Instant now) const;
 
     /// What the box that forwarded a request has to know of this box's answer, as the value of a header. `refusal` is
-    /// unset if the answer is an endpoint's.
-    [[nodiscard]] std::string answer_details(
-        std::optional<Core::Reason> refusal, std::optional<Core::Duration> retry_after) const;
+    /// unset if the answer is that of an endpoint whose software has this version.
+    [[nodiscard]] std::string answer_details(std::optional<Core::Reason> refusal,
+        std::optional<Core::Duration> retry_after, std::string const& version = {}) const;
 
     [[nodiscard]] EndpointConnections& connections() { return this->box_connections; }
     /// Identifies the box in connections().
--- a/Libraries/LibMembership/ForwardedRequest.cpp
+++ b/Libraries/LibMembership/ForwardedRequest.cpp
@@ -55,6 +55,8 @@
     message.set_attempts_left(request.attempts_left);
     for (auto const& incarnation : request.tried)
         message.add_tried(incarnation);
+    if (request.stream_version)
+        message.set_stream_version(*request.stream_version);
     return to_hexadecimal(message.SerializeAsString());
 }
 
@@ -62,6 +64,7 @@
 {
     wire::ForwardedAnswer message;
     message.set_configuration(answer.configuration);
+    message.set_version(answer.version);
     if (answer.refusal)
         message.set_refusal(std::string(Core::to_string(*answer.refusal)));
     if (answer.retry_after)
@@ -76,8 +79,11 @@
     wire::ForwardedRequest message;
     if (!bytes || !message.ParseFromString(*bytes) || message.service().empty() || message.attempts_left() == 0)
         return {};
-    return ForwardedRequest { message.min_configuration(), message.service(), message.attempts_left(),
+    ForwardedRequest request { message.min_configuration(), message.service(), message.attempts_left(),
         { message.tried().begin(), message.tried().end() } };
+    if (message.has_stream_version())
+        request.stream_version = message.stream_version();
+    return request;
 }
 
 std::optional<ForwardedAnswer> decode_forwarded_answer(std::string_view value)
@@ -88,7 +94,7 @@
     wire::ForwardedAnswer message;
     if (!bytes || !message.ParseFromString(*bytes))
         return {};
-    ForwardedAnswer answer { message.configuration(), {}, {} };
+    ForwardedAnswer answer { message.configuration(), {}, {}, message.version() };
     if (!message.refusal().empty()) {
         answer.refusal = Core::reason_from_name(message.refusal());
         // NOTE: A later version of this program may know further reasons.
--- a/Libraries/LibMembership/ForwardedRequest.h
+++ b/Libraries/LibMembership/ForwardedRequest.h
@@ -21,6 +21,8 @@
     unsigned attempts_left { 1 };
     /// Incarnations of the endpoints that got it before.
     std::vector<std::string> tried;
+    /// Version of the endpoints' software that may continue the stream; unset if it has not begun.
+    std::optional<std::string> stream_version {};
 
     bool operator==(ForwardedRequest const&) const = default;
 };
@@ -32,6 +34,8 @@
     /// Why the box itself refused or gave up the request; unset if the answer is an endpoint's.
     std::optional<Core::Reason> refusal;
     std::optional<Core::Duration> retry_after;
+    /// Version of the endpoint's software; empty if the answer is the box's own.
+    std::string version {};
 
     bool operator==(ForwardedAnswer const&) const = default;
 };
--- a/Libraries/LibRouting/EndpointDirectory.cpp
+++ b/Libraries/LibRouting/EndpointDirectory.cpp
@@ -13,7 +13,12 @@
         auto const known_start = known->second.record.started_at;
         if (record.started_at == 0)
             record.started_at = known_start;
-        if (known_start != 0 && record.started_at != known_start)
+        auto const& known_version = known->second.record.version;
+        // NOTE: Boxes of earlier versions pass records on without the version.
+        if (record.version.empty())
+            record.version = known_version;
+        bool const has_other_software = !known_version.empty() && record.version != known_version;
+        if ((known_start != 0 && record.started_at != known_start) || has_other_software)
             this->erase(known);
     }
     auto const [position, is_new] = this->endpoints.try_emplace(record.incarnation);
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -9,6 +9,7 @@
 #include <LibRouting/LoadReport.h>
 #include <LibRouting/Placement.h>
 #include <LibRouting/RetryBudget.h>
+#include <LibRouting/StreamOrigin.h>
 #include <LibRouting/WaitLimit.h>
 #include <LibTraffic/TrafficTypes.h>
 
@@ -62,6 +63,8 @@
     Instant expires;
     /// Whether patience or timeout ends first.
     Reason expiry { Reason::DeadlinePassed };
+    /// The only version of the endpoints' software that may get the request, since it has begun its stream.
+    std::optional<std::string> stream_version {};
 
     bool operator==(Admitted const&) const = default;
 };
@@ -163,6 +166,11 @@
     /// Chooses an endpoint that is not in `tried`. Checks again whether the request may still run.
     [[nodiscard]] std::variant<Placed, Rejected> place(
         Admitted const& request, Workload const& workload, std::vector<EndpointId> const& tried, Instant now);
+    /// From now on only endpoints that may continue the stream get the request. Returns false if the route doesn't lead
+    /// to their service.
+    [[nodiscard]] static bool restrict_to_origin(Admitted& request, StreamOrigin const& origin);
+    /// The version of the software of all known endpoints of a service; nothing if there are several or none.
+    [[nodiscard]] std::optional<std::string> only_version(std::string_view service) const;
     /// Whether a box of the failure domain may handle the request's body. With restricted regions only boxes within
     /// them may, since the client's own region is not known.
     [[nodiscard]] bool may_pass_through(Admitted const& request, std::string const& failure_domain) const;
@@ -279,6 +287,8 @@
         std::vector<EndpointId> backed_off;
         /// Whether endpoints were left out since the route or the account does not allow their region.
         bool has_other_regions { false };
+        /// Whether endpoints were left out since another version of their software began the stream.
+        bool has_other_versions { false };
 
         [[nodiscard]] PlacementCandidates const& best() const;
     };
--- a/Libraries/LibRouting/RouterPlacement.cpp
+++ b/Libraries/LibRouting/RouterPlacement.cpp
@@ -111,6 +111,10 @@
             choices.has_other_regions = true;
             continue;
         }
+        if (request.stream_version && endpoint->record.version != *request.stream_version) {
+            choices.has_other_versions = true;
+            continue;
+        }
         if (!this->backoffs.may_be_chosen(id, now)) {
             choices.backed_off.push_back(id);
             continue;
@@ -158,6 +162,8 @@
 {
     if (choices.has_other_regions)
         return Reason::NoEndpointInRegion;
+    if (choices.has_other_versions)
+        return Reason::NoEndpointOfVersion;
     auto const endpoints = this->directory.usable(request.service, now);
     bool const is_evacuated = std::ranges::any_of(endpoints, [this](KnownEndpoint const* endpoint) {
         return this->evacuated_domains.contains(endpoint->record.failure_domain);
@@ -177,6 +183,32 @@
         && (request.account_settings == nullptr || is_in(request.account_settings->allowed_regions));
 }
 
+bool RequestRouter::restrict_to_origin(Admitted& request, StreamOrigin const& origin)
+{
+    auto const& services = request.route->services;
+    if (std::ranges::find(services, origin.service, &ServiceShare::service) == services.end())
+        return false;
+    auto const* const service = request.configuration->find_service(origin.service);
+    request.service = origin.service;
+    request.is_engine = service != nullptr && service->engine.has_value();
+    request.stream_version = origin.version;
+    return true;
+}
+
+std::optional<std::string> RequestRouter::only_version(std::string_view service) const
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    std::optional<std::string> version;
+    for (auto const& [incarnation, endpoint] : this->directory.all()) {
+        if (endpoint.record.service != service)
+            continue;
+        if (version && *version != endpoint.record.version)
+            return {};
+        version = endpoint.record.version;
+    }
+    return version;
+}
+
 bool RequestRouter::may_pass_through(Admitted const& request, std::string const& failure_domain) const
 {
     std::scoped_lock const guard(this->endpoints_lock);
--- a/Tests/LibMembership/TestEndpointJournal.cpp
+++ b/Tests/LibMembership/TestEndpointJournal.cpp
@@ -177,6 +177,7 @@
     answer.endpoint_list = compressed(encode(std::vector<EndpointChange> { { "c", endpoint("c") } }));
     answer.box_records = SharedBoxRecords { 17, compressed(encode(BoxRecords { { "b1", "x" } })) };
     answer.endpoints.changes[0].record->cold_left = std::chrono::milliseconds(1500);
+    answer.endpoints.changes[0].record->version = "v1.2";
     CHECK(decode_answer(encode(answer).whole()) == answer);
     answer.configuration.reset();
     answer.evacuated_domains.reset();
--- a/Tests/LibMembership/TestForwarding.cpp
+++ b/Tests/LibMembership/TestForwarding.cpp
@@ -81,6 +81,10 @@
 {
     ForwardedRequest const request { 12, "desk", 2, { "i-1", "i-2" } };
     CHECK(decode_forwarded_request(encode(request)) == request);
+    ForwardedRequest const begun { 12, "model", 1, {}, "v1.2" };
+    CHECK(decode_forwarded_request(encode(begun)) == begun);
+    ForwardedAnswer const of_version { 13, {}, {}, "v1.2" };
+    CHECK(decode_forwarded_answer(encode(of_version)) == of_version);
     ForwardedAnswer const refused { 12, Core::Reason::EndpointsAtLimit, milliseconds(70) };
     CHECK(decode_forwarded_answer(encode(refused)) == refused);
     ForwardedAnswer const served { 12, {}, {} };
--- a/Tests/LibRouting/TestEndpointDirectory.cpp
+++ b/Tests/LibRouting/TestEndpointDirectory.cpp
@@ -131,6 +131,21 @@
     CHECK(directory.size() == 1);
 }
 
+TEST_CASE("an endpoint with other software is a new instance, but not one whose version a report lacks")
+{
+    EndpointDirectory directory;
+    auto listed = instance(1000);
+    listed.version = "v1";
+    directory.put(listed);
+    auto const before = id_of(directory);
+    CHECK_FALSE(directory.put(instance(1000)));
+    CHECK(id_of(directory) == before);
+    CHECK(directory.find(before)->record.version == "v1");
+    listed.version = "v1.2";
+    CHECK(directory.put(listed));
+    CHECK(id_of(directory) != before);
+}
+
 TEST_CASE("a late report of an earlier instance doesn't restore it")
 {
     EndpointDirectory directory;
--- a/Tests/PlatformAdapter/TestRequestCodec.cpp
+++ b/Tests/PlatformAdapter/TestRequestCodec.cpp
@@ -106,6 +106,12 @@
 TEST_CASE("heads that no endpoint could be given are refused")
 {
     Core::LastReason reason;
+    CHECK_FALSE(decode_request(request_head("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), reason)->takes_up_stream);
+    CHECK(
+        decode_request(request_head("GET / HTTP/1.1\r\nHost: h\r\nLast-Event-Id: 2\r\n\r\n"), reason)->takes_up_stream);
+    auto const resumed = decode_request(request_head("GET / HTTP/1.1\r\nHost: h\r\nResumes: 9c41\r\n\r\n"), reason);
+    CHECK(resumed->takes_up_stream);
+    CHECK(resumed->taken_up_attempt == "9c41");
     CHECK_FALSE(decode_request(request_head("GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n"), reason));
     CHECK_FALSE(decode_request(request_head("GET / HTTP/1.1\r\n\r\n"), reason));
     CHECK_FALSE(decode_request(request_head("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"), reason));
--- a/Tests/PlatformAdapter/TestStoreRecords.cpp
+++ b/Tests/PlatformAdapter/TestStoreRecords.cpp
@@ -140,7 +140,9 @@
             "cold_left_ms":0,"call_seq":3,"born":1790000000123})",
         reason);
     REQUIRE(read);
-    CHECK(*read == Routing::EndpointRecord { "i-1", "s1", { "10.0.0.9", 8080 }, "hall", 64, true, 1790000000123 });
+    CHECK(*read
+        == Routing::EndpointRecord {
+            "i-1", "s1", { "10.0.0.9", 8080 }, "hall", 64, true, 1790000000123, false, Core::Duration { 0 }, "v1" });
     CHECK_FALSE(decode_endpoint("i-1", R"({"address":"10.0.0.9:8080"})", reason));
     CHECK(reason.text == "/service: is missing");
     CHECK_FALSE(decode_endpoint("i-1", R"({"service":"s1","address":"10.0.0.9"})", reason));
