Tests: Let the soak's clients take streams up at any box, before endpoints of two versions

A tenth of the requests are streams that can be resumed; one that breaks off behind an event is taken up at a random box with Resumes and Last-Event-Id. Checked: what goes on ran at the version that began it, an answer that is whole holds exactly the events behind the last one, and all that was checked before. The endpoints of a service have different versions.

That the soak catches the fault on the code before the repair was not tried.

--- a/Tests/Soak/Clients.cpp
+++ b/Tests/Soak/Clients.cpp
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 #include <memory>
+#include <optional>
 #include <pcg_random.hpp>
 
 namespace Soak {
@@ -18,6 +19,8 @@
         return "/once/x";
     case RequestKind::Repeatable:
         return "/repeat/x";
+    case RequestKind::ResumableStream:
+        return "/talk/x";
     case RequestKind::Stream:
         break;
     }
@@ -30,9 +33,78 @@
     auto const drawn = random(of_ten);
     if (drawn < 6)
         return RequestKind::Once;
-    return drawn < 8 ? RequestKind::Repeatable : RequestKind::Stream;
+    if (drawn < 8)
+        return RequestKind::Repeatable;
+    return drawn == 8 ? RequestKind::Stream : RequestKind::ResumableStream;
 }
 
+bool is_stream(Exchange const& exchange)
+{
+    return exchange.kind == RequestKind::Stream || exchange.kind == RequestKind::ResumableStream;
+}
+
+httplib::Headers headers_of(Exchange const& exchange)
+{
+    httplib::Headers headers { { "Host", "h.example" }, { "X-Attempt-Id", exchange.attempt },
+        { "X-Deadline-Ms", "3000" }, { "X-Key", exchange.key } };
+    if (is_stream(exchange))
+        headers.emplace("X-Standin-Events", std::to_string(Clients::stream_events));
+    if (!exchange.taken_up.empty()) {
+        headers.emplace("Resumes", exchange.taken_up);
+        headers.emplace("Last-Event-Id", std::to_string(exchange.last_event));
+    }
+    return headers;
+}
+
+/// Sends the request and records what comes back.
+void send(httplib::Client& connection, Exchange& exchange)
+{
+    httplib::Request request;
+    request.method = "POST";
+    request.path = path_of(exchange.kind);
+    request.headers = headers_of(exchange);
+    request.headers.emplace("Content-Type", "text/plain");
+    request.body = "body";
+    request.content_receiver = [&exchange](char const* data, std::size_t size, std::uint64_t, std::uint64_t) {
+        exchange.body.append(data, size);
+        return true;
+    };
+    exchange.sent_at = Clock::now();
+    if (auto const result = connection.send(request))
+        exchange.status = result->status;
+}
+
+/// The next attempt of a client whose stream broke off; nothing if it has no event yet, or all.
+std::optional<Exchange> take_up(Exchange const& broken)
+{
+    auto const last = last_event_of(broken);
+    bool const may_be_taken_up = broken.kind == RequestKind::ResumableStream && broken.status == 0 && last > 0
+        && last < Clients::stream_events && broken.taken_up.empty();
+    if (!may_be_taken_up)
+        return {};
+    Exchange next;
+    next.attempt = broken.attempt + "-up";
+    next.kind = broken.kind;
+    next.key = broken.key;
+    next.taken_up = broken.attempt;
+    next.last_event = last;
+    return next;
+}
+
+}
+
+int last_event_of(Exchange const& exchange)
+{
+    int last = exchange.last_event;
+    constexpr std::string_view field = "id: ";
+    constexpr std::string_view event_end = "\n\n";
+    std::string_view rest = exchange.body;
+    for (auto end = rest.find(event_end); end != std::string_view::npos; end = rest.find(event_end)) {
+        if (rest.starts_with(field))
+            last = std::stoi(std::string(rest.substr(field.size(), end)));
+        rest.remove_prefix(end + event_end.size());
+    }
+    return last;
 }
 
 Clients::Clients(std::vector<int> ports, std::uint64_t seed)
@@ -76,20 +148,24 @@
         exchange.attempt = "c" + std::to_string(client) + "-" + std::to_string(number);
         exchange.kind = draw_kind(random);
         exchange.key = random(4) == 0 ? "other" : "key";
-        httplib::Headers headers { { "Host", "h.example" }, { "X-Attempt-Id", exchange.attempt },
-            { "X-Deadline-Ms", "3000" }, { "X-Key", exchange.key } };
-        if (exchange.kind == RequestKind::Stream)
-            headers.emplace("X-Standin-Events", std::to_string(stream_events));
-        auto& connection = *connections[random(static_cast<std::uint32_t>(connections.size()))];
-        exchange.sent_at = Clock::now();
-        if (auto const result = connection.Post(path_of(exchange.kind), headers, "body", "text/plain")) {
-            exchange.status = result->status;
-            exchange.body = result->body;
+        auto const draw_connection = [&]() -> httplib::Client& {
+            return *connections[random(static_cast<std::uint32_t>(connections.size()))];
+        };
+        send(draw_connection(), exchange);
+        auto next = take_up(exchange);
+        this->record(std::move(exchange));
+        if (next) {
+            send(draw_connection(), *next);
+            this->record(std::move(*next));
         }
-        std::scoped_lock const guard(this->lock);
-        this->exchanges.push_back(std::move(exchange));
         std::this_thread::sleep_for(pause);
     }
 }
 
+void Clients::record(Exchange exchange)
+{
+    std::scoped_lock const guard(this->lock);
+    this->exchanges.push_back(std::move(exchange));
+}
+
 }
--- a/Tests/Soak/Clients.h
+++ b/Tests/Soak/Clients.h
@@ -17,6 +17,8 @@
     /// May be repeated.
     Repeatable,
     Stream,
+    /// A stream that the client takes up at another box when it breaks off.
+    ResumableStream,
 };
 
 /// A request of a client and its answer.
@@ -27,9 +29,16 @@
     Clock::time_point sent_at;
     /// 0 if no complete answer arrived.
     int status { 0 };
+    /// Of an answer that broke off, what arrived of it.
     std::string body;
+    /// The attempt whose stream this one takes up, and the last event that the client had; empty for a new one.
+    std::string taken_up;
+    int last_event { 0 };
 };
 
+/// The last whole event that the client has behind this attempt; 0 for none.
+[[nodiscard]] int last_event_of(Exchange const& exchange);
+
 /// Clients that send requests over persistent connections, each to all boxes in turn, until they are stopped.
 class Clients {
 public:
@@ -47,6 +56,7 @@
 
 private:
     void send_until_stopped(std::uint64_t seed, int client);
+    void record(Exchange exchange);
     void stop();
 
     static constexpr int count = 16;
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <pcg_random.hpp>
+#include <set>
 
 /// Real boxes with stand-ins for the platform's store and the endpoints, under faults drawn from a seed: boxes are
 /// killed, paused and stopped, the store fails in several ways, and connections from clients to boxes and from boxes to
@@ -22,6 +23,13 @@
 
 constexpr std::array box_names { "b1", "b2", "b3", "b4", "b5" };
 constexpr std::array server_names { "m1", "m2", "d1", "d2" };
+
+/// The software version of an endpoint: those of a service differ.
+std::string version_of(std::string const& server)
+{
+    return server.ends_with('2') ? "v1.2" : "v1";
+}
+
 /// A key must not be accepted this long after its revocation.
 constexpr auto revoke_within = std::chrono::milliseconds(3000);
 /// The links that boxes announce: so narrow that no box relays a large configuration and each reads it from the store.
@@ -238,6 +246,7 @@
         std::vector<std::string> flags;
         if (name.ends_with('2'))
             flags.emplace_back("--ends_with_connection");
+        flags.push_back("--software_version=" + version_of(name));
         if (this->play == Play::CutOff)
             this->cluster.start_proxied_server(name, service, flags);
         else
@@ -331,10 +340,10 @@
     std::string frozen_server;
 };
 
-std::string whole_stream(std::string const& attempt)
+std::string whole_stream(std::string const& attempt, int first = 1)
 {
     std::string text;
-    for (int event = 1; event <= Clients::stream_events; ++event)
+    for (int event = first; event <= Clients::stream_events; ++event)
         text += "id: " + std::to_string(event) + "\ndata: " + attempt + ":" + std::to_string(event) + "\n\n";
     return text;
 }
@@ -351,6 +360,36 @@
     return runs;
 }
 
+/// The software versions of the endpoints that ran each attempt.
+std::map<std::string, std::set<std::string>> versions_of_runs(Site const& site)
+{
+    std::map<std::string, std::set<std::string>> versions;
+    for (auto const* server : server_names) {
+        auto const journal = site.cluster.journal(server);
+        for (auto const& [attempt, run] : journal.items())
+            versions[attempt].insert(version_of(server));
+    }
+    return versions;
+}
+
+/// Checks that streams went on only at the version that began them.
+void check_versions(Site const& site, std::vector<Exchange> const& exchanges)
+{
+    auto const versions = versions_of_runs(site);
+    std::size_t taken_up = 0;
+    std::size_t went_on = 0;
+    for (auto const& exchange : exchanges) {
+        auto const run = versions.find(exchange.attempt);
+        taken_up += exchange.taken_up.empty() ? 0 : 1;
+        if (exchange.taken_up.empty() || run == versions.end())
+            continue;
+        CAPTURE(exchange.attempt);
+        ++went_on;
+        CHECK(run->second == versions.at(exchange.taken_up));
+    }
+    MESSAGE(taken_up << " streams taken up, " << went_on << " went on");
+}
+
 /// Whether the status promises that the request has not run and never will.
 bool says_not_run(int status)
 {
@@ -367,9 +406,10 @@
         if (says_not_run(exchange.status))
             CHECK(runs == 0);
     }
+    bool const is_plain = exchange.kind == RequestKind::Once || is_repeatable;
     if (exchange.status == 200)
         CHECK(exchange.body
-            == (exchange.kind == RequestKind::Stream ? whole_stream(exchange.attempt) : "ran " + exchange.attempt));
+            == (is_plain ? "ran " + exchange.attempt : whole_stream(exchange.attempt, exchange.last_event + 1)));
     if (exchange.key == "key")
         CHECK((exchange.status != 401 && exchange.status != 404));
     if (exchange.key == "other" && exchange.sent_at > revoked_at + revoke_within)
@@ -409,6 +449,7 @@
     MESSAGE("seed " << seed << ": " << exchanges.size() << " requests, " << served << " served, " << site.versions()
                     << " versions");
     CHECK(served > 0);
+    check_versions(site, exchanges);
     site.check_leader_calls();
     site.configure_over_narrow_links();
 }
