LibGateway: Don't continue a stream whose events have no ids

What a caller would see: the events of a resumable stream twice, where its endpoint breaks off and the next one isn't told behind which event to go on, since none had an id. Found by reading what the repairs of streams rely on; no such stream was reported.

Before: the new case of TestRequestRetries fails, the second endpoint gets the request. After: the answer ends without its last chunk; a stream that has no event yet is still tried elsewhere (TestBrokenStream).

--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -373,7 +373,10 @@
 {
     if (!this->answer_begun)
         return AttemptEnd::Unknown;
-    return this->splits_events && !this->is_cancelled() ? AttemptEnd::Interrupted : AttemptEnd::BrokenAfterDelivery;
+    // NOTE: Without an id the next endpoint could not tell where to continue, and would send all events again.
+    bool const is_position_known = !this->events.has_events() || this->events.last_id();
+    bool const can_continue = this->splits_events && is_position_known && !this->is_cancelled();
+    return can_continue ? AttemptEnd::Interrupted : AttemptEnd::BrokenAfterDelivery;
 }
 
 std::string RequestExchange::framed(std::string const& piece)
--- a/Tests/LibGateway/TestRequestRetries.cpp
+++ b/Tests/LibGateway/TestRequestRetries.cpp
@@ -73,6 +73,19 @@
     CHECK(request.reach([&] { return rejecting.connections[0]->is_closed; }));
 }
 
+TEST_CASE("a stream whose events have no ids is not continued, since it would begin anew")
+{
+    Exchange request(RouteKind::Streaming, 2, 2, true);
+    request.start();
+    auto& endpoint = *request.endpoints[request.wait_for_arrival()];
+    endpoint.answer(stream_head + "9\r\ndata: a\n\n\r\n");
+    REQUIRE(request.reach([&] { return request.received.ends_with("data: a\n\n\r\n"); }));
+    endpoint.close();
+    REQUIRE(request.ends());
+    CHECK(request.arrival_count() == 1);
+    CHECK(request.received == stream_head + "9\r\ndata: a\n\n\r\n");
+}
+
 TEST_CASE("a repeatable request's failure is retried once, and the second failure is passed on as it is")
 {
     std::string const failure
