--- a/Tests/LibMembership/TestStreamOrigins.cpp
+++ b/Tests/LibMembership/TestStreamOrigins.cpp
@@ -36,6 +36,7 @@
 BoxDirectory directory(int count)
 {
     std::vector<BoxRecord> records;
+    records.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
         records.push_back(box(number));
     BoxDirectory boxes;
