Tests: Show a box that takes connections for working ones that are reset later

Here it is made certain: a new fault of the proxy accepts new connections and resets them after 60 ms, while open ones live on.

Ruled out: that the proxy's search for the opener, which takes longer than 20 ms on a busy host, was the only such device. The new fault waits on purpose and does not depend on the host.

--- a/Tests/Harness/FaultProxy.cpp
+++ b/Tests/Harness/FaultProxy.cpp
@@ -95,6 +95,10 @@
             reset(socket);
             continue;
         }
+        if (opener_fault == Fault::ResetNewLate) {
+            asio::co_spawn(this->context, reset_late(std::move(socket)), asio::detached);
+            continue;
+        }
         std::erase_if(this->pairs, [](auto const& weak) { return weak.expired(); });
         auto const pair = std::make_shared<Pair>(
             Pair { std::move(socket), tcp::socket(this->context), near_port, opener_fault == Fault::Silent });
@@ -103,6 +107,12 @@
     }
 }
 
+Task<void> FaultProxy::reset_late(tcp::socket socket)
+{
+    co_await sleep_for(late_reset);
+    reset(socket);
+}
+
 Task<void> FaultProxy::connect(std::shared_ptr<Pair> pair)
 {
     tcp::endpoint const place(asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(this->target.load()));
--- a/Tests/Harness/FaultProxy.h
+++ b/Tests/Harness/FaultProxy.h
@@ -25,6 +25,8 @@
     Narrow,
     /// New connections are reset; open ones work on.
     RefuseNew,
+    /// New connections stay open for a while without passing bytes, and are then reset; open ones work on.
+    ResetNewLate,
 };
 
 /// A proxy on loopback between two processes under test, with its own thread. Its port stays the same while the target
@@ -40,7 +42,8 @@
     /// The loopback port that new connections are forwarded to.
     void set_target(int port) { this->target = port; }
     void set_fault(Fault changed);
-    /// The fault of the connections that this process opens, beside that of all: Silent, Reset, RefuseNew, or None.
+    /// The fault of the connections that this process opens, beside that of all: Silent, Reset, RefuseNew,
+    /// ResetNewLate, or None.
     void set_fault_for(pid_t process, Fault changed);
     /// Rate of Fault::Narrow in bytes per second; more than 0.
     void set_rate(std::uint64_t bytes_per_second) { this->rate = bytes_per_second; }
@@ -58,6 +61,7 @@
     };
 
     [[nodiscard]] Gateway::Task<void> accept();
+    [[nodiscard]] static Gateway::Task<void> reset_late(Gateway::tcp::socket socket);
     [[nodiscard]] Gateway::Task<void> connect(std::shared_ptr<Pair> pair);
     [[nodiscard]] Gateway::Task<void> pass_on(std::shared_ptr<Pair> pair, bool is_answer);
     [[nodiscard]] Gateway::Task<Gateway::error_code> write(Pair& pair, std::string_view bytes, bool is_answer);
@@ -77,6 +81,8 @@
     /// Rate of a narrow link, in bytes per second, unless a test sets another: a record of 100 KB takes a second.
     static constexpr std::uint64_t default_rate = 100'000;
     static constexpr auto delay = std::chrono::milliseconds(150);
+    /// How long Fault::ResetNewLate leaves a connection open.
+    static constexpr auto late_reset = std::chrono::milliseconds(60);
     static constexpr auto look_again = std::chrono::milliseconds(10);
 
     Gateway::asio::io_context context { 1 };
--- a/Tests/Integration/TestBoxCutOffFromEndpoints.cpp
+++ b/Tests/Integration/TestBoxCutOffFromEndpoints.cpp
@@ -85,6 +85,11 @@
         site.cut_off(CutSite::cut_box, Fault::RefuseNew);
         std::this_thread::sleep_for(contact + idle_connections);
     }
+    SUBCASE("its connections live on, new ones are accepted and reset later, and nothing uses either for a while")
+    {
+        site.cut_off(CutSite::cut_box, Fault::ResetNewLate);
+        std::this_thread::sleep_for(contact + idle_connections);
+    }
     constexpr int requests = 60;
     auto const served = site.served_of(CutSite::cut_box, requests);
     auto const served_by_other = site.served_of(CutSite::other_box, requests);
