Tests: Show a crash that is not noticed while the ending process still accepts connections

A process closes its sockets one after the other, so its listener may outlive the request's connection by some milliseconds, and the kernel accepts for it. The stand-in now closes that connection first and may stay for a while; the new case lets it stay for 30 ms.

Ruled out: load as a condition. It fails on an idle host as well once the order of closing is given.

--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 DECLARE_string(port_file);
 DEFINE_string(store, "", "address of the stand-in store, IP:PORT");
@@ -20,6 +21,7 @@
 DEFINE_int32(listed_port, 0, "port in the server's record, such as that of a proxy; 0 for its own");
 DEFINE_string(crash_on, "", "the process ends when it runs a request whose body holds this text");
 DEFINE_int32(crash_after_ms, 0, "how long it runs such a request before it ends");
+DEFINE_int32(listen_after_crash_ms, 0, "how long it still accepts connections after it broke the request's");
 DEFINE_string(software_version, "v1", "version of its software in the server's record");
 DEFINE_bool(ends_with_connection, false, "answers have neither a length nor chunks, and end with their connection");
 
@@ -68,7 +70,7 @@
         this->report_run(request, attempt);
         if (!FLAGS_crash_on.empty() && request.body().find(FLAGS_crash_on) != std::string::npos) {
             co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_crash_after_ms));
-            std::_Exit(EXIT_FAILURE);
+            crash(*session);
         }
         bool const is_open = co_await this->run(*session, request, attempt);
         --this->running;
@@ -103,6 +105,16 @@
         return this->max_rejections.empty() ? "" : "Server-Brittle: " + this->max_rejections + "\r\n";
     }
 
+    /// Ends the process. Its connections don't end at the same time, as on a busy host.
+    [[noreturn]] static void crash(Session& session)
+    {
+        Gateway::error_code ignored;
+        session.socket.close(ignored);
+        // NOTE: Blocks the event loop, so that only the kernel accepts connections.
+        std::this_thread::sleep_for(std::chrono::milliseconds(FLAGS_listen_after_crash_ms));
+        std::_Exit(EXIT_FAILURE);
+    }
+
     /// Ends the process if it has rejected too many requests within a second.
     void count_rejection()
     {
--- a/Tests/Integration/TestRefusedRequestRunsAgain.cpp
+++ b/Tests/Integration/TestRefusedRequestRunsAgain.cpp
@@ -46,6 +46,17 @@
     CHECK(site.ended_servers() == 0);
 }
 
+TEST_CASE("a crash is known to all boxes though the ending process accepted connections for a while")
+{
+    CrashingSite site({ "--listen_after_crash_ms=30" });
+    static_cast<void>(site.try_harmful(once));
+    Harness::wait_until("all boxes know of the crash", [&] {
+        return std::ranges::all_of(CrashingSite::boxes,
+            [&](auto const* box) { return site.metric(box, "cleatbeam_crash_reports_total") > 0; });
+    });
+    CHECK(site.ended_servers() == 1);
+}
+
 TEST_CASE("copies of a request that an endpoint crashed under take few others with them, however many come at once")
 {
     // Each run takes longer than a client needs to reach the next box.
