LibGateway: Count new connections that break before an answer as failed attempts

Cause: a box that is cut off by a device which accepts its connections and resets them later took each of them for a working one, since it had stayed open for 20 ms, and that cleared the series of failures. Resets of new connections that carried no answer counted for nothing.

Now such a reset counts as a failed attempt to connect, whether a request or a check met it. The time for which a new connection must stay open grows to twice the time that such resets took, at most 500 ms, until an answer arrives on a connection opened since; while the box is cut off it is 500 ms throughout, since a box that takes itself for reachable too early loses requests and one that does so late only takes a detour.

Ruled out: a larger constant alone, since how late a device resets is not known; only answers as proof, since a box that is cut off forwards its requests and gets none.

Costs: a box is used directly again half a second later after a cut ends.

--- a/Libraries/LibGateway/ReachabilityMonitor.cpp
+++ b/Libraries/LibGateway/ReachabilityMonitor.cpp
@@ -31,7 +31,7 @@
 void ReachabilityMonitor::answered(Core::Instant opened_at)
 {
     this->last_answer = monotonic_now();
-    this->connected(opened_at);
+    this->apply(this->reachability.answered(opened_at), this->last_answer);
 }
 
 void ReachabilityMonitor::connected(Core::Instant opened_at)
@@ -49,6 +49,15 @@
     this->apply(this->reachability.connect_failed(endpoint, began, this->router.endpoint_count()), now);
 }
 
+void ReachabilityMonitor::new_connection_broke(
+    EndpointId endpoint, Routing::EndpointReachability::BrokenConnection const& broken)
+{
+    this->is_suspected = true;
+    this->pause.interrupt();
+    this->apply(
+        this->reachability.new_connection_broke(endpoint, broken, this->router.endpoint_count()), broken.broken_at);
+}
+
 void ReachabilityMonitor::unanswered(Core::Instant sent_at)
 {
     if (this->last_answer >= sent_at || this->reachability.has_connected_since(sent_at))
@@ -112,15 +121,20 @@
     auto const began = monotonic_now();
     this->metrics.count_endpoint_connection();
     auto connection = co_await this->connections.connect(endpoint.id, endpoint.record.address, error);
-    if (!error && !co_await EndpointConnections::stays_open_for(connection, reset_wait))
-        error = asio::error::connection_reset;
     if (error) {
         this->connect_failed(endpoint.id, began);
         co_return;
     }
+    auto const wait = this->confirmation_time();
+    bool const stays_open = co_await EndpointConnections::stays_open_for(connection, wait);
+    auto const now = monotonic_now();
+    if (!stays_open) {
+        this->new_connection_broke(endpoint.id, { began, connection->opened_at, now });
+        co_return;
+    }
     std::erase(this->refusing_endpoints, endpoint.id);
-    this->connected(monotonic_now());
-    this->connections.release(std::move(connection), monotonic_now());
+    this->connected(now);
+    this->connections.release(std::move(connection), now);
 }
 
 void ReachabilityMonitor::apply(Change change, Core::Instant now)
--- a/Libraries/LibGateway/ReachabilityMonitor.h
+++ b/Libraries/LibGateway/ReachabilityMonitor.h
@@ -27,8 +27,12 @@
     [[nodiscard]] Task<void> run();
 
     [[nodiscard]] bool is_cut_off() const { return this->reachability.is_cut_off(); }
+    /// How long a new connection has to stay open to count as one that works.
+    [[nodiscard]] Core::Duration confirmation_time() const { return this->reachability.confirmation_time(); }
     /// A connection attempt that began at `began` failed.
     void connect_failed(EndpointId endpoint, Core::Instant began);
+    /// A new connection broke before it carried any answer.
+    void new_connection_broke(EndpointId endpoint, Routing::EndpointReachability::BrokenConnection const& broken);
     /// A request that was sent at `sent_at` got no answer, or its connection broke.
     void unanswered(Core::Instant sent_at);
     /// An endpoint sent an answer on a connection that was opened at `opened_at`.
@@ -53,9 +57,6 @@
     /// Interval of checks while the box is cut off, and the least time between two checks that succeed.
     static constexpr Core::Duration check_interval { std::chrono::milliseconds(500) };
     static constexpr Core::Duration idle_interval { std::chrono::minutes(1) };
-    /// A device on the way may accept a connection and reset it at once. A round trip takes a few milliseconds.
-    static constexpr Core::Duration reset_wait { std::chrono::milliseconds(20) };
-
     static constexpr std::size_t max_refusing_endpoints = 64;
 
     asio::io_context& context;
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -34,6 +34,12 @@
     return boost::beast::iequals(type.substr(0, type.find_first_of("; ")), event_stream);
 }
 
+/// Whether the connection ended before a byte of the answer arrived.
+bool is_lost(error_code const& error)
+{
+    return error == http::error::end_of_stream || error.category() == boost::system::system_category();
+}
+
 constexpr std::string_view last_chunk = "0\r\n\r\n";
 constexpr unsigned http_1_1 = 11;
 
@@ -245,8 +251,13 @@
     this->silence.cancel();
     if (error) {
         attempt.detail = "reading the head of the answer: " + error.message();
-        this->state.reachability.unanswered(attempt.started);
         attempt.connection_broke = !this->is_cancelled() && !this->was_endpoint_silent;
+        bool const is_new_connection_lost = attempt.connection_broke && !attempt.reused_connection && is_lost(error);
+        if (is_new_connection_lost)
+            this->state.reachability.new_connection_broke(
+                attempt.placed.choice.endpoint, { attempt.started, attempt.connection_opened, monotonic_now() });
+        else
+            this->state.reachability.unanswered(attempt.started);
         co_return this->end_of_broken_answer();
     }
     this->state.reachability.answered(attempt.connection_opened);
--- a/Libraries/LibRouting/EndpointReachability.cpp
+++ b/Libraries/LibRouting/EndpointReachability.cpp
@@ -14,6 +14,20 @@
     return std::exchange(this->cut_off, false) ? Change::Restored : Change::None;
 }
 
+EndpointReachability::Change EndpointReachability::answered(Instant opened_at)
+{
+    if (opened_at >= this->last_failed_attempt)
+        this->confirmation = min_confirmation;
+    return this->connected(opened_at);
+}
+
+EndpointReachability::Change EndpointReachability::new_connection_broke(
+    EndpointId endpoint, BrokenConnection const& broken, std::size_t endpoint_count)
+{
+    this->confirmation = std::clamp(2 * (broken.broken_at - broken.opened_at), this->confirmation, max_confirmation);
+    return this->connect_failed(endpoint, broken.began, endpoint_count);
+}
+
 EndpointReachability::Change EndpointReachability::connect_failed(
     EndpointId endpoint, Instant began, std::size_t endpoint_count)
 {
--- a/Tests/LibRouting/TestEndpointReachability.cpp
+++ b/Tests/LibRouting/TestEndpointReachability.cpp
@@ -64,3 +64,57 @@
     CHECK(reachability.connect_failed(EndpointId { 1 }, start, 2) == Change::None);
     CHECK(reachability.connect_failed(EndpointId { 2 }, start, 2) == Change::CutOff);
 }
+
+TEST_CASE("a new connection that breaks without an answer counts as a failed attempt, however late it breaks")
+{
+    EndpointReachability reachability;
+    for (std::uint32_t number = 1; number <= 5; ++number) {
+        auto const began = start + milliseconds(1000 * number);
+        CHECK(reachability.new_connection_broke(
+                  EndpointId { number }, { began, began + milliseconds(1), began + milliseconds(900) }, many)
+            == Change::None);
+    }
+    auto const began = start + milliseconds(6000);
+    CHECK(reachability.new_connection_broke(
+              EndpointId { 6 }, { began, began + milliseconds(1), began + milliseconds(900) }, many)
+        == Change::CutOff);
+}
+
+TEST_CASE("new connections must stay open for longer than others took to break, until an answer comes")
+{
+    EndpointReachability reachability;
+    auto const usual = reachability.confirmation_time();
+    auto const opened = start + milliseconds(1);
+    static_cast<void>(
+        reachability.new_connection_broke(EndpointId { 1 }, { start, opened, opened + milliseconds(60) }, many));
+    CHECK(reachability.confirmation_time() == milliseconds(120));
+    static_cast<void>(
+        reachability.new_connection_broke(EndpointId { 2 }, { start, opened, opened + milliseconds(5) }, many));
+    CHECK(reachability.confirmation_time() == milliseconds(120));
+    static_cast<void>(reachability.connected(start + milliseconds(500)));
+    CHECK(reachability.confirmation_time() == milliseconds(120));
+    static_cast<void>(reachability.answered(start - milliseconds(500)));
+    CHECK(reachability.confirmation_time() == milliseconds(120));
+    static_cast<void>(reachability.answered(start + milliseconds(500)));
+    CHECK(reachability.confirmation_time() == usual);
+}
+
+TEST_CASE(
+    "a connection that breaks after a long time, as under a request that crashes its endpoint, delays no check long")
+{
+    EndpointReachability reachability;
+    static_cast<void>(reachability.new_connection_broke(
+        EndpointId { 1 }, { start, start + milliseconds(1), start + std::chrono::seconds(30) }, many));
+    CHECK(reachability.confirmation_time() <= milliseconds(500));
+}
+
+TEST_CASE("a box that is cut off takes new connections for working ones only after the longest time")
+{
+    EndpointReachability reachability;
+    auto const usual = reachability.confirmation_time();
+    static_cast<void>(reachability.connect_failed(EndpointId { 1 }, start, 1));
+    REQUIRE(reachability.is_cut_off());
+    CHECK(reachability.confirmation_time() == milliseconds(500));
+    CHECK(reachability.connected(start + milliseconds(600)) == Change::Restored);
+    CHECK(reachability.confirmation_time() == usual);
+}
