LibGateway: Watch an endpoint that accepts connections after it broke one

Cause: the check of a broken connection took an accepted connection for proof that the endpoint's process lives. A process that ends closes its sockets one after the other, so its listener may accept for some milliseconds more; the crash was then never counted, and the request that caused it went on to the next endpoint.

Now the accepted connection must stay open: for the time after which a new connection counts as working where a retry waits for the result, and for 150 ms where nobody does. If it breaks, another is opened at once. Pauses between repeated checks begin at 10 ms and double, in place of 50 ms each. While the box is cut off no checks are made, since they tell nothing and each broken connection would open ten.

--- a/Libraries/LibGateway/EndpointCheck.cpp
+++ b/Libraries/LibGateway/EndpointCheck.cpp
@@ -15,7 +15,14 @@
     return "unknown";
 }
 
-Task<EndpointCheckResult> check_endpoint(GatewayState& state, Core::EndpointId endpoint, Routing::SocketAddress address)
+namespace {
+
+/// Connections that a check opens. A process that breaks the first has usually ended when the next one is opened.
+constexpr int max_checked_connections = 2;
+
+/// Opens one connection. Unset if it is accepted, but breaks within `watch_duration`.
+Task<std::optional<EndpointCheckResult>> check_connection(
+    GatewayState& state, Core::EndpointId endpoint, Routing::SocketAddress address, Core::Duration watch_duration)
 {
     error_code error;
     auto const began = Core::monotonic_now();
@@ -27,8 +34,26 @@
         co_return EndpointCheckResult::Refuses;
     if (error)
         co_return EndpointCheckResult::Unknown;
-    state.connections.release(std::move(connection), Core::monotonic_now());
+    bool const stays_open = co_await EndpointConnections::stays_open_for(connection, watch_duration);
+    auto const now = Core::monotonic_now();
+    if (!stays_open) {
+        state.reachability.new_connection_broke(endpoint, { began, connection->opened_at, now });
+        co_return std::nullopt;
+    }
+    state.connections.release(std::move(connection), now);
     co_return EndpointCheckResult::Answers;
 }
 
 }
+
+Task<EndpointCheckResult> check_endpoint(
+    GatewayState& state, Core::EndpointId endpoint, Routing::SocketAddress address, Core::Duration watch_duration)
+{
+    for (int connection = 0; connection < max_checked_connections; ++connection) {
+        if (auto const result = co_await check_connection(state, endpoint, address, watch_duration))
+            co_return *result;
+    }
+    co_return EndpointCheckResult::Unknown;
+}
+
+}
--- a/Libraries/LibGateway/EndpointCheck.h
+++ b/Libraries/LibGateway/EndpointCheck.h
@@ -16,9 +16,11 @@
 
 [[nodiscard]] std::string_view to_string(EndpointCheckResult check_result);
 
-/// Opens a connection to the endpoint and keeps it for the next request if it succeeds. A running host refuses within a
-/// round trip (about 2 ms); the connect timeout of EndpointConnections bounds the wait for an unreachable one.
+/// Opens a connection to the endpoint and keeps it for the next request if it stays open for `watch_duration`. A
+/// process that is ending may accept connections for some milliseconds more, and breaks them then. A running host
+/// refuses within a round trip (about 2 ms); the connect timeout of EndpointConnections bounds the wait for an
+/// unreachable one.
 [[nodiscard]] Task<EndpointCheckResult> check_endpoint(
-    GatewayState& state, Core::EndpointId endpoint, Routing::SocketAddress address);
+    GatewayState& state, Core::EndpointId endpoint, Routing::SocketAddress address, Core::Duration watch_duration);
 
 }
--- a/Libraries/LibGateway/ExchangeRetries.cpp
+++ b/Libraries/LibGateway/ExchangeRetries.cpp
@@ -61,10 +61,17 @@
         && this->sent_attempts < this->max_attempts() && this->state.router.may_retry(*this->admitted, monotonic_now());
 }
 
-Task<EndpointCheckResult> RequestExchange::check_broken_connection(Attempt attempt, bool was_in_use)
+Task<EndpointCheckResult> RequestExchange::check_broken_connection(
+    Attempt attempt, bool was_in_use, Core::Duration watch_duration)
 {
+    // NOTE: While this box is cut off, a check tells nothing, and every broken connection would open more of them.
+    if (this->state.reachability.is_cut_off()) {
+        this->log_broken_connection(attempt, EndpointCheckResult::Unknown);
+        co_return EndpointCheckResult::Unknown;
+    }
     auto const& placed = attempt.placed;
-    auto check_result = co_await check_endpoint(this->state, placed.choice.endpoint, placed.endpoint.address);
+    auto check_result
+        = co_await check_endpoint(this->state, placed.choice.endpoint, placed.endpoint.address, watch_duration);
     // NOTE: While this box is cut off, every endpoint refuses its connections, and none of them has crashed.
     if (check_result == EndpointCheckResult::Refuses
         && !co_await this->state.reachability.is_own_refusal(placed.choice.endpoint))
@@ -78,10 +85,13 @@
 
 Task<void> RequestExchange::check_until_known(Attempt attempt, bool was_in_use)
 {
-    auto check_result = EndpointCheckResult::Unknown;
-    for (int check = 0; check < max_repeated_checks && check_result == EndpointCheckResult::Unknown; ++check) {
-        co_await sleep_for(repeated_check_pause);
-        check_result = co_await this->check_broken_connection(attempt, was_in_use);
+    auto pause = first_repeated_check_pause;
+    for (int check = 0; check < max_repeated_checks; ++check) {
+        auto const check_result = co_await this->check_broken_connection(attempt, was_in_use, ending_watch);
+        if (check_result != EndpointCheckResult::Unknown || this->state.reachability.is_cut_off())
+            co_return;
+        co_await sleep_for(pause);
+        pause *= 2;
     }
 }
 
@@ -94,9 +104,7 @@
     asio::co_spawn(
         this->state.context,
         [self = this->shared_from_this(), attempt, was_in_use = this->is_in_use(attempt)]() -> Task<void> {
-            auto const check_result = co_await self->check_broken_connection(attempt, was_in_use);
-            if (check_result == EndpointCheckResult::Unknown)
-                co_await self->check_until_known(attempt, was_in_use);
+            co_await self->check_until_known(attempt, was_in_use);
             self->end_probe();
         },
         asio::detached);
@@ -109,8 +117,9 @@
     bool const was_in_use = this->is_in_use(attempt);
     // NOTE: Awaited before the next endpoint is chosen, which costs a round trip. Otherwise a repeatable request that
     // crashes endpoints would crash two of them each time a client sends it.
-    auto const check_result = co_await this->check_broken_connection(attempt, was_in_use);
-    if (check_result == EndpointCheckResult::Unknown)
+    auto const watch_duration = this->state.reachability.confirmation_time();
+    auto const check_result = co_await this->check_broken_connection(attempt, was_in_use, watch_duration);
+    if (check_result != EndpointCheckResult::Refuses)
         asio::co_spawn(
             this->state.context,
             [self = this->shared_from_this(), attempt, was_in_use]() -> Task<void> {
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -150,9 +150,11 @@
     /// Whether the attempt's endpoint may get new requests, and so has no reason to exit as planned.
     [[nodiscard]] bool is_in_use(Attempt const& attempt) const;
     /// Connects again to an endpoint that broke its connection. Records a crash if an endpoint that was in use refuses.
-    [[nodiscard]] Task<EndpointCheckResult> check_broken_connection(Attempt attempt, bool was_in_use);
-    /// Repeats check_broken_connection until its result is known: a process that is still ending neither refuses nor
-    /// accepts connections.
+    /// `watch_duration` as for check_endpoint().
+    [[nodiscard]] Task<EndpointCheckResult> check_broken_connection(
+        Attempt attempt, bool was_in_use, Core::Duration watch_duration);
+    /// Repeats check_broken_connection until its result is known: a process that is still ending may accept connections
+    /// for a while, or neither refuse nor accept them.
     [[nodiscard]] Task<void> check_until_known(Attempt attempt, bool was_in_use);
     /// Runs both checks without delaying the answer to the client.
     void check_broken_connection_in_background(Attempt const& attempt);
@@ -172,11 +174,14 @@
     /// How many other boxes are asked to serve a request. One that is cut off as well refuses within a round trip.
     /// Where two thirds of all boxes are, one request in eleven meets only such boxes.
     static constexpr std::size_t max_asked_boxes = 6;
-    /// Pause before a broken connection is checked again. A process closes its sockets within some milliseconds of its
-    /// end, more on a busy host.
-    static constexpr Core::Duration repeated_check_pause { std::chrono::milliseconds(50) };
-    /// An unreachable host is not waited for longer than these take: with the connect timeout, about a second.
-    static constexpr int max_repeated_checks = 4;
+    /// Pause before a broken connection is checked again; doubles each time. A process closes its sockets within some
+    /// milliseconds of its end, more on a busy host.
+    static constexpr Core::Duration first_repeated_check_pause { std::chrono::milliseconds(10) };
+    /// An unreachable host is not waited for longer than these take: with the connect timeout, about a second and a
+    /// half.
+    static constexpr int max_repeated_checks = 5;
+    /// How long an endpoint that accepts connections is watched when nobody waits for the result.
+    static constexpr Core::Duration ending_watch { std::chrono::milliseconds(150) };
     /// Answers up to this size are read whole before they are forwarded, so that a broken one can be retried.
     static constexpr std::uint64_t max_buffered_answer_bytes = 64 * 1024;
     /// An idempotent request is retried elsewhere when no answer has begun after this multiple of the route's goal.
