LibRouting: Take an endpoint that has not answered yet to be as brittle as its service

Cause: a box spares an endpoint that fails when it rejects too much only once that endpoint itself has said so. In a burst a box may have filled one whose first answer is still on its way, while another of the same service has rejected a request and named what it bears; the rejected request then went to the full one.

--- a/Libraries/LibRouting/BrittleEndpoints.cpp
+++ b/Libraries/LibRouting/BrittleEndpoints.cpp
@@ -5,11 +5,15 @@
 
 namespace Routing {
 
-void BrittleEndpoints::apply_answer(EndpointId id, std::optional<double> max_rejections)
+void BrittleEndpoints::apply_answer(EndpointId id, std::string const& service, std::optional<double> max_rejections)
 {
-    if (max_rejections)
+    if (max_rejections) {
         this->entries[id].max_rejections = max_rejections;
-    else if (auto const known = this->entries.find(id); known != this->entries.end())
+        this->brittle_services.insert(service);
+        return;
+    }
+    this->brittle_services.erase(service);
+    if (auto const known = this->entries.find(id); known != this->entries.end())
         known->second.max_rejections.reset();
 }
 
@@ -22,10 +26,11 @@
     return is_news;
 }
 
-bool BrittleEndpoints::is_brittle(EndpointId id) const
+bool BrittleEndpoints::is_brittle(EndpointId id, std::string const& service) const
 {
     auto const known = this->entries.find(id);
-    return known != this->entries.end() && known->second.max_rejections.has_value();
+    bool const has_reported = known != this->entries.end() && known->second.max_rejections.has_value();
+    return has_reported || this->brittle_services.contains(service);
 }
 
 std::optional<double> BrittleEndpoints::limit_of(EndpointId id, Instant now) const
--- a/Libraries/LibRouting/BrittleEndpoints.h
+++ b/Libraries/LibRouting/BrittleEndpoints.h
@@ -4,6 +4,8 @@
 #include <LibRouting/LimitShare.h>
 
 #include <optional>
+#include <set>
+#include <string>
 #include <unordered_map>
 
 namespace Routing {
@@ -18,14 +20,16 @@
 /// longer matters, or until the next rejection.
 class BrittleEndpoints {
 public:
-    /// An answer of the endpoint reported how many requests it can reject in a second; unset if it reported nothing.
-    void apply_answer(EndpointId id, std::optional<double> max_rejections);
+    /// An answer of an endpoint of `service` reported how many requests it can reject in a second; unset if it reported
+    /// nothing.
+    void apply_answer(EndpointId id, std::string const& service, std::optional<double> max_rejections);
     /// The endpoint rejected a request of this box or of another one. Returns whether that is news to this box.
     bool rejected(EndpointId id, double max_rejections, Instant at);
     void forget(EndpointId id) { this->entries.erase(id); }
 
-    /// Whether the endpoint's answers report that it is brittle.
-    [[nodiscard]] bool is_brittle(EndpointId id) const;
+    /// Whether the endpoint's answers report that it is brittle, or the latest answer of any endpoint of its service
+    /// does: many requests may reach an endpoint before its own first answer arrives.
+    [[nodiscard]] bool is_brittle(EndpointId id, std::string const& service) const;
     /// The limit for all boxes together, in requests per second; unset if none is in force.
     [[nodiscard]] std::optional<double> limit_of(EndpointId id, Instant now) const;
     /// Whether this box may send a request to the endpoint now, by its share of the limit `limit`.
@@ -54,6 +58,8 @@
     static constexpr double min_limit = 0.5;
 
     std::unordered_map<EndpointId, Entry> entries;
+    /// Services whose latest answer reported that its endpoint is brittle.
+    std::set<std::string> brittle_services;
 };
 
 }
--- a/Libraries/LibRouting/RouterLimits.cpp
+++ b/Libraries/LibRouting/RouterLimits.cpp
@@ -29,7 +29,7 @@
 
 bool RequestRouter::may_be_overrun(Admitted const& request, KnownEndpoint const& endpoint, Instant now) const
 {
-    if (!this->brittle.is_brittle(endpoint.id))
+    if (!this->brittle.is_brittle(endpoint.id, endpoint.record.service))
         return false;
     auto const load = this->loads.find(endpoint.id);
     if (load == this->loads.end())
@@ -109,7 +109,7 @@
         return {};
     if (report.took_request)
         this->backoffs.request_accepted(id, sent_at);
-    this->brittle.apply_answer(id, report.max_rejections);
+    this->brittle.apply_answer(id, placed.endpoint.service, report.max_rejections);
     std::optional<EndpointRejection> rejection;
     if (report.max_rejections && !report.took_request && this->brittle.rejected(id, *report.max_rejections, now))
         rejection = { instance_of(placed.endpoint), *report.max_rejections, now };
--- a/Tests/LibRouting/TestBrittleEndpoints.cpp
+++ b/Tests/LibRouting/TestBrittleEndpoints.cpp
@@ -14,6 +14,7 @@
 constexpr EndpointId endpoint { 1 };
 Instant const start = Instant {} + seconds(1000);
 constexpr double max_rejections = 6;
+std::string const service = "desk";
 
 /// The most requests that boxes with unbounded demand send within any second after a rejection that all know of.
 int most_in_a_second(std::size_t box_count, Duration duration)
@@ -87,10 +88,24 @@
 TEST_CASE("an endpoint that bears no rejection gets few requests, and one that reports nothing any more is as others")
 {
     BrittleEndpoints endpoints;
-    endpoints.apply_answer(endpoint, 0);
-    CHECK(endpoints.is_brittle(endpoint));
+    endpoints.apply_answer(endpoint, service, 0);
+    CHECK(endpoints.is_brittle(endpoint, service));
     CHECK(endpoints.rejected(endpoint, 0, start));
     CHECK(endpoints.limit_of(endpoint, start) == 0.5);
-    endpoints.apply_answer(endpoint, {});
-    CHECK_FALSE(endpoints.is_brittle(endpoint));
+    endpoints.apply_answer(endpoint, service, {});
+    CHECK_FALSE(endpoints.is_brittle(endpoint, service));
+}
+
+TEST_CASE("an endpoint that has not answered yet is taken to be as brittle as the others of its service")
+{
+    constexpr EndpointId silent { 2 };
+    BrittleEndpoints endpoints;
+    CHECK_FALSE(endpoints.is_brittle(silent, service));
+    endpoints.apply_answer(endpoint, service, max_rejections);
+    CHECK(endpoints.is_brittle(silent, service));
+    CHECK_FALSE(endpoints.is_brittle(silent, "model"));
+    CHECK(endpoints.rejected(silent, max_rejections, start));
+    CHECK(endpoints.is_brittle(silent, service));
+    endpoints.apply_answer(endpoint, service, {});
+    CHECK_FALSE(endpoints.is_brittle(silent, service));
 }
--- a/Tests/LibRouting/TestEndpointReports.cpp
+++ b/Tests/LibRouting/TestEndpointReports.cpp
@@ -373,3 +373,28 @@
         is_chosen |= box.endpoint_for("/urgent/", at(seconds(1))) == "a";
     CHECK(is_chosen);
 }
+
+TEST_CASE(
+    "once an endpoint reports that it is brittle, a full one of its service that has not answered yet gets no more")
+{
+    constexpr int slots = 6;
+    TestBox box;
+    std::optional<Placed> at_a;
+    for (int running_at_b = 0; running_at_b < slots;) {
+        auto const placed = std::get<Placed>(box.place("/urgent/", at(seconds(0))));
+        auto const admitted
+            = std::get<Admitted>(box.router.admit({ "x", "h", "/urgent/x", "", seconds(1), {} }, at(seconds(0))));
+        box.router.attempt_started(admitted, {}, placed.choice, at(seconds(0)));
+        if (placed.endpoint.incarnation == "a")
+            at_a = placed;
+        else
+            ++running_at_b;
+    }
+    REQUIRE(at_a);
+    RequestRouter::EndpointReport rejection { RateLimit {} };
+    rejection.took_request = false;
+    rejection.max_rejections = 5;
+    CHECK(box.router.record_answer(*at_a, rejection, at(seconds(0)), at(milliseconds(5))).rejection);
+    for (int number = 0; number < 20; ++number)
+        CHECK(box.endpoint_for("/urgent/", at(milliseconds(10 + number))) != "b");
+}
