standin: Answer in styles that a behaviour file gives shares of

Cause: the stand-in endpoint framed and behaved well but for single switches, so lines of the protocol that none of them plays were first played by users.

Now a behaviour file, checked and with a seed, gives the shares of 25 styles: no length and no chunks, a length or chunk that promises too much, a missing last chunk, interim and foreign answers before and behind, bytes that are no answer, closes announced and not, resets, streams broken off inside an event, silence at three places, the three line ends, one write for all events and one for each byte, no echo, long and split heads, a named encoding, errors. The soak has a fifth play in which each style has a fiftieth of the requests. Line ends are made alike before answers are compared.

Not yet: answers before the request was read, short Keep-Alive that is kept, connections that hold slots, compressed bodies, versions that come and go, odd values of what endpoints say of themselves; one checker for all tests.

--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -108,6 +108,13 @@
     proxy.set_target(this->cluster.port(name));
 }
 
+std::string PlatformCluster::write_file(std::string const& name, std::string const& text) const
+{
+    auto path = this->cluster.path_of(name);
+    std::ofstream(path) << text;
+    return path;
+}
+
 void PlatformCluster::cut_off(std::string const& box, Fault fault)
 {
     auto const process = this->process(box).process_id();
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -41,6 +41,8 @@
     void cut_off(std::string const& box, Fault fault);
     /// Restarts the endpoints that have ended, under the same ids, and returns their names.
     std::vector<std::string> restart_ended_servers();
+    /// Writes a file that lasts as long as the test. Returns its path.
+    [[nodiscard]] std::string write_file(std::string const& name, std::string const& text) const;
     void start_box(std::string const& name, BoxBounds const& bounds = {});
     /// Starts the stand-in that accepts usage reports and orders of servers.
     void start_cloud();
--- a/Tests/Soak/Clients.cpp
+++ b/Tests/Soak/Clients.cpp
@@ -56,6 +56,19 @@
     return headers;
 }
 
+/// The text with the line ends of events, of which there are three kinds, replaced by the usual one.
+std::string with_usual_line_ends(std::string const& text)
+{
+    std::string usual;
+    usual.reserve(text.size());
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        bool const is_second_half = text[at] == '\n' && at > 0 && text[at - 1] == '\r';
+        if (!is_second_half)
+            usual += text[at] == '\r' ? '\n' : text[at];
+    }
+    return usual;
+}
+
 /// Sends the request and records what comes back.
 void send(httplib::Client& connection, Exchange& exchange)
 {
@@ -72,6 +85,7 @@
     exchange.sent_at = Clock::now();
     if (auto const result = connection.send(request))
         exchange.status = result->status;
+    exchange.body = with_usual_line_ends(exchange.body);
 }
 
 /// The next attempt of a client whose stream broke off; nothing if it has no event yet, or all.
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -13,7 +13,8 @@
 /// the store are delayed, cut, narrowed and reset, while the operator writes large configurations in quick succession.
 /// The answers of clients are compared with the journals of the endpoints, and the last configuration must come into
 /// force on all boxes. Further plays add a store that is restored from copies and a platform to which one box reports
-/// usage, endpoints with rate limits that reject requests or drain, or boxes that are cut off from all endpoints.
+/// usage, endpoints with rate limits that reject requests or drain, boxes that are cut off from all endpoints, or
+/// endpoints that answer oddly.
 namespace {
 
 using namespace Soak;
@@ -57,12 +58,29 @@
     /// Boxes are cut off from all endpoints while everything else reaches them; endpoints are silent for a second, and
     /// announce that they can't reject many requests.
     CutOff,
+    /// Endpoints answer in all styles that the stand-in has: framed oddly, broken off, silent, with bytes too many.
+    OddAnswers,
 };
 
+/// How the endpoint answers in the play of odd answers: some in each style.
+std::string odd_behaviour(std::uint64_t seed)
+{
+    constexpr std::array styles { "ends_with_connection", "length_too_long", "last_chunk_missing",
+        "interim_answer_first", "other_answer_first", "no_http", "bytes_behind", "other_answer_behind",
+        "close_announced", "close_unannounced", "reset_behind", "broken_off", "broken_off_by_reset",
+        "silent_before_head", "silent_in_stream", "events_with_crlf", "events_with_cr", "events_in_one_write",
+        "event_in_many_writes", "echo_missing", "long_head", "head_in_pieces", "encoding_named", "failed" };
+    auto text = "seed: " + std::to_string(seed) + "\nanswers:\n  silent_for_good: 0.002\n";
+    for (auto const* style : styles)
+        text += "  " + std::string(style) + ": 0.02\n";
+    return text;
+}
+
 class Site {
 public:
     Site(std::uint64_t seed, Play play)
-        : random(seed)
+        : seed(seed)
+        , random(seed)
         , random_of_play(seed + 1000)
         , play(play)
     {
@@ -247,6 +265,8 @@
         if (name.ends_with('2'))
             flags.emplace_back("--ends_with_connection");
         flags.push_back("--software_version=" + version_of(name));
+        if (this->play == Play::OddAnswers)
+            flags.push_back("--behaviour=" + this->cluster.write_file(name + ".yaml", odd_behaviour(this->seed)));
         if (this->play == Play::CutOff)
             this->cluster.start_proxied_server(name, service, flags);
         else
@@ -326,6 +346,7 @@
             Fault::Narrow }[this->random(6)];
     }
 
+    std::uint64_t seed;
     pcg32 random;
     /// Separate generators, so that a seed's faults are the same in all plays.
     pcg32 random_of_play;
@@ -475,3 +496,8 @@
 {
     play(Play::CutOff);
 }
+
+TEST_CASE("and where servers frame their answers oddly, break them off, fall silent and send too much")
+{
+    play(Play::OddAnswers);
+}
