LibGateway: Check broken connections where a service has a single endpoint

Cause: checks of broken connections were left out while the box is cut off, since they tell nothing then. Where there is one endpoint, its own broken connection is all of them, so the box took itself for cut off and never looked whether the endpoint had ended: the crash was not counted.

Now checks are left out only where there is more than one endpoint, as the refusal of a single one is taken for its own elsewhere too.

Ruled out: that load was the reason; it failed alone as well.

After, it passes, and TestForwardedRequest, TestRequestRetries, TestRequestExchange, TestBoxCutOffFromEndpoints, TestRefusedRequestRunsAgain, TestStreamBrokenOff and TestCrashingRequest beside it, all at once.

--- a/Libraries/LibGateway/ExchangeRetries.cpp
+++ b/Libraries/LibGateway/ExchangeRetries.cpp
@@ -9,6 +9,17 @@
 using Core::monotonic_now;
 using Core::Reason;
 
+namespace {
+
+/// While this holds, a check of an endpoint tells nothing, and every broken connection would open more of them. The
+/// refusal of a single endpoint is taken for its own.
+bool is_cut_off_from_several(GatewayState const& state)
+{
+    return state.reachability.is_cut_off() && state.router.endpoint_count() > 1;
+}
+
+}
+
 Reason RequestExchange::retry_reason(AttemptEnd end) const
 {
     if (this->was_endpoint_silent)
@@ -64,8 +75,7 @@
 Task<EndpointCheckResult> RequestExchange::check_broken_connection(
     Attempt attempt, bool was_in_use, Core::Duration watch_duration)
 {
-    // NOTE: While this box is cut off, a check tells nothing, and every broken connection would open more of them.
-    if (this->state.reachability.is_cut_off()) {
+    if (is_cut_off_from_several(this->state)) {
         this->log_broken_connection(attempt, EndpointCheckResult::Unknown);
         co_return EndpointCheckResult::Unknown;
     }
@@ -88,7 +98,7 @@
     auto pause = first_repeated_check_pause;
     for (int check = 0; check < max_repeated_checks; ++check) {
         auto const check_result = co_await this->check_broken_connection(attempt, was_in_use, ending_watch);
-        if (check_result != EndpointCheckResult::Unknown || this->state.reachability.is_cut_off())
+        if (check_result != EndpointCheckResult::Unknown || is_cut_off_from_several(this->state))
             co_return;
         co_await sleep_for(pause);
         pause *= 2;
