LibGateway: Take a continued stream without a new event for broken off

Callers whose stream went on at a second endpoint, or who took one up with the last event that they had, were told that it was complete when the endpoint that continued it closed its connection before any event.

Cause: is_stream_broken_off() asked whether any endpoint had brought an event, and took a client's Last-Event-Id for one. So the end of the first endpoint's events stood for the begin of the second's answer.

The cost: a client that had the last event of such a stream and lost only its end gets no end from endpoints that mark it by their connection alone; it is told that the attempt failed. Nothing tells the two apart.

--- a/Libraries/LibGateway/EventSplitter.h
+++ b/Libraries/LibGateway/EventSplitter.h
@@ -18,6 +18,8 @@
     [[nodiscard]] bool is_inside_event() const { return this->position.is_inside_event(); }
     /// Whether a whole event was received, from any endpoint.
     [[nodiscard]] bool has_events() const { return this->had_events || this->position.has_events(); }
+    /// Whether a whole event was received from the endpoint that answers now.
+    [[nodiscard]] bool has_new_events() const { return this->position.has_events(); }
     /// The bytes received after the last whole event.
     [[nodiscard]] std::string const& partial_event() const { return this->partial; }
     /// Discards an incomplete event, before another endpoint continues the stream.
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -366,9 +366,8 @@
         = this->is_event_stream && this->call->is_done() && this->call->body_end() == BodyEnd::Connection;
     if (!may_be_broken_off)
         return false;
-    // NOTE: A stream that another one continues may have no event left.
-    bool const has_begun = this->events.has_events() || this->takes_up_stream;
-    return this->events.is_inside_event() || !has_begun;
+    // NOTE: An endpoint that continues a stream and breaks off at once brings no event either.
+    return this->events.is_inside_event() || !this->events.has_new_events();
 }
 
 std::string RequestExchange::forwardable(std::string const& received)
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -119,7 +119,8 @@
     [[nodiscard]] Task<AttemptEnd> forward_body(Attempt& attempt, std::string out, bool is_buffered);
     /// Returns what can be forwarded of a received piece of the body, and what was held back before.
     [[nodiscard]] std::string forwardable(std::string const& received);
-    /// Whether a stream whose end only its connection marks has ended inside an event or before the first one.
+    /// Whether a stream whose end only its connection marks has ended inside an event, or before the first one of its
+    /// endpoint.
     [[nodiscard]] bool is_stream_broken_off() const;
     [[nodiscard]] AttemptEnd end_of_broken_answer() const;
     [[nodiscard]] std::string framed(std::string const& piece);
--- a/Tests/LibGateway/ScriptedExchange.h
+++ b/Tests/LibGateway/ScriptedExchange.h
@@ -116,6 +116,8 @@
         request.set("X-Attempt-Id", "9c41");
         request.set("X-Key", "key");
         request.set("X-Deadline-Ms", "30000");
+        if (!this->last_event_id.empty())
+            request.set("Last-Event-Id", this->last_event_id);
         request.body() = std::move(body);
         request.prepare_payload();
         this->exchange
@@ -170,6 +172,8 @@
 
     /// Of the client; 10 or 11.
     unsigned http_version { 11 };
+    /// The last event that the client has of a stream which it takes up; empty if it takes none up.
+    std::string last_event_id;
     asio::io_context context;
     GatewayState state;
     LoopbackPair client;
--- a/Tests/LibGateway/TestBrokenStream.cpp
+++ b/Tests/LibGateway/TestBrokenStream.cpp
@@ -144,6 +144,35 @@
     CHECK(request.received.starts_with("HTTP/1.1 502 "));
 }
 
+TEST_CASE("a stream continued by an answer that ends with its connection before any event is not framed as complete")
+{
+    SUBCASE("within one answer")
+    {
+        Exchange request(RouteKind::Streaming, 2, 2, true);
+        request.start();
+        auto& first = *request.endpoints[request.wait_for_arrival()];
+        first.answer(open_stream_head + "id: 1\n\nid: 2");
+        first.close();
+        auto& second = *request.endpoints[request.wait_for_arrival()];
+        second.answer(open_stream_head);
+        second.close();
+        REQUIRE(request.ends());
+        CHECK(body_of(request.received).text == "id: 1\n\n");
+        CHECK_FALSE(body_of(request.received).is_complete);
+    }
+    SUBCASE("taken up by the client")
+    {
+        Exchange request(RouteKind::Streaming, 1, 1, true);
+        request.last_event_id = "1";
+        request.start();
+        auto& endpoint = *request.endpoints[request.wait_for_arrival()];
+        endpoint.answer(open_stream_head);
+        endpoint.close();
+        REQUIRE(request.ends());
+        CHECK(request.received.starts_with("HTTP/1.1 502 "));
+    }
+}
+
 TEST_CASE("a whole stream without length or chunks is passed on as complete")
 {
     constexpr std::array streams { std::string_view("id: 1\n\nid: 2\n\n"), std::string_view("id: 1\r\rid: 2\r\r"),
