LibGateway: Reset clients of HTTP/1.0 when their box ends in mid-answer

A client of HTTP/1.0 whose box was killed or stopped in the middle of an answer without a length saw an orderly end, and took half an answer for the whole.

Cause: such an answer ends with its connection, and the kernel closes the connections of a process that ends in order. The reset was set only where the box itself noticed that the answer had broken.

Now the connection is reset however it ends, from the head on until the last byte is written. SO_LINGER belongs to the socket, so it holds for a process that is killed as well. Answers with a length, in chunks, and of HTTP/1.1 are as before; a client of HTTP/1.0 whose answer has a length sees from it that bytes are missing.

--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -176,12 +176,8 @@
         co_await this->give_up(this->reason_for_giving_up(), {});
         co_return;
     }
-    // NOTE: A chunked answer without its last chunk shows the client that it is incomplete. Before HTTP/1.1 a closed
-    // connection marks the end of an answer, so the connection is reset instead.
+    // NOTE: A chunked answer without its last chunk shows the client that it is incomplete.
     this->keeps_client = false;
-    error_code ignored;
-    if (this->request.version() < http_1_1)
-        this->client.socket->set_option(asio::socket_base::linger(true, 0), ignored);
     this->log_end(last_status, this->has_client_left ? Reason::CallerGone : Reason::AnswerCutShort);
 }
 
@@ -305,6 +301,10 @@
     bool const is_chunked = !length && !this->call->is_done();
     bool const ends_with_connection = is_chunked && this->request.version() < http_1_1;
     this->keeps_client = this->keeps_client && !ends_with_connection && !this->state.is_stopping;
+    // NOTE: Only an orderly close marks the end of such an answer, so until it is complete the connection is reset
+    // however it ends, also with the process.
+    if (ends_with_connection)
+        this->reset_client_on_close(true);
     if (is_chunked)
         this->framing = ends_with_connection ? Adapter::BodyFraming::Empty : Adapter::BodyFraming::Chunked;
     else
@@ -357,9 +357,17 @@
             co_return this->end_of_broken_answer();
         out.clear();
     } while (!this->call->is_done());
+    if (this->request.version() < http_1_1)
+        this->reset_client_on_close(false);
     co_return AttemptEnd::Delivered;
 }
 
+void RequestExchange::reset_client_on_close(bool is_reset)
+{
+    error_code ignored;
+    this->client.socket->set_option(asio::socket_base::linger(is_reset, 0), ignored);
+}
+
 bool RequestExchange::is_stream_broken_off() const
 {
     bool const may_be_broken_off
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -124,6 +124,8 @@
     [[nodiscard]] bool is_stream_broken_off() const;
     [[nodiscard]] AttemptEnd end_of_broken_answer() const;
     [[nodiscard]] std::string framed(std::string const& piece);
+    /// Whether closing the client's connection resets it, which shows the client that its answer is incomplete.
+    void reset_client_on_close(bool is_reset);
     void record_first_piece(Attempt const& attempt);
     /// Counts the request for usage reports as started at that moment. Later calls for the same request do nothing.
     void count_started(Core::Instant at);
--- a/Tests/Integration/TestStreamBrokenOff.cpp
+++ b/Tests/Integration/TestStreamBrokenOff.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <string>
+#include <thread>
 
 namespace {
 
@@ -48,8 +49,15 @@
             static_cast<void>(this->get(name, "/break-off/" + event));
     }
 
+    /// Whether the box has passed the begin of an answer on since it started.
+    [[nodiscard]] bool is_streaming(std::string const& box) const
+    {
+        return this->metric(box, "cleatbeam_first_byte_seconds_count") > 0;
+    }
+
     /// Sends a request with this version of HTTP, and reads to the end of the connection.
-    [[nodiscard]] RawAnswer read(std::string const& path, std::string const& http_version) const
+    [[nodiscard]] RawAnswer read(
+        std::string const& path, std::string const& http_version, std::string const& events = "5") const
     {
         asio::io_context context;
         tcp::socket socket(context);
@@ -57,7 +65,8 @@
         asio::write(socket,
             asio::buffer("POST " + path + " HTTP/" + http_version
                 + "\r\nHost: h.example\r\nX-Attempt-Id: a\r\nX-Key: key\r\nX-Deadline-Ms: 5000\r\nX-Standin-Events: "
-                  "5\r\n"
+                + events
+                + "\r\n"
                   "Connection: close\r\nContent-Length: 0\r\n\r\n"));
         RawAnswer answer;
         error_code error;
@@ -104,3 +113,20 @@
         CHECK(is_framed_as_complete(whole, version));
     }
 }
+
+TEST_CASE("a stream whose box is killed in the middle of it reaches no client as complete")
+{
+    OpenEndedSite site;
+    for (auto const* version : { "1.0", "1.1" }) {
+        CAPTURE(version);
+        RawAnswer broken;
+        std::jthread client([&] { broken = site.read("/stream/x", version, "2000"); });
+        Harness::wait_until("the stream has begun", [&] { return site.is_streaming("b1"); });
+        site.process("b1").kill();
+        client.join();
+        CHECK(broken.text.find("data: a:1\n\n") != std::string::npos);
+        CHECK_FALSE(is_framed_as_complete(broken, version));
+        site.start_box("b1", { 8000, 8000, 20000, true });
+        site.wait_ready("b1");
+    }
+}
--- a/Tests/LibGateway/TestBrokenStream.cpp
+++ b/Tests/LibGateway/TestBrokenStream.cpp
@@ -173,6 +173,21 @@
     }
 }
 
+TEST_CASE("a client of HTTP/1.0 sees a reset if the process of its box ends in the middle of a stream")
+{
+    Exchange request(RouteKind::Streaming);
+    request.http_version = 10;
+    request.start();
+    auto& endpoint = *request.endpoints[request.wait_for_arrival()];
+    endpoint.answer(open_stream_head + "id: 1\n\n");
+    REQUIRE(request.reach([&] { return request.received.ends_with("id: 1\n\n"); }));
+    CHECK(is_reset_on_close(*request.socket));
+    endpoint.answer("id: 2\n\n");
+    endpoint.close();
+    REQUIRE(request.ends());
+    CHECK_FALSE(is_reset_on_close(*request.socket));
+}
+
 TEST_CASE("a whole stream without length or chunks is passed on as complete")
 {
     constexpr std::array streams { std::string_view("id: 1\n\nid: 2\n\n"), std::string_view("id: 1\r\rid: 2\r\r"),
