--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -3,6 +3,7 @@
 #include "HttpSession.h"
 #include "Standin.h"
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <cstdlib>
 #include <fmt/format.h>
@@ -23,6 +24,9 @@
 DEFINE_int32(heartbeat_ms, 200, "time between two records in the store");
 DEFINE_int32(listed_port, 0, "port in the server's record, such as that of a proxy; 0 for its own");
 DEFINE_string(crash_on, "", "the process ends when it runs a request whose body holds this text");
+DEFINE_string(crash_on_part, "",
+    "the process ends when it begins to answer a request whose prompt has the part with this id, not as its last");
+DEFINE_int32(crash_at_event, 0, "the event of a stream inside which it ends so; 0 to end before the answer");
 DEFINE_int32(crash_after_ms, 0, "how long it runs such a request before it ends");
 DEFINE_int32(listen_after_crash_ms, 0, "how long it still accepts connections after it broke the request's");
 DEFINE_string(software_version, "v1", "version of its software in the server's record");
@@ -77,7 +81,14 @@
             co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_crash_after_ms));
             crash(*session);
         }
-        bool const is_open = co_await this->run(*session, request, attempt);
+        bool const is_harmful = has_harmful_part(request["X-Prompt-Prefix"]);
+        if (is_harmful && FLAGS_crash_at_event == 0) {
+            co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_crash_after_ms));
+            crash(*session);
+        }
+        bool const is_open = co_await this->run(*session, request, attempt, is_harmful ? FLAGS_crash_at_event : 0);
+        if (is_harmful)
+            crash(*session);
         --this->running;
         co_return is_open && !this->is_draining;
     }
@@ -110,6 +121,19 @@
         return this->max_rejections.empty() ? "" : "Server-Brittle: " + this->max_rejections + "\r\n";
     }
 
+    /// Whether a list of prompt parts, "ID:TOKENS" each, has the harmful one before its last entry.
+    [[nodiscard]] static bool has_harmful_part(std::string_view list)
+    {
+        if (FLAGS_crash_on_part.empty())
+            return false;
+        for (auto comma = list.find(','); comma != std::string_view::npos; comma = list.find(',')) {
+            if (list.substr(0, list.find(':')) == FLAGS_crash_on_part)
+                return true;
+            list.remove_prefix(comma + 1);
+        }
+        return false;
+    }
+
     /// Ends the process. Its connections don't end at the same time, as on a busy host.
     [[noreturn]] static void crash(Session& session)
     {
@@ -142,7 +166,8 @@
         run["body"] = request.body();
     }
 
-    Task<bool> run(Session& session, Request const& request, std::string const& attempt)
+    /// `broken_event` is the event of a stream inside which it breaks off; 0 for none but what else is asked for.
+    Task<bool> run(Session& session, Request const& request, std::string const& attempt, int broken_event)
     {
         AnswerWriter writer(session, this->draw_style(), { attempt, this->fields(attempt) });
         auto const events = std::string(request["X-Standin-Events"]);
@@ -153,7 +178,9 @@
         std::string const last_event(request["Last-Event-Id"]);
         EventRange range { std::stoi("0" + last_event) + 1, std::stoi(events) };
         range.pause = std::chrono::milliseconds(FLAGS_work_ms);
-        if (range.first == 1)
+        if (broken_event > 0)
+            range.broken_event = std::max(broken_event, range.first);
+        else if (range.first == 1)
             range.broken_event = this->broken_event;
         co_return co_await writer.write_events(range);
     }
