LibGateway: Name the parts of a prompt where its connection broke

Which parts the requests under a crash share could not be read off the logs: request_placed names one of them, the line of the check none. It is written once for each broken connection, not for each request.

--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -18,6 +18,15 @@
     return value ? "yes" : "no";
 }
 
+/// The ids of the parts in hexadecimal, separated by commas.
+std::string list_of(std::vector<Routing::PromptPart> const& parts)
+{
+    std::string list;
+    for (auto const& part : parts)
+        list += fmt::format("{}{:x}", list.empty() ? "" : ",", part.id);
+    return list;
+}
+
 }
 
 std::string_view to_string(AttemptEnd end)
@@ -102,6 +111,7 @@
         .with("endpoint", attempt.placed.endpoint.incarnation)
         .with("run_began_ms_ago", Core::to_milliseconds(Core::monotonic_now() - attempt.started))
         .with("endpoint_now", to_string(check_result))
+        .with("prompt_parts", list_of(this->workload.prompt))
         .info();
 }
 
