LibRouting: Call what crashes are counted for a suspect

RequestFingerprint becomes CrashSuspect and CrashReport::request CrashReport::suspect, since crashes will be counted for more than whole requests. A rename alone: no token differs but these names, in sources and tests; names on the wire, in the store and in logs stay.

--- a/Libraries/LibGateway/CrashExchange.cpp
+++ b/Libraries/LibGateway/CrashExchange.cpp
@@ -15,7 +15,7 @@
 void log_crash(std::string_view event, Routing::CrashReport const& report, Routing::CrashStatus const& status)
 {
     Log::EventLine line(event);
-    line.with("fingerprint", Routing::to_string(report.request))
+    line.with("fingerprint", Routing::to_string(report.suspect))
         .with("endpoint", report.endpoint.incarnation)
         .with("endpoint_started_at_ms", report.endpoint.started_at)
         .with("known_when_run_began", report.count - 1)
@@ -33,20 +33,20 @@
     this->to_store = std::move(to_store);
 }
 
-Routing::CrashStatus CrashExchange::status(Routing::RequestFingerprint request) const
+Routing::CrashStatus CrashExchange::status(Routing::CrashSuspect request) const
 {
     auto status = this->ledger.status(request, monotonic_now());
     status.is_probed |= this->own_probes.contains(request);
     return status;
 }
 
-void CrashExchange::probe_began(Routing::RequestFingerprint request)
+void CrashExchange::probe_began(Routing::CrashSuspect request)
 {
     this->own_probes.insert(request);
     this->enqueue(Probing { request });
 }
 
-void CrashExchange::probe_ended(Routing::RequestFingerprint request)
+void CrashExchange::probe_ended(Routing::CrashSuspect request)
 {
     this->own_probes.erase(request);
     std::erase_if(this->pending, [request](auto const& entry) {
@@ -67,19 +67,19 @@
     if (this->ledger.apply(report, Core::Duration { 0 }, now) != CrashLedger::Outcome::New)
         return;
     this->metrics.count_crash_report("noted");
-    auto const status = this->ledger.status(report.request, now);
+    auto const status = this->ledger.status(report.suspect, now);
     log_crash("crash_noted", report, status);
     this->enqueue(Crashed { report, now });
     // NOTE: Only the box that saw the last crash writes the record, so each refused request costs one call to the
     // store.
     if (status.refused_for && this->to_store)
-        this->to_store(Membership::crash_key(report.request),
+        this->to_store(Membership::crash_key(report.suspect),
             Membership::encode_crash_record(
-                { { report.request, report.endpoint, status.crashes }, Core::Duration { 0 } },
+                { { report.suspect, report.endpoint, status.crashes }, Core::Duration { 0 } },
                 Core::wall_clock_milliseconds()));
 }
 
-void CrashExchange::report_success(Routing::RequestFingerprint request)
+void CrashExchange::report_success(Routing::CrashSuspect request)
 {
     auto const status = this->ledger.status(request, monotonic_now());
     if (!this->ledger.clear(request, monotonic_now()))
@@ -90,11 +90,11 @@
     this->enqueue(Cleared { request });
 }
 
-void CrashExchange::note_cleared(Routing::RequestFingerprint request, std::string_view from, unsigned crashes)
+void CrashExchange::note_cleared(Routing::CrashSuspect request, std::string_view from, unsigned crashes)
 {
     std::erase_if(this->pending, [request](auto const& entry) {
         auto const* const crash = std::get_if<Crashed>(&entry.update);
-        return crash != nullptr && crash->report.request == request;
+        return crash != nullptr && crash->report.suspect == request;
     });
     this->metrics.count_crash_report("cleared");
     if (from == "own" || crashes > 1)
@@ -135,13 +135,13 @@
     for (auto const& [report, age] : message.crashes) {
         auto const taken = this->ledger.apply(report, age, now);
         if (taken == CrashLedger::Outcome::Cleared)
-            this->enqueue(Cleared { report.request });
+            this->enqueue(Cleared { report.suspect });
         if (taken != CrashLedger::Outcome::New)
             continue;
         this->metrics.count_crash_report("heard");
         // NOTE: First crashes aren't logged: nearly all are of requests that only ran beside the harmful one, and the
         // box that saw the crash has logged it.
-        if (auto const status = this->ledger.status(report.request, now); status.crashes > 1)
+        if (auto const status = this->ledger.status(report.suspect, now); status.crashes > 1)
             log_crash("crash_heard", report, status);
         this->pause.interrupt();
     }
@@ -163,7 +163,7 @@
 void CrashExchange::apply_stored(std::string const& key, std::string const& value)
 {
     auto const crash = Membership::decode_crash_record(value, Core::wall_clock_milliseconds());
-    if (!crash || Membership::crash_key(crash->report.request) != key) {
+    if (!crash || Membership::crash_key(crash->report.suspect) != key) {
         this->metrics.count_bad_record("crash");
         Log::EventLine("crash_record_rejected").with("key", key).with("bytes", value.size()).warning();
         return;
@@ -176,7 +176,7 @@
     if (this->ledger.apply(crash->report, crash->age, now) != CrashLedger::Outcome::New)
         return;
     this->metrics.count_crash_report("read");
-    log_crash("crash_read", crash->report, this->ledger.status(crash->report.request, now));
+    log_crash("crash_read", crash->report, this->ledger.status(crash->report.suspect, now));
     this->pause.interrupt();
 }
 
@@ -262,7 +262,7 @@
     CrashMessage message;
     for (std::size_t index = 0; index < std::min(refused.size(), max_crash_entries_per_message); ++index) {
         auto const& report = refused[this->next_refused++ % refused.size()];
-        auto const left = this->ledger.status(report.request, now).refused_for.value_or(Core::Duration { 0 });
+        auto const left = this->ledger.status(report.suspect, now).refused_for.value_or(Core::Duration { 0 });
         message.crashes.push_back({ report, CrashLedger::quarantine - left });
     }
     this->to_boxes(Membership::encode(message), Audience::SomeBoxes);
--- a/Libraries/LibGateway/CrashExchange.h
+++ b/Libraries/LibGateway/CrashExchange.h
@@ -39,14 +39,14 @@
     /// Runs until the event loop is stopped.
     [[nodiscard]] Task<void> run();
 
-    [[nodiscard]] Routing::CrashStatus status(Routing::RequestFingerprint request) const;
+    [[nodiscard]] Routing::CrashStatus status(Routing::CrashSuspect request) const;
     /// Call this when this box starts to probe a request: runs it to find out whether it crashes endpoints. Other boxes
     /// don't run the request until the probe has ended.
-    void probe_began(Routing::RequestFingerprint request);
-    void probe_ended(Routing::RequestFingerprint request);
+    void probe_began(Routing::CrashSuspect request);
+    void probe_ended(Routing::CrashSuspect request);
     /// An endpoint crashed while it ran a request of this box.
     void report_crash(Routing::CrashReport const& report);
-    void report_success(Routing::RequestFingerprint request);
+    void report_success(Routing::CrashSuspect request);
     /// The endpoint answered this box, so reports of its crash were wrong.
     void endpoint_answered(Routing::EndpointInstance const& endpoint, Routing::AnswerTiming const& evidence);
     /// Applies a message from another box.
@@ -58,7 +58,7 @@
 
 private:
     struct Cleared {
-        Routing::RequestFingerprint request;
+        Routing::CrashSuspect request;
     };
     struct Answering {
         Routing::EndpointInstance endpoint;
@@ -69,11 +69,11 @@
     };
     /// Sent repeatedly while the probe runs.
     struct Probing {
-        Routing::RequestFingerprint request;
+        Routing::CrashSuspect request;
     };
     /// Sent only once: a repeated message could end the next probe of the same request.
     struct ProbeEnded {
-        Routing::RequestFingerprint request;
+        Routing::CrashSuspect request;
     };
     using Update = std::variant<Crashed, Cleared, Answering, Probing, ProbeEnded>;
     struct Pending {
@@ -87,7 +87,7 @@
     [[nodiscard]] static std::optional<Core::Duration> next_resend_delay(Pending& entry);
     void send_due(Core::Instant now);
     void send_refused(Core::Instant now);
-    void note_cleared(Routing::RequestFingerprint request, std::string_view from, unsigned crashes);
+    void note_cleared(Routing::CrashSuspect request, std::string_view from, unsigned crashes);
     void note_retracted(Routing::EndpointInstance const& endpoint, std::string_view from);
     [[nodiscard]] Core::Duration time_until_next_send(Core::Instant now) const;
 
@@ -109,7 +109,7 @@
     Routing::CrashLedger ledger;
     std::list<Pending> pending;
     /// Requests that this box is probing.
-    std::unordered_set<Routing::RequestFingerprint> own_probes;
+    std::unordered_set<Routing::CrashSuspect> own_probes;
     Core::Instant refused_sent_at;
     /// Index of the refused request to send next, since a message may not hold all.
     std::size_t next_refused { 0 };
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -5,7 +5,7 @@
 #include <LibGateway/EventRateMeter.h>
 #include <LibGateway/EventSplitter.h>
 #include <LibMembership/ForwardedRequest.h>
-#include <LibRouting/RequestFingerprint.h>
+#include <LibRouting/CrashSuspect.h>
 
 namespace Gateway {
 
@@ -215,7 +215,7 @@
     /// How long the client waits in all.
     std::optional<Core::Duration> patience;
     std::optional<Routing::Admitted> admitted;
-    Routing::RequestFingerprint fingerprint;
+    Routing::CrashSuspect fingerprint;
     Core::Instant arrived;
     asio::steady_timer expiry;
     asio::steady_timer silence;
--- a/Libraries/LibMembership/CrashMessages.cpp
+++ b/Libraries/LibMembership/CrashMessages.cpp
@@ -13,13 +13,13 @@
 
 constexpr std::string_view crash_key_prefix = "crash/";
 
-void write(wire::Fingerprint& wire_message, Routing::RequestFingerprint request)
+void write(wire::Fingerprint& wire_message, Routing::CrashSuspect request)
 {
     wire_message.set_account(request.account);
     wire_message.set_content(request.content);
 }
 
-Routing::RequestFingerprint read(wire::Fingerprint const& wire_message)
+Routing::CrashSuspect read(wire::Fingerprint const& wire_message)
 {
     return { wire_message.account(), wire_message.content() };
 }
@@ -60,7 +60,7 @@
     wire::CrashMessage encoded;
     for (auto const& crash : message.crashes) {
         auto& wire_message = *encoded.add_crashes();
-        write(*wire_message.mutable_request(), crash.report.request);
+        write(*wire_message.mutable_request(), crash.report.suspect);
         write_instance(*wire_message.mutable_endpoint(), crash.report.endpoint);
         wire_message.set_count(crash.report.count);
         wire_message.set_age_us(static_cast<std::uint64_t>(std::max<Duration::rep>(crash.age.count(), 0)));
@@ -98,7 +98,7 @@
     return message;
 }
 
-std::string crash_key(Routing::RequestFingerprint request)
+std::string crash_key(Routing::CrashSuspect request)
 {
     return std::string(crash_key_prefix) + Routing::to_string(request);
 }
@@ -112,7 +112,7 @@
 {
     auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(crash.age).count();
     wire::CrashRecord record;
-    write(*record.mutable_request(), crash.report.request);
+    write(*record.mutable_request(), crash.report.suspect);
     write_instance(*record.mutable_endpoint(), crash.report.endpoint);
     record.set_count(crash.report.count);
     record.set_crashed_at_unix_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(now_unix_milliseconds - age, 0)));
--- a/Libraries/LibMembership/CrashMessages.h
+++ b/Libraries/LibMembership/CrashMessages.h
@@ -23,13 +23,13 @@
 struct CrashMessage {
     std::vector<TimedCrash> crashes;
     /// Requests that an endpoint completed without a crash.
-    std::vector<Routing::RequestFingerprint> cleared;
+    std::vector<Routing::CrashSuspect> cleared;
     /// Endpoints that were reported as crashed but respond.
     std::vector<Routing::EndpointInstance> answering;
     /// Requests that the sender is running as a probe: endpoints crashed under them before.
-    std::vector<Routing::RequestFingerprint> probed;
+    std::vector<Routing::CrashSuspect> probed;
     /// Requests whose probe by the sender has ended.
-    std::vector<Routing::RequestFingerprint> probes_ended;
+    std::vector<Routing::CrashSuspect> probes_ended;
 
     bool operator==(CrashMessage const&) const = default;
     [[nodiscard]] bool is_empty() const
@@ -47,7 +47,7 @@
 [[nodiscard]] std::optional<CrashMessage> decode_crashes(std::string_view bytes);
 
 /// Key of the record of a refused request, stored among the records of boxes.
-[[nodiscard]] std::string crash_key(Routing::RequestFingerprint request);
+[[nodiscard]] std::string crash_key(Routing::CrashSuspect request);
 [[nodiscard]] bool is_crash_key(std::string_view key);
 /// `now_unix_milliseconds` is this box's wall clock: the record outlives the process and its monotonic clock.
 [[nodiscard]] std::string encode_crash_record(TimedCrash const& crash, std::int64_t now_unix_milliseconds);
--- a/Libraries/LibRouting/CrashLedger.cpp
+++ b/Libraries/LibRouting/CrashLedger.cpp
@@ -4,7 +4,7 @@
 
 namespace Routing {
 
-CrashStatus CrashLedger::status(RequestFingerprint request, Instant now) const
+CrashStatus CrashLedger::status(CrashSuspect request, Instant now) const
 {
     CrashStatus status;
     auto const probe = this->probes.find(request);
@@ -18,7 +18,7 @@
     return status;
 }
 
-void CrashLedger::renew_probe(RequestFingerprint request, Instant now)
+void CrashLedger::renew_probe(CrashSuspect request, Instant now)
 {
     auto const [position, is_new] = this->probes.try_emplace(request);
     auto& probe = position->second;
@@ -42,7 +42,7 @@
 {
     if (report.count == 0 || age >= retention)
         return Outcome::Known;
-    auto& entry = this->entries.try_emplace(report.request).first->second;
+    auto& entry = this->entries.try_emplace(report.suspect).first->second;
     bool const was_cleared = entry.cleared_at && now - *entry.cleared_at < late_report_window;
     if (was_cleared && report.count > entry.crashes + 1)
         return Outcome::Cleared;
@@ -60,19 +60,19 @@
         entry.endpoints.erase(entry.endpoints.begin());
     entry.last_crash = crashed_at;
     this->note_crashed_endpoint(report.endpoint, crashed_at, now);
-    this->end_earlier_probe(report.request, count);
+    this->end_earlier_probe(report.suspect, count);
     this->make_room();
     return Outcome::New;
 }
 
-void CrashLedger::end_earlier_probe(RequestFingerprint request, unsigned crashes)
+void CrashLedger::end_earlier_probe(CrashSuspect request, unsigned crashes)
 {
     auto const probe = this->probes.find(request);
     if (probe != this->probes.end() && probe->second.crashes_before < crashes)
         this->probes.erase(probe);
 }
 
-bool CrashLedger::clear(RequestFingerprint request, Instant now)
+bool CrashLedger::clear(CrashSuspect request, Instant now)
 {
     this->probes.erase(request);
     auto const found = this->entries.find(request);
--- a/Libraries/LibRouting/CrashLedger.h
+++ b/Libraries/LibRouting/CrashLedger.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibRouting/EndpointDirectory.h>
-#include <LibRouting/RequestFingerprint.h>
+#include <LibRouting/CrashSuspect.h>
 
 #include <map>
 #include <unordered_map>
@@ -11,7 +11,7 @@
 
 /// A run of a request during which the process of its endpoint crashed.
 struct CrashReport {
-    RequestFingerprint request;
+    CrashSuspect suspect;
     EndpointInstance endpoint;
     /// This crash and the crashes of the request that were known when the run began.
     unsigned count { 1 };
@@ -63,15 +63,15 @@
         Cleared,
     };
 
-    [[nodiscard]] CrashStatus status(RequestFingerprint request, Instant now) const;
+    [[nodiscard]] CrashStatus status(CrashSuspect request, Instant now) const;
     /// A probe of the request has begun or is still running, here or at another box.
-    void renew_probe(RequestFingerprint request, Instant now);
+    void renew_probe(CrashSuspect request, Instant now);
     /// The probe ended without a result, or its result has been applied.
-    void end_probe(RequestFingerprint request) { this->probes.erase(request); }
+    void end_probe(CrashSuspect request) { this->probes.erase(request); }
     /// The endpoint crashed `age` ago while it ran the request.
     Outcome apply(CrashReport const& report, Duration age, Instant now);
     /// A run of the request succeeded, here or at another box. Returns whether the request had any crashes.
-    bool clear(RequestFingerprint request, Instant now);
+    bool clear(CrashSuspect request, Instant now);
     /// The endpoint answered. Returns whether that disproves its reported crash, which is then retracted.
     bool endpoint_answered(EndpointInstance const& endpoint, AnswerTiming const& evidence);
     /// Removes this endpoint's crash from the counts of all requests. Returns whether the crash was known.
@@ -111,19 +111,19 @@
         Instant until;
         unsigned crashes_before { 0 };
     };
-    using Entries = std::unordered_map<RequestFingerprint, Entry>;
+    using Entries = std::unordered_map<CrashSuspect, Entry>;
 
     /// How long reports that were sent before a successful run may still arrive.
     static constexpr Duration late_report_window { std::chrono::seconds(60) };
 
     [[nodiscard]] static unsigned crashes_of(Entry const& entry, Instant now);
     /// Ends the request's probe if a crash became known since the probe began.
-    void end_earlier_probe(RequestFingerprint request, unsigned crashes);
+    void end_earlier_probe(CrashSuspect request, unsigned crashes);
     void note_crashed_endpoint(EndpointInstance const& endpoint, Instant crashed_at, Instant now);
     void make_room();
 
     Entries entries;
-    std::unordered_map<RequestFingerprint, Probe> probes;
+    std::unordered_map<CrashSuspect, Probe> probes;
     /// The last crash of an endpoint.
     struct KnownCrash {
         Instant at;
--- a/Libraries/LibRouting/RequestFingerprint.cpp
+++ b/Libraries/LibRouting/CrashSuspect.cpp
@@ -1,4 +1,4 @@
-#include <LibRouting/RequestFingerprint.h>
+#include <LibRouting/CrashSuspect.h>
 
 #include <array>
 #include <charconv>
@@ -26,13 +26,13 @@
 
 }
 
-RequestFingerprint fingerprint_of(
+CrashSuspect fingerprint_of(
     std::string_view account, std::string_view host, std::string_view target, std::string_view body)
 {
     return { chain_hash(0, account), chain_hash(chain_hash(chain_hash(0, host), target), body) };
 }
 
-std::string to_string(RequestFingerprint fingerprint)
+std::string to_string(CrashSuspect fingerprint)
 {
     return hexadecimal(fingerprint.account) + hexadecimal(fingerprint.content);
 }
--- a/Libraries/LibRouting/RequestFingerprint.h
+++ b/Libraries/LibRouting/CrashSuspect.h
@@ -13,23 +13,23 @@
 ///
 /// The account is hashed separately: a client that constructs bodies to make `content` collide can only affect requests
 /// of its own account. On public routes all clients have the same account.
-struct RequestFingerprint {
+struct CrashSuspect {
     std::uint64_t account { 0 };
     std::uint64_t content { 0 };
 
-    auto operator<=>(RequestFingerprint const&) const = default;
+    auto operator<=>(CrashSuspect const&) const = default;
 };
 
-[[nodiscard]] RequestFingerprint fingerprint_of(
+[[nodiscard]] CrashSuspect fingerprint_of(
     std::string_view account, std::string_view host, std::string_view target, std::string_view body);
 
 /// 32 hexadecimal digits, as in logs.
-[[nodiscard]] std::string to_string(RequestFingerprint fingerprint);
+[[nodiscard]] std::string to_string(CrashSuspect fingerprint);
 
 }
 
-template <> struct std::hash<Routing::RequestFingerprint> {
-    std::size_t operator()(Routing::RequestFingerprint const& fingerprint) const noexcept
+template <> struct std::hash<Routing::CrashSuspect> {
+    std::size_t operator()(Routing::CrashSuspect const& fingerprint) const noexcept
     {
         return static_cast<std::size_t>(fingerprint.account ^ fingerprint.content);
     }
--- a/Tests/LibGateway/TestCrashNews.cpp
+++ b/Tests/LibGateway/TestCrashNews.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr Routing::RequestFingerprint request { 1, 7 };
+constexpr Routing::CrashSuspect request { 1, 7 };
 
 Routing::EndpointInstance endpoint(int number)
 {
--- a/Tests/LibGateway/TestCrashedEndpoint.cpp
+++ b/Tests/LibGateway/TestCrashedEndpoint.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// The fingerprint of the request that Exchange sends with this body.
-Routing::RequestFingerprint fingerprint(std::string const& body)
+Routing::CrashSuspect fingerprint(std::string const& body)
 {
     return Routing::fingerprint_of("", "h", "/x", body);
 }
--- a/Tests/LibMembership/TestCrashMessages.cpp
+++ b/Tests/LibMembership/TestCrashMessages.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr Routing::RequestFingerprint request { 0xfedc, 3 };
+constexpr Routing::CrashSuspect request { 0xfedc, 3 };
 Routing::EndpointInstance const endpoint { "i-1", 1'790'000'000'000 };
 constexpr std::int64_t wall_now = 1'790'000'100'000;
 
--- a/Tests/LibRouting/TestCrashLedger.cpp
+++ b/Tests/LibRouting/TestCrashLedger.cpp
@@ -15,14 +15,14 @@
 
 constexpr auto start = Instant {} + minutes(5);
 constexpr Duration just_now { 0 };
-constexpr RequestFingerprint harmful { 1, 7 };
+constexpr CrashSuspect harmful { 1, 7 };
 
 EndpointInstance endpoint(int number)
 {
     return { "e" + std::to_string(number), 1000 };
 }
 
-CrashReport crash(int number, unsigned count, RequestFingerprint request = harmful)
+CrashReport crash(int number, unsigned count, CrashSuspect request = harmful)
 {
     return { request, endpoint(number), count };
 }
@@ -48,7 +48,7 @@
         { fingerprint_of("other", "host", "/path", "body"), fingerprint_of("account", "hos", "t/path", "body"),
             fingerprint_of("account", "host", "/pathb", "ody"), fingerprint_of("account", "host", "/path", "") })
         CHECK(other != request);
-    CHECK(to_string(RequestFingerprint { 1, 255 }) == "000000000000000100000000000000ff");
+    CHECK(to_string(CrashSuspect { 1, 255 }) == "000000000000000100000000000000ff");
 }
 
 TEST_CASE("a request is refused for ten minutes from the third crash on, then a single run decides")
@@ -238,7 +238,7 @@
 
 private:
     struct Run {
-        RequestFingerprint request;
+        CrashSuspect request;
         std::size_t box;
         unsigned known;
         Instant began;
@@ -257,12 +257,12 @@
     struct ProbeEnded { };
     struct Message {
         std::size_t box;
-        RequestFingerprint request;
+        CrashSuspect request;
         std::variant<CrashReport, RunSucceeded, ProbeRenewed, ProbeEnded> content;
         Instant sent_at;
         Instant arrives_at;
     };
-    static constexpr RequestFingerprint popular { 9, 9 };
+    static constexpr CrashSuspect popular { 9, 9 };
     static constexpr Duration tick { milliseconds(4) };
     static constexpr Duration probe_interval { seconds(1) };
 
@@ -299,7 +299,7 @@
             this->place(popular, 1);
     }
 
-    void place(RequestFingerprint request, unsigned tries_left)
+    void place(CrashSuspect request, unsigned tries_left)
     {
         auto const box = this->random(this->ledgers.size());
         auto& ledger = this->ledgers[box];
