LibRouting: Count crashes for prompt parts as well as for whole requests

Callers saw one request after another end an endpoint and all answers on it: the requests shared one part of their prompts and nothing else, so each counted as its first crash and none was ever refused.

Cause: a crash was counted under the exact identity of a request, while what harms is one of its features.

Design: the ledger counts crashes for suspects, a request or a prompt part (all but the last), by service and part. Sound requests share all other parts, so a part is blamed only for requests that have all that its crashes had in common (account, other parts); runs that one crash ended are not compared with each other, since only one is its cause. An answer that began after the crash and has gone on for 0.5 s, or is whole, clears its parts. Boxes take turns to begin a run, since requests come at all boxes before any can tell the others.

The suspects go over the wire with a kind; an older box takes them for requests that nobody sends.

--- a/Libraries/LibGateway/CrashExchange.cpp
+++ b/Libraries/LibGateway/CrashExchange.cpp
@@ -2,6 +2,8 @@
 
 #include <LibLog/EventLog.h>
 
+#include <algorithm>
+
 namespace Gateway {
 
 using Core::Instant;
@@ -9,9 +11,17 @@
 using Membership::CrashMessage;
 using Membership::max_crash_entries_per_message;
 using Routing::CrashLedger;
+using Routing::CrashSuspect;
 
 namespace {
 
+/// Whether a crash seen by this box is logged. First crashes of prompt parts are not: nearly all are harmless, and the
+/// log line of the broken connection names them.
+bool is_logged(CrashSuspect suspect, unsigned crashes)
+{
+    return suspect.kind == CrashSuspect::Kind::Request || crashes > 1;
+}
+
 void log_crash(std::string_view event, Routing::CrashReport const& report, Routing::CrashStatus const& status)
 {
     Log::EventLine line(event);
@@ -33,27 +43,35 @@
     this->to_store = std::move(to_store);
 }
 
-Routing::CrashStatus CrashExchange::status(Routing::CrashSuspect request) const
+Routing::CrashStatus CrashExchange::status(Routing::CrashSuspect suspect) const
 {
-    auto status = this->ledger.status(request, monotonic_now());
-    status.is_probed |= this->own_probes.contains(request);
+    auto status = this->ledger.status(suspect, monotonic_now());
+    status.is_probed |= this->own_probes.contains(suspect);
     return status;
 }
 
-void CrashExchange::probe_began(Routing::CrashSuspect request)
+Routing::RequestCrashes CrashExchange::request_crashes(Routing::CrashSuspects const& suspects) const
 {
-    this->own_probes.insert(request);
-    this->enqueue(Probing { request });
+    auto status = this->ledger.request_crashes(suspects, monotonic_now());
+    status.is_probed |= std::ranges::any_of(
+        status.to_probe, [this](auto const& suspect) { return this->own_probes.contains(suspect); });
+    return status;
 }
 
-void CrashExchange::probe_ended(Routing::CrashSuspect request)
+void CrashExchange::probe_began(Routing::CrashSuspect suspect)
 {
-    this->own_probes.erase(request);
-    std::erase_if(this->pending, [request](auto const& entry) {
+    this->own_probes.insert(suspect);
+    this->enqueue(Probing { suspect });
+}
+
+void CrashExchange::probe_ended(Routing::CrashSuspect suspect)
+{
+    this->own_probes.erase(suspect);
+    std::erase_if(this->pending, [suspect](auto const& entry) {
         auto const* const probing = std::get_if<Probing>(&entry.update);
-        return probing != nullptr && probing->request == request;
+        return probing != nullptr && probing->suspect == suspect;
     });
-    this->enqueue(ProbeEnded { request });
+    this->enqueue(ProbeEnded { suspect });
 }
 
 std::size_t CrashExchange::refused_count() const
@@ -64,42 +82,72 @@
 void CrashExchange::report_crash(Routing::CrashReport const& report)
 {
     auto const now = monotonic_now();
-    if (this->ledger.apply(report, Core::Duration { 0 }, now) != CrashLedger::Outcome::New)
+    auto const outcome = this->ledger.apply(report, Core::Duration { 0 }, now);
+    if (outcome == CrashLedger::Outcome::FurtherRun)
+        this->enqueue(Crashed { report, now });
+    if (outcome != CrashLedger::Outcome::New)
         return;
     this->metrics.count_crash_report("noted");
     auto const status = this->ledger.status(report.suspect, now);
-    log_crash("crash_noted", report, status);
+    if (is_logged(report.suspect, status.crashes))
+        log_crash("crash_noted", report, status);
     this->enqueue(Crashed { report, now });
-    // NOTE: Only the box that saw the last crash writes the record, so each refused request costs one call to the
+    // NOTE: Only the box that saw the last crash writes the record, so each refused suspect costs one call to the
     // store.
-    if (status.refused_for && this->to_store)
-        this->to_store(Membership::crash_key(report.suspect),
-            Membership::encode_crash_record(
-                { { report.suspect, report.endpoint, status.crashes }, Core::Duration { 0 } },
-                Core::wall_clock_milliseconds()));
+    if (status.crashes >= CrashLedger::max_crashes(report.suspect.kind))
+        this->store_record(report.suspect, now);
+}
+
+void CrashExchange::store_record(Routing::CrashSuspect suspect, Instant now)
+{
+    auto const refused = this->ledger.refused(now);
+    auto const found = std::ranges::find(refused, suspect, &Routing::CrashReport::suspect);
+    if (found == refused.end() || !this->to_store)
+        return;
+    this->to_store(Membership::crash_key(suspect),
+        Membership::encode_crash_record({ *found, Core::Duration { 0 } }, Core::wall_clock_milliseconds()));
 }
 
 void CrashExchange::report_success(Routing::CrashSuspect request)
 {
-    auto const status = this->ledger.status(request, monotonic_now());
-    if (!this->ledger.clear(request, monotonic_now()))
+    this->report_cleared(request);
+}
+
+std::vector<Routing::CrashSuspect> CrashExchange::report_harmless_parts(
+    Routing::CrashSuspects const& suspects, Instant answer_began)
+{
+    std::vector<Routing::CrashSuspect> cleared;
+    for (auto const& part : suspects.prompt_parts) {
+        if (!this->ledger.is_disproved(part, suspects.request.account, answer_began))
+            continue;
+        this->report_cleared(part);
+        cleared.push_back(part);
+    }
+    return cleared;
+}
+
+void CrashExchange::report_cleared(Routing::CrashSuspect suspect)
+{
+    auto const status = this->ledger.status(suspect, monotonic_now());
+    if (!this->ledger.clear(suspect, monotonic_now()))
         return;
-    this->note_cleared(request, "own", status.crashes);
-    if (status.refused_for && this->to_store)
-        this->to_store(Membership::crash_key(request), std::nullopt);
-    this->enqueue(Cleared { request });
+    this->note_cleared(suspect, "own", status.crashes);
+    if (status.crashes >= CrashLedger::max_crashes(suspect.kind) && this->to_store)
+        this->to_store(Membership::crash_key(suspect), std::nullopt);
+    this->enqueue(Cleared { suspect });
 }
 
-void CrashExchange::note_cleared(Routing::CrashSuspect request, std::string_view from, unsigned crashes)
+void CrashExchange::note_cleared(Routing::CrashSuspect suspect, std::string_view from, unsigned crashes)
 {
-    std::erase_if(this->pending, [request](auto const& entry) {
+    std::erase_if(this->pending, [suspect](auto const& entry) {
         auto const* const crash = std::get_if<Crashed>(&entry.update);
-        return crash != nullptr && crash->report.suspect == request;
+        return crash != nullptr && crash->report.suspect == suspect;
     });
     this->metrics.count_crash_report("cleared");
-    if (from == "own" || crashes > 1)
+    bool const is_own_request = from == "own" && suspect.kind == CrashSuspect::Kind::Request;
+    if (is_own_request || crashes > 1)
         Log::EventLine("crash_cleared")
-            .with("fingerprint", Routing::to_string(request))
+            .with("fingerprint", Routing::to_string(suspect))
             .with("told_by", from)
             .with("crashes", crashes)
             .info();
@@ -145,19 +193,19 @@
             log_crash("crash_heard", report, status);
         this->pause.interrupt();
     }
-    for (auto const& request : message.cleared) {
-        auto const crashes = this->ledger.status(request, now).crashes;
-        if (this->ledger.clear(request, now))
-            this->note_cleared(request, "box", crashes);
+    for (auto const& suspect : message.cleared) {
+        auto const crashes = this->ledger.status(suspect, now).crashes;
+        if (this->ledger.clear(suspect, now))
+            this->note_cleared(suspect, "box", crashes);
     }
     for (auto const& endpoint : message.answering) {
         if (this->ledger.retract(endpoint))
             this->note_retracted(endpoint, "box");
     }
-    for (auto const& request : message.probed)
-        this->ledger.renew_probe(request, now);
-    for (auto const& request : message.probes_ended)
-        this->ledger.end_probe(request);
+    for (auto const& suspect : message.probed)
+        this->ledger.renew_probe(suspect, now);
+    for (auto const& suspect : message.probes_ended)
+        this->ledger.end_probe(suspect);
 }
 
 void CrashExchange::apply_stored(std::string const& key, std::string const& value)
@@ -231,10 +279,10 @@
         {
             this->message.crashes.push_back({ crash.report, this->now - crash.at });
         }
-        void operator()(Cleared const& cleared) const { this->message.cleared.push_back(cleared.request); }
+        void operator()(Cleared const& cleared) const { this->message.cleared.push_back(cleared.suspect); }
         void operator()(Answering const& answering) const { this->message.answering.push_back(answering.endpoint); }
-        void operator()(Probing const& probing) const { this->message.probed.push_back(probing.request); }
-        void operator()(ProbeEnded const& ended) const { this->message.probes_ended.push_back(ended.request); }
+        void operator()(Probing const& probing) const { this->message.probed.push_back(probing.suspect); }
+        void operator()(ProbeEnded const& ended) const { this->message.probes_ended.push_back(ended.suspect); }
     };
     CrashMessage message;
     std::size_t count = 0;
@@ -262,8 +310,7 @@
     CrashMessage message;
     for (std::size_t index = 0; index < std::min(refused.size(), max_crash_entries_per_message); ++index) {
         auto const& report = refused[this->next_refused++ % refused.size()];
-        auto const left = this->ledger.status(report.suspect, now).refused_for.value_or(Core::Duration { 0 });
-        message.crashes.push_back({ report, CrashLedger::quarantine - left });
+        message.crashes.push_back({ report, this->ledger.crash_age(report.suspect, now) });
     }
     this->to_boxes(Membership::encode(message), Audience::SomeBoxes);
 }
--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -107,7 +107,7 @@
     this->state.metrics.count_broken_connection(to_string(check_result));
     Log::EventLine("broken_connection_checked")
         .with("id", this->attempt_id)
-        .with("fingerprint", Routing::to_string(this->fingerprint))
+        .with("fingerprint", Routing::to_string(this->suspects.request))
         .with("endpoint", attempt.placed.endpoint.incarnation)
         .with("run_began_ms_ago", Core::to_milliseconds(Core::monotonic_now() - attempt.started))
         .with("endpoint_now", to_string(check_result))
@@ -115,6 +115,15 @@
         .info();
 }
 
+void RequestExchange::log_refused_suspect(Routing::RequestCrashes const& crashes) const
+{
+    Log::EventLine("crash_suspect_refused")
+        .with("id", this->attempt_id)
+        .with("fingerprint", Routing::to_string(crashes.refused_suspect))
+        .with("refused_for_s", Core::to_seconds(*crashes.refused_for))
+        .info();
+}
+
 void RequestExchange::log_placement(Attempt const& attempt) const
 {
     auto const& figures = attempt.placed.choice.figures;
@@ -122,7 +131,7 @@
     line.with("id", this->attempt_id)
         .with("route", this->admitted->route->name)
         .with("account", this->admitted->account)
-        .with("fingerprint", Routing::to_string(this->fingerprint))
+        .with("fingerprint", Routing::to_string(this->suspects.request))
         .with("urgency", this->admitted->urgency)
         .with("configuration", this->admitted->configuration->version())
         .with("configuration_age_ms", Core::to_milliseconds(this->state.router.configuration_age(attempt.started)))
@@ -159,7 +168,7 @@
     Log::EventLine line("request_ended");
     line.with("id", this->attempt_id).with("route", route);
     if (this->admitted)
-        line.with("fingerprint", Routing::to_string(this->fingerprint));
+        line.with("fingerprint", Routing::to_string(this->suspects.request));
     line.with("status", status)
         .with("reason", Core::to_string(reason))
         .with("attempts", this->sent_attempts)
--- a/Libraries/LibGateway/ExchangeRetries.cpp
+++ b/Libraries/LibGateway/ExchangeRetries.cpp
@@ -4,6 +4,8 @@
 
 #include <LibGateway/HttpStatus.h>
 
+#include <algorithm>
+
 namespace Gateway {
 
 using Core::monotonic_now;
@@ -87,9 +89,11 @@
         && !co_await this->state.reachability.is_own_refusal(placed.choice.endpoint))
         check_result = EndpointCheckResult::Unknown;
     this->log_broken_connection(attempt, check_result);
-    if (was_in_use && check_result == EndpointCheckResult::Refuses)
-        this->state.crash_exchange.report_crash(
-            { this->fingerprint, Routing::instance_of(placed.endpoint), attempt.known_crashes + 1 });
+    if (was_in_use && check_result == EndpointCheckResult::Refuses) {
+        for (auto const& report : Routing::CrashLedger::reports_of(
+                 this->suspects, attempt.known_crashes, Routing::instance_of(placed.endpoint)))
+            this->state.crash_exchange.report_crash(report);
+    }
     co_return check_result;
 }
 
@@ -137,7 +141,7 @@
             },
             asio::detached);
     bool const has_crashed = was_in_use && check_result == EndpointCheckResult::Refuses;
-    this->crashes_endpoints = has_crashed && attempt.known_crashes > 0;
+    this->crashes_endpoints = has_crashed && attempt.known_crashes.front() > 0;
     co_return this->crashes_endpoints;
 }
 
@@ -147,16 +151,41 @@
     return this->state.router.may_receive(attempt.placed.choice.endpoint, monotonic_now());
 }
 
-void RequestExchange::begin_probe()
+void RequestExchange::begin_probe(std::vector<Routing::CrashSuspect> const& suspects)
 {
-    if (!std::exchange(this->is_probe, true))
-        this->state.crash_exchange.probe_began(this->fingerprint);
+    for (auto const& suspect : suspects) {
+        if (std::ranges::find(this->probed, suspect) != this->probed.end())
+            continue;
+        this->probed.push_back(suspect);
+        this->state.crash_exchange.probe_began(suspect);
+    }
 }
 
 void RequestExchange::end_probe()
 {
-    if (std::exchange(this->is_probe, false))
-        this->state.crash_exchange.probe_ended(this->fingerprint);
+    for (auto const& suspect : std::exchange(this->probed, {}))
+        this->state.crash_exchange.probe_ended(suspect);
+}
+
+void RequestExchange::follow_answer(Attempt& attempt)
+{
+    // NOTE: The box that sent the request to an endpoint reports on it.
+    if (attempt.placed.endpoint.incarnation.empty() || attempt.is_beyond_beginning)
+        return;
+    auto const now = monotonic_now();
+    if (!attempt.answer_began)
+        attempt.answer_began = now;
+    attempt.is_beyond_beginning = now - *attempt.answer_began >= answer_beginning;
+    if (attempt.is_beyond_beginning)
+        this->report_harmless_parts(*attempt.answer_began);
+}
+
+void RequestExchange::report_harmless_parts(Core::Instant answer_began)
+{
+    for (auto const& part : this->state.crash_exchange.report_harmless_parts(this->suspects, answer_began)) {
+        if (std::erase(this->probed, part) > 0)
+            this->state.crash_exchange.probe_ended(part);
+    }
 }
 
 void RequestExchange::report_run(Attempt const& attempt, AttemptEnd end)
@@ -171,8 +200,10 @@
             Routing::instance_of(attempt.placed.endpoint), { attempt.connection_opened, attempt.started });
     bool const ended_well
         = end == AttemptEnd::Delivered && attempt.status >= status_ok && attempt.status < first_no_success;
-    if (ended_well)
-        this->state.crash_exchange.report_success(this->fingerprint);
+    if (!ended_well)
+        return;
+    this->state.crash_exchange.report_success(this->suspects.request);
+    this->report_harmless_parts(attempt.answer_began.value_or(attempt.started));
 }
 
 void RequestExchange::count_started(Core::Instant at)
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -23,7 +23,7 @@
         , connections(context)
         , reachability(context, this->router, this->connections, this->metrics)
         , forwarder(context, this->router, seed)
-        , crash_exchange(context, this->metrics)
+        , crash_exchange(context, this->metrics, seed)
         , endpoint_notice_exchange(this->router)
         , stream_origin_exchange(context)
     {
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -85,8 +85,9 @@
         co_return this->keeps_client && !this->client_is_broken;
     }
     this->admitted = std::move(std::get<Routing::Admitted>(decision));
-    this->fingerprint
+    auto const fingerprint
         = Routing::fingerprint_of(this->admitted->account, head->host, head->target, this->request.body());
+    this->suspects = Routing::suspects_of(fingerprint, this->admitted->service, this->workload.prompt);
     if (this->may_outlast_process()) {
         co_await this->refuse({ Reason::Draining, retry_after_draining });
         co_return false;
@@ -111,12 +112,13 @@
 {
     for (;;) {
         this->state.check_for_suspension();
-        auto const crash_status = this->state.crash_exchange.status(this->fingerprint);
+        auto const crash_status = this->state.crash_exchange.request_crashes(this->suspects);
         if (crash_status.refused_for) {
+            this->log_refused_suspect(crash_status);
             co_await this->end_unplaced({ Reason::RequestCrashesEndpoints, crash_status.refused_for });
             co_return;
         }
-        if (crash_status.is_probed && !this->is_probe) {
+        if (crash_status.is_probed && this->probed.empty()) {
             co_await this->end_unplaced({ Reason::RequestProbed, retry_after_probe });
             co_return;
         }
@@ -134,9 +136,8 @@
         Attempt attempt;
         attempt.placed = std::move(std::get<Routing::Placed>(decision));
         attempt.started = monotonic_now();
-        attempt.known_crashes = crash_status.crashes;
-        if (crash_status.crashes > 0)
-            this->begin_probe();
+        attempt.known_crashes = crash_status.known;
+        this->begin_probe(crash_status.to_probe);
         this->last_end = co_await this->try_endpoint(attempt);
         this->record_attempt(attempt, this->last_end, monotonic_now());
         this->report_run(attempt, this->last_end);
@@ -343,6 +344,7 @@
         } else if (this->call->is_done() && this->splits_events) {
             piece += this->events.partial_event();
         }
+        this->follow_answer(attempt);
         this->note_stream_began(attempt);
         this->record_first_piece(attempt);
         out += this->framed(piece);
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -5,7 +5,7 @@
 #include <LibGateway/EventRateMeter.h>
 #include <LibGateway/EventSplitter.h>
 #include <LibMembership/ForwardedRequest.h>
-#include <LibRouting/CrashSuspect.h>
+#include <LibRouting/CrashLedger.h>
 
 namespace Gateway {
 
@@ -51,8 +51,12 @@
     bool connection_broke { false };
     /// What marks the end of the answer's body; unset without an answer.
     std::optional<BodyEnd> body_end;
-    /// Number of endpoint crashes attributed to the request when this attempt began.
-    unsigned known_crashes { 0 };
+    /// Endpoint crashes attributed to the request's suspects when this attempt began, as in Routing::RequestCrashes.
+    std::vector<unsigned> known_crashes;
+    /// When the first piece of the answer's body arrived; unset until then.
+    std::optional<Core::Instant> answer_began;
+    /// Whether the answer has gone beyond its beginning.
+    bool is_beyond_beginning { false };
     /// The endpoint's rate limit, in requests per second. Nothing if it reported none or an unreadable one.
     std::optional<double> reported_rate_limit;
     /// Whether the endpoint reported that it is draining.
@@ -163,12 +167,16 @@
     void check_broken_connection_in_background(Attempt const& attempt);
     /// Whether the request crashed an endpoint in this attempt and another one before, so that it is not retried.
     [[nodiscard]] Task<bool> has_crashed_again(Attempt const& attempt);
-    /// Makes this run the probe of a request that crashed endpoints: no other run of it starts meanwhile.
-    void begin_probe();
+    /// Makes this run the probe of suspects that crashed endpoints: no other run with them starts meanwhile.
+    void begin_probe(std::vector<Routing::CrashSuspect> const& suspects);
     void end_probe();
     /// Reports to the crash records whether the endpoint answered and the request succeeded.
     void report_run(Attempt const& attempt, AttemptEnd end);
+    /// Follows an answer until it has gone beyond its beginning, and reports its prompt parts as harmless then.
+    void follow_answer(Attempt& attempt);
+    void report_harmless_parts(Core::Instant answer_began);
     void log_broken_connection(Attempt const& attempt, EndpointCheckResult check_result) const;
+    void log_refused_suspect(Routing::RequestCrashes const& crashes) const;
     void log_placement(Attempt const& attempt) const;
     void log_end(unsigned status, Core::Reason reason) const;
 
@@ -199,6 +207,9 @@
     static constexpr Core::Duration retry_after_unknown_stream { std::chrono::milliseconds(100) };
     /// For how long streams can be taken up again at the most, whatever clients and routes allow.
     static constexpr Core::Duration max_stream_age { std::chrono::minutes(10) };
+    /// How long after its first piece an answer has gone beyond its beginning. An endpoint that a request crashes ends
+    /// within some tens of milliseconds.
+    static constexpr Core::Duration answer_beginning { std::chrono::milliseconds(500) };
     /// Retry-After while a probe of the same request runs: about the duration of a run.
     static constexpr Core::Duration retry_after_probe { std::chrono::milliseconds(300) };
     /// Retry-After when endpoints refused the request: a few service times.
@@ -215,7 +226,7 @@
     /// How long the client waits in all.
     std::optional<Core::Duration> patience;
     std::optional<Routing::Admitted> admitted;
-    Routing::CrashSuspect fingerprint;
+    Routing::CrashSuspects suspects;
     Core::Instant arrived;
     asio::steady_timer expiry;
     asio::steady_timer silence;
@@ -238,8 +249,8 @@
     bool was_endpoint_silent { false };
     /// Whether the request crashed several endpoints, so that it is not sent to another one.
     bool crashes_endpoints { false };
-    /// Whether this run is the probe of a request that crashed endpoints.
-    bool is_probe { false };
+    /// The suspects that this run is the probe of.
+    std::vector<Routing::CrashSuspect> probed;
     /// Whether check_broken_connection_in_background was started, which then ends the probe.
     bool checks_connection { false };
     /// Whether the silence timer may still abort the attempt.
--- a/Libraries/LibMembership/CrashMessages.cpp
+++ b/Libraries/LibMembership/CrashMessages.cpp
@@ -13,25 +13,56 @@
 
 constexpr std::string_view crash_key_prefix = "crash/";
 
-void write(wire::Fingerprint& wire_message, Routing::CrashSuspect request)
+constexpr std::uint32_t prompt_part_kind = 1;
+
+void write(wire::Fingerprint& wire_message, Routing::CrashSuspect suspect)
 {
-    wire_message.set_account(request.account);
-    wire_message.set_content(request.content);
+    wire_message.set_account(suspect.account);
+    wire_message.set_content(suspect.content);
+    if (suspect.kind == Routing::CrashSuspect::Kind::PromptPart)
+        wire_message.set_kind(prompt_part_kind);
 }
 
 Routing::CrashSuspect read(wire::Fingerprint const& wire_message)
 {
-    return { wire_message.account(), wire_message.content() };
+    auto const kind = wire_message.kind() == prompt_part_kind ? Routing::CrashSuspect::Kind::PromptPart
+                                                              : Routing::CrashSuspect::Kind::Request;
+    return { wire_message.account(), wire_message.content(), kind };
+}
+
+void write(wire::CrashCircumstances& wire_message, Routing::CrashCircumstances const& circumstances)
+{
+    if (circumstances.account)
+        wire_message.set_account(*circumstances.account);
+    for (auto const companion : circumstances.companions)
+        wire_message.add_companions(companion);
+}
+
+Routing::CrashCircumstances read(wire::CrashCircumstances const& wire_message)
+{
+    Routing::CrashCircumstances circumstances;
+    if (wire_message.has_account())
+        circumstances.account = wire_message.account();
+    circumstances.companions.assign(wire_message.companions().begin(), wire_message.companions().end());
+    return circumstances;
+}
+
+bool is_valid(wire::Fingerprint const& wire_message)
+{
+    return wire_message.kind() <= prompt_part_kind;
 }
 
-bool is_valid_count(std::uint32_t count)
+bool is_valid(wire::CrashCircumstances const& wire_message)
 {
-    return count > 0 && count <= Routing::CrashLedger::refusal_threshold;
+    return wire_message.companions_size() <= static_cast<int>(Routing::CrashCircumstances::max_companions);
 }
 
-bool is_valid(wire::Crash const& wire_message)
+/// Whether the crash, or the record of one, has a suspect of a known kind and figures within their limits.
+template <typename Message> bool is_valid_crash(Message const& wire_message)
 {
-    return is_valid_count(wire_message.count()) && is_valid_instance(wire_message.endpoint());
+    auto const max_count = Routing::CrashLedger::max_crashes(read(wire_message.request()).kind);
+    return is_valid(wire_message.request()) && wire_message.count() > 0 && wire_message.count() <= max_count
+        && is_valid_instance(wire_message.endpoint()) && is_valid(wire_message.circumstances());
 }
 
 /// An age received from another box, limited to the time for which crashes are kept.
@@ -48,7 +79,12 @@
         || wire_message.answering_size() > max_entries || wire_message.probed_size() > max_entries
         || wire_message.probes_ended_size() > max_entries)
         return false;
-    return std::ranges::all_of(wire_message.crashes(), [](auto const& crash) { return is_valid(crash); })
+    auto const are_valid = [](auto const& suspects) {
+        return std::ranges::all_of(suspects, [](auto const& suspect) { return is_valid(suspect); });
+    };
+    return std::ranges::all_of(wire_message.crashes(), [](auto const& crash) { return is_valid_crash(crash); })
+        && are_valid(wire_message.cleared()) && are_valid(wire_message.probed())
+        && are_valid(wire_message.probes_ended())
         && std::ranges::all_of(
             wire_message.answering(), [](auto const& endpoint) { return is_valid_instance(endpoint); });
 }
@@ -63,6 +99,8 @@
         write(*wire_message.mutable_request(), crash.report.suspect);
         write_instance(*wire_message.mutable_endpoint(), crash.report.endpoint);
         wire_message.set_count(crash.report.count);
+        if (crash.report.suspect.kind == Routing::CrashSuspect::Kind::PromptPart)
+            write(*wire_message.mutable_circumstances(), crash.report.circumstances);
         wire_message.set_age_us(static_cast<std::uint64_t>(std::max<Duration::rep>(crash.age.count(), 0)));
     }
     for (auto const& request : message.cleared)
@@ -84,7 +122,8 @@
     CrashMessage message;
     for (auto const& crash : wire_message.crashes())
         message.crashes.push_back(
-            { { read(crash.request()), read_instance(crash.endpoint()), crash.count() }, bounded_age(crash.age_us()) });
+            { { read(crash.request()), read_instance(crash.endpoint()), crash.count(), read(crash.circumstances()) },
+                bounded_age(crash.age_us()) });
     for (auto const& request : wire_message.cleared())
         message.cleared.push_back(read(request));
     for (auto const& endpoint : wire_message.answering())
@@ -98,9 +137,9 @@
     return message;
 }
 
-std::string crash_key(Routing::CrashSuspect request)
+std::string crash_key(Routing::CrashSuspect suspect)
 {
-    return std::string(crash_key_prefix) + Routing::to_string(request);
+    return std::string(crash_key_prefix) + Routing::to_string(suspect);
 }
 
 bool is_crash_key(std::string_view key)
@@ -115,6 +154,8 @@
     write(*record.mutable_request(), crash.report.suspect);
     write_instance(*record.mutable_endpoint(), crash.report.endpoint);
     record.set_count(crash.report.count);
+    if (crash.report.suspect.kind == Routing::CrashSuspect::Kind::PromptPart)
+        write(*record.mutable_circumstances(), crash.report.circumstances);
     record.set_crashed_at_unix_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(now_unix_milliseconds - age, 0)));
     return record.SerializeAsString();
 }
@@ -125,12 +166,13 @@
     wire::CrashRecord record;
     if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return {};
-    if (!is_valid_count(record.count()) || !is_valid_instance(record.endpoint()))
+    if (!is_valid_crash(record))
         return {};
     auto const now = static_cast<std::uint64_t>(std::max<std::int64_t>(now_unix_milliseconds, 0));
     auto const age = now - std::min(record.crashed_at_unix_ms(), now);
     auto const max_age = std::numeric_limits<std::uint64_t>::max() / microseconds_per_millisecond;
-    return TimedCrash { { read(record.request()), read_instance(record.endpoint()), record.count() },
+    return TimedCrash { { read(record.request()), read_instance(record.endpoint()), record.count(),
+                            read(record.circumstances()) },
         bounded_age(std::min(age, max_age) * microseconds_per_millisecond) };
 }
 
--- a/Libraries/LibRouting/CrashSuspect.cpp
+++ b/Libraries/LibRouting/CrashSuspect.cpp
@@ -32,9 +32,24 @@
     return { chain_hash(0, account), chain_hash(chain_hash(chain_hash(0, host), target), body) };
 }
 
-std::string to_string(CrashSuspect fingerprint)
+CrashSuspect prompt_part_suspect(std::string_view service, std::uint64_t part_id)
 {
-    return hexadecimal(fingerprint.account) + hexadecimal(fingerprint.content);
+    return { 0, chain_hash(chain_hash(0, service), hexadecimal(part_id)), CrashSuspect::Kind::PromptPart };
+}
+
+CrashSuspects suspects_of(CrashSuspect request, std::string_view service, std::vector<PromptPart> const& prompt)
+{
+    CrashSuspects suspects { request, {} };
+    for (std::size_t index = 0; index + 1 < prompt.size(); ++index)
+        suspects.prompt_parts.push_back(prompt_part_suspect(service, prompt[index].id));
+    return suspects;
+}
+
+std::string to_string(CrashSuspect suspect)
+{
+    if (suspect.kind == CrashSuspect::Kind::PromptPart)
+        return "part-" + hexadecimal(suspect.content);
+    return hexadecimal(suspect.account) + hexadecimal(suspect.content);
 }
 
 }
