LibGateway: Reset new connections unread while the box falls behind

Cause: the box took every connection up to the number of its sockets, one in each round of its event loop. Clients stood in the kernel's queue for most of their patience, and were read when they were about to leave.

Now all that wait are accepted at once, and ConnectionAdmission decides by how long events wait and how many new connections have not been sent on yet; the others are reset unread, so that their clients go to another box at once.

The event client_turned_away becomes clients_turned_away, one line for many.

--- a/Libraries/LibGateway/ClientConnection.cpp
+++ b/Libraries/LibGateway/ClientConnection.cpp
@@ -39,6 +39,7 @@
     , socket(std::move(socket))
     , peer(peer)
     , guard(state.context)
+    , starting(std::make_shared<StartingClient>(state.starting_clients))
 {
     ++this->state.clients;
 }
@@ -151,7 +152,7 @@
     ++this->state.requests;
     ++this->request_number;
     auto const served = std::make_shared<RequestExchange>(this->state, std::move(request),
-        ClientSide { this->shared_socket(), keeps_connection, this->peer == Peer::Box });
+        ClientSide { this->shared_socket(), keeps_connection, this->peer == Peer::Box, std::move(this->starting) });
     this->exchange = served;
     this->watch_for_close();
     bool const is_open = co_await served->run();
--- a/Libraries/LibGateway/ClientConnection.h
+++ b/Libraries/LibGateway/ClientConnection.h
@@ -60,6 +60,8 @@
     bool guard_fired { false };
     /// The part of GatewayState::body_bytes that belongs to this connection.
     std::size_t counted_body_bytes { 0 };
+    /// Until the first request is served.
+    std::shared_ptr<StartingClient> starting;
     /// True from the first byte of a request until its answer is sent.
     bool is_busy { false };
     /// The request being served. Weak, since the exchange itself keeps this connection alive.
--- a/Libraries/LibGateway/ExchangeForwarding.cpp
+++ b/Libraries/LibGateway/ExchangeForwarding.cpp
@@ -77,6 +77,7 @@
 
 void RequestExchange::send_to_box()
 {
+    this->client.starting.reset();
     auto const now = monotonic_now();
     Membership::ForwardedRequest const details { this->state.forwarder.min_configuration(
                                                      this->admitted->configuration->version(), now),
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -124,6 +124,8 @@
 
 Task<void> Gateway::accept(tcp::acceptor& acceptor, ClientConnection::Peer peer)
 {
+    error_code ignored;
+    acceptor.non_blocking(true, ignored);
     while (acceptor.is_open()) {
         auto [error, socket] = co_await acceptor.async_accept(as_value);
         if (error) {
@@ -132,20 +134,57 @@
             co_await sleep_for(std::chrono::milliseconds(10));
             continue;
         }
-        if (this->state.clients >= this->state.max_clients) {
-            Log::EventLine("client_turned_away").with("clients", this->state.clients).warning();
-            continue;
+        // NOTE: All that wait are accepted at once. Left in the kernel's queue, they would be taken when their clients
+        // are about to give up.
+        while (!error) {
+            this->handle_accepted(std::move(socket), peer);
+            socket = tcp::socket(this->context);
+            acceptor.accept(socket, error);
         }
-        error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        auto const client = std::make_shared<ClientConnection>(this->state, std::move(socket), peer);
-        this->clients.push_back(client);
-        // NOTE: run() keeps the connection alive only once it has started. The lambda does so until then.
-        asio::co_spawn(
-            this->context, [client] { return client->run(); }, asio::detached);
     }
 }
 
+void Gateway::handle_accepted(tcp::socket socket, ClientConnection::Peer peer)
+{
+    error_code ignored;
+    if (!this->may_take(peer)) {
+        ++this->turned_away;
+        this->state.metrics.count_client_turned_away();
+        // NOTE: A reset tells the client at once that its request was not read, and it goes to another box.
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        return;
+    }
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto const client = std::make_shared<ClientConnection>(this->state, std::move(socket), peer);
+    this->clients.push_back(client);
+    // NOTE: run() keeps the connection alive only once it has started. The lambda does so until then.
+    asio::co_spawn(
+        this->context, [client] { return client->run(); }, asio::detached);
+}
+
+bool Gateway::may_take(ClientConnection::Peer peer)
+{
+    if (this->state.clients >= this->state.max_clients)
+        return false;
+    // NOTE: Another box has read the request already, and has its own limit.
+    if (peer == ClientConnection::Peer::Box)
+        return true;
+    return this->admission.may_take({ this->lag.measure(), this->state.starting_clients }, monotonic_now());
+}
+
+void Gateway::log_turned_away()
+{
+    auto const count = std::exchange(this->turned_away, 0);
+    if (count == 0)
+        return;
+    Log::EventLine("clients_turned_away")
+        .with("count", count)
+        .with("clients", this->state.clients)
+        .with("starting", this->state.starting_clients)
+        .with("loop_lag_ms", Core::to_milliseconds(this->lag.measure()))
+        .warning();
+}
+
 Task<void> Gateway::run_housekeeping()
 {
     for (;;) {
@@ -158,6 +197,7 @@
         this->state.stream_origin_exchange.expire(now);
         this->remove_closed_clients();
         this->log_readiness_change();
+        this->log_turned_away();
         if (auto const changed_at = change_time(this->options.settings_path); changed_at != this->settings_changed_at)
             this->reload_settings();
         spdlog::default_logger()->flush();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -2,7 +2,9 @@
 
 #include <LibGateway/ClientConnection.h>
 #include <LibGateway/ControlPlane.h>
+#include <LibGateway/EventLoopLag.h>
 #include <LibGateway/InternalHttpServer.h>
+#include <LibRouting/ConnectionAdmission.h>
 
 #include <boost/asio/signal_set.hpp>
 #include <list>
@@ -40,8 +42,12 @@
     Gateway(Adapter::BoxEnvironment environment, GatewayOptions options);
 
     [[nodiscard]] bool open_listeners(Core::LastReason& last_reason);
+    /// Whether the box takes a further connection, by their number and by the work that waits.
+    [[nodiscard]] bool may_take(ClientConnection::Peer peer);
     /// Accepts connections until the acceptor is closed.
     [[nodiscard]] Task<void> accept(tcp::acceptor& acceptor, ClientConnection::Peer peer);
+    /// Serves the connection, or resets it unread.
+    void handle_accepted(tcp::socket socket, ClientConnection::Peer peer);
     [[nodiscard]] Task<void> run_housekeeping();
     [[nodiscard]] Task<void> watch_for_suspension();
     /// Updates all state that depends on time after the box was suspended for the given duration.
@@ -54,6 +60,7 @@
     void reload_settings();
     void remove_closed_clients();
     void log_readiness_change();
+    void log_turned_away();
 
     /// Interval for closing idle connections, removing expired endpoints and flushing the log. Well below the 2 s
     /// within which a draining endpoint must receive no new requests.
@@ -81,6 +88,10 @@
     std::optional<InternalHttpServer> readiness;
     std::optional<InternalHttpServer> metrics_listener;
     std::list<std::weak_ptr<ClientConnection>> clients;
+    EventLoopLag lag { this->context };
+    Routing::ConnectionAdmission admission;
+    /// Connections that were turned away since the last log line on them.
+    std::size_t turned_away { 0 };
     asio::signal_set signals;
     std::optional<std::int64_t> settings_changed_at;
     bool was_ready { false };
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -82,6 +82,9 @@
     , requests_from_boxes(counters(
           *this->registry, "cleatbeam_requests_from_boxes_total", "Requests that other boxes forwarded to this one")
                               .Add({}))
+    , clients_turned_away(counters(
+          *this->registry, "cleatbeam_clients_turned_away_total", "Connections of clients that were reset unread")
+                              .Add({}))
 {
 }
 
@@ -207,6 +210,11 @@
     this->forwarded_requests.Add({ { "result", std::string(result) } }).Increment();
 }
 
+void GatewayMetrics::count_client_turned_away()
+{
+    this->clients_turned_away.Increment();
+}
+
 void GatewayMetrics::count_request_from_box()
 {
     this->requests_from_boxes.Increment();
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -64,6 +64,7 @@
     void count_forwarded_request(std::string_view result);
     /// Counts a request that another box forwarded to this one.
     void count_request_from_box();
+    void count_client_turned_away();
     /// Sets whether this box is cut off from all endpoints.
     void set_is_cut_off(bool is_cut_off);
     /// Sets the number of boxes listed in the store, including this one.
@@ -104,6 +105,7 @@
     prometheus::Gauge& is_cut_off;
     prometheus::Family<prometheus::Counter>& forwarded_requests;
     prometheus::Counter& requests_from_boxes;
+    prometheus::Counter& clients_turned_away;
 };
 
 }
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -14,6 +14,22 @@
 
 namespace Gateway {
 
+/// Counts a new client connection as long as it exists.
+class StartingClient {
+public:
+    explicit StartingClient(std::size_t& count)
+        : count(count)
+    {
+        ++this->count;
+    }
+    ~StartingClient() { --this->count; }
+    StartingClient(StartingClient const&) = delete;
+    StartingClient& operator=(StartingClient const&) = delete;
+
+private:
+    std::size_t& count;
+};
+
 /// State shared by all parts of the gateway. Only for the event loop's thread, except for the router and the metrics,
 /// which have their own locks.
 struct GatewayState {
@@ -79,6 +95,8 @@
     /// Bytes of request bodies in memory, and their limit.
     std::size_t body_bytes { 0 };
     std::size_t max_held_body_bytes { 0 };
+    /// New client connections whose first request has not been sent to an endpoint yet.
+    std::size_t starting_clients { 0 };
     /// Number of open client connections, and its limit.
     std::size_t clients { 0 };
     std::size_t max_clients { 0 };
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -220,6 +220,7 @@
 void RequestExchange::send_request(Attempt const& attempt)
 {
     ++this->sent_attempts;
+    this->client.starting.reset();
     Adapter::ForwardedFields forwarded;
     forwarded.account = this->admitted->account;
     forwarded.expected_incarnation = attempt.placed.endpoint.incarnation;
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -18,6 +18,8 @@
     bool keeps_connection { true };
     /// Whether the client is another box, which forwards requests of its clients.
     bool is_box { false };
+    /// Counts the connection until its first request was sent to an endpoint or another box; null for later requests.
+    std::shared_ptr<StartingClient> starting {};
 };
 
 /// How an attempt at an endpoint ended. Decides whether the request may be retried.
