LibRouting: Don't report a suspect whose known crashes were all retracted

A box that had heard of a part's fifth crash alone, and then that the endpoint of it answers after all, read behind the end of an empty list the next time it told others what it refuses, at most a second later.

Cause: refused() took the last endpoint of each suspect from three crashes on. With requests, three at the most, a retracted crash leaves two; a part counts up to five, so three or more may be left of which this box knows the number only. What the retracted run had in common with the others stayed as well.

--- a/Libraries/LibRouting/CrashLedger.cpp
+++ b/Libraries/LibRouting/CrashLedger.cpp
@@ -267,6 +267,7 @@
     if (this->crashed.erase(endpoint) == 0)
         return false;
     for (auto& [suspect, entry] : this->entries) {
+        std::erase_if(entry.part_crashes, [&](auto const& crash) { return crash.endpoint == endpoint; });
         auto const retracted = std::erase(entry.endpoints, endpoint);
         entry.crashes -= std::min<unsigned>(entry.crashes, static_cast<unsigned>(retracted));
     }
@@ -277,7 +278,9 @@
 {
     std::vector<CrashReport> reports;
     for (auto const& [suspect, entry] : this->entries) {
-        if (crashes_of(suspect, entry, now) >= refusal_threshold)
+        // NOTE: Of a suspect whose crash was retracted, others may be known by their number only.
+        bool const is_reported = crashes_of(suspect, entry, now) >= refusal_threshold && !entry.endpoints.empty();
+        if (is_reported)
             reports.push_back({ suspect, entry.endpoints.back(), entry.crashes, in_common(entry) });
     }
     return reports;
--- a/Tests/LibRouting/TestHarmfulParts.cpp
+++ b/Tests/LibRouting/TestHarmfulParts.cpp
@@ -22,6 +22,7 @@
 CrashSuspects request(std::uint64_t number, std::vector<std::uint64_t> const& parts, std::uint64_t account = 1)
 {
     std::vector<PromptPart> prompt;
+    prompt.reserve(parts.size() + 1);
     for (auto const part : parts)
         prompt.push_back({ part, 100 });
     prompt.push_back({ number, 10 });
@@ -116,6 +117,20 @@
     }
 }
 
+TEST_CASE("a crash that is taken back counts for nothing, also where the earlier ones of its part are not known here")
+{
+    CrashLedger ledger;
+    auto const run = request(1, { 0xa, 0xc });
+    EndpointInstance const endpoint { "e5", 0 };
+    ledger.apply(CrashLedger::reports_of(run, { 0, 4, 4 }, endpoint)[1], just_now, start);
+    CHECK(ledger.request_crashes(run, start).refused_for == CrashLedger::quarantine);
+    CHECK(ledger.retract(endpoint));
+    CHECK(ledger.refused(start).empty());
+    // What its run had in common with the others is forgotten too.
+    crash(ledger, request(2, { 0xa, 0xd }), "e6", start);
+    CHECK(ledger.request_crashes(request(3, { 0xa, 0xd }), start).refused_for);
+}
+
 TEST_CASE("an answer that began before the last crash clears no part")
 {
     CrashLedger ledger;
