--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -274,6 +274,8 @@
     static constexpr double max_idle_backlog_milliseconds = 2;
 
     [[nodiscard]] std::optional<Rejected> refuse_by_lease(Route const* route, Instant now) const;
+    /// How long the request would wait at the chosen engine until its prompt is read.
+    [[nodiscard]] static Duration predicted_wait(PlacementChoice const& choice);
     /// Refuses a request that even the best engine would begin to read too late.
     [[nodiscard]] std::optional<Rejected> refuse_by_wait(Admitted const& request, PlacementChoice const& choice);
     [[nodiscard]] Rejected refuse_unknown(Reason reason, Instant now) const;
--- a/Libraries/LibRouting/RouterPlacement.cpp
+++ b/Libraries/LibRouting/RouterPlacement.cpp
@@ -228,9 +228,14 @@
     return Rejected { Reason::ConfigurationExpired, retry_after_gap };
 }
 
+Duration RequestRouter::predicted_wait(PlacementChoice const& choice)
+{
+    return Core::from_seconds(choice.figures.backlog_milliseconds / milliseconds_per_second);
+}
+
 std::optional<Rejected> RequestRouter::refuse_by_wait(Admitted const& request, PlacementChoice const& choice)
 {
-    auto const wait = Core::from_seconds(choice.figures.backlog_milliseconds / milliseconds_per_second);
+    auto const wait = predicted_wait(choice);
     auto const own_limit = max_wait(request.route->goal, choice.prefill);
     if (!own_limit || wait <= *own_limit)
         return {};
