LibRouting: Send prompts of several chunks to the engines for long prompts

Cause: a request counted as a long answer if generating takes six times as long as reading, so long reviews with long answers fell on either side of that bound. They held up the short streams on the engines for answers, whose pauses then were too long, and the shared parts of their prompts had a home in both groups of engines. Change: a prompt of more than 4,096 tokens is a long prompt whatever follows it; the division counts the time for its answer too.

TestPlacement: the first new case fails without the change.

--- a/Libraries/LibRouting/EngineDemand.cpp
+++ b/Libraries/LibRouting/EngineDemand.cpp
@@ -10,6 +10,12 @@
     /// An answer is long if generating it takes this many times as long as reading its prompt. Summaries of long texts
     /// take about as long to generate as to read, digests of short ones seventy times as long.
     constexpr double long_answer_ratio = 6;
+    /// Engines read a prompt in chunks of 1,024 to 4,096 tokens, one in each step. A longer prompt holds up the streams
+    /// beside it for several steps, whatever follows it, and its shared parts would otherwise be cached in both groups
+    /// of engines.
+    constexpr std::uint32_t max_short_prompt_tokens = 4096;
+    if (workload.prompt_tokens > max_short_prompt_tokens)
+        return WorkKind::LongPrompt;
     return workload.answer_tokens * prompt_tokens_per_step > workload.prompt_tokens * long_answer_ratio
         ? WorkKind::LongAnswer
         : WorkKind::LongPrompt;
@@ -17,10 +23,11 @@
 
 void EngineDemand::add(Workload const& workload, Core::Instant now)
 {
+    auto const generating = workload.answer_tokens * prompt_tokens_per_step / concurrent_answers;
     if (work_kind(workload) == WorkKind::LongAnswer)
-        this->answers.add(workload.answer_tokens * prompt_tokens_per_step / concurrent_answers, now);
+        this->answers.add(generating, now);
     else
-        this->prompts.add(workload.prompt_tokens * uncached_share, now);
+        this->prompts.add(workload.prompt_tokens * uncached_share + generating, now);
 }
 
 std::size_t EngineDemand::engines_for_answers(std::size_t engines, Core::Instant now)
--- a/Libraries/LibRouting/EngineDemand.h
+++ b/Libraries/LibRouting/EngineDemand.h
@@ -8,9 +8,11 @@
 
 namespace Routing {
 
-/// What takes most of an engine's time for a request.
+/// How a request burdens an engine.
 enum class WorkKind {
+    /// Reading its prompt holds up the streams that run beside it.
     LongPrompt,
+    /// Most of the engine's time goes into its answer, which suffers from prompts that are read beside it.
     LongAnswer,
 };
 
--- a/Tests/LibRouting/TestPlacement.cpp
+++ b/Tests/LibRouting/TestPlacement.cpp
@@ -88,6 +88,32 @@
         CHECK_FALSE(prompts.contains(engine));
 }
 
+// Guards against long reviews with long answers on the engines for answers: they hold up the streams there, and their
+// shared parts are read in both groups of engines.
+TEST_CASE("prompts that take several chunks go to the engines for long prompts, however long their answers are")
+{
+    Engines const engines(10);
+    auto review = long_prompt(500, 1);
+    auto const home = engines.place(review, 3);
+    for (std::uint32_t answer_tokens = 0; answer_tokens <= 4000; answer_tokens += 100) {
+        review.answer_tokens = answer_tokens;
+        CHECK(engines.place(review, 3) == home);
+    }
+}
+
+TEST_CASE("answers to long prompts count as work of the engines for long prompts")
+{
+    auto review = long_prompt(500, 1);
+    EngineDemand without_answer;
+    review.answer_tokens = 0;
+    without_answer.add(review, now);
+    EngineDemand with_answer;
+    review.answer_tokens = 2000;
+    with_answer.add(review, now);
+    CHECK(with_answer.own_totals(now).answer_work == 0);
+    CHECK(with_answer.own_totals(now).prompt_work > without_answer.own_totals(now).prompt_work);
+}
+
 TEST_CASE("an engine with a rate limit moves no homes, and gets what others have no room for")
 {
     Engines const without(8);
