LibRouting: Predict the wait for a slot of an engine

Cause: with bursts of long requests all slots of an engine are taken while its prompts are read in time. Change: the time that a request occupies a slot is learnt; its wait counts in the expected first piece, in the choice and in the refusal of requests that preempt none. Urgent requests pay for the preemption instead.

--- a/Benchmarks/BenchPlacement.cpp
+++ b/Benchmarks/BenchPlacement.cpp
@@ -34,8 +34,8 @@
     Workload const review { { { 1, 2500 }, { 7, 3800 }, { 8, 2900 } }, 9200, 54 };
     std::uint64_t sample_seed = 0;
     while (state.KeepRunning()) {
-        PlacementQuery const query { review, true, count / 4, own_domain, Instant { std::chrono::seconds(100) }, {},
-            compared_share, ++sample_seed };
+        PlacementQuery const query { review, true, count / 4, own_domain, Instant { std::chrono::seconds(100) }, {}, {},
+            SlotRank::LeastUrgent, compared_share, ++sample_seed };
         benchmark::DoNotOptimize(choose_endpoint({ engines.candidates }, loads, query, {}));
     }
 }
--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -141,6 +141,7 @@
         .with("candidates", figures.candidates)
         .with("predicted_ms", figures.predicted_milliseconds)
         .with("backlog_ms", figures.backlog_milliseconds)
+        .with("slot_wait_ms", figures.slot_wait_milliseconds)
         .with("tokens_to_read", figures.tokens_to_read)
         .with("running", figures.running)
         .with("reads_tokens_per_ms", figures.speed.prefill_tokens_per_millisecond)
--- a/Libraries/LibRouting/ConfigurationSnapshot.cpp
+++ b/Libraries/LibRouting/ConfigurationSnapshot.cpp
@@ -105,4 +105,10 @@
     return goal == found->second.end() ? Duration { 0 } : goal->goal;
 }
 
+unsigned ConfigurationSnapshot::lowest_priority(std::string_view service) const
+{
+    auto const found = this->goals_by_service.find(service);
+    return found == this->goals_by_service.end() ? 0 : found->second.back().priority;
+}
+
 }
--- a/Libraries/LibRouting/ConfigurationSnapshot.h
+++ b/Libraries/LibRouting/ConfigurationSnapshot.h
@@ -27,6 +27,8 @@
     [[nodiscard]] Service const* find_service(std::string_view name) const;
     /// The longest goal of all routes to the service with this priority or a less urgent one.
     [[nodiscard]] Duration longest_goal(std::string_view service, unsigned priority) const;
+    /// The priority of the least urgent routes to the service; 0 without any.
+    [[nodiscard]] unsigned lowest_priority(std::string_view service) const;
     [[nodiscard]] bool needs_keys() const { return this->contents.accounts.has_value(); }
 
 private:
--- a/Libraries/LibRouting/EndpointLoad.cpp
+++ b/Libraries/LibRouting/EndpointLoad.cpp
@@ -22,9 +22,14 @@
     this->lateness_seconds.set(std::max(late, this->lateness_seconds.value(now) / 2), now);
 }
 
-void EndpointLoad::ended(RequestId request)
+std::optional<Duration> EndpointLoad::ended(RequestId request, Instant now)
 {
-    this->own_requests.erase(request);
+    auto const found = this->own_requests.find(request);
+    if (found == this->own_requests.end())
+        return {};
+    auto const occupied = now - found->second.started;
+    this->own_requests.erase(found);
+    return occupied;
 }
 
 void EndpointLoad::succeeded()
--- a/Libraries/LibRouting/EndpointLoad.h
+++ b/Libraries/LibRouting/EndpointLoad.h
@@ -40,7 +40,8 @@
     void started(RequestId request, Workload const& workload, ExpectedTimes const& expected, Instant now);
     /// The first piece of the answer arrived `lateness` later than predicted.
     void answered(RequestId request, Duration lateness, Instant now);
-    void ended(RequestId request);
+    /// Returns how long the request was at the endpoint; unset if it is not known.
+    std::optional<Duration> ended(RequestId request, Instant now);
     void succeeded();
     void failed(Instant now);
     /// The endpoint refused a request because it was full.
--- a/Libraries/LibRouting/Placement.h
+++ b/Libraries/LibRouting/Placement.h
@@ -4,6 +4,7 @@
 #include <LibRouting/EndpointLoad.h>
 #include <LibRouting/EngineDemand.h>
 #include <LibRouting/EngineSpeed.h>
+#include <LibRouting/SlotWait.h>
 
 #include <unordered_map>
 
@@ -34,6 +35,11 @@
     /// Cost of an engine whose slots are all taken; it rises from 0 at half of them. A higher cost would move requests
     /// away from engines that have their prompts cached.
     double full_engine_milliseconds { 150 };
+    /// Cost of preempting a less urgent request: its prompt is read again, and its stream pauses meanwhile.
+    double preemption_milliseconds { 300 };
+    /// Fraction of the queue for slots that a request which preempts others has to wait for nevertheless, as far as
+    /// placement reckons: the requests there may all be as urgent as it is.
+    double equally_urgent_share { 0.3 };
 
     bool operator==(PlacementModel const&) const = default;
 };
@@ -42,6 +48,8 @@
 struct PlacementFigures {
     double predicted_milliseconds { 0 };
     double backlog_milliseconds { 0 };
+    /// Expected wait for a slot of the engine.
+    double slot_wait_milliseconds { 0 };
     std::uint32_t tokens_to_read { 0 };
     /// `tokens_to_read` if it is certain, else 0: other boxes may have made the engine cache shared parts.
     std::uint32_t certain_tokens { 0 };
@@ -78,6 +86,9 @@
     Instant now;
     /// Estimated speed of the service's engines.
     EngineSpeed speed;
+    /// How long requests occupy the slots of the service's engines, and whether this one preempts others there.
+    SlotTimeEstimate slot_time;
+    SlotRank rank { SlotRank::LeastUrgent };
     /// The fraction of engines, from 0 to 1, that this box compares, and the seed that selects them.
     ///
     /// Boxes that receive each other's load reports at the same time would all find the same engine the emptiest, and
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -300,9 +300,11 @@
     auto* const load = this->load_of(endpoint);
     if (load == nullptr)
         return;
-    load->ended(request);
+    auto const occupied = load->ended(request, now);
     switch (result) {
     case AttemptResult::Completed:
+        if (occupied)
+            this->slot_times[this->directory.find(endpoint)->record.service].add(*occupied);
         return load->succeeded();
     case AttemptResult::EndpointBusy:
         return load->shed(now);
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -346,6 +346,7 @@
     std::unordered_map<std::string, RetryBudget> budgets;
     std::map<std::string, EngineDemand> demands;
     std::map<std::string, EngineSpeedEstimate> speeds;
+    std::map<std::string, SlotTimeEstimate> slot_times;
     /// The fraction of engines that this box compares.
     double compared_share { 1 };
     pcg32 random;
--- a/Libraries/LibRouting/RouterPlacement.cpp
+++ b/Libraries/LibRouting/RouterPlacement.cpp
@@ -70,9 +70,11 @@
     auto const& candidates = choices.best();
     auto const for_answers
         = request.is_engine ? this->demands[request.service].engines_for_answers(candidates.usual.size(), now) : 0;
+    bool const is_least_urgent = request.route->priority >= request.configuration->lowest_priority(request.service);
     PlacementQuery const query { workload, request.is_engine, for_answers, this->settings.failure_domain, now,
-        request.is_engine ? this->speeds[request.service].speed() : EngineSpeed {}, this->compared_share,
-        this->random() };
+        request.is_engine ? this->speeds[request.service].speed() : EngineSpeed {},
+        request.is_engine ? this->slot_times[request.service] : SlotTimeEstimate {},
+        is_least_urgent ? SlotRank::LeastUrgent : SlotRank::Preempts, this->compared_share, this->random() };
     auto const choice = choose_endpoint(candidates, this->loads, query, this->settings.placement);
     if (!choice)
         return this->refuse_unplaced(request, choices, !tried.empty(), now);
@@ -230,7 +232,9 @@
 
 Duration RequestRouter::predicted_wait(PlacementChoice const& choice)
 {
-    return Core::from_seconds(choice.figures.backlog_milliseconds / milliseconds_per_second);
+    auto const& figures = choice.figures;
+    return Core::from_seconds(
+        (figures.backlog_milliseconds + figures.slot_wait_milliseconds) / milliseconds_per_second);
 }
 
 std::optional<Rejected> RequestRouter::refuse_by_wait(Admitted const& request, PlacementChoice const& choice)
--- a/Tests/LibRouting/TestPlacement.cpp
+++ b/Tests/LibRouting/TestPlacement.cpp
@@ -30,7 +30,7 @@
             (is_usual ? candidates.usual : candidates.limited).push_back(&endpoint);
         }
         auto const choice
-            = choose_endpoint(candidates, this->loads, { workload, true, for_answers, own_domain, now, {} }, {});
+            = choose_endpoint(candidates, this->loads, { workload, true, for_answers, own_domain, now, {}, {} }, {});
         REQUIRE(choice);
         return choice->endpoint;
     }
@@ -54,7 +54,7 @@
 TEST_CASE("placement without endpoints chooses none")
 {
     Workload const workload;
-    CHECK_FALSE(choose_endpoint({}, {}, { workload, false, 0, own_domain, now, {} }, {}));
+    CHECK_FALSE(choose_endpoint({}, {}, { workload, false, 0, own_domain, now, {}, {} }, {}));
 }
 
 TEST_CASE("boxes send prompts with a common part to the same engine without communication")
@@ -186,7 +186,7 @@
             RequestId { id }, long_prompt(100, id), { milliseconds(160), milliseconds(160) }, now);
     CHECK(engines.place(request) != home);
     for (std::uint64_t id = 1; id <= 8; ++id)
-        engines.loads[home].ended(RequestId { id });
+        engines.loads[home].ended(RequestId { id }, now);
     CHECK(engines.place(request) == home);
 }
 
@@ -204,7 +204,7 @@
     auto const engine = engines.place(long_answer(1));
     for (std::uint64_t id = 1; id <= 10; ++id) {
         engines.loads[engine].started(RequestId { id }, {}, {}, now);
-        engines.loads[engine].ended(RequestId { id });
+        engines.loads[engine].ended(RequestId { id }, now);
         if (id % 2 == 0)
             engines.loads[engine].failed(now);
         else
@@ -221,7 +221,7 @@
     };
     LoadTable loads;
     Workload const workload;
-    PlacementQuery const query { workload, false, 0, own_domain, now, {} };
+    PlacementQuery const query { workload, false, 0, own_domain, now, {}, {} };
     auto const place = [&] {
         return choose_endpoint({ { &endpoints[0], &endpoints[1] } }, loads, query, {})->endpoint;
     };
@@ -244,7 +244,7 @@
     CHECK(load.overdue(now + milliseconds(150)) == Duration { 0 });
     load.started(RequestId { 3 }, {}, expected, now + milliseconds(40));
     CHECK(load.overdue(now + milliseconds(200)) == milliseconds(60));
-    load.ended(RequestId { 3 });
+    load.ended(RequestId { 3 }, now);
     CHECK(load.overdue(now + milliseconds(200)) == Duration { 0 });
 
     Engines engines(9);
--- a/Tests/LibRouting/TestRareReports.cpp
+++ b/Tests/LibRouting/TestRareReports.cpp
@@ -65,7 +65,8 @@
         auto const box = this->random(box_count);
         auto const id = RequestId { ++this->last_request };
         Workload const question { { { 2, 100 }, { 3, 70 }, { 1000 + this->last_request, 540 } }, 710, 280 };
-        PlacementQuery const query { question, true, 0, own_domain, this->now, {}, compared_share, this->random() };
+        PlacementQuery const query { question, true, 0, own_domain, this->now, {}, {}, SlotRank::LeastUrgent,
+            compared_share, this->random() };
         auto const choice = choose_endpoint({ this->candidates }, this->loads[box], query, {});
         REQUIRE(choice);
         bool const is_full = this->running_at(choice->endpoint) >= slots;
@@ -79,7 +80,7 @@
     {
         while (!this->running.empty() && this->running.front().ends_at <= this->now) {
             auto const& ended = this->running.front();
-            this->loads[ended.box][ended.endpoint].ended(ended.request);
+            this->loads[ended.box][ended.endpoint].ended(ended.request, this->now);
             this->running.pop_front();
         }
     }
@@ -143,7 +144,8 @@
     pcg32 random(1);
     std::optional<EndpointId> home;
     for (int attempt = 0; attempt < 100; ++attempt) {
-        PlacementQuery const query { review, true, 0, own_domain, Instant { seconds(100) }, {}, 0.05, random() };
+        PlacementQuery const query { review, true, 0, own_domain, Instant { seconds(100) }, {}, {},
+            SlotRank::LeastUrgent, 0.05, random() };
         auto const choice = choose_endpoint({ candidates }, {}, query, {});
         REQUIRE(choice);
         CHECK(choice->endpoint == home.value_or(choice->endpoint));
