LibGateway: Log what a summary of requests needs of each end

A summary over the logs of all boxes lacked fields: request_ended named no account, no goal and no time of the first byte, a forwarded request ended in the logs of two boxes without a way to tell them apart, attempt_ended of a request whose client had left looked as if the endpoint had broken, and the failure domain of a box stood only in its first line, which log rotation removes. request_ended now has account, goal_ms, first_byte_ms and from_box; request_placed has from_box=yes for requests of another box; attempt_ended has cancelled_by (client, time, silence); configuration_in_force has failure_domain.

--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -176,6 +176,7 @@
         = this->state.router.offer_configuration(std::move(snapshot), is_newer_reported ? std::nullopt : confirmed_at);
     Log::EventLine(is_newer ? "configuration_in_force" : "configuration_not_newer")
         .with("version", version)
+        .with("failure_domain", this->failure_domain)
         .with("routes", routes)
         .with("accounts", accounts)
         .with("accounts_with_priority", ranked)
--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -71,6 +71,18 @@
     return AttemptResult::Failed;
 }
 
+std::string_view RequestExchange::cancellation_cause(AttemptEnd end) const
+{
+    if (end == AttemptEnd::Delivered || end == AttemptEnd::NotRun || end == AttemptEnd::EndpointError)
+        return {};
+    if (this->has_client_left)
+        return "client";
+    if (this->has_expired)
+        return "time";
+    // NOTE: The flag belongs to the last attempt that was sent.
+    return this->was_endpoint_silent && end != AttemptEnd::NotSent ? "silence" : std::string_view();
+}
+
 void RequestExchange::record_attempt(Attempt const& attempt, AttemptEnd end, Core::Instant now)
 {
     this->state.router.attempt_ended(
@@ -83,6 +95,8 @@
         .with("status", attempt.status)
         .with("reused_connection", yes_or_no(attempt.reused_connection))
         .with("took_ms", Core::to_milliseconds(now - attempt.started));
+    if (auto const cause = this->cancellation_cause(end); !cause.empty())
+        line.with("cancelled_by", cause);
     if (attempt.body_end)
         line.with("body_ends_with", to_string(*attempt.body_end));
     if (this->is_event_stream)
@@ -152,6 +166,8 @@
         .with("backed_off", attempt.placed.backed_off);
     if (attempt.placed.limit.per_second)
         line.with("limit_per_s", *attempt.placed.limit.per_second);
+    if (this->client.is_box)
+        line.with("from_box", "yes");
     if (this->takes_up_stream)
         line.with("takes_up", this->taken_up_attempt);
     if (this->answer_begun)
@@ -168,11 +184,16 @@
     Log::EventLine line("request_ended");
     line.with("id", this->attempt_id).with("route", route);
     if (this->admitted)
-        line.with("fingerprint", Routing::to_string(this->suspects.request));
+        line.with("account", this->admitted->account).with("fingerprint", Routing::to_string(this->suspects.request));
+    if (this->admitted && this->admitted->route->goal > Core::Duration { 0 })
+        line.with("goal_ms", Core::to_milliseconds(this->admitted->route->goal));
+    if (this->first_piece_after)
+        line.with("first_byte_ms", Core::to_milliseconds(*this->first_piece_after));
     line.with("status", status)
         .with("reason", Core::to_string(reason))
         .with("attempts", this->sent_attempts)
         .with("client_left", yes_or_no(this->has_client_left))
+        .with("from_box", yes_or_no(this->client.is_box))
         .with("took_ms", Core::to_milliseconds(taken))
         .info();
 }
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -412,7 +412,8 @@
     if (this->answer_begun)
         return;
     auto const now = monotonic_now();
-    this->state.metrics.observe_first_byte(this->admitted->route->name, now - this->arrived);
+    this->first_piece_after = now - this->arrived;
+    this->state.metrics.observe_first_byte(this->admitted->route->name, *this->first_piece_after);
     // NOTE: The box that sent the request to an endpoint counts it.
     if (attempt.placed.endpoint.incarnation.empty())
         return;
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -155,6 +155,9 @@
     [[nodiscard]] Core::Reason reason_for_giving_up() const;
     [[nodiscard]] Core::Reason retry_reason(AttemptEnd end) const;
     [[nodiscard]] Routing::AttemptResult result_of(Attempt const& attempt, AttemptEnd end) const;
+    /// What made this box cancel an attempt, for the log: "client" (it left), "time" (it ran out) or "silence" (of the
+    /// endpoint). Empty if the attempt ended by itself.
+    [[nodiscard]] std::string_view cancellation_cause(AttemptEnd end) const;
     void record_attempt(Attempt const& attempt, AttemptEnd end, Core::Instant now);
     /// Whether the attempt's endpoint may get new requests, and so has no reason to exit as planned.
     [[nodiscard]] bool is_in_use(Attempt const& attempt) const;
@@ -230,6 +233,8 @@
     std::optional<Routing::Admitted> admitted;
     Routing::CrashSuspects suspects;
     Core::Instant arrived;
+    /// Time from the arrival until the first piece of an answer was there for the client; unset until then.
+    std::optional<Core::Duration> first_piece_after;
     asio::steady_timer expiry;
     asio::steady_timer silence;
     std::shared_ptr<EndpointCall> call;
--- a/Tests/LibGateway/TestForwardedRequest.cpp
+++ b/Tests/LibGateway/TestForwardedRequest.cpp
@@ -1,5 +1,6 @@
 #include <TestMain.h>
 
+#include "CapturedLog.h"
 #include "ScriptedExchange.h"
 #include <LibGateway/ClientConnection.h>
 
@@ -122,6 +123,25 @@
     CHECK(site.keeps_client);
 }
 
+TEST_CASE("of the two boxes that log a forwarded request's end, one says that it came from a box, so it counts once")
+{
+    CapturedLog const log;
+    TwoBoxes site(RouteKind::Idempotent);
+    site.start("body");
+    site.endpoints[site.wait_for_arrival()]->answer(whole_answer);
+    REQUIRE(site.ends());
+    REQUIRE(site.reach([&] { return log.events("request_ended").size() == 2; }));
+    auto const ends = log.events("request_ended");
+    CHECK(ends[0].at("from_box") != ends[1].at("from_box"));
+    // The box that is cut off has placed the request before at endpoints that it could not connect to.
+    auto placements = log.events("request_placed");
+    REQUIRE_FALSE(placements.empty());
+    CHECK(placements.back().contains("from_box"));
+    placements.pop_back();
+    for (auto const& placement : placements)
+        CHECK_FALSE(placement.contains("from_box"));
+}
+
 TEST_CASE("events of a forwarded stream are passed on as they come, and it is cancelled when its client leaves")
 {
     TwoBoxes site(RouteKind::Streaming);
