--- a/Meta/check_command_line.sh
+++ b/Meta/check_command_line.sh
@@ -45,6 +45,24 @@
 printf 'event=request_ended id=abc status=503 reason=no-endpoint\n' >"$folder/box.log"
 expect 0 'because: no-endpoint' explain abc --log="$folder/box.log"
 expect 1 'no line tells of request' explain missing --log="$folder/box.log"
+expect 2 'explain takes 1 argument(s), got 0' explain --log="$folder/box.log"
+expect 2 'explain takes 0 argument(s) with --window, got 1' explain abc --window=0-60 --log="$folder/box.log"
+expect 2 "window: must be FROM-TO, .*got 'today'" explain --window=today --log="$folder/box.log"
+expect 2 "window: must be FROM-TO, .*got ''" explain --window= --log="$folder/box.log"
+expect 2 'window: FROM must be before TO' explain --window=60-60 --log="$folder/box.log"
+expect 2 'window needs --log=FILE' explain --window=0-60
+expect 2 'standard input more than once' explain --window=0-60 --log=-,-
+expect 1 "can't read $folder/none.log" explain --window=0-60 --log="$folder/box.log,$folder/none.log"
+expect 1 "can't read $folder" explain --window=0-60 --log="$folder"
+expect 1 'box.log:1: no time' explain --window=0-60 --log="$folder/box.log"
+end='event=request_ended id=abc route=ask account=nest status=503 reason=no-endpoint client_left=no took_ms=0.2'
+printf 'time=2026-12-04T07:00:01.000+00:00 level=info box=one %s\n' "$end" >"$folder/one.log"
+printf 'time=2026-12-04T07:00:09.000+00:00 level=info box=two %s\n' "$end" >"$folder/two.log"
+: >"$folder/empty.log"
+expect 0 '^all  *0  *2 .* 2 no-endpoint' explain --window=0-60 --log="$folder/one.log,$folder/empty.log,$folder/two.log"
+expect 0 '^all  *0  *1 ' explain --window=2026-12-04T07:00:05Z-60 --log="$folder/one.log,$folder/two.log"
+expect 0 '^all  *0  *1 ' explain --window=0-60 --log=- <"$folder/one.log"
+expect 1 'no request ended' explain --window=20-60 --log="$folder/one.log"
 expect 1 "does not answer" publish Examples/censo-aves.yaml --platform=127.0.0.1:1
 expect 2 'must be an IP number' publish Examples/censo-aves.yaml --platform=nowhere
 [ "$failures" -eq 0 ] && echo "command line: as it should be"
--- a/Programs/cleatbeam/BoxCommands.cpp
+++ b/Programs/cleatbeam/BoxCommands.cpp
@@ -1,5 +1,6 @@
 #include "CommandLine.h"
 #include "ExplainLog.h"
+#include "ExplainWindow.h"
 #include "FileText.h"
 
 #include <LibPlatform/HttpAddress.h>
@@ -9,7 +10,12 @@
 #include <sstream>
 
 DEFINE_string(box_address, "", "operator address of a box, IP:PORT; several, separated by commas, for explain");
-DEFINE_string(log, "", "file with the log lines of boxes, - for standard input; explain reads them in place of asking");
+DEFINE_string(log, "",
+    "file with the log lines of boxes, - for standard input; explain reads them in place of asking; several, separated "
+    "by commas, with --window");
+DEFINE_string(window, "",
+    "FROM-TO, each a time as in the log's time= or seconds since its first line; explain sums up the requests that "
+    "ended from FROM on and before TO, in place of telling of one");
 DEFINE_string(key_file, "", "file with the operator key; empty for none");
 
 namespace {
@@ -78,6 +84,8 @@
 
 int run_explain(std::vector<std::string> const& positional)
 {
+    if (positional.empty())
+        return explain_window(FLAGS_window, FLAGS_log);
     if (!FLAGS_log.empty())
         return explain_from_log(positional[0], FLAGS_log);
     return print_first_answer("/explain/" + positional[0]);
--- a/Programs/cleatbeam/CommandLine.cpp
+++ b/Programs/cleatbeam/CommandLine.cpp
@@ -19,8 +19,8 @@
         { "show", "FILE", "show resolved settings and where each was inherited from",
             { "class", "account", "endpoint" }, 1, run_show },
         { "status", "", "show the status of a box", { "box_address", "key_file" }, 0, run_status },
-        { "explain", "ID", "tell what was decided on a request, and why", { "box_address", "key_file", "log" }, 1,
-            run_explain },
+        { "explain", "ID | --window=FROM-TO", "tell what was decided on a request, and why; or sum up a period",
+            { "box_address", "key_file", "log", "window" }, 1, run_explain, "window" },
     };
     return all;
 }
@@ -79,6 +79,7 @@
     if (subcommand == subcommands().end())
         return usage_error("unknown subcommand '" + words[0] + "'; see cleatbeam --help");
     std::vector<std::string> positional;
+    bool is_flag_for_arguments_set = false;
     for (std::size_t index = 1; index < words.size(); ++index) {
         auto const name = flag_name(words[index]);
         if (name.empty()) {
@@ -103,9 +104,12 @@
         // NOTE: The flag library would end the process with code 1 on a bad value; setting flags one by one does not.
         if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty())
             return usage_error("bad value '" + value + "' for --" + name);
+        is_flag_for_arguments_set |= name == subcommand->flag_for_arguments;
     }
-    if (positional.size() != subcommand->positional_count)
-        return usage_error(std::string(subcommand->name) + " takes " + std::to_string(subcommand->positional_count)
-            + " argument(s), got " + std::to_string(positional.size()));
+    auto const wanted_count = is_flag_for_arguments_set ? 0 : subcommand->positional_count;
+    if (positional.size() != wanted_count)
+        return usage_error(std::string(subcommand->name) + " takes " + std::to_string(wanted_count) + " argument(s)"
+            + (is_flag_for_arguments_set ? " with --" + std::string(subcommand->flag_for_arguments) : "") + ", got "
+            + std::to_string(positional.size()));
     return subcommand->run(positional);
 }
--- a/Programs/cleatbeam/CommandLine.h
+++ b/Programs/cleatbeam/CommandLine.h
@@ -19,6 +19,8 @@
     std::vector<std::string> flags;
     std::size_t positional_count { 0 };
     int (*run)(std::vector<std::string> const& positional) { nullptr };
+    /// The flag that stands in for all arguments; empty if there is none.
+    std::string_view flag_for_arguments {};
 };
 
 int run_serve(std::vector<std::string> const& positional);
