docs, cleatbeam: Show the summary of a period and how to read it

The summary of a period needs a page that says what each column counts, where the figures stop being exact and what to look at first. OPERATIONS.md gets a section with the tables that the program prints for Examples/window.log, and Meta/check_command_line.sh fails if a printed line is missing from the page, so the two can't drift apart.

--- a/Meta/check_command_line.sh
+++ b/Meta/check_command_line.sh
@@ -62,6 +62,14 @@
 expect 0 '^all  *0  *2 .* 2 no-endpoint' explain --window=0-60 --log="$folder/one.log,$folder/empty.log,$folder/two.log"
 expect 0 '^all  *0  *1 ' explain --window=2026-12-04T07:00:05Z-60 --log="$folder/one.log,$folder/two.log"
 expect 0 '^all  *0  *1 ' explain --window=0-60 --log=- <"$folder/one.log"
+# The table that the page shows is what the program prints for the example.
+expect 0 '^all ' explain --window=0-60 --log=Examples/window.log
+while IFS= read -r line; do
+    if [ -n "$line" ] && ! grep -qxF -e "    $line" docs/OPERATIONS.md; then
+        echo "docs/OPERATIONS.md lacks the line that explain --window prints for Examples/window.log: $line"
+        failures=$((failures + 1))
+    fi
+done <"$folder/out"
 expect 1 'no request ended' explain --window=20-60 --log="$folder/one.log"
 expect 1 "does not answer" publish Examples/censo-aves.yaml --platform=127.0.0.1:1
 expect 2 'must be an IP number' publish Examples/censo-aves.yaml --platform=nowhere
--- a/Programs/cleatbeam/ExplainWindow.cpp
+++ b/Programs/cleatbeam/ExplainWindow.cpp
@@ -118,10 +118,10 @@
 {
     if (unreadable.count() == 0)
         return;
-    output << unreadable.count() << " lines can't be read";
+    output << "lines that can't be read: " << unreadable.count();
     if (unreadable.count() > unreadable.named().size())
         output << ", the first of them";
-    output << ":\n";
+    output << "\n";
     for (auto const& line : unreadable.named())
         output << "  " << line << "\n";
 }
--- a/Tests/Cleatbeam/TestExplainWindow.cpp
+++ b/Tests/Cleatbeam/TestExplainWindow.cpp
@@ -304,7 +304,7 @@
     CHECK(report.summary->total().served == 2);
     CHECK(report.unreadable.count() == 8);
     CHECK(report.unreadable.named()[0] == "log-0:3: no event: no pairs here");
-    CHECK(report.prints("8 lines can't be read:\n"));
+    CHECK(report.prints("lines that can't be read: 8\n"));
     CHECK(report.prints("log-0:5: time can't be read: time=yesterday"));
     CHECK(report.prints("log-0:9: too long: xxxx"));
     // Control characters of the log must not reach the operator's terminal.
@@ -319,7 +319,7 @@
     Report const report("0-60", { log });
     CHECK(report.unreadable.count() == 1000);
     CHECK(report.unreadable.named().size() == UnreadableLines::max_named);
-    CHECK(report.prints("1000 lines can't be read, the first of them:\n"));
+    CHECK(report.prints("lines that can't be read: 1000, the first of them\n"));
 }
 
 TEST_CASE("lines that boxes dropped are told, since the counts are too low then")
