LibGateway: Log the route and account of requests that are not admitted

A request that the router refused before it was admitted (an unknown key, a configuration whose lease ran out) ended in the log with route=none and without an account, so a summary by route or account put all of them into one row: 274 refusals in the logs of one integration test. request_ended now has the route of the box's configuration, and the account if the key is known there; metrics keep the label none. The lookup is made for refused requests only.

--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -175,6 +175,19 @@
     line.info();
 }
 
+void RequestExchange::note_unadmitted(Routing::RequestHead const& head)
+{
+    auto const configuration = this->state.router.configuration();
+    auto const* const route = configuration ? configuration->find_route(head.host, head.target) : nullptr;
+    if (route == nullptr)
+        return;
+    this->unadmitted_route = route->name;
+    bool const is_public = !configuration->needs_keys() || route->is_public;
+    auto const* const account = is_public ? nullptr : configuration->find_account(head.api_key);
+    if (is_public || account != nullptr)
+        this->unadmitted_account = account != nullptr ? account->name : std::string();
+}
+
 void RequestExchange::log_end(unsigned status, Core::Reason reason) const
 {
     auto const taken = monotonic_now() - this->arrived;
@@ -182,7 +195,9 @@
     this->state.metrics.count_request(route, this->has_client_left ? 0 : status);
     this->state.metrics.observe_answer(route, taken);
     Log::EventLine line("request_ended");
-    line.with("id", this->attempt_id).with("route", route);
+    line.with("id", this->attempt_id).with("route", this->unadmitted_route.value_or(route));
+    if (this->unadmitted_account)
+        line.with("account", *this->unadmitted_account);
     if (this->admitted)
         line.with("account", this->admitted->account).with("fingerprint", Routing::to_string(this->suspects.request));
     if (this->admitted && this->admitted->route->goal > Core::Duration { 0 })
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -81,6 +81,7 @@
     }
     auto decision = this->state.router.admit(*head, this->arrived);
     if (auto const* const rejected = std::get_if<Routing::Rejected>(&decision)) {
+        this->note_unadmitted(*head);
         co_await this->refuse(*rejected);
         co_return this->keeps_client && !this->client_is_broken;
     }
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -184,6 +184,8 @@
     void log_refused_suspect(Routing::RequestCrashes const& crashes) const;
     void log_placement(Attempt const& attempt) const;
     void log_end(unsigned status, Core::Reason reason) const;
+    /// Finds out for the log which route and account a request asked for that the router did not admit.
+    void note_unadmitted(Routing::RequestHead const& head);
 
     /// Limit for attempts that failed before any byte was sent, not counting hosts that refuse the connection.
     static constexpr unsigned max_unsent_attempts = 3;
@@ -231,6 +233,9 @@
     /// How long the client waits in all.
     std::optional<Core::Duration> patience;
     std::optional<Routing::Admitted> admitted;
+    /// Of a request that was not admitted, for the log: the route's name, and the account's if the key is known.
+    std::optional<std::string> unadmitted_route;
+    std::optional<std::string> unadmitted_account;
     Routing::CrashSuspects suspects;
     Core::Instant arrived;
     /// Time from the arrival until the first piece of an answer was there for the client; unset until then.
--- a/Programs/cleatbeam/ExplainWindow.cpp
+++ b/Programs/cleatbeam/ExplainWindow.cpp
@@ -161,6 +161,7 @@
 {
     UnreadableLines unreadable;
     std::vector<LogReader> readers;
+    readers.reserve(logs.size());
     for (auto const& [name, stream] : logs)
         readers.emplace_back(name, *stream, unreadable);
     MergedLog log(std::move(readers));
--- a/Tests/Cleatbeam/TestExplainWindow.cpp
+++ b/Tests/Cleatbeam/TestExplainWindow.cpp
@@ -86,6 +86,7 @@
     std::vector<std::pair<std::string, std::istream*>> open(std::vector<std::string> const& logs)
     {
         std::vector<std::pair<std::string, std::istream*>> opened;
+        opened.reserve(logs.size());
         for (auto const& text : logs)
             opened.emplace_back("log-" + std::to_string(opened.size()), &this->streams.emplace_back(text));
         return opened;
