--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -155,6 +155,9 @@
     [[nodiscard]] Core::Reason reason_for_giving_up() const;
     [[nodiscard]] Core::Reason retry_reason(AttemptEnd end) const;
     [[nodiscard]] Routing::AttemptResult result_of(Attempt const& attempt, AttemptEnd end) const;
+    /// What made this box cancel an attempt, for the log: "client" (it left), "time" (it ran out) or "silence" (of the
+    /// endpoint). Empty if the attempt ended by itself.
+    [[nodiscard]] std::string_view cancellation_cause(AttemptEnd end) const;
     void record_attempt(Attempt const& attempt, AttemptEnd end, Core::Instant now);
     /// Whether the attempt's endpoint may get new requests, and so has no reason to exit as planned.
     [[nodiscard]] bool is_in_use(Attempt const& attempt) const;
@@ -181,6 +184,8 @@
     void log_refused_suspect(Routing::RequestCrashes const& crashes) const;
     void log_placement(Attempt const& attempt) const;
     void log_end(unsigned status, Core::Reason reason) const;
+    /// Finds out for the log which route and account a request asked for that the router did not admit.
+    void note_unadmitted(Routing::RequestHead const& head);
 
     /// Limit for attempts that failed before any byte was sent, not counting hosts that refuse the connection.
     static constexpr unsigned max_unsent_attempts = 3;
@@ -228,8 +233,13 @@
     /// How long the client waits in all.
     std::optional<Core::Duration> patience;
     std::optional<Routing::Admitted> admitted;
+    /// Of a request that was not admitted, for the log: the route's name, and the account's if the key is known.
+    std::optional<std::string> unadmitted_route;
+    std::optional<std::string> unadmitted_account;
     Routing::CrashSuspects suspects;
     Core::Instant arrived;
+    /// Time from the arrival until the first piece of an answer was there for the client; unset until then.
+    std::optional<Core::Duration> first_piece_after;
     asio::steady_timer expiry;
     asio::steady_timer silence;
     std::shared_ptr<EndpointCall> call;
