--- a/Libraries/LibRouting/EngineDemand.cpp
+++ b/Libraries/LibRouting/EngineDemand.cpp
@@ -5,6 +5,30 @@
 
 namespace Routing {
 
+namespace {
+
+/// Requests that an engine runs concurrently before its steps become noticeably slower.
+constexpr double concurrent_answers = 32;
+/// Average fraction of a prompt that an engine has to read; the rest is cached from earlier prompts.
+constexpr double uncached_share = 0.5;
+
+double prompt_work(Workload const& workload)
+{
+    return workload.prompt_tokens * uncached_share;
+}
+
+double answer_work(Workload const& workload)
+{
+    return workload.answer_tokens * prompt_tokens_per_step / concurrent_answers;
+}
+
+}
+
+double engine_work(Workload const& workload)
+{
+    return prompt_work(workload) + answer_work(workload);
+}
+
 WorkKind work_kind(Workload const& workload)
 {
     /// An answer is long if generating it takes this many times as long as reading its prompt. Summaries of long texts
@@ -18,9 +42,9 @@
 void EngineDemand::add(Workload const& workload, Core::Instant now)
 {
     if (work_kind(workload) == WorkKind::LongAnswer)
-        this->answers.add(workload.answer_tokens * prompt_tokens_per_step / concurrent_answers, now);
+        this->answers.add(answer_work(workload), now);
     else
-        this->prompts.add(workload.prompt_tokens * uncached_share, now);
+        this->prompts.add(prompt_work(workload), now);
 }
 
 std::size_t EngineDemand::engines_for_answers(std::size_t engines, Core::Instant now)
--- a/Libraries/LibRouting/EngineDemand.h
+++ b/Libraries/LibRouting/EngineDemand.h
@@ -30,6 +30,9 @@
     bool operator==(WorkTotals const&) const = default;
 };
 
+/// Work of one request at an engine, in the unit of WorkTotals: reading its prompt and making its answer.
+[[nodiscard]] double engine_work(Workload const& workload);
+
 /// Divides a service's engines between long prompts and long answers by the recent requests of this box and of others.
 /// Where hundreds of boxes see few requests each, load reports are too rare; a relay then adds up the totals of its
 /// boxes and sends the division to all of them.
@@ -73,10 +76,6 @@
     /// How much the demand must differ from the engines allotted to long answers, in engines and as a fraction.
     static constexpr double min_change_engines = 0.8;
     static constexpr double min_change_share = 0.15;
-    /// Requests that an engine runs concurrently before its steps become noticeably slower.
-    static constexpr double concurrent_answers = 32;
-    /// Average fraction of a prompt that an engine has to read; the rest is cached from earlier prompts.
-    static constexpr double uncached_share = 0.5;
     /// Minimum share for long answers: one engine in five, so that a burst finds room.
     static constexpr double min_share = 0.2;
     static constexpr double max_share = 0.7;
