LibMembership: Send the work of client accounts with load reports

Shares of accounts need what an account has at all boxes. Each service of a load report now names up to 16 accounts by a 32-bit hash, with their admitted and refused work in units of 64 tokens, and sums up the others. Reports of boxes of earlier versions have none and remain valid; lists that don't match are rejected as a whole, amounts are limited.

The accounts of a service take less than 150 bytes. Since the names of 48 endpoints and the accounts of eight services would exceed a packet of 1,500 bytes, the least busy endpoints are left out until the datagram fits.

--- a/Libraries/LibMembership/LoadMessages.cpp
+++ b/Libraries/LibMembership/LoadMessages.cpp
@@ -14,19 +14,64 @@
 /// With names of some 12 bytes these fit into one packet of 1,500 bytes.
 constexpr std::size_t max_endpoints = 48;
 constexpr std::size_t max_services = 8;
+/// What an Ethernet packet carries of a datagram.
+constexpr std::size_t max_bytes = 1472;
+/// Prompt tokens in a unit of accounts' work: small enough for single requests, and most sums then fit into two bytes.
+constexpr double account_work_unit = 64;
 
-/// The endpoints with the most work, limited to `max_endpoints`.
+/// The endpoints with the most work, limited to `max_endpoints`, the busiest first.
 std::vector<Routing::EndpointShare> busiest(std::vector<Routing::EndpointShare> endpoints)
 {
-    if (endpoints.size() <= max_endpoints)
-        return endpoints;
     std::ranges::sort(endpoints, [](auto const& left, auto const& right) {
         return std::pair(left.backlog, left.running) > std::pair(right.backlog, right.running);
     });
-    endpoints.resize(max_endpoints);
+    endpoints.resize(std::min(endpoints.size(), max_endpoints));
     return endpoints;
 }
 
+/// Leaves out the least busy endpoints until the message fits into one packet.
+void limit_to_packet(wire::LoadMessage& message)
+{
+    while (message.ByteSizeLong() > max_bytes && message.endpoints_size() > 0)
+        message.mutable_endpoints()->RemoveLast();
+}
+
+std::uint32_t to_units(double work)
+{
+    auto const units = std::round(std::clamp(work, 0.0, Routing::AccountShares::max_amount) / account_work_unit);
+    return static_cast<std::uint32_t>(units);
+}
+
+Routing::AccountWork from_units(std::uint32_t admitted, std::uint32_t refused)
+{
+    return { admitted * account_work_unit, refused * account_work_unit };
+}
+
+void encode(Routing::AccountReport const& report, wire::ServiceReport& wire_message)
+{
+    for (auto const& [account, work] : report.largest) {
+        auto const admitted = to_units(work.admitted);
+        auto const refused = to_units(work.refused);
+        if (admitted == 0 && refused == 0)
+            continue;
+        wire_message.add_accounts(account.value());
+        wire_message.add_admitted_work(admitted);
+        wire_message.add_refused_work(refused);
+    }
+    wire_message.set_other_admitted_work(to_units(report.rest.admitted));
+    wire_message.set_other_refused_work(to_units(report.rest.refused));
+}
+
+Routing::AccountReport decode_accounts(wire::ServiceReport const& wire_message)
+{
+    Routing::AccountReport report;
+    for (int index = 0; index < wire_message.accounts_size(); ++index)
+        report.largest.push_back({ Routing::AccountKey { wire_message.accounts(index) },
+            from_units(wire_message.admitted_work(index), wire_message.refused_work(index)) });
+    report.rest = from_units(wire_message.other_admitted_work(), wire_message.other_refused_work());
+    return report;
+}
+
 /// False for values that no correct box sends.
 bool is_valid_amount(double wire_message)
 {
@@ -44,7 +89,10 @@
 {
     return is_valid_amount(wire_message.tokens_per_ms()) && wire_message.tokens_per_ms() > 0
         && is_valid_amount(wire_message.step_ms()) && wire_message.step_ms() > 0
-        && is_valid_amount(wire_message.answer_work()) && is_valid_amount(wire_message.prompt_work());
+        && is_valid_amount(wire_message.answer_work()) && is_valid_amount(wire_message.prompt_work())
+        && wire_message.accounts_size() <= static_cast<int>(Routing::AccountShares::max_named)
+        && wire_message.admitted_work_size() == wire_message.accounts_size()
+        && wire_message.refused_work_size() == wire_message.accounts_size();
 }
 
 }
@@ -80,7 +128,9 @@
             std::min<std::uint64_t>(report.samples, std::numeric_limits<std::uint32_t>::max())));
         wire_message.set_answer_work(static_cast<float>(report.work.answer_work));
         wire_message.set_prompt_work(static_cast<float>(report.work.prompt_work));
+        encode(report.accounts, wire_message);
     }
+    limit_to_packet(encoded);
     return encoded.SerializeAsString();
 }
 
@@ -109,7 +159,7 @@
             return {};
         message.report.services.emplace(service.service(),
             Routing::ServiceReport { { service.tokens_per_ms(), service.step_ms() }, service.samples(),
-                { service.answer_work(), service.prompt_work() } });
+                { service.answer_work(), service.prompt_work() }, decode_accounts(service) });
     }
     return message;
 }
--- a/Libraries/LibRouting/LoadReport.h
+++ b/Libraries/LibRouting/LoadReport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibRouting/AccountShares.h>
 #include <LibRouting/EngineDemand.h>
 #include <LibRouting/EngineSpeed.h>
 
@@ -26,6 +27,7 @@
     /// Samples that the speed is based on.
     std::uint64_t samples { 0 };
     WorkTotals work;
+    AccountReport accounts {};
 
     bool operator==(ServiceReport const&) const = default;
 };
--- a/Tests/LibMembership/TestLoadMessages.cpp
+++ b/Tests/LibMembership/TestLoadMessages.cpp
@@ -1,6 +1,7 @@
 #include <TestMain.h>
 
 #include <LibMembership/LoadMessages.h>
+#include <LibMembership/Relay.pb.h>
 
 #include <limits>
 #include <pcg_random.hpp>
@@ -129,3 +130,71 @@
     message.store_versions = { 5, 2, {}, {} };
     CHECK(decode_load(encode(message))->store_versions == message.store_versions);
 }
+
+TEST_CASE("the work of accounts is decoded as it was encoded, in whole units")
+{
+    auto sent_message = message_at(start);
+    sent_message.report.services["pool"].accounts
+        = { { { Routing::AccountKey { 0xfedcba98 }, { 64'000, 12'800 } }, { Routing::AccountKey { 7 }, { 0, 640 } } },
+              { 128, 64 } };
+    CHECK(decode_load(encode(sent_message)) == sent_message);
+    // Less than half a unit is not worth its bytes.
+    sent_message.report.services["pool"].accounts = { { { Routing::AccountKey { 7 }, { 20, 10 } } }, { 30, 0 } };
+    CHECK(decode_load(encode(sent_message)) == message_at(start));
+    // Amounts that don't fit are limited and not wrapped around.
+    sent_message.report.services["pool"].accounts = { { { Routing::AccountKey { 7 }, { 1e300, -5 } } }, {} };
+    auto const received = decode_load(encode(sent_message));
+    REQUIRE(received);
+    auto const& work = received->report.services.at("pool").accounts.largest.front().work;
+    CHECK(work.admitted == doctest::Approx(Routing::AccountShares::max_amount));
+    CHECK(work.refused == 0);
+}
+
+TEST_CASE("the accounts of a service take less than 150 bytes, and a full report still fits into one packet")
+{
+    auto message = message_at(start);
+    auto const without = encode(message).size();
+    auto& accounts = message.report.services["pool"].accounts;
+    for (std::uint32_t account = 0; account < Routing::AccountShares::max_named; ++account)
+        accounts.largest.push_back({ Routing::AccountKey { 0x80000000U + account }, { 400'000, 8000 } });
+    accounts.rest = { 400'000, 8000 };
+    CHECK(encode(message).size() - without < 150);
+    for (unsigned index = 0; index < 200; ++index)
+        message.report.endpoints.push_back({ "incarnation-" + std::to_string(index), milliseconds(5000 + index), 9 });
+    for (unsigned service = 0; service < 7; ++service)
+        message.report.services.emplace("service-" + std::to_string(service), message.report.services["pool"]);
+    auto const bytes = encode(message);
+    CHECK(bytes.size() <= 1472);
+    auto const received = decode_load(bytes);
+    REQUIRE(received);
+    CHECK(received->report.services.size() == 8);
+    // The endpoints that are left out are the least busy ones.
+    REQUIRE(!received->report.endpoints.empty());
+    CHECK(received->report.endpoints.front().incarnation == "incarnation-199");
+}
+
+TEST_CASE("reports with lists of accounts that don't match or are too long are rejected, and old ones are read")
+{
+    namespace wire = cleatbeam::membership;
+    auto const with_accounts = [](int keys, int admitted, int refused) {
+        wire::LoadMessage message;
+        REQUIRE(message.ParseFromString(encode(message_at(start))));
+        auto& service = *message.mutable_services(0);
+        for (int index = 0; index < keys; ++index)
+            service.add_accounts(static_cast<std::uint32_t>(index));
+        for (int index = 0; index < admitted; ++index)
+            service.add_admitted_work(1);
+        for (int index = 0; index < refused; ++index)
+            service.add_refused_work(std::numeric_limits<std::uint32_t>::max());
+        return decode_load(message.SerializeAsString());
+    };
+    CHECK(with_accounts(16, 16, 16));
+    CHECK_FALSE(with_accounts(17, 17, 17));
+    CHECK_FALSE(with_accounts(2, 1, 2));
+    CHECK_FALSE(with_accounts(2, 2, 3));
+    CHECK_FALSE(with_accounts(0, 1, 0));
+    // A box of an earlier version sends no accounts.
+    auto const old = with_accounts(0, 0, 0);
+    REQUIRE(old);
+    CHECK(old->report.services.at("pool").accounts.is_empty());
+}
