LibRouting: Refuse requests of accounts above their fair share first

When engines were overloaded, all accounts were refused alike, so an account that sent ten times its load took a sixth of the others' answers from them. refuse_by_wait now scales the limit by AccountShares. An urgent request is refused for its share only where the wait exceeds the limits of all less urgent routes; since its own limit is about that, urgent requests may wait up to 0.15 of their goal longer while an account floods the service, scaled likewise. Long prompts of accounts within their share count half, since in a lasting overload the queue stays near the limit of short ones.

The reason is account-over-share; the line of the refusal has the share and the fair share. Configurations with fewer than two accounts and public routes are unaffected.

--- a/Libraries/LibCore/Reason.cpp
+++ b/Libraries/LibCore/Reason.cpp
@@ -17,6 +17,7 @@
     "answer-replayed",
     "answer-not-kept",
     "backlog-too-long",
+    "account-over-share",
     "target-out-of-reach",
     "patience-expired",
     "no-endpoint",
--- a/Libraries/LibCore/Reason.h
+++ b/Libraries/LibCore/Reason.h
@@ -29,6 +29,7 @@
     AnswerNotKept,
     // Refusals under load.
     BacklogTooLong,
+    AccountOverShare,
     TargetOutOfReach,
     PatienceExpired,
     NoEndpoint,
--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -169,9 +169,10 @@
     line.with("id", this->attempt_id).with("route", route);
     if (this->admitted)
         line.with("fingerprint", Routing::to_string(this->suspects.request));
-    line.with("status", status)
-        .with("reason", Core::to_string(reason))
-        .with("attempts", this->sent_attempts)
+    line.with("status", status).with("reason", Core::to_string(reason));
+    if (this->standing)
+        line.with("account_share", this->standing->share).with("fair_share", this->standing->fair_share);
+    line.with("attempts", this->sent_attempts)
         .with("client_left", yes_or_no(this->has_client_left))
         .with("took_ms", Core::to_milliseconds(taken))
         .info();
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -163,6 +163,7 @@
 
 Task<void> RequestExchange::end_unplaced(Routing::Rejected const& rejected)
 {
+    this->standing = rejected.standing;
     if (this->answer_begun)
         co_await this->end_unserved(0);
     else if (this->sent_attempts == 0 && this->unsent_attempts == 0)
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -228,6 +228,8 @@
     /// How long the client waits in all.
     std::optional<Core::Duration> patience;
     std::optional<Routing::Admitted> admitted;
+    /// The account's position, if the request was refused for it.
+    std::optional<Routing::AccountStanding> standing;
     Routing::CrashSuspects suspects;
     Core::Instant arrived;
     asio::steady_timer expiry;
--- a/Libraries/LibRouting/ConfigurationSnapshot.cpp
+++ b/Libraries/LibRouting/ConfigurationSnapshot.cpp
@@ -32,6 +32,7 @@
     if (!this->contents.accounts)
         return;
     for (std::size_t index = 0; index < this->contents.accounts->size(); ++index) {
+        this->account_keys.insert(account_key((*this->contents.accounts)[index].name));
         for (auto const& key : (*this->contents.accounts)[index].api_keys)
             this->accounts_by_key.emplace(key, index);
     }
--- a/Libraries/LibRouting/ConfigurationSnapshot.h
+++ b/Libraries/LibRouting/ConfigurationSnapshot.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <LibRouting/AccountShares.h>
 #include <LibRouting/Configuration.h>
 
 #include <boost/unordered/unordered_flat_map.hpp>
+#include <boost/unordered/unordered_flat_set.hpp>
 #include <memory>
 #include <string_view>
 #include <unordered_map>
@@ -27,6 +29,8 @@
     [[nodiscard]] Service const* find_service(std::string_view name) const;
     /// The longest goal of all routes to the service with this priority or a less urgent one.
     [[nodiscard]] Duration longest_goal(std::string_view service, unsigned priority) const;
+    [[nodiscard]] bool has_account(AccountKey key) const { return this->account_keys.contains(key); }
+    [[nodiscard]] std::size_t account_count() const { return this->account_keys.size(); }
     [[nodiscard]] bool needs_keys() const { return this->contents.accounts.has_value(); }
 
 private:
@@ -57,6 +61,7 @@
     /// each would take twice the memory and block the event loop while they are freed.
     boost::unordered_flat_map<RouteKey, std::uint32_t, RouteKeyHash> routes_by_key;
     std::unordered_map<std::string_view, std::size_t> accounts_by_key;
+    boost::unordered_flat_set<AccountKey, std::hash<AccountKey>> account_keys;
     std::unordered_map<std::string_view, std::size_t> services_by_name;
     /// For each service, ordered by priority: the longest goal of the routes of that priority or less urgent ones.
     std::unordered_map<std::string_view, std::vector<GoalOfPriority>> goals_by_service;
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -416,15 +416,31 @@
     }
     for (auto const& [service, demand] : this->demands) {
         auto const speed = this->speeds.find(service);
-        if (speed != this->speeds.end())
-            report.services.emplace(
-                service, ServiceReport { speed->second.own_speed(), speed->second.samples(), demand.own_totals(now) });
+        if (speed == this->speeds.end())
+            continue;
+        auto const accounts = this->account_shares.find(service);
+        report.services.emplace(service,
+            ServiceReport { speed->second.own_speed(), speed->second.samples(), demand.own_totals(now),
+                accounts == this->account_shares.end() ? AccountReport {} : accounts->second.own_report(now) });
     }
     return report;
 }
 
+void RequestRouter::apply_account_report(std::uint64_t box, std::string const& service, AccountReport report,
+    ConfigurationSnapshot const& configuration, Instant at)
+{
+    // NOTE: Names of services and accounts that the configuration lacks would only take up memory.
+    bool const has_nothing = report.is_empty() && !this->account_shares.contains(service);
+    if (has_nothing || configuration.find_service(service) == nullptr)
+        return;
+    std::erase_if(
+        report.largest, [&](NamedAccountWork const& named) { return !configuration.has_account(named.account); });
+    this->account_shares[service].apply_peer(box, report, at);
+}
+
 void RequestRouter::apply_load_report(std::uint64_t box, LoadReport const& report, Instant at)
 {
+    auto const configuration = this->configuration();
     std::scoped_lock const guard(this->endpoints_lock);
     for (auto& [id, load] : this->loads)
         load.forget_peer(box);
@@ -435,6 +451,8 @@
     for (auto const& [service, reported] : report.services) {
         this->speeds[service].apply_peer(box, { reported.speed, reported.samples, at });
         this->demands[service].apply_peer(box, reported.work, at);
+        if (configuration)
+            this->apply_account_report(box, service, reported.accounts, *configuration, at);
     }
 }
 
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -77,6 +77,8 @@
     Reason reason { Reason::None };
     /// Time after which the client should retry; unset if a retry would not help.
     std::optional<Duration> retry_after;
+    /// The account's position, if it is the reason.
+    std::optional<AccountStanding> standing {};
 
     bool operator==(Rejected const&) const = default;
 };
@@ -277,7 +279,18 @@
     /// How long the request would wait at the chosen engine until its prompt is read.
     [[nodiscard]] static Duration predicted_wait(PlacementChoice const& choice);
     /// Refuses a request that even the best engine would begin to read too late.
-    [[nodiscard]] std::optional<Rejected> refuse_by_wait(Admitted const& request, PlacementChoice const& choice);
+    [[nodiscard]] std::optional<Rejected> refuse_by_wait(
+        Admitted const& request, PlacementChoice const& choice, Instant now);
+    /// Refuses a request that would wait longer than its account's share allows.
+    [[nodiscard]] std::optional<Rejected> refuse_by_share(
+        Admitted const& request, Duration wait, Duration limit, AccountStanding const& standing);
+    void apply_account_report(std::uint64_t box, std::string const& service, AccountReport report,
+        ConfigurationSnapshot const& configuration, Instant at);
+    /// Whether accounts share the service's engines by their work: not without keys, with a single account, or on a
+    /// public route.
+    [[nodiscard]] static bool counts_account(Admitted const& request);
+    /// The position of the request's account; within its share if accounts don't count.
+    [[nodiscard]] AccountStanding standing_of(Admitted const& request, Instant now);
     [[nodiscard]] Rejected refuse_unknown(Reason reason, Instant now) const;
     /// The endpoints of a service, grouped by whether this box may send to them.
     struct Choices {
@@ -346,6 +359,7 @@
     std::unordered_map<std::string, RetryBudget> budgets;
     std::map<std::string, EngineDemand> demands;
     std::map<std::string, EngineSpeedEstimate> speeds;
+    std::map<std::string, AccountShares> account_shares;
     /// The fraction of engines that this box compares.
     double compared_share { 1 };
     pcg32 random;
--- a/Libraries/LibRouting/RouterPlacement.cpp
+++ b/Libraries/LibRouting/RouterPlacement.cpp
@@ -55,6 +55,9 @@
     if (admitted.is_engine && !is_counted_elsewhere)
         this->demands[admitted.service].add(head.workload, now);
     admitted.configuration = std::move(configuration);
+    if (!is_counted_elsewhere && counts_account(admitted))
+        this->account_shares[admitted.service].add_requested(
+            account_key(admitted.account), engine_work(head.workload), now);
     return admitted;
 }
 
@@ -77,8 +80,11 @@
     if (!choice)
         return this->refuse_unplaced(request, choices, !tried.empty(), now);
     if (request.is_engine && tried.empty()) {
-        if (auto const refusal = this->refuse_by_wait(request, *choice))
+        if (auto const refusal = this->refuse_by_wait(request, *choice, now))
             return *refusal;
+        if (counts_account(request))
+            this->account_shares[request.service].add_admitted(
+                account_key(request.account), engine_work(workload), now);
     }
     Placed placed { *choice, this->directory.find(choice->endpoint)->record };
     placed.limit = this->notices.limit_of(choice->endpoint);
@@ -233,22 +239,66 @@
     return Core::from_seconds(choice.figures.backlog_milliseconds / milliseconds_per_second);
 }
 
-std::optional<Rejected> RequestRouter::refuse_by_wait(Admitted const& request, PlacementChoice const& choice)
+std::optional<Rejected> RequestRouter::refuse_by_wait(
+    Admitted const& request, PlacementChoice const& choice, Instant now)
 {
     auto const wait = predicted_wait(choice);
     auto const own_limit = max_wait(request.route->goal, choice.prefill);
-    if (!own_limit || wait <= *own_limit)
+    if (!own_limit || wait <= Duration { 0 })
         return {};
     // NOTE: Engines process urgent requests first, so these wait less than predicted. And no urgent request may be
     // refused while a less urgent one with a longer goal is still accepted.
     auto const goal = request.configuration->longest_goal(request.service, request.route->priority);
-    auto const limit = max_wait(goal, choice.prefill);
+    auto const standing = this->standing_of(request, now);
+    // NOTE: In a lasting overload the queue stays near the limit of short prompts, where long ones would hardly ever be
+    // admitted. Since shares limit what an account can send, its long prompts may wait nearly as long.
+    bool const is_within_share = counts_account(request) && !standing.is_over_share();
+    auto const limit = max_wait(goal, is_within_share ? choice.prefill / 2 : choice.prefill);
     if (wait <= *limit)
+        return this->refuse_by_share(request, wait, *limit, standing);
+    // NOTE: While an account floods the service with urgent requests, its requests and those of the others would be
+    // refused alike at this limit, so accounts near or within their fair share get a little more.
+    bool const has_less_urgent
+        = request.configuration->longest_goal(request.service, request.route->priority + 1) > Duration { 0 };
+    auto const headroom = Core::to_seconds(urgent_headroom(request.route->goal)) * standing.limit_factor;
+    if (has_less_urgent && standing.is_flooded && wait <= *limit + Core::from_seconds(headroom))
         return {};
     auto const jitter = std::ldexp(static_cast<double>(this->random()), -32);
     return Rejected { Reason::BacklogTooLong, retry_after_backlog(wait, *limit, jitter) };
 }
 
+std::optional<Rejected> RequestRouter::refuse_by_share(
+    Admitted const& request, Duration wait, Duration limit, AccountStanding const& standing)
+{
+    if (!standing.is_over_share())
+        return {};
+    // NOTE: While a less urgent request may still be admitted, an urgent one is not refused for its account's share.
+    // The less urgent one is assumed to have its prompt cached, which allows the longest wait.
+    auto const less_urgent_goal = request.configuration->longest_goal(request.service, request.route->priority + 1);
+    auto const less_urgent_limit = max_wait(less_urgent_goal, Duration { 0 }).value_or(Duration { 0 });
+    auto const scaled = Core::from_seconds(Core::to_seconds(limit) * standing.limit_factor);
+    auto const limit_by_share = std::max(scaled, less_urgent_limit);
+    if (wait <= limit_by_share)
+        return {};
+    auto const jitter = std::ldexp(static_cast<double>(this->random()), -32);
+    return Rejected { Reason::AccountOverShare, retry_after_backlog(wait, limit_by_share, jitter), standing };
+}
+
+bool RequestRouter::counts_account(Admitted const& request)
+{
+    constexpr std::size_t min_accounts = 2;
+    return request.is_engine && request.account_settings != nullptr
+        && request.configuration->account_count() >= min_accounts;
+}
+
+AccountStanding RequestRouter::standing_of(Admitted const& request, Instant now)
+{
+    if (!counts_account(request))
+        return {};
+    return this->account_shares[request.service].standing(
+        account_key(request.account), request.configuration->account_count(), now);
+}
+
 Rejected RequestRouter::refuse_unknown(Reason reason, Instant now) const
 {
     std::scoped_lock const guard(this->configuration_lock);
--- a/Libraries/LibRouting/WaitLimit.cpp
+++ b/Libraries/LibRouting/WaitLimit.cpp
@@ -18,6 +18,13 @@
     return Core::from_seconds(std::max(left, seconds * share_for_waiting));
 }
 
+Core::Duration urgent_headroom(Core::Duration goal)
+{
+    /// Engines process urgent requests first, so this delays them less than it seems.
+    constexpr double share_for_headroom = 0.15;
+    return Core::from_seconds(Core::to_seconds(goal) * share_for_headroom);
+}
+
 Core::Duration retry_after_backlog(Core::Duration wait, Core::Duration limit, double jitter)
 {
     return wait - limit + Core::from_seconds(Core::to_seconds(wait) * jitter);
