LibRouting: Let no urgent request wait less than a less urgent one for its share

During a flood, a check of an account within its share could wait 180 ms beyond its usual limit, but an urgent question of the flooding account only some ms, so a less urgent request was admitted where an urgent one was refused. The longer limits are now steps of 0.075 of the longest goal, one for each less urgent priority; the account's share decides within the last step only. Half of the prefill counts for all urgent requests alike, and a less urgent route without a goal, whose requests have no limit, keeps every urgent request from being refused for its share.

TestAccountAdmission now compares all priorities at each wait for equal prompts.

--- a/Libraries/LibRouting/ConfigurationSnapshot.cpp
+++ b/Libraries/LibRouting/ConfigurationSnapshot.cpp
@@ -54,11 +54,11 @@
     for (auto const& route : this->contents.routes) {
         for (auto const& share : route.services) {
             auto& goals = this->goals_by_service[share.service];
-            auto const found = std::ranges::lower_bound(goals, route.priority, {}, &GoalOfPriority::priority);
-            if (found != goals.end() && found->priority == route.priority)
-                found->goal = std::max(found->goal, route.goal);
-            else
-                goals.insert(found, { route.priority, route.goal });
+            auto found = std::ranges::lower_bound(goals, route.priority, {}, &GoalOfPriority::priority);
+            if (found == goals.end() || found->priority != route.priority)
+                found = goals.insert(found, { route.priority });
+            found->goal = std::max(found->goal, route.goal);
+            found->has_unlimited |= route.goal <= Duration { 0 };
         }
     }
     for (auto& [service, goals] : this->goals_by_service) {
@@ -106,4 +106,21 @@
     return goal == found->second.end() ? Duration { 0 } : goal->goal;
 }
 
+ConfigurationSnapshot::LessUrgentRoutes ConfigurationSnapshot::less_urgent_routes(
+    std::string_view service, unsigned priority) const
+{
+    LessUrgentRoutes routes;
+    auto const found = this->goals_by_service.find(service);
+    if (found == this->goals_by_service.end())
+        return routes;
+    for (auto const& entry : found->second) {
+        if (entry.priority <= priority)
+            continue;
+        ++routes.priorities;
+        routes.longest_goal = std::max(routes.longest_goal, entry.goal);
+        routes.has_unlimited |= entry.has_unlimited;
+    }
+    return routes;
+}
+
 }
--- a/Libraries/LibRouting/ConfigurationSnapshot.h
+++ b/Libraries/LibRouting/ConfigurationSnapshot.h
@@ -29,6 +29,15 @@
     [[nodiscard]] Service const* find_service(std::string_view name) const;
     /// The longest goal of all routes to the service with this priority or a less urgent one.
     [[nodiscard]] Duration longest_goal(std::string_view service, unsigned priority) const;
+    /// The routes to the service that are less urgent than a priority.
+    struct LessUrgentRoutes {
+        /// Number of different priorities.
+        std::size_t priorities { 0 };
+        Duration longest_goal { 0 };
+        /// Whether some have no goal, so that their requests may wait without limit.
+        bool has_unlimited { false };
+    };
+    [[nodiscard]] LessUrgentRoutes less_urgent_routes(std::string_view service, unsigned priority) const;
     [[nodiscard]] bool has_account(AccountKey key) const { return this->account_keys.contains(key); }
     [[nodiscard]] std::size_t account_count() const { return this->account_keys.size(); }
     [[nodiscard]] bool needs_keys() const { return this->contents.accounts.has_value(); }
@@ -49,6 +58,8 @@
     struct GoalOfPriority {
         unsigned priority { 0 };
         Duration goal { 0 };
+        /// Whether a route of this very priority has no goal.
+        bool has_unlimited { false };
     };
 
     void index_routes();
--- a/Libraries/LibRouting/RouterPlacement.cpp
+++ b/Libraries/LibRouting/RouterPlacement.cpp
@@ -250,19 +250,23 @@
     // refused while a less urgent one with a longer goal is still accepted.
     auto const goal = request.configuration->longest_goal(request.service, request.route->priority);
     auto const standing = this->standing_of(request, now);
+    auto const less_urgent = request.configuration->less_urgent_routes(request.service, request.route->priority);
     // NOTE: In a lasting overload the queue stays near the limit of short prompts, where long ones would hardly ever be
     // admitted. Since shares limit what an account can send, its long prompts may wait nearly as long.
-    bool const is_within_share = counts_account(request) && !standing.is_over_share();
-    auto const limit = max_wait(goal, is_within_share ? choice.prefill / 2 : choice.prefill);
+    bool const counts_prefill_half
+        = counts_account(request) && (!standing.is_over_share() || less_urgent.priorities > 0);
+    auto const limit = max_wait(goal, counts_prefill_half ? choice.prefill / 2 : choice.prefill);
     if (wait <= *limit)
         return this->refuse_by_share(request, wait, *limit, standing);
     // NOTE: While an account floods the service with urgent requests, its requests and those of the others would be
-    // refused alike at this limit, so accounts near or within their fair share get a little more.
-    bool const has_less_urgent
-        = request.configuration->longest_goal(request.service, request.route->priority + 1) > Duration { 0 };
-    auto const headroom = Core::to_seconds(urgent_headroom(request.route->goal)) * standing.limit_factor;
-    if (has_less_urgent && standing.is_flooded && wait <= *limit + Core::from_seconds(headroom))
-        return {};
+    // refused alike at this limit. So the others may wait a little longer, the more urgent ones longer than any less
+    // urgent one.
+    if (standing.is_flooded && less_urgent.priorities > 0) {
+        auto const longest = request.configuration->longest_goal(request.service, 0);
+        auto const steps = static_cast<double>(less_urgent.priorities - 1) + standing.limit_factor;
+        if (wait <= *limit + urgent_headroom(longest, steps))
+            return {};
+    }
     auto const jitter = std::ldexp(static_cast<double>(this->random()), -32);
     return Rejected { Reason::BacklogTooLong, retry_after_backlog(wait, *limit, jitter) };
 }
@@ -270,12 +274,12 @@
 std::optional<Rejected> RequestRouter::refuse_by_share(
     Admitted const& request, Duration wait, Duration limit, AccountStanding const& standing)
 {
-    if (!standing.is_over_share())
+    auto const less_urgent = request.configuration->less_urgent_routes(request.service, request.route->priority);
+    if (!standing.is_over_share() || less_urgent.has_unlimited)
         return {};
     // NOTE: While a less urgent request may still be admitted, an urgent one is not refused for its account's share.
     // The less urgent one is assumed to have its prompt cached, which allows the longest wait.
-    auto const less_urgent_goal = request.configuration->longest_goal(request.service, request.route->priority + 1);
-    auto const less_urgent_limit = max_wait(less_urgent_goal, Duration { 0 }).value_or(Duration { 0 });
+    auto const less_urgent_limit = max_wait(less_urgent.longest_goal, Duration { 0 }).value_or(Duration { 0 });
     auto const scaled = Core::from_seconds(Core::to_seconds(limit) * standing.limit_factor);
     auto const limit_by_share = std::max(scaled, less_urgent_limit);
     if (wait <= limit_by_share)
--- a/Libraries/LibRouting/WaitLimit.cpp
+++ b/Libraries/LibRouting/WaitLimit.cpp
@@ -18,11 +18,12 @@
     return Core::from_seconds(std::max(left, seconds * share_for_waiting));
 }
 
-Core::Duration urgent_headroom(Core::Duration goal)
+Core::Duration urgent_headroom(Core::Duration longest_goal, double steps)
 {
-    /// Engines process urgent requests first, so this delays them less than it seems.
-    constexpr double share_for_headroom = 0.15;
-    return Core::from_seconds(Core::to_seconds(goal) * share_for_headroom);
+    /// Fraction of the goal for a step. Engines process urgent requests first, so this delays them less than it seems.
+    /// At 0.05, a flood of all priorities takes more than a twentieth from others of unequal size.
+    constexpr double share_for_step = 0.075;
+    return Core::from_seconds(Core::to_seconds(longest_goal) * share_for_step * steps);
 }
 
 Core::Duration retry_after_backlog(Core::Duration wait, Core::Duration limit, double jitter)
--- a/Tests/LibRouting/TestAccountAdmission.cpp
+++ b/Tests/LibRouting/TestAccountAdmission.cpp
@@ -13,7 +13,8 @@
 /// A box with an engine, routes of three priorities and accounts "large", "small" and others; another box reports what
 /// is queued at the engine and what accounts have sent.
 struct Box {
-    explicit Box(std::size_t accounts = 10)
+    explicit Box(std::size_t accounts = 10,
+        std::array<Duration, 3> const& goals = { milliseconds(500), milliseconds(1200), milliseconds(2000) })
     {
         Configuration contents;
         contents.version = 1;
@@ -22,7 +23,6 @@
             auto const name = account == 0 ? "large" : account == 1 ? "small" : std::to_string(account);
             contents.accounts->push_back({ name, { "key-" + name }, {} });
         }
-        constexpr std::array goals { milliseconds(500), milliseconds(1200), milliseconds(2000) };
         for (unsigned priority = 0; priority < goals.size(); ++priority) {
             Route route;
             route.name = std::to_string(priority);
@@ -65,9 +65,9 @@
     {
         return std::holds_alternative<Placed>(this->place(account, path, prompt_tokens));
     }
-    [[nodiscard]] Reason reason(std::string const& account, std::string const& path)
+    [[nodiscard]] Reason reason(std::string const& account, std::string const& path, std::uint32_t prompt_tokens = 500)
     {
-        auto const decision = this->place(account, path);
+        auto const decision = this->place(account, path, prompt_tokens);
         auto const* const rejected = std::get_if<Rejected>(&decision);
         return rejected == nullptr ? Reason::None : rejected->reason;
     }
@@ -124,36 +124,66 @@
 
 TEST_CASE("an urgent request is never refused for its share while a less urgent one is admitted")
 {
-    for (int wait = 0; wait <= 1600; wait += 20) {
+    for (int wait = 0; wait <= 1600; wait += 10) {
         CAPTURE(wait);
+        for (auto const* const other_account : { "large", "small" }) {
+            for (auto const tokens : { 20U, 500U, 6000U, 30'000U }) {
+                CAPTURE(tokens);
+                Box box;
+                box.report(milliseconds(wait));
+                bool const takes_urgent = box.takes("large", "/0/", tokens);
+                bool const takes_check = box.takes("large", "/1/", tokens);
+                CHECK((takes_urgent || !box.takes(other_account, "/1/", tokens)));
+                CHECK((takes_urgent || !box.takes(other_account, "/2/", tokens)));
+                CHECK((takes_check || !box.takes(other_account, "/2/", tokens)));
+            }
+        }
+        // A short prompt of a less urgent request may wait longer than a long one, but its share is no reason then.
         for (unsigned urgent = 0; urgent < 2; ++urgent) {
             Box box;
             box.report(milliseconds(wait));
-            auto const reason = box.reason("large", "/" + std::to_string(urgent) + "/");
-            bool takes_less_urgent = false;
-            for (unsigned other = urgent + 1; other <= 2; ++other) {
-                for (auto const tokens : { 20U, 500U, 6000U })
-                    takes_less_urgent |= box.takes("small", "/" + std::to_string(other) + "/", tokens)
-                        || box.takes("large", "/" + std::to_string(other) + "/", tokens);
-                // Without its own prefill counted, a request behind the ones above waits as long as this one.
-                box.report(milliseconds(wait));
-            }
-            CHECK_FALSE((reason == Reason::AccountOverShare && takes_less_urgent));
+            auto const reason = box.reason("large", "/" + std::to_string(urgent) + "/", 30'000);
+            CHECK((reason != Reason::AccountOverShare || !box.takes("small", "/2/", 20)));
         }
     }
 }
 
+TEST_CASE("an urgent request is never refused for its share beside a less urgent route without a goal")
+{
+    Box box(10, { milliseconds(3000), milliseconds(500), Duration { 0 } });
+    for (int wait = 0; wait <= 1600; wait += 100) {
+        CAPTURE(wait);
+        box.report(milliseconds(wait));
+        CHECK(box.reason("large", "/0/") != Reason::AccountOverShare);
+        CHECK(box.takes("large", "/2/"));
+    }
+    // Without it, the share counts from the limit of the less urgent route on.
+    Box limited(10, { milliseconds(3000), milliseconds(500), milliseconds(500) });
+    limited.report(milliseconds(290));
+    CHECK(limited.takes("large", "/0/"));
+    limited.report(milliseconds(1500));
+    CHECK(limited.reason("large", "/0/") == Reason::AccountOverShare);
+    CHECK(limited.takes("small", "/0/"));
+}
+
 TEST_CASE("with urgent floods, urgent requests within their share are admitted a little longer than those above it")
 {
+    // The limit of all urgent requests is that of the less urgent ones, 1.2 s less a part of the prefill, and one step
+    // more for each less urgent priority.
     Box box;
-    // The limit of all urgent requests is that of the less urgent ones: 1.2 s less the prefill.
-    box.report(milliseconds(1240));
+    box.report(milliseconds(1440));
     CHECK_FALSE(box.takes("large", "/0/"));
     CHECK(box.takes("small", "/0/"));
+    CHECK_FALSE(box.takes("small", "/1/"));
     CHECK_FALSE(box.takes("small", "/2/"));
-    box.report(milliseconds(1300));
+    box.report(milliseconds(1310));
+    CHECK(box.takes("large", "/0/"));
+    CHECK_FALSE(box.takes("large", "/1/"));
+    CHECK(box.takes("small", "/1/"));
+    CHECK_FALSE(box.takes("small", "/2/"));
+    box.report(milliseconds(1520));
     CHECK_FALSE(box.takes("small", "/0/"));
-    box.report(milliseconds(1240), false);
+    box.report(milliseconds(1250), false);
     CHECK_FALSE(box.takes("small", "/0/"));
 }
 
