--- a/Tests/LibRouting/TestAccountShares.cpp
+++ b/Tests/LibRouting/TestAccountShares.cpp
@@ -197,9 +197,9 @@
     }
     pcg32 random(11);
     for (; box < 10'000; ++box) {
-        std::vector<NamedAccountWork> made_up;
-        for (int index = 0; index < 40; ++index)
-            made_up.push_back({ AccountKey { random() }, { 1e9, 1e9 } });
+        std::vector<NamedAccountWork> made_up(40);
+        for (auto& named : made_up)
+            named = { AccountKey { random() }, { 1e9, 1e9 } };
         shares.apply_peer(box, report_of(made_up), start);
     }
     CHECK(shares.account_count() <= 8192);
