LibRouting: Bound the services whose account sums come from other boxes

Reports of accounts created an AccountShares of some 20 KB for every service of the configuration that they named, with engines or not. A sender of odd reports could thus take up 100 MB at a box with 5,000 services. Reports now count for services with engines only, and for at most 64 of those that this box has no requests for; its own requests still create theirs. A test sends reports of 5,000 services and checks that the box counts its own service afterwards.

--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -429,9 +429,14 @@
 void RequestRouter::apply_account_report(std::uint64_t box, std::string const& service, AccountReport report,
     ConfigurationSnapshot const& configuration, Instant at)
 {
+    /// Services whose sums are kept although this box had no request for them: some 20 KB each.
+    constexpr std::size_t max_services_of_peers = 64;
     // NOTE: Names of services and accounts that the configuration lacks would only take up memory.
-    bool const has_nothing = report.is_empty() && !this->account_shares.contains(service);
-    if (has_nothing || configuration.find_service(service) == nullptr)
+    auto const* const known = configuration.find_service(service);
+    if (known == nullptr || !known->engine)
+        return;
+    bool const has_room = !report.is_empty() && this->account_shares.size() < max_services_of_peers;
+    if (!has_room && !this->account_shares.contains(service))
         return;
     std::erase_if(
         report.largest, [&](NamedAccountWork const& named) { return !configuration.has_account(named.account); });
--- a/Tests/LibRouting/TestAccountAdmission.cpp
+++ b/Tests/LibRouting/TestAccountAdmission.cpp
@@ -221,6 +221,32 @@
     CHECK(box.takes("small", "/2/"));
 }
 
+TEST_CASE("reports of many services leave room for those that this box has requests for")
+{
+    Configuration contents;
+    contents.version = 1;
+    contents.accounts = { { "large", { "key-large" }, {} }, { "small", { "key-small" }, {} } };
+    for (int index = 0; index < 5000; ++index)
+        contents.services.push_back({ "pool-" + std::to_string(index), 96, EngineTraits { 64, 300'000, 3 } });
+    Route route;
+    route.host = "h";
+    route.path_prefix = "/";
+    route.timeout = seconds(6);
+    route.services = { { "pool-4999", 1 } };
+    contents.routes = { route };
+    RequestRouter router({ "hall", {}, {}, {} }, 7);
+    router.offer_configuration(std::make_shared<ConfigurationSnapshot const>(std::move(contents)), now);
+    router.put_endpoint({ "a", "pool-4999", { "10.0.0.1", 80 }, "hall", 64, false }, now);
+    ServiceReport const report { {}, 0, {}, { { { account_key("large"), { 1000, 1000 } } }, {} } };
+    for (std::uint64_t index = 0; index < 5000; ++index)
+        router.apply_load_report(index + 1, { {}, { { "pool-" + std::to_string(index), report } } }, now);
+    Workload const workload { { { 1, 500 } }, 500, 10 };
+    auto const decision = router.admit({ "attempt", "h", "/x", "key-small", seconds(6), workload }, now);
+    REQUIRE(std::holds_alternative<Placed>(router.place(std::get<Admitted>(decision), workload, {}, now)));
+    auto const services = router.load_report(now).services;
+    CHECK(services.at("pool-4999").accounts.largest.size() == 1);
+}
+
 TEST_CASE("a request that another box admitted and forwarded is counted there as requested, here as admitted")
 {
     Box box;
