--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -205,9 +205,10 @@
         line.with("goal_ms", Core::to_milliseconds(this->admitted->route->goal));
     if (this->first_piece_after)
         line.with("first_byte_ms", Core::to_milliseconds(*this->first_piece_after));
-    line.with("status", status)
-        .with("reason", Core::to_string(reason))
-        .with("attempts", this->sent_attempts)
+    line.with("status", status).with("reason", Core::to_string(reason));
+    if (this->standing)
+        line.with("account_share", this->standing->share).with("fair_share", this->standing->fair_share);
+    line.with("attempts", this->sent_attempts)
         .with("client_left", yes_or_no(this->has_client_left))
         .with("from_box", yes_or_no(this->client.is_box))
         .with("took_ms", Core::to_milliseconds(taken))
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -236,6 +236,8 @@
     /// Of a request that was not admitted, for the log: the route's name, and the account's if the key is known.
     std::optional<std::string> unadmitted_route;
     std::optional<std::string> unadmitted_account;
+    /// The account's position, if the request was refused for it.
+    std::optional<Routing::AccountStanding> standing;
     Routing::CrashSuspects suspects;
     Core::Instant arrived;
     /// Time from the arrival until the first piece of an answer was there for the client; unset until then.
--- a/Libraries/LibRouting/ConfigurationSnapshot.h
+++ b/Libraries/LibRouting/ConfigurationSnapshot.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <LibRouting/AccountShares.h>
 #include <LibRouting/Configuration.h>
 
 #include <boost/unordered/unordered_flat_map.hpp>
+#include <boost/unordered/unordered_flat_set.hpp>
 #include <memory>
 #include <string_view>
 #include <unordered_map>
@@ -27,8 +29,17 @@
     [[nodiscard]] Service const* find_service(std::string_view name) const;
     /// The longest goal of all routes to the service with this priority or a less urgent one.
     [[nodiscard]] Duration longest_goal(std::string_view service, unsigned priority) const;
-    /// The priority of the least urgent routes to the service; 0 without any.
-    [[nodiscard]] unsigned lowest_priority(std::string_view service) const;
+    /// The routes to the service that are less urgent than a priority.
+    struct LessUrgentRoutes {
+        /// Number of different priorities.
+        std::size_t priorities { 0 };
+        Duration longest_goal { 0 };
+        /// Whether some have no goal, so that their requests may wait without limit.
+        bool has_unlimited { false };
+    };
+    [[nodiscard]] LessUrgentRoutes less_urgent_routes(std::string_view service, unsigned priority) const;
+    [[nodiscard]] bool has_account(AccountKey key) const { return this->account_keys.contains(key); }
+    [[nodiscard]] std::size_t account_count() const { return this->account_keys.size(); }
     [[nodiscard]] bool needs_keys() const { return this->contents.accounts.has_value(); }
 
 private:
@@ -47,6 +58,8 @@
     struct GoalOfPriority {
         unsigned priority { 0 };
         Duration goal { 0 };
+        /// Whether a route of this very priority has no goal.
+        bool has_unlimited { false };
     };
 
     void index_routes();
@@ -59,6 +72,7 @@
     /// each would take twice the memory and block the event loop while they are freed.
     boost::unordered_flat_map<RouteKey, std::uint32_t, RouteKeyHash> routes_by_key;
     std::unordered_map<std::string_view, std::size_t> accounts_by_key;
+    boost::unordered_flat_set<AccountKey, std::hash<AccountKey>> account_keys;
     std::unordered_map<std::string_view, std::size_t> services_by_name;
     /// For each service, ordered by priority: the longest goal of the routes of that priority or less urgent ones.
     std::unordered_map<std::string_view, std::vector<GoalOfPriority>> goals_by_service;
