LibGateway: Log and count slow endpoints, and give their factor in request_placed

Cause: Placement takes the speed of each endpoint into account, but an operator could not see which endpoints a box considers slow, nor why a request went elsewhere.

--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -145,6 +145,7 @@
         .with("running", figures.running)
         .with("reads_tokens_per_ms", figures.speed.prefill_tokens_per_millisecond)
         .with("step_ms", figures.speed.step_milliseconds)
+        .with("work_time_factor", figures.pace)
         .with("subject", fmt::format("{:x}", figures.home_key))
         .with("home", yes_or_no(figures.is_home))
         .with("left_ms", Core::to_milliseconds(this->admitted->expires - attempt.started))
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -20,6 +20,17 @@
         environment.cold };
 }
 
+void log_pace_changes(std::vector<Routing::RequestRouter::PaceChange> const& changes)
+{
+    for (auto const& change : changes) {
+        Log::EventLine(change.is_slow ? "endpoint_slow" : "endpoint_slow_ended")
+            .with("endpoint", change.incarnation)
+            .with("work_time_factor", change.factor)
+            .with("samples", change.samples)
+            .info();
+    }
+}
+
 std::string_view to_string(ConfigurationFreshness trust)
 {
     switch (trust) {
@@ -192,6 +203,7 @@
         this->state.router.set_shared_clock(this->state.clock.offset_from_steady_clock());
         for (auto const endpoint : this->state.router.expire_endpoints(now))
             this->state.connections.close_idle(endpoint);
+        log_pace_changes(this->state.router.take_pace_changes(now));
         this->state.connections.close_expired(now);
         this->state.forwarder.connections().close_expired(now);
         this->state.stream_origin_exchange.expire(now);
@@ -301,6 +313,7 @@
         configuration ? configuration->version() : 0, this->state.router.configuration_age(monotonic_now()));
     this->state.metrics.set_refused_requests(this->state.crash_exchange.refused_count());
     this->state.metrics.set_limited_endpoints(this->state.router.limited_endpoints());
+    this->state.metrics.set_slow_endpoints(this->state.router.slow_endpoints(monotonic_now()));
     return { status_ok, this->state.metrics.to_text() };
 }
 
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -76,6 +76,8 @@
           gauge(*this->registry, "cleatbeam_refused_requests", "Requests refused because they crash endpoints"))
     , limited_endpoints(gauge(
           *this->registry, "cleatbeam_limited_endpoints", "Endpoints that report a rate limit for all boxes together"))
+    , slow_endpoints(gauge(*this->registry, "cleatbeam_slow_endpoints",
+          "Endpoints where work takes more than 1.25 times their service's usual time"))
     , is_cut_off(gauge(*this->registry, "cleatbeam_endpoints_unreachable", "1 while this box reaches no endpoint"))
     , forwarded_requests(counters(*this->registry, "cleatbeam_forwarded_requests_total",
           "Requests forwarded to another box while this one was cut off from the endpoints, by result"))
@@ -230,6 +232,11 @@
     this->limited_endpoints.Set(static_cast<double>(count));
 }
 
+void GatewayMetrics::set_slow_endpoints(std::size_t count)
+{
+    this->slow_endpoints.Set(static_cast<double>(count));
+}
+
 void GatewayMetrics::set_refused_requests(std::size_t count)
 {
     this->refused_requests.Set(static_cast<double>(count));
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -60,6 +60,8 @@
     void set_refused_requests(std::size_t count);
     /// Sets the number of endpoints that report a rate limit.
     void set_limited_endpoints(std::size_t count);
+    /// Sets the number of endpoints where work takes clearly longer than usual in their service.
+    void set_slow_endpoints(std::size_t count);
     /// Counts a request that this box forwarded to another one while it was cut off from the endpoints.
     void count_forwarded_request(std::string_view result);
     /// Counts a request that another box forwarded to this one.
@@ -102,6 +104,7 @@
     prometheus::Gauge& boxes;
     prometheus::Gauge& refused_requests;
     prometheus::Gauge& limited_endpoints;
+    prometheus::Gauge& slow_endpoints;
     prometheus::Gauge& is_cut_off;
     prometheus::Family<prometheus::Counter>& forwarded_requests;
     prometheus::Counter& requests_from_boxes;
--- a/Tests/LibRouting/TestEndpointPace.cpp
+++ b/Tests/LibRouting/TestEndpointPace.cpp
@@ -50,7 +50,7 @@
 class Boxes {
 public:
     Boxes(Traffic traffic, std::uint64_t seed)
-        : traffic(traffic)
+        : traffic(std::move(traffic))
         , random(seed)
     {
         for (std::size_t sender = 0; sender < box_count; ++sender) {
