LibMembership: Step through pace factors by whole numbers in the test

Change: the test counts whole steps, 70 for each doubling, and computes the factor from them; it checks the same range as finely as before.

--- a/Tests/LibMembership/TestLoadMessages.cpp
+++ b/Tests/LibMembership/TestLoadMessages.cpp
@@ -3,6 +3,7 @@
 #include <LibMembership/LoadMessages.h>
 #include <LibMembership/Relay.pb.h>
 
+#include <cmath>
 #include <limits>
 #include <pcg_random.hpp>
 #include <random>
@@ -135,7 +136,9 @@
 {
     auto message = message_at(start);
     auto const without = encode(message).size();
-    for (double factor = 0.25; factor <= 4; factor *= 1.01) {
+    constexpr int steps_per_doubling = 70;
+    for (int step = -2 * steps_per_doubling; step <= 2 * steps_per_doubling; ++step) {
+        auto const factor = std::exp2(static_cast<double>(step) / steps_per_doubling);
         for (unsigned const count : { 1U, 8U }) {
             message.report.endpoints[0].pace = Routing::PaceSamples { factor, count };
             auto const bytes = encode(message);
