--- a/Libraries/LibRouting/LoadReport.h
+++ b/Libraries/LibRouting/LoadReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibRouting/AccountShares.h>
+#include <LibRouting/EndpointPace.h>
 #include <LibRouting/EngineDemand.h>
 #include <LibRouting/EngineSpeed.h>
 
@@ -17,6 +18,8 @@
     Duration backlog { 0 };
     /// Requests of the box at the endpoint.
     unsigned running { 0 };
+    /// The box's newest samples of the endpoint's pace.
+    std::optional<PaceSamples> pace {};
 
     bool operator==(EndpointShare const&) const = default;
 };
--- a/Libraries/LibRouting/SlotWait.h
+++ b/Libraries/LibRouting/SlotWait.h
@@ -36,6 +36,11 @@
     /// Expected time until a slot is free for a request that preempts none. 0 while a slot is free.
     double queue_milliseconds { 0 };
 
+    /// For an engine where work takes `factor` times as long as usual.
+    [[nodiscard]] SlotForecast scaled_by(double factor) const
+    {
+        return { this->wait_milliseconds * factor, this->queue_milliseconds * factor };
+    }
     bool operator==(SlotForecast const&) const = default;
 };
 
