Tests: Offer copies of the configuration in the cases of TestExchangeLog

clang-tidy reports the configuration as used after a move, since it takes the subcases for steps that follow one another. The cases offer a copy now; what they check is the same. 4 of 4 cases of TestExchangeLog pass, and clang-tidy reports nothing for the file.

--- a/Tests/LibGateway/TestExchangeLog.cpp
+++ b/Tests/LibGateway/TestExchangeLog.cpp
@@ -66,7 +66,7 @@
     SUBCASE("the route has gone")
     {
         changed.routes.clear();
-        offer(request, std::move(changed));
+        offer(request, changed);
         request.start();
         REQUIRE(request.ends());
         auto const end = log.events("request_ended").at(0);
@@ -77,7 +77,7 @@
     SUBCASE("the key is unknown")
     {
         changed.accounts = { Routing::ClientAccount { "account", { "other" }, {} } };
-        offer(request, std::move(changed));
+        offer(request, changed);
         request.start();
         REQUIRE(request.ends());
         auto const end = log.events("request_ended").at(0);
