LibRouting: Send nothing for a second to a brittle endpoint that rejected a request

Cause: after a rejection, boxes sent up to half of what the endpoint can reject at once. Requests that other boxes had sent before they knew are rejected as well, while the same requests still hold the slots. With three boxes, two slots and five rejections in a second, four were under way and two came by the limit: the sixth rejection ends the endpoint, on all endpoints within the first 50 ms, before any request is served.

Change: a box that isn't alone sends nothing to such an endpoint until a second has passed since the last rejection it knows of; then the limit applies as it has grown to by then. A box that is alone keeps the limit from the start.

--- a/Libraries/LibRouting/BrittleEndpoints.cpp
+++ b/Libraries/LibRouting/BrittleEndpoints.cpp
@@ -45,6 +45,17 @@
     return std::ldexp(first, std::max(doublings, 0));
 }
 
+bool BrittleEndpoints::is_paused(EndpointId id, double under_way, Instant now) const
+{
+    auto const known = this->entries.find(id);
+    if (known == this->entries.end() || !known->second.rejected_at)
+        return false;
+    // NOTE: A second may hold the ends of two slots of the limit, and the requests of both.
+    auto const by_limit = 2 * first_share * known->second.max_rejections_then;
+    bool const is_limit_enough = under_way + by_limit <= known->second.max_rejections_then;
+    return !is_limit_enough && now - *known->second.rejected_at < rejection_window;
+}
+
 bool BrittleEndpoints::may_send(EndpointId id, SharedLimit const& limit, SendPriority rank)
 {
     return this->entries[id].share.may_send(limit, rank);
--- a/Libraries/LibRouting/BrittleEndpoints.h
+++ b/Libraries/LibRouting/BrittleEndpoints.h
@@ -17,7 +17,8 @@
 ///
 /// A rejection shows that such an endpoint is full. Boxes tell each other of it, and from then on all of them together
 /// send it fewer requests than it may reject, even if it rejects them all. This limit doubles every second until it no
-/// longer matters, or until the next rejection.
+/// longer matters, or until the next rejection. Where other boxes may have sent requests before they knew, which are
+/// rejected as well, nothing is sent in the first second unless the endpoint bears all of it.
 class BrittleEndpoints {
 public:
     /// An answer of an endpoint of `service` reported how many requests it can reject in a second; unset if it reported
@@ -32,6 +33,9 @@
     [[nodiscard]] bool is_brittle(EndpointId id, std::string const& service) const;
     /// The limit for all boxes together, in requests per second; unset if none is in force.
     [[nodiscard]] std::optional<double> limit_of(EndpointId id, Instant now) const;
+    /// Whether the endpoint gets nothing since it rejected a request within the last second and may have to reject more
+    /// than it can: `under_way` is how many requests other boxes may have sent it that this box doesn't know of.
+    [[nodiscard]] bool is_paused(EndpointId id, double under_way, Instant now) const;
     /// Whether this box may send a request to the endpoint now, by its share of the limit `limit`.
     [[nodiscard]] bool may_send(EndpointId id, SharedLimit const& limit, SendPriority rank);
     /// Counts a request against this box's share.
@@ -47,8 +51,10 @@
         LimitShare share {};
     };
 
-    /// Fraction of the rejections that the limit allows at first. The rest is for requests that are on their way.
+    /// Fraction of the rejections that the limit allows in a slot at first: a second may hold the ends of two slots.
     static constexpr double first_share = 0.5;
+    /// Endpoints count the rejections of a second.
+    static constexpr Duration rejection_window { std::chrono::seconds(1) };
     static constexpr Duration doubling_time { std::chrono::seconds(1) };
     /// After this many doublings the limit is no longer in force: 32 times what the endpoint may reject.
     static constexpr int max_doublings = 6;
--- a/Libraries/LibRouting/RouterLimits.cpp
+++ b/Libraries/LibRouting/RouterLimits.cpp
@@ -40,11 +40,20 @@
     return running >= endpoint.record.slots;
 }
 
+bool RequestRouter::is_paused_by_rejection(EndpointId id, Instant now) const
+{
+    // NOTE: Boxes that don't know its load send as many as it has slots, until they learn of the rejection.
+    auto const other_boxes = static_cast<double>(this->notices.box_group().size() - 1);
+    return this->brittle.is_paused(id, other_boxes * this->directory.find(id)->record.slots, now);
+}
+
 bool RequestRouter::may_send_now(EndpointId id, std::optional<double> limit_if_cold, SendPriority rank, Instant now)
 {
     auto const shared_now = this->shared_time(now);
     if (!this->notices.may_send(id, rank, shared_now))
         return false;
+    if (this->is_paused_by_rejection(id, now))
+        return false;
     if (auto const limit = this->brittle_limit(id, now); limit && !this->brittle.may_send(id, *limit, rank))
         return false;
     if (!limit_if_cold)
--- a/Tests/LibRouting/TestBrittleEndpoints.cpp
+++ b/Tests/LibRouting/TestBrittleEndpoints.cpp
@@ -109,3 +109,16 @@
     endpoints.apply_answer(endpoint, service, {});
     CHECK_FALSE(endpoints.is_brittle(silent, service));
 }
+
+TEST_CASE("an endpoint gets nothing for a second after a rejection if other boxes may have sent it requests meanwhile")
+{
+    BrittleEndpoints endpoints;
+    CHECK_FALSE(endpoints.is_paused(endpoint, 4, start));
+    CHECK(endpoints.rejected(endpoint, max_rejections, start));
+    CHECK(endpoints.is_paused(endpoint, 4, start));
+    CHECK(endpoints.is_paused(endpoint, 4, start + milliseconds(999)));
+    CHECK_FALSE(endpoints.is_paused(endpoint, 4, start + seconds(1)));
+    CHECK_FALSE(endpoints.is_paused(endpoint, 0, start));
+    CHECK_FALSE(endpoints.rejected(endpoint, max_rejections, start + milliseconds(50)));
+    CHECK(endpoints.is_paused(endpoint, 4, start + milliseconds(1049)));
+}
