--- a/Libraries/LibRouting/RouterLimits.cpp
+++ b/Libraries/LibRouting/RouterLimits.cpp
@@ -45,6 +45,8 @@
     auto const shared_now = this->shared_time(now);
     if (!this->notices.may_send(id, rank, shared_now))
         return false;
+    if (this->brittle.is_paused(id, this->notices.box_group().size(), now))
+        return false;
     if (auto const limit = this->brittle_limit(id, now); limit && !this->brittle.may_send(id, *limit, rank))
         return false;
     if (!limit_if_cold)
@@ -111,8 +113,11 @@
         this->backoffs.request_accepted(id, sent_at);
     this->brittle.apply_answer(id, placed.endpoint.service, report.max_rejections);
     std::optional<EndpointRejection> rejection;
-    if (report.max_rejections && !report.took_request && this->brittle.rejected(id, *report.max_rejections, now))
-        rejection = { instance_of(placed.endpoint), *report.max_rejections, now };
+    if (report.max_rejections && !report.took_request) {
+        this->brittle.count_own_rejection(id, now);
+        if (this->brittle.rejected(id, *report.max_rejections, now))
+            rejection = { instance_of(placed.endpoint), *report.max_rejections, now };
+    }
     bool const backoff_began = report.backoff && this->backoffs.start(id, *report.backoff, now);
     EndpointCondition const reported { report.limit.value_or(this->notices.limit_of(id)), report.is_draining };
     return { this->notices.apply_answer(id, instance_of(placed.endpoint), reported, sent_at, now), backoff_began,
