LibGateway: Read answers on while their clients are slow

forward_body read the next piece of an answer only after the client had taken the last one, so a client that did not read stopped the reading, and the endpoint cut the answer off. What a client does not take at once is now held in an AnswerBuffer and written by a second flow, while the reader goes on within 1 MB for an answer and an eighth of the memory limit for the box. A write that finishes at once starts no second flow. The endpoint's part of a request ends when the answer is read. When the request's time runs out, a broken answer is cut at once and a whole one within 5 s.

--- a/Libraries/LibGateway/EndpointCall.h
+++ b/Libraries/LibGateway/EndpointCall.h
@@ -21,6 +21,9 @@
 /// returns the connection to the pool if it can carry another request.
 class EndpointCall : public std::enable_shared_from_this<EndpointCall> {
 public:
+    /// How many bytes read_piece() appends at the most.
+    static constexpr std::size_t piece_bytes = 8 * 1024;
+
     /// `attempt` is the client's id of the request, which the endpoint echoes in its answer.
     EndpointCall(GatewayState& state, EndpointConnections& connections, std::string attempt, bool is_head_request)
         : state(state)
@@ -59,7 +62,6 @@
 private:
     using AnswerParser = http::response_parser<http::buffer_body>;
 
-    static constexpr std::size_t piece_bytes = 8 * 1024;
     static constexpr std::uint32_t max_answer_head_bytes = 64 * 1024;
 
     GatewayState& state;
--- a/Libraries/LibGateway/ExchangeForwarding.cpp
+++ b/Libraries/LibGateway/ExchangeForwarding.cpp
@@ -29,7 +29,7 @@
         this->last_end = co_await this->try_box(*box, attempt);
         this->log_forwarding(*box, attempt);
         if (this->last_end == AttemptEnd::Delivered) {
-            this->log_end(attempt.status, Reason::AnswerComplete);
+            co_await this->end_delivered(attempt.status);
             co_return true;
         }
         bool const is_refused = this->last_end == AttemptEnd::NotRun;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -54,6 +54,8 @@
 {
     this->state.max_held_body_bytes
         = static_cast<std::size_t>(static_cast<double>(this->environment.memory_bytes) * share_of_memory_for_bodies);
+    this->state.answer_buffers->set_max_bytes(
+        static_cast<std::size_t>(this->environment.memory_bytes / memory_per_held_answers));
     constexpr std::int64_t microseconds_per_millisecond = 1000;
     this->state.clock.start(
         static_cast<std::uint64_t>(Core::wall_clock_milliseconds() * microseconds_per_millisecond), monotonic_now());
@@ -300,6 +302,7 @@
     this->state.metrics.set_configuration(
         configuration ? configuration->version() : 0, this->state.router.configuration_age(monotonic_now()));
     this->state.metrics.set_refused_requests(this->state.crash_exchange.refused_count());
+    this->state.metrics.set_held_answer_bytes(this->state.answer_buffers->held_bytes());
     this->state.metrics.set_limited_endpoints(this->state.router.limited_endpoints());
     return { status_ok, this->state.metrics.to_text() };
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -74,6 +74,8 @@
     static constexpr Core::Duration stop_margin { std::chrono::milliseconds(500) };
     /// Share of the memory limit for request bodies. The rest is for connections and answers.
     static constexpr double share_of_memory_for_bodies = 0.3;
+    /// Divides the memory limit into the part for answers that are held for slow clients.
+    static constexpr std::uint64_t memory_per_held_answers = 8;
     /// Share of the sockets for client connections. The rest is for endpoints and the store.
     static constexpr double share_of_sockets_for_clients = 0.6;
 
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -85,6 +85,9 @@
     , clients_turned_away(counters(
           *this->registry, "cleatbeam_clients_turned_away_total", "Connections of clients that were reset unread")
                               .Add({}))
+    , held_answer_bytes(gauge(*this->registry, "cleatbeam_held_answer_bytes", "Bytes of answers held for slow clients"))
+    , answers_at_limit(counters(*this->registry, "cleatbeam_answers_at_limit_total",
+          "Answers not read on for a while because their clients are slow, by limit"))
 {
 }
 
@@ -215,6 +218,16 @@
     this->clients_turned_away.Increment();
 }
 
+void GatewayMetrics::set_held_answer_bytes(std::size_t bytes)
+{
+    this->held_answer_bytes.Set(static_cast<double>(bytes));
+}
+
+void GatewayMetrics::count_answer_at_limit(std::string_view limit)
+{
+    this->answers_at_limit.Add({ { "limit", std::string(limit) } }).Increment();
+}
+
 void GatewayMetrics::count_request_from_box()
 {
     this->requests_from_boxes.Increment();
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -65,6 +65,10 @@
     /// Counts a request that another box forwarded to this one.
     void count_request_from_box();
     void count_client_turned_away();
+    /// Sets the memory of answers that are held for slow clients, in bytes.
+    void set_held_answer_bytes(std::size_t bytes);
+    /// Counts an answer that was not read on for a while: "answer" at its own limit, "box" at the limit of the box.
+    void count_answer_at_limit(std::string_view limit);
     /// Sets whether this box is cut off from all endpoints.
     void set_is_cut_off(bool is_cut_off);
     /// Sets the number of boxes listed in the store, including this one.
@@ -106,6 +110,8 @@
     prometheus::Family<prometheus::Counter>& forwarded_requests;
     prometheus::Counter& requests_from_boxes;
     prometheus::Counter& clients_turned_away;
+    prometheus::Gauge& held_answer_bytes;
+    prometheus::Family<prometheus::Counter>& answers_at_limit;
 };
 
 }
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/SuspensionDetector.h>
+#include <LibGateway/AnswerBufferPool.h>
 #include <LibGateway/CrashExchange.h>
 #include <LibGateway/EndpointConnections.h>
 #include <LibGateway/EndpointNoticeExchange.h>
@@ -95,6 +96,8 @@
     /// Bytes of request bodies in memory, and their limit.
     std::size_t body_bytes { 0 };
     std::size_t max_held_body_bytes { 0 };
+    /// Answers that are held for slow clients. Shared, since exchanges may be destroyed after this state.
+    std::shared_ptr<AnswerBufferPool> answer_buffers { std::make_shared<AnswerBufferPool>(0) };
     /// New client connections whose first request has not been sent to an endpoint yet.
     std::size_t starting_clients { 0 };
     /// Number of open client connections, and its limit.
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -52,6 +52,8 @@
     , arrived(monotonic_now())
     , expiry(state.context)
     , silence(state.context)
+    , held_progress(state.context)
+    , held(state.answer_buffers, [this] { this->held_progress.interrupt(); })
     , keeps_client(this->client.keeps_connection)
 {
 }
@@ -142,7 +144,7 @@
         this->record_attempt(attempt, this->last_end, monotonic_now());
         this->report_run(attempt, this->last_end);
         if (this->last_end == AttemptEnd::Delivered) {
-            this->log_end(attempt.status, Reason::AnswerComplete);
+            co_await this->end_delivered(attempt.status);
             co_return;
         }
         this->tried.push_back(attempt.placed.choice.endpoint);
@@ -179,6 +181,8 @@
     }
     // NOTE: A chunked answer without its last chunk shows the client that it is incomplete.
     this->keeps_client = false;
+    // NOTE: What arrived before the answer broke is still sent, as where the client reads fast.
+    static_cast<void>(co_await this->deliver_held(this->admitted->expires));
     this->log_end(last_status, this->has_client_left ? Reason::CallerGone : Reason::AnswerCutShort);
 }
 
@@ -325,6 +329,8 @@
     do {
         std::string piece;
         while (!this->call->is_done()) {
+            if (!this->held.is_empty())
+                co_await this->wait_for_room();
             std::string received;
             if (auto const error = co_await this->call->read_piece(received)) {
                 attempt.detail = "reading the body of the answer: " + error.message();
@@ -352,16 +358,10 @@
         if (this->call->is_done() && !is_broken_off && this->framing == Adapter::BodyFraming::Chunked)
             out += last_chunk;
         this->answer_begun = true;
-        if (!co_await this->send_to_client(out)) {
-            attempt.detail = "connection to the client broke";
-            co_return AttemptEnd::BrokenAfterDelivery;
-        }
+        this->pass_to_client(std::exchange(out, {}));
         if (is_broken_off)
             co_return this->end_of_broken_answer();
-        out.clear();
     } while (!this->call->is_done());
-    if (this->request.version() < http_1_1)
-        this->reset_client_on_close(false);
     co_return AttemptEnd::Delivered;
 }
 
@@ -433,17 +433,15 @@
             *this->admitted, sample->events * service->engine->tokens_per_event, sample->duration);
 }
 
-Task<bool> RequestExchange::send_to_client(std::string const& bytes)
+Task<void> RequestExchange::send_to_client(std::string const& bytes)
 {
-    // NOTE: A non-idempotent request runs to its end after the client has left, and its answer is discarded.
     if (this->has_client_left)
-        co_return true;
+        co_return;
     auto const [error, written] = co_await asio::async_write(*this->client.socket, asio::buffer(bytes), as_value);
     if (error) {
         this->client_is_broken = true;
         this->client_left();
     }
-    co_return !error || this->has_client_left;
 }
 
 Task<void> RequestExchange::answer(unsigned status, Reason reason, std::optional<Core::Duration> retry_after)
@@ -473,6 +471,8 @@
 void RequestExchange::client_left()
 {
     this->has_client_left = true;
+    this->has_dropped_held |= this->held.discard() || this->is_writing;
+    this->held_progress.interrupt();
     bool const may_be_cancelled = !this->admitted || this->admitted->route->kind != RouteKind::NonIdempotent;
     if (may_be_cancelled)
         this->cancel_attempt();
@@ -523,6 +523,7 @@
 {
     if (this->call)
         this->call->abort();
+    this->held_progress.interrupt();
 }
 
 }
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/AnswerBuffer.h>
 #include <LibGateway/EndpointCall.h>
 #include <LibGateway/EndpointCheck.h>
 #include <LibGateway/EventRateMeter.h>
@@ -24,7 +25,7 @@
 
 /// How an attempt at an endpoint ended. Decides whether the request may be retried.
 enum class AttemptEnd {
-    /// The whole answer was sent to the client, or discarded because the client had left.
+    /// The whole answer was read, and sent to the client, held for it, or discarded because the client had left.
     Delivered,
     /// The answer broke after a part of it was sent to the client, and can't be continued.
     BrokenAfterDelivery,
@@ -137,8 +138,20 @@
     void count_started(Core::Instant at);
     /// Reports the rate of events in an engine's answer to the router.
     void measure_event_rate(std::string_view received);
-    /// Returns false if the connection to the client broke and the attempt should end.
-    [[nodiscard]] Task<bool> send_to_client(std::string const& bytes);
+    /// Sends an answer of this box, and waits until the client has taken it.
+    [[nodiscard]] Task<void> send_to_client(std::string const& bytes);
+    /// Sends a part of the answer. Holds what the client does not take at once, and starts write_held().
+    void pass_to_client(std::string bytes);
+    /// Writes held blocks until none is left or the client has left. Runs beside the reader of the answer.
+    [[nodiscard]] Task<void> write_held();
+    /// Waits until a further piece may be read from the endpoint while others are held for the client.
+    [[nodiscard]] Task<void> wait_for_room();
+    void note_limit(AnswerBuffer::Room room);
+    /// Waits until the client has taken what is held, at the latest until then; what is left is dropped, and the
+    /// connection closes. Returns whether nothing that was held for the client was dropped.
+    [[nodiscard]] Task<bool> deliver_held(Core::Instant until);
+    /// Ends a request whose answer was read whole.
+    [[nodiscard]] Task<void> end_delivered(unsigned status);
     [[nodiscard]] Task<void> answer(unsigned status, Core::Reason reason, std::optional<Core::Duration> retry_after);
     [[nodiscard]] Task<void> refuse(Routing::Rejected const& rejected);
     /// `retry_after` is sent only if the request has not run. Nothing means `retry_after_refusal`.
@@ -201,6 +214,11 @@
     /// Hung endpoints don't answer before the client gives up, and only one request in a hundred takes that long
     /// normally.
     static constexpr double silence_per_goal = 1.5;
+    /// An answer that was read whole may be delivered for this long after the request's time has run out: 1 MB takes
+    /// 0.8 s at 10 Mbit/s. A client that does not read would hold its memory forever without a limit.
+    static constexpr Core::Duration late_delivery_limit { std::chrono::seconds(5) };
+    /// What reading a piece adds to the held bytes at the most: the piece and the framing of a chunk.
+    static constexpr std::size_t max_framed_piece_bytes = EndpointCall::piece_bytes + 32;
     /// Retry-After for a draining box: almost at once, since another box can serve the request.
     static constexpr Core::Duration retry_after_draining { std::chrono::milliseconds(20) };
     /// Retry-After while a box that has just started waits for other boxes.
@@ -235,6 +253,10 @@
     std::shared_ptr<EndpointCall> call;
     EventSplitter events;
     EventRateMeter event_rate;
+    /// Interrupted when the reader of the answer may have room, and when what it waits for is over.
+    InterruptibleTimer held_progress;
+    /// What the client has not taken yet, over all attempts. Calls held_progress.
+    AnswerBuffer held;
     Adapter::BodyFraming framing { Adapter::BodyFraming::Empty };
     std::vector<Core::EndpointId> tried;
     /// Boxes that the request was forwarded to.
@@ -258,6 +280,11 @@
     /// Whether the silence timer may still abort the attempt.
     bool awaits_head { false };
     bool client_is_broken { false };
+    /// Whether write_held() runs.
+    bool is_writing { false };
+    /// Whether a part of what was held for the client was dropped.
+    bool has_dropped_held { false };
+    bool has_reached_limit { false };
     bool answer_begun { false };
     bool is_counted { false };
     /// Whether the answer is a stream of events.
