--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -193,6 +193,7 @@
         self.state = "ready"
         self.born = int(time.time() * 1000)
         self.ran = []
+        self.bodies = {}
 
     def entry(self):
         return json.dumps({
@@ -217,13 +218,14 @@
 
     async def serve_one(self, reader, writer):
         head = await read_head(reader)
-        await read_body(reader, head)
+        body = await read_body(reader, head)
         attempt = head.get("X-Attempt-Id")
         echo = [("X-Attempt-Id", attempt)]
         if head.get("X-Expect-Instance") not in ("", self.name):
             writer.write(answer_bytes(421, b"", echo + [("X-Instance-Id", self.name)]))
             return True
         self.ran.append((now(), attempt, head.get("X-Tenant")))
+        self.bodies[attempt] = body
         await asyncio.sleep(self.work_s)
         writer.write(answer_bytes(200, b"ok " + attempt.encode(), echo + [("X-Response-Stamp", f"{self.name}.{attempt}")]))
         await writer.drain()
