review: Show that streams go on at two software versions

A box knows the version of an endpoint from its store entry and keeps it beyond the end of the process. Two servers start again under their ids as another version while the store is down, and streams that break off at other servers go on there.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -187,6 +187,9 @@
 class Server(Service):
     """A server of a plain service. Keeps itself in the store, and notes each request that it ran."""
 
+    version = "v1"
+    slots = 6
+
     def __init__(self, store, name, service, work_s=0.005):
         super().__init__()
         self.store, self.name, self.service, self.work_s = store, name, service, work_s
@@ -197,8 +200,8 @@
 
     def entry(self):
         return json.dumps({
-            "service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "hall-1", "version": "v1",
-            "slots": 6, "state": self.state, "cold_left_ms": 0, "call_seq": 0, "born": self.born,
+            "service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "hall-1", "version": self.version,
+            "slots": self.slots, "state": self.state, "cold_left_ms": 0, "call_seq": 0, "born": self.born,
         }).encode()
 
     def register(self):
