--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -338,6 +338,7 @@
     folder = tempfile.mkdtemp()
     boxes = []
     code = COULD_NOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         code = asyncio.new_event_loop().run_until_complete(main(folder, record, boxes))
     except SystemExit as end:
