LibGateway: Ignore records of endpoints that the store writes late

Callers: requests reached an endpoint seconds after it had said that it drains, and those that ran there when it ended got 502.

Cause: a write without an answer may be carried out up to six seconds later. The boxes took the record that arrives last for the one that was said last, so a heartbeat of before the drain made the endpoint usable again, with the same start time.

Ruled out: a relay's older list (the boxes have none there) and a store from a copy (no store_restored_from_copy).

A process that drains is never ready again; one whose entry was removed while it sent heartbeats doesn't return within 12 s; a record of an earlier start is late just after the later process was first seen. Lists are filtered as single records are, and an entry that a late record contradicts is sent again to boxes that have read only the late one. An entry that lapsed after three silent heartbeats returns at once, as before: its endpoint may only have lost the store. Log lines of endpoints name their source and the offset read up to, and late records are counted.

--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -21,6 +21,16 @@
     }
 };
 
+std::string_view state_of(Routing::EndpointRecord const& record)
+{
+    return record.draining ? "draining" : "ready";
+}
+
+std::string_view name_of(Membership::RecordSource source)
+{
+    return source == Membership::RecordSource::Store ? "store" : "relay";
+}
+
 }
 
 ControlRecords::ControlRecords(GatewayState& state, std::string box_name, std::string failure_domain)
@@ -239,17 +249,18 @@
         auto decoded = this->decode_endpoint(record);
         if (!decoded) {
             // NOTE: An unreadable entry removes the endpoint that had the same key.
+            auto const removal = record.value ? Removal::EntryUnreadable : Removal::EntryDropped;
             if (!is_whole_list)
-                this->remove_endpoint(record.key);
+                this->remove_endpoint(record.key, removal);
             continue;
         }
         if (is_whole_list)
             listed.push_back(std::move(*decoded));
         else
-            this->put_endpoint(*decoded);
+            this->put_endpoint(*decoded, Membership::RecordSource::Store);
     }
     if (is_whole_list)
-        this->replace_endpoints(std::move(listed));
+        this->replace_endpoints(std::move(listed), Membership::RecordSource::Store);
     this->journal.advance(this->endpoints_position.offset.value_or(0));
     if (is_whole_list || (coverage == Coverage::UpToEnd && this->endpoints_confirmed_at))
         this->confirm_endpoints(std::max(this->endpoints_confirmed_at.value_or(asked_at), asked_at));
@@ -289,50 +300,95 @@
         this->rejected_endpoints.erase(this->rejected_endpoints.begin());
 }
 
-void ControlRecords::put_endpoint(Routing::EndpointRecord const& record)
+std::optional<Membership::Lateness> ControlRecords::check_lateness(
+    Routing::EndpointRecord const& record, Membership::RecordSource source, Instant now)
 {
-    if (this->state.router.is_earlier_instance(record)) {
-        Log::EventLine("endpoint_outdated")
-            .with("endpoint", record.incarnation)
-            .with("started_at_ms", record.started_at)
-            .info();
+    auto lateness = this->late_records.lateness_of(record, this->journal.find(record.incarnation), source, now);
+    if (!lateness && this->state.router.is_earlier_instance(record))
+        lateness = Membership::Lateness::EarlierInstance;
+    if (!lateness)
+        return {};
+    this->state.metrics.count_late_record();
+    Log::EventLine("endpoint_outdated")
+        .with("endpoint", record.incarnation)
+        .with("started_at_ms", record.started_at)
+        .with("state", state_of(record))
+        .with("reason", to_string(*lateness))
+        .with("read_from", name_of(source))
+        .with("read_up_to", this->endpoints_position.offset.value_or(0))
+        .info();
+    return lateness;
+}
+
+void ControlRecords::put_endpoint(Routing::EndpointRecord const& record, Membership::RecordSource source)
+{
+    auto const now = monotonic_now();
+    auto const read_up_to = this->endpoints_position.offset.value_or(0);
+    if (this->check_lateness(record, source, now)) {
+        this->journal.renew(record.incarnation, read_up_to);
         return;
     }
-    if (record.draining)
-        this->departed.add(Routing::instance_of(record), monotonic_now());
-    else
-        this->departed.remove(Routing::instance_of(record));
-    this->journal.put(record, this->endpoints_position.offset.value_or(0));
-    if (!this->state.router.put_endpoint(record, monotonic_now()))
+    this->late_records.record_accepted(record, source, now);
+    this->journal.put(record, read_up_to);
+    if (!this->state.router.put_endpoint(record, now))
         return;
     Log::EventLine("endpoint_changed")
         .with("endpoint", record.incarnation)
         .with("started_at_ms", record.started_at)
         .with("service", record.service)
-        .with("state", record.draining ? "draining" : "ready")
+        .with("state", state_of(record))
         .with("address", record.address.host + ":" + std::to_string(record.address.port))
+        .with("read_from", name_of(source))
+        .with("read_up_to", read_up_to)
         .info();
 }
 
-void ControlRecords::remove_endpoint(std::string const& incarnation)
+void ControlRecords::note_departure(Routing::EndpointRecord const& record, Instant now)
 {
     // NOTE: Just after an outage of the store, a missing endpoint may be running and be listed again.
-    auto const now = monotonic_now();
     bool const may_be_relisted = this->store_returned_at && now - *this->store_returned_at <= stale_list_time;
+    if (may_be_relisted)
+        this->late_records.forget_heartbeats(record.incarnation);
+    else
+        this->late_records.entry_removed(Routing::instance_of(record), now);
+}
+
+void ControlRecords::remove_endpoint(std::string const& incarnation, Removal removal)
+{
+    auto const now = monotonic_now();
     auto const* const known = this->journal.find(incarnation);
-    if (known != nullptr && !may_be_relisted)
-        this->departed.add(Routing::instance_of(*known), now);
+    if (known != nullptr && removal == Removal::EntryDropped)
+        this->note_departure(*known, now);
     if (!this->journal.remove(incarnation, this->endpoints_position.offset.value_or(0)))
         return;
-    this->state.router.remove_endpoint(incarnation, monotonic_now());
+    this->state.router.remove_endpoint(incarnation, now);
     Log::EventLine("endpoint_unlisted").with("endpoint", incarnation).info();
 }
 
-void ControlRecords::replace_endpoints(std::vector<Routing::EndpointRecord> records)
+void ControlRecords::correct_late_records(
+    std::vector<Routing::EndpointRecord>& records, Membership::RecordSource source, Instant now)
+{
+    std::erase_if(records, [&](Routing::EndpointRecord& record) {
+        if (!this->check_lateness(record, source, now)) {
+            this->late_records.record_accepted(record, source, now);
+            return false;
+        }
+        auto const* const known = this->journal.find(record.incarnation);
+        if (known == nullptr)
+            return true;
+        record = *known;
+        return false;
+    });
+}
+
+void ControlRecords::replace_endpoints(std::vector<Routing::EndpointRecord> records, Membership::RecordSource source)
 {
     auto const now = monotonic_now();
     if (this->history.era_began_at() && now - *this->history.era_began_at() <= stale_list_time)
-        this->departed.remove_from(records, now);
+        this->late_records.remove_departed_from(records, now);
+    this->correct_late_records(records, source, now);
+    for (auto const& missing : this->journal.missing_from(records))
+        this->note_departure(missing, now);
     auto const revision = this->endpoints_position.offset.value_or(0);
     bool const is_first = !this->endpoints_confirmed_at || this->journal_era != this->endpoints_position.era;
     if (is_first)
@@ -340,8 +396,9 @@
     else
         this->journal.replace_all(records, revision);
     this->journal_era = this->endpoints_position.era;
-    this->state.router.replace_endpoints(records, monotonic_now());
-    Log::EventLine("endpoints_listed").with("count", records.size()).info();
+    this->state.router.replace_endpoints(records, now);
+    this->late_records.set_listed(records.size());
+    Log::EventLine("endpoints_listed").with("count", records.size()).with("read_from", name_of(source)).info();
 }
 
 void ControlRecords::store_returned(Instant now)
@@ -544,13 +601,13 @@
         return;
     this->set_next(Adapter::Topic::Endpoints, answer.endpoints_next);
     if (records) {
-        this->replace_endpoints(std::move(*records));
+        this->replace_endpoints(std::move(*records), Membership::RecordSource::Relay);
     } else {
         for (auto const& change : answer.endpoints.changes) {
             if (change.record)
-                this->put_endpoint(*change.record);
+                this->put_endpoint(*change.record, Membership::RecordSource::Relay);
             else
-                this->remove_endpoint(change.incarnation);
+                this->remove_endpoint(change.incarnation, Removal::EntryDropped);
         }
     }
     this->journal.advance(answer.endpoints_next);
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -3,7 +3,7 @@
 #include <LibGateway/CompressedEndpointList.h>
 #include <LibGateway/Leadership.h>
 #include <LibMembership/DemandPool.h>
-#include <LibMembership/DepartedEndpoints.h>
+#include <LibMembership/LateRecordFilter.h>
 #include <LibMembership/LoadMessages.h>
 #include <LibMembership/RelayMessages.h>
 #include <LibMembership/StoreHistory.h>
@@ -142,9 +142,23 @@
     /// Marks the list of endpoints as confirmed up to that moment.
     void confirm_endpoints(Core::Instant confirmed_at);
     // These take the revision of the journal from the position up to which the topic was read.
-    void put_endpoint(Routing::EndpointRecord const& record);
-    void remove_endpoint(std::string const& incarnation);
-    void replace_endpoints(std::vector<Routing::EndpointRecord> records);
+    void put_endpoint(Routing::EndpointRecord const& record, Membership::RecordSource source);
+    /// Why the entry names no endpoint any more.
+    enum class Removal {
+        EntryDropped,
+        /// Another writer may have written it, and the endpoint writes its own again.
+        EntryUnreadable,
+    };
+    void remove_endpoint(std::string const& incarnation, Removal removal);
+    void replace_endpoints(std::vector<Routing::EndpointRecord> records, Membership::RecordSource source);
+    /// Why the record is not the endpoint's current one; empty if it is. Logs and counts such a record.
+    [[nodiscard]] std::optional<Membership::Lateness> check_lateness(
+        Routing::EndpointRecord const& record, Membership::RecordSource source, Core::Instant now);
+    /// Replaces records that are out of date by the known ones, and leaves out those of endpoints that are not listed.
+    void correct_late_records(
+        std::vector<Routing::EndpointRecord>& records, Membership::RecordSource source, Core::Instant now);
+    /// Records that an endpoint's entry is no longer listed.
+    void note_departure(Routing::EndpointRecord const& record, Core::Instant now);
     /// Identifies the store's history to which this box's list of endpoints belongs; 0 before there is one.
     [[nodiscard]] std::uint64_t list_history() const;
     /// Adds the endpoints that the requester lacks to the answer.
@@ -206,7 +220,7 @@
     Core::Duration apply_within { 0 };
     /// Whether the operator has written since the store was restored from an older copy.
     bool is_rewritten { false };
-    Membership::DepartedEndpoints departed;
+    Membership::LateRecordFilter late_records;
     /// The operator's record in force, kept to be passed on: as text until the first box asks for it, compressed from
     /// then on. Empty if it can't be compressed.
     std::optional<Membership::ConfigurationRecord> configuration_record;
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -61,6 +61,9 @@
     , crash_reports(counters(*this->registry, "cleatbeam_crash_reports_total",
           "Reports of requests that crash endpoints, by origin or end"))
     , bad_records(counters(*this->registry, "cleatbeam_bad_records_total", "Records that could not be read"))
+    , late_records(counters(*this->registry, "cleatbeam_late_endpoint_records_total",
+          "Records of endpoints that the platform's store wrote after newer ones, ignored")
+                       .Add({}))
     , first_byte_seconds(
           histograms(*this->registry, "cleatbeam_first_byte_seconds", "From a request's arrival to its first byte"))
     , answer_seconds(histograms(*this->registry, "cleatbeam_answer_seconds", "From a request's arrival to its end"))
@@ -179,6 +182,11 @@
     this->crash_reports.Add({ { "what", std::string(what) } }).Increment();
 }
 
+void GatewayMetrics::count_late_record()
+{
+    this->late_records.Increment();
+}
+
 void GatewayMetrics::count_bad_record(std::string_view kind)
 {
     this->bad_records.Add({ { "kind", std::string(kind) } }).Increment();
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -51,6 +51,8 @@
     /// the store, "cleared" by a successful run, or "taken-back" because the endpoint still answers.
     void count_crash_report(std::string_view what);
     void count_bad_record(std::string_view kind);
+    /// A record of an endpoint that the store wrote after a newer one.
+    void count_late_record();
     void observe_first_byte(std::string const& route, Core::Duration taken);
     void observe_answer(std::string const& route, Core::Duration taken);
     void observe_suspension(Core::Duration length);
@@ -99,6 +101,7 @@
     prometheus::Family<prometheus::Counter>& load_reports;
     prometheus::Family<prometheus::Counter>& crash_reports;
     prometheus::Family<prometheus::Counter>& bad_records;
+    prometheus::Counter& late_records;
     prometheus::Family<prometheus::Histogram>& first_byte_seconds;
     prometheus::Family<prometheus::Histogram>& answer_seconds;
     prometheus::Histogram& suspension_seconds;
--- a/Libraries/LibMembership/EndpointJournal.cpp
+++ b/Libraries/LibMembership/EndpointJournal.cpp
@@ -62,20 +62,33 @@
     this->advance(revision);
 }
 
-void EndpointJournal::replace_all(std::vector<Routing::EndpointRecord> const& records, std::uint64_t revision)
+void EndpointJournal::renew(std::string const& incarnation, std::uint64_t revision)
 {
-    std::set<std::string> listed;
-    for (auto const& record : records) {
+    auto const found = this->entries.find(incarnation);
+    if (found != this->entries.end())
+        this->touch(found, revision);
+}
+
+std::vector<Routing::EndpointRecord> EndpointJournal::missing_from(
+    std::vector<Routing::EndpointRecord> const& records) const
+{
+    std::set<std::string_view> listed;
+    for (auto const& record : records)
         listed.insert(record.incarnation);
-        this->put(record, revision);
-    }
-    std::vector<std::string> missing;
+    std::vector<Routing::EndpointRecord> missing;
     for (auto const& [incarnation, entry] : this->entries) {
         if (entry.record && !listed.contains(incarnation))
-            missing.push_back(incarnation);
+            missing.push_back(*entry.record);
     }
-    for (auto const& incarnation : missing)
-        static_cast<void>(this->remove(incarnation, revision));
+    return missing;
+}
+
+void EndpointJournal::replace_all(std::vector<Routing::EndpointRecord> const& records, std::uint64_t revision)
+{
+    for (auto const& record : records)
+        this->put(record, revision);
+    for (auto const& missing : this->missing_from(records))
+        static_cast<void>(this->remove(missing.incarnation, revision));
     this->advance(revision);
 }
 
--- a/Libraries/LibMembership/EndpointJournal.h
+++ b/Libraries/LibMembership/EndpointJournal.h
@@ -37,6 +37,12 @@
     bool remove(std::string const& incarnation, std::uint64_t revision);
     /// Replaces the whole list by a later one.
     void replace_all(std::vector<Routing::EndpointRecord> const& records, std::uint64_t revision);
+    /// Sends the entry again to boxes that know the list up to an earlier revision: one that read only a later record,
+    /// which is out of date, would not get it otherwise.
+    void renew(std::string const& incarnation, std::uint64_t revision);
+    /// The listed endpoints that a later list lacks.
+    [[nodiscard]] std::vector<Routing::EndpointRecord> missing_from(
+        std::vector<Routing::EndpointRecord> const& records) const;
     /// The list is known up to this revision.
     void advance(std::uint64_t revision);
 
--- /dev/null
+++ b/Libraries/LibMembership/LateRecordFilter.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <LibMembership/DepartedEndpoints.h>
+
+#include <string_view>
+#include <unordered_map>
+
+namespace Membership {
+
+/// Where a box got an endpoint's record from.
+enum class RecordSource {
+    Store,
+    /// Another box, which passes on only what it considers current.
+    Relay,
+};
+
+/// Why a record of an endpoint is not its current one.
+enum class Lateness {
+    /// The same process announced its end before, which is never taken back.
+    AfterDraining,
+    /// The entry of the same process was removed a short time ago.
+    AfterRemoval,
+    /// The record is of a process that the listed one has followed.
+    EarlierInstance,
+};
+
+[[nodiscard]] std::string_view to_string(Lateness lateness);
+
+/// Recognizes records of endpoints that the store wrote late.
+///
+/// A write whose answer was lost may be carried out seconds later, after newer records of the same endpoint. The log
+/// then ends with an older state, and its offsets only tell in which order the writes arrived. What does tell is what
+/// the records say: a process that drains never becomes ready again, one that left doesn't return, and a process
+/// starts after the one that it replaces.
+class LateRecordFilter {
+public:
+    /// Why the record is out of date; empty if it is current. `listed` is the endpoint's known record, null for none.
+    [[nodiscard]] std::optional<Lateness> lateness_of(Routing::EndpointRecord const& record,
+        Routing::EndpointRecord const* listed, RecordSource source, Instant now) const;
+    /// The record is current.
+    void record_accepted(Routing::EndpointRecord const& record, RecordSource source, Instant now);
+    /// The endpoint's entry is no longer in the store.
+    void entry_removed(Routing::EndpointInstance const& instance, Instant now);
+    /// Forgets when the endpoint last sent a heartbeat, without recording that it left.
+    void forget_heartbeats(std::string const& incarnation) { this->heartbeats.erase(incarnation); }
+    /// Removes all departed endpoints from a list of an older copy of the store.
+    void remove_departed_from(std::vector<Routing::EndpointRecord>& records, Instant now) const
+    {
+        this->departed.remove_from(records, now);
+    }
+    void set_listed(std::size_t count) { this->departed.set_listed(count); }
+
+private:
+    /// When this box read the records of a process in the store.
+    struct Heartbeats {
+        std::uint64_t started_at { 0 };
+        Instant first;
+        Instant last;
+    };
+
+    /// An entry lapses after three missed heartbeats, which are at least a second apart. An entry that is removed
+    /// earlier than that after a heartbeat was removed by the endpoint.
+    static constexpr Duration min_lapse { std::chrono::seconds(3) };
+
+    DepartedEndpoints departed;
+    /// By incarnation. Only of endpoints whose records this box reads in the store itself.
+    std::unordered_map<std::string, Heartbeats> heartbeats;
+};
+
+}
