LibGateway: Refuse messages whose transfer coding leaves their end unknown

Callers: a request whose last transfer coding isn't chunked ran without its body, and the text of a request inside such a body was run as a request of its own.

Cause: the parser takes a transfer coding that it doesn't know for none, and nothing else looked at the field, which is dropped before the request is passed on. An answer with such a coding reached its client as if it had none.

Change: framing_fault() decides for requests and answers whether the end of a body can be told (RFC 9112, 6.1 and 6.3): the last coding must be chunked, and the only one, since the body is passed on without it; no coding in HTTP/1.0, none beside a length. A client gets 400 and its connection ends; an answer counts as one that can't be read. Connections of boxes and to the store check it too.

--- a/Libraries/LibGateway/ClientConnection.cpp
+++ b/Libraries/LibGateway/ClientConnection.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/ClientConnection.h>
 
 #include <LibGateway/HttpStatus.h>
+#include <LibGateway/MessageFraming.h>
 #include <LibLog/EventLog.h>
 
 namespace Gateway {
@@ -100,7 +101,9 @@
         co_await this->answer_bad_request(status_unavailable, Reason::MemoryLimit, "too many request bodies in memory");
     } else if (is_parse_error(error)) {
         auto const [status, reason] = bad_request_for(error);
-        co_await this->answer_bad_request(status, reason, error.message());
+        // NOTE: Named because the compiler destroys a temporary in an awaited expression twice.
+        auto const detail = this->unframed_because.empty() ? error.message() : this->unframed_because;
+        co_await this->answer_bad_request(status, reason, detail);
     }
     co_return false;
 }
@@ -113,6 +116,11 @@
         = co_await http::async_read_header(this->socket, this->buffer, parser, as_value);
     if (head_error)
         co_return head_error;
+    auto const& head = parser.get();
+    if (auto const fault = framing_fault(head, head.version(), parser.chunked())) {
+        this->unframed_because = to_string(*fault);
+        co_return http::error::bad_transfer_encoding;
+    }
     if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
         auto const [error, bytes] = co_await asio::async_write(this->socket, asio::buffer(go_on), as_value);
--- a/Libraries/LibGateway/ClientConnection.h
+++ b/Libraries/LibGateway/ClientConnection.h
@@ -58,6 +58,8 @@
     /// handlers compare this with the value they were armed with.
     std::uint64_t guard_generation { 0 };
     bool guard_fired { false };
+    /// What is wrong with the framing of the request; empty if nothing is.
+    std::string unframed_because;
     /// The part of GatewayState::body_bytes that belongs to this connection.
     std::size_t counted_body_bytes { 0 };
     /// Until the first request is served.
--- a/Libraries/LibGateway/EndpointCall.cpp
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/EndpointCall.h>
 
 #include <LibGateway/HttpStatus.h>
+#include <LibGateway/MessageFraming.h>
 #include <LibLog/EventLog.h>
 
 namespace Gateway {
@@ -62,6 +63,8 @@
             co_return error;
         if (this->head().result_int() < first_final_status)
             continue;
+        if (framing_fault(this->head(), this->head().version(), this->parser->chunked()))
+            co_return http::error::bad_transfer_encoding;
         facts = Adapter::decode_answer(this->head(), this->attempt);
         if (!facts.is_for_other_request)
             co_return error_code {};
--- a/Libraries/LibGateway/HttpConnection.cpp
+++ b/Libraries/LibGateway/HttpConnection.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/HttpConnection.h>
 
+#include <LibGateway/MessageFraming.h>
+
 #include <fmt/format.h>
 #include <platform/RequestCodec.h>
 
@@ -104,6 +106,8 @@
         if (auto const length = parser.content_length())
             this->progress.body_bytes = *length;
     }
+    if (framing_fault(parser.get(), parser.get().version(), parser.chunked()))
+        co_return http::error::bad_transfer_encoding;
     answer.status = parser.get().result_int();
     answer.era = Adapter::decode_store_era(parser.get().base());
     bool const is_kept_open = parser.get().keep_alive() && this->buffer.size() == 0;
--- a/Libraries/LibGateway/InternalHttpServer.cpp
+++ b/Libraries/LibGateway/InternalHttpServer.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/InternalHttpServer.h>
 
+#include <LibGateway/MessageFraming.h>
+
 #include <array>
 
 namespace Gateway {
@@ -90,9 +92,10 @@
     bool is_open = true;
     while (is_open) {
         close_after(timer, timeout, socket, generation);
-        http::request<http::string_body> request;
-        auto const [read_error, read] = co_await http::async_read(*socket, buffer, request, as_value);
-        if (read_error)
+        http::request_parser<http::string_body> parser;
+        auto const [read_error, read] = co_await http::async_read(*socket, buffer, parser, as_value);
+        auto const& request = parser.get();
+        if (read_error || framing_fault(request, request.version(), parser.chunked()))
             break;
         auto const target = std::string_view(request.target().data(), request.target().size());
         auto answer = answer_question(target.substr(0, target.find('?')), request.body());
--- /dev/null
+++ b/Libraries/LibGateway/MessageFraming.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <LibGateway/Asio.h>
+
+#include <string_view>
+
+/// Whether the end of a message's body can be told from its head.
+namespace Gateway {
+
+/// Why the end of a message's body can't be told from its head (RFC 9112, 6.1 and 6.3).
+enum class FramingFault {
+    /// The last transfer coding isn't chunked. For a request nothing then marks the end of its body.
+    LastCodingNotChunked,
+    /// Another coding precedes chunked. Without the coding the body would be another one.
+    UnsupportedCoding,
+    /// HTTP/1.0 has no transfer codings, so the sender may have passed on a field that it doesn't know.
+    CodingInHttp10,
+    LengthBesideCoding,
+};
+
+[[nodiscard]] std::string_view to_string(FramingFault fault);
+
+/// The fault in the framing of a request or an answer with these fields; empty if there is none. `is_chunked` is
+/// whether its parser expects chunks.
+[[nodiscard]] std::optional<FramingFault> framing_fault(http::fields const& fields, unsigned version, bool is_chunked);
+
+}
--- a/Tests/LibGateway/TestClientConnection.cpp
+++ b/Tests/LibGateway/TestClientConnection.cpp
@@ -37,6 +37,12 @@
         }) && this->received.find(text) != std::string::npos;
     }
 
+    /// Whether the box has closed the connection, or does so soon.
+    bool ends()
+    {
+        return run_until(this->context, [this] { return this->caller.use_count() == 1; });
+    }
+
     asio::io_context context;
     GatewayState state;
     LoopbackPair sockets;
@@ -304,3 +310,22 @@
         return received > answer_bytes;
     }));
 }
+
+// Guards against a request that runs without its body, and whose body is then run as a request of its own (RFC 9112,
+// 6.3).
+TEST_CASE("a request whose body has no known end is refused, and its connection ends")
+{
+    std::string const inner = "GET /inner HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: inner\r\n\r\n";
+    for (std::string const framing :
+        { "HTTP/1.1\r\nTransfer-Encoding: gzip", "HTTP/1.1\r\nTransfer-Encoding: chunked, identity",
+            "HTTP/1.1\r\nTransfer-Encoding: gzip, chunked", "HTTP/1.0\r\nTransfer-Encoding: chunked",
+            "HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked" }) {
+        CAPTURE(framing);
+        Connection connection;
+        connection.send("POST /a/ " + framing + "\r\nHost: h\r\nX-Attempt-Id: 7\r\n\r\n" + inner);
+        CHECK(connection.receives("malformed-request"));
+        CHECK(connection.received.starts_with("HTTP/1.1 400 "));
+        CHECK(connection.ends());
+        CHECK(connection.received.find("HTTP/1.1", 1) == std::string::npos);
+    }
+}
