LibGateway: Bound the bytes that a peer may send beside a body

Callers: one client without a key filled a box's memory with the extension of a chunk or with trailers (600 MB in 4.7 s before), four endpoints did so with 1.9 GB in 6 s, and other requests waited up to 0.9 s. Interim answers, answers to other requests and the rest of rejected answers were read through, whatever their length; a rejection that didn't end was waited for.

Cause: a connection's read buffer had no bound, and the parser waits for the end of a chunk's head or of the trailers with all before it in the buffer; the limits of head and body count neither.

Change: the buffer of each connection holds the largest head and 4 KB: clients, boxes, endpoints, the store, readiness and metrics. Clients get 431. Of what an endpoint's answer brings beside itself, 256 KB are skipped, and the rest of a rejection is waited for 100 ms. The connection is then closed, and the outcome is that of an answer that can't be read. attempt_ended and request_forwarded name the limit, cleatbeam_answer_excesses_total counts.

--- a/Libraries/LibGateway/Asio.cpp
+++ b/Libraries/LibGateway/Asio.cpp
@@ -48,10 +48,14 @@
         if (!cancelled)
             socket->close(ignored);
     });
+    // What a connection holds at most on its way. A client that sends more doesn't wait for its answer.
+    constexpr std::size_t max_discarded_bytes = 256 * 1024;
     std::array<char, 4096> discarded {};
+    std::size_t discarded_bytes = 0;
     bool is_open = true;
-    while (is_open) {
+    while (is_open && discarded_bytes < max_discarded_bytes) {
         auto const [error, bytes] = co_await socket->async_read_some(asio::buffer(discarded), as_value);
+        discarded_bytes += bytes;
         is_open = !error;
     }
     timer.cancel();
--- a/Libraries/LibGateway/Asio.h
+++ b/Libraries/LibGateway/Asio.h
@@ -70,8 +70,8 @@
 [[nodiscard]] std::optional<tcp::acceptor> listen_on(
     asio::io_context& context, Routing::SocketAddress const& address, Core::LastReason& last_reason);
 
-/// Shuts down the sending side and drains what the client still sends, for at most 500 ms. Closing a socket with unread
-/// bytes would reset the connection and lose the answer.
+/// Shuts down the sending side and drains what the client still sends, for at most 500 ms and 256 KB. Closing a socket
+/// with unread bytes would reset the connection and lose the answer.
 [[nodiscard]] Task<void> close_after_answer(std::shared_ptr<tcp::socket> socket);
 
 }
--- a/Libraries/LibGateway/ClientConnection.cpp
+++ b/Libraries/LibGateway/ClientConnection.cpp
@@ -17,7 +17,7 @@
 
 BadRequest bad_request_for(error_code error)
 {
-    if (error == http::error::header_limit)
+    if (error == http::error::header_limit || is_buffer_full(error))
         return { status_header_too_large, Reason::HeaderTooLarge };
     if (error == http::error::body_limit)
         return { status_payload_too_large, Reason::BodyTooLarge };
@@ -62,6 +62,9 @@
         auto const current_limits = this->limits();
         parser.header_limit(current_limits.max_header_bytes);
         parser.body_limit(current_limits.max_body_bytes);
+        // NOTE: Without a bound the buffer would take in a chunk's head or trailers that never end.
+        this->buffer.max_size(
+            std::max<std::size_t>(current_limits.max_header_bytes + buffered_beyond_head, this->buffer.size()));
         if (!co_await this->read_request(parser))
             break;
         is_open = co_await this->serve_request(parser);
@@ -135,7 +138,7 @@
         if (error)
             co_return error;
         // NOTE: Counted while it arrives, since bodies that many clients send slowly fill the memory as well.
-        if (!this->count_body(parser.get().body().size()))
+        if (!this->count_body(parser.get().body().size() + this->buffer.size()))
             co_return asio::error::no_buffer_space;
     }
     co_return error_code {};
--- a/Libraries/LibGateway/EndpointCall.cpp
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -21,6 +21,21 @@
     return "connection";
 }
 
+std::string_view to_string(AnswerExcess excess)
+{
+    switch (excess) {
+    case AnswerExcess::None:
+        return "none";
+    case AnswerExcess::Head:
+        return "head";
+    case AnswerExcess::BesideBody:
+        return "beside-body";
+    case AnswerExcess::Skipped:
+        break;
+    }
+    return "skipped";
+}
+
 Task<error_code> EndpointCall::open(EndpointId endpoint, Routing::SocketAddress address)
 {
     this->connection = this->connections.acquire_idle(endpoint, Core::monotonic_now());
@@ -52,6 +67,7 @@
 
 Task<error_code> EndpointCall::read_head(Adapter::AnswerFacts& facts)
 {
+    this->connection->buffer.max_size(max_answer_head_bytes + buffered_beyond_head);
     for (;;) {
         this->parser = std::make_unique<AnswerParser>();
         this->parser->header_limit(max_answer_head_bytes);
@@ -60,16 +76,19 @@
         auto const [error, bytes] = co_await http::async_read_header(
             this->connection->socket, this->connection->buffer, *this->parser, as_value);
         if (error)
-            co_return error;
-        if (this->head().result_int() < first_final_status)
+            co_return this->note_excess(error);
+        if (this->head().result_int() < first_final_status) {
+            if (auto const too_many = this->count_skipped(bytes))
+                co_return too_many;
             continue;
+        }
         if (framing_fault(this->head(), this->head().version(), this->parser->chunked()))
             co_return http::error::bad_transfer_encoding;
         facts = Adapter::decode_answer(this->head(), this->attempt);
         if (!facts.is_for_other_request)
             co_return error_code {};
         Log::EventLine("answer_for_other_request").with("id", this->attempt).info();
-        if (auto const broken = co_await this->discard_body())
+        if (auto const broken = co_await this->skip_body())
             co_return broken;
     }
 }
@@ -88,10 +107,10 @@
     // NOTE: The parser reports need_buffer when the buffer is full, which is not an error here.
     if (error == http::error::need_buffer)
         error = {};
-    co_return error;
+    co_return this->note_excess(error);
 }
 
-Task<error_code> EndpointCall::discard_body()
+Task<error_code> EndpointCall::skip_body()
 {
     // NOTE: Such a body may stay open for as long as the endpoint likes, and the connection can't be used again.
     if (this->body_end() == BodyEnd::Connection)
@@ -101,10 +120,46 @@
         discarded.clear();
         if (auto const error = co_await this->read_piece(discarded))
             co_return error;
+        if (auto const too_many = this->count_skipped(discarded.size()))
+            co_return too_many;
     }
     co_return error_code {};
 }
 
+Task<error_code> EndpointCall::discard_body()
+{
+    if (this->parser->is_done())
+        co_return error_code {};
+    asio::steady_timer timer(this->connection->socket.get_executor(), max_discard_duration);
+    // NOTE: Cancelling doesn't stop a timer handler that is already queued when the body has been read.
+    auto const is_over = std::make_shared<bool>(false);
+    timer.async_wait([connection = this->connection, is_over](error_code cancelled) {
+        if (!cancelled && !*is_over)
+            connection->abort();
+    });
+    auto const error = co_await this->skip_body();
+    *is_over = true;
+    co_return error;
+}
+
+error_code EndpointCall::count_skipped(std::size_t bytes)
+{
+    this->skipped_bytes += bytes;
+    if (this->skipped_bytes <= max_skipped_bytes)
+        return {};
+    this->exceeded = AnswerExcess::Skipped;
+    return http::error::body_limit;
+}
+
+error_code EndpointCall::note_excess(error_code error)
+{
+    if (error == http::error::header_limit)
+        this->exceeded = AnswerExcess::Head;
+    else if (is_buffer_full(error))
+        this->exceeded = AnswerExcess::BesideBody;
+    return error;
+}
+
 BodyEnd EndpointCall::body_end() const
 {
     if (this->parser->need_eof())
--- a/Libraries/LibGateway/EndpointCall.h
+++ b/Libraries/LibGateway/EndpointCall.h
@@ -17,6 +17,19 @@
 
 [[nodiscard]] std::string_view to_string(BodyEnd end);
 
+/// Which bytes that an endpoint sent exceeded their limit, so that its connection was closed.
+enum class AnswerExcess {
+    None,
+    /// The head of the answer.
+    Head,
+    /// The head of a chunk, or the trailers.
+    BesideBody,
+    /// Interim answers, answers to other requests, and a body that is of no use.
+    Skipped,
+};
+
+[[nodiscard]] std::string_view to_string(AnswerExcess excess);
+
 /// One request on one connection to an endpoint: reuses or opens a connection, sends the request, reads the answer, and
 /// returns the connection to the pool if it can carry another request.
 class EndpointCall : public std::enable_shared_from_this<EndpointCall> {
@@ -41,8 +54,8 @@
     [[nodiscard]] Task<error_code> read_head(Adapter::AnswerFacts& facts);
     /// Appends the next received piece of the body to `piece`.
     [[nodiscard]] Task<error_code> read_piece(std::string& piece);
-    /// Reads the rest of the body, so that the connection can carry another request. Fails where the connection marks
-    /// the body's end.
+    /// Reads the rest of the body, so that the connection can carry another request, unless that takes long. Fails
+    /// where the connection marks the body's end.
     [[nodiscard]] Task<error_code> discard_body();
     /// Cancels pending operations by closing the connection. Safe to call at any time.
     void abort();
@@ -56,13 +69,28 @@
     /// Whether the answer was read to its end. Where the connection marks it, after any orderly close.
     [[nodiscard]] bool is_done() const { return this->parser && this->parser->is_done(); }
     [[nodiscard]] bool is_reused() const { return this->reused; }
+    /// Which limit made a read fail.
+    [[nodiscard]] AnswerExcess excess() const { return this->exceeded; }
     /// When the connection was established. Valid after open() has succeeded.
     [[nodiscard]] Core::Instant connection_opened_at() const { return this->opened_at; }
 
 private:
     using AnswerParser = http::response_parser<http::buffer_body>;
 
+    /// Reads the rest of a body that is skipped.
+    [[nodiscard]] Task<error_code> skip_body();
+    /// Counts bytes that are skipped. Returns an error if there are too many of them.
+    [[nodiscard]] error_code count_skipped(std::size_t bytes);
+    /// Records which limit a failed read exceeded.
+    [[nodiscard]] error_code note_excess(error_code error);
+
     static constexpr std::uint32_t max_answer_head_bytes = 64 * 1024;
+    /// Of one call. An answer that is skipped is as long as one that is read whole before it is forwarded, or is a
+    /// stream that its endpoint goes on with.
+    static constexpr std::size_t max_skipped_bytes = 256 * 1024;
+    /// The rest of a rejection follows its head at once, and a new connection takes about 1 ms. A box that is short of
+    /// processor time is delayed by some 100 ms.
+    static constexpr Core::Duration max_discard_duration { std::chrono::milliseconds(100) };
 
     GatewayState& state;
     EndpointConnections& connections;
@@ -73,6 +101,8 @@
     bool reused { false };
     Core::Instant opened_at;
     bool is_aborted { false };
+    std::size_t skipped_bytes { 0 };
+    AnswerExcess exceeded { AnswerExcess::None };
     /// Whether the whole request has been written.
     bool is_written { false };
 };
--- a/Libraries/LibGateway/ExchangeForwarding.cpp
+++ b/Libraries/LibGateway/ExchangeForwarding.cpp
@@ -68,6 +68,7 @@
     }
     this->send_to_box();
     auto const end = co_await this->receive_from_box(attempt);
+    attempt.excess = this->call->excess();
     this->call->release(monotonic_now());
     if (end == AttemptEnd::Delivered)
         forwarder.mark_able(box.name);
@@ -165,6 +166,7 @@
         .with("reused_connection", attempt.reused_connection ? "yes" : "no")
         .with("left_ms", Core::to_milliseconds(this->admitted->expires - now))
         .with("took_ms", Core::to_milliseconds(now - attempt.started));
+    this->add_excess(attempt, line);
     if (!attempt.detail.empty())
         line.with("detail", attempt.detail);
     line.info();
--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -99,6 +99,7 @@
         line.with("cancelled_by", cause);
     if (attempt.body_end)
         line.with("body_ends_with", to_string(*attempt.body_end));
+    this->add_excess(attempt, line);
     if (this->is_event_stream)
         line.with("inside_event", yes_or_no(this->events.is_inside_event()));
     if (attempt.reported_rate_limit)
@@ -116,6 +117,14 @@
     line.info();
 }
 
+void RequestExchange::add_excess(Attempt const& attempt, Log::EventLine& line) const
+{
+    if (attempt.excess == AnswerExcess::None)
+        return;
+    this->state.metrics.count_answer_excess(to_string(attempt.excess));
+    line.with("exceeded_limit_of", to_string(attempt.excess));
+}
+
 void RequestExchange::log_broken_connection(Attempt const& attempt, EndpointCheckResult check_result) const
 {
     this->state.metrics.count_broken_connection(to_string(check_result));
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -90,6 +90,8 @@
     , clients_turned_away(counters(
           *this->registry, "cleatbeam_clients_turned_away_total", "Connections of clients that were reset unread")
                               .Add({}))
+    , answer_excesses(counters(*this->registry, "cleatbeam_answer_excesses_total",
+          "Answers of endpoints and boxes with more bytes than allowed, by the part that exceeded its limit"))
     , held_answer_bytes(gauge(*this->registry, "cleatbeam_held_answer_bytes", "Bytes of answers held for slow clients"))
     , answers_at_limit(counters(*this->registry, "cleatbeam_answers_at_limit_total",
           "Answers not read on for a while because their clients are slow, by limit"))
@@ -182,6 +184,11 @@
     this->crash_reports.Add({ { "what", std::string(what) } }).Increment();
 }
 
+void GatewayMetrics::count_answer_excess(std::string_view part)
+{
+    this->answer_excesses.Add({ { "part", std::string(part) } }).Increment();
+}
+
 void GatewayMetrics::count_late_record()
 {
     this->late_records.Increment();
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -69,6 +69,8 @@
     /// Counts a request that another box forwarded to this one.
     void count_request_from_box();
     void count_client_turned_away();
+    /// Counts an answer whose bytes exceeded the limit of the part named.
+    void count_answer_excess(std::string_view part);
     /// Sets the memory of answers that are held for slow clients, in bytes.
     void set_held_answer_bytes(std::size_t bytes);
     /// Counts an answer that was not read on for a while: "answer" at its own limit, "box" at the limit of the box.
@@ -116,6 +118,7 @@
     prometheus::Family<prometheus::Counter>& forwarded_requests;
     prometheus::Counter& requests_from_boxes;
     prometheus::Counter& clients_turned_away;
+    prometheus::Family<prometheus::Counter>& answer_excesses;
     prometheus::Gauge& held_answer_bytes;
     prometheus::Family<prometheus::Counter>& answers_at_limit;
 };
--- a/Libraries/LibGateway/HttpConnection.cpp
+++ b/Libraries/LibGateway/HttpConnection.cpp
@@ -95,7 +95,9 @@
 Task<error_code> HttpConnection::read_answer(tcp::socket& open_socket, CallWatchdog& watch, HttpAnswer& answer)
 {
     http::response_parser<http::string_body> parser;
+    parser.header_limit(max_head_bytes);
     parser.body_limit(max_answer_bytes);
+    this->buffer.max_size(max_head_bytes + buffered_beyond_head);
     parser.eager(true);
     while (!parser.is_done()) {
         auto const [error, read] = co_await http::async_read_some(open_socket, this->buffer, parser, as_value);
--- a/Libraries/LibGateway/HttpConnection.h
+++ b/Libraries/LibGateway/HttpConnection.h
@@ -54,6 +54,7 @@
     [[nodiscard]] Task<error_code> read_answer(tcp::socket& open_socket, CallWatchdog& watch, HttpAnswer& answer);
     [[nodiscard]] std::string failure_text(error_code error, CallWatchdog const& watch) const;
 
+    static constexpr std::uint32_t max_head_bytes = 16 * 1024;
     /// A configuration with thousands of routes takes about half a megabyte.
     static constexpr std::uint64_t max_answer_bytes = 16 * 1024 * 1024;
 
--- a/Libraries/LibGateway/InternalHttpServer.cpp
+++ b/Libraries/LibGateway/InternalHttpServer.cpp
@@ -86,13 +86,14 @@
     auto const timeout = this->idle_timeout;
     error_code ignored;
     socket->set_option(tcp::no_delay(true), ignored);
-    flat_buffer buffer;
+    flat_buffer buffer(max_head_bytes + buffered_beyond_head);
     asio::steady_timer timer(socket->get_executor());
     auto const generation = std::make_shared<std::uint64_t>(0);
     bool is_open = true;
     while (is_open) {
         close_after(timer, timeout, socket, generation);
         http::request_parser<http::string_body> parser;
+        parser.header_limit(max_head_bytes);
         auto const [read_error, read] = co_await http::async_read(*socket, buffer, parser, as_value);
         auto const& request = parser.get();
         if (read_error || framing_fault(request, request.version(), parser.chunked()))
--- a/Libraries/LibGateway/InternalHttpServer.h
+++ b/Libraries/LibGateway/InternalHttpServer.h
@@ -41,6 +41,7 @@
     /// Readiness probes arrive every second, and other boxes time out long before this limit. A peer that doesn't read
     /// its answer occupies memory and a connection.
     static constexpr Core::Duration default_idle_timeout { std::chrono::seconds(10) };
+    static constexpr std::uint32_t max_head_bytes = 8 * 1024;
     /// Enough for a load balancer, a metrics scraper and a person.
     static constexpr std::size_t default_max_connections = 16;
 
--- a/Libraries/LibGateway/MessageFraming.cpp
+++ b/Libraries/LibGateway/MessageFraming.cpp
@@ -71,4 +71,9 @@
     return codings.size() > 1 || !is_chunked ? std::optional(FramingFault::UnsupportedCoding) : std::nullopt;
 }
 
+bool is_buffer_full(error_code error)
+{
+    return error == http::error::buffer_overflow;
+}
+
 }
--- a/Libraries/LibGateway/MessageFraming.h
+++ b/Libraries/LibGateway/MessageFraming.h
@@ -4,7 +4,7 @@
 
 #include <string_view>
 
-/// Whether the end of a message's body can be told from its head.
+/// How much of a message may wait in a connection's buffer, and whether the end of its body can be told from its head.
 namespace Gateway {
 
 /// Why the end of a message's body can't be told from its head (RFC 9112, 6.1 and 6.3).
@@ -24,4 +24,11 @@
 /// whether its parser expects chunks.
 [[nodiscard]] std::optional<FramingFault> framing_fault(http::fields const& fields, unsigned version, bool is_chunked);
 
+/// A buffer may hold this much more than the largest head that it takes: the parser reports a head that is too large
+/// only if it has some bytes behind the limit. The head of a chunk and the trailers have to fit in as a head does.
+constexpr std::size_t buffered_beyond_head = 4 * 1024;
+
+/// Whether a read ended because a chunk's head or the trailers don't fit into the connection's buffer.
+[[nodiscard]] bool is_buffer_full(error_code error);
+
 }
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -218,6 +218,7 @@
         co_return AttemptEnd::NotSent;
     }
     auto const end = co_await this->send_and_receive(attempt);
+    attempt.excess = this->call->excess();
     this->call->release(monotonic_now());
     this->may_have_run |= end != AttemptEnd::NotRun;
     co_return end;
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -5,6 +5,7 @@
 #include <LibGateway/EndpointCheck.h>
 #include <LibGateway/EventRateMeter.h>
 #include <LibGateway/EventSplitter.h>
+#include <LibLog/EventLog.h>
 #include <LibMembership/ForwardedRequest.h>
 #include <LibRouting/CrashLedger.h>
 
@@ -54,6 +55,8 @@
     bool connection_broke { false };
     /// What marks the end of the answer's body; unset without an answer.
     std::optional<BodyEnd> body_end;
+    /// Which limit the endpoint's bytes exceeded.
+    AnswerExcess excess { AnswerExcess::None };
     /// Endpoint crashes attributed to the request's suspects when this attempt began, as in Routing::RequestCrashes.
     std::vector<unsigned> known_crashes;
     /// When the first piece of the answer's body arrived; unset until then.
@@ -193,6 +196,8 @@
     /// Follows an answer until it has gone beyond its beginning, and reports its prompt parts as harmless then.
     void follow_answer(Attempt& attempt);
     void report_harmless_parts(Core::Instant answer_began);
+    /// Counts an answer that exceeded a limit, and adds the limit to the attempt's log line.
+    void add_excess(Attempt const& attempt, Log::EventLine& line) const;
     void log_broken_connection(Attempt const& attempt, EndpointCheckResult check_result) const;
     void log_refused_suspect(Routing::RequestCrashes const& crashes) const;
     void log_placement(Attempt const& attempt) const;
--- a/Programs/standin/AnswerStyle.cpp
+++ b/Programs/standin/AnswerStyle.cpp
@@ -38,6 +38,12 @@
     NamedStyle { "head_in_pieces", { .has_head_in_pieces = true } },
     NamedStyle { "encoding_named", { .names_encoding = true } },
     NamedStyle { "failed", { .has_failed = true } },
+    NamedStyle { "head_without_end", { .endless = AnswerStyle::Endless::Head } },
+    NamedStyle { "interim_answers_without_end", { .endless = AnswerStyle::Endless::InterimAnswers } },
+    NamedStyle { "other_answers_without_end", { .endless = AnswerStyle::Endless::OtherAnswers } },
+    NamedStyle { "chunk_extension_without_end", { .endless = AnswerStyle::Endless::ChunkExtension } },
+    NamedStyle { "trailers_without_end", { .endless = AnswerStyle::Endless::Trailers } },
+    NamedStyle { "failed_body_without_end", { .endless = AnswerStyle::Endless::FailedBody } },
 };
 
 }
--- a/Programs/standin/AnswerStyle.h
+++ b/Programs/standin/AnswerStyle.h
@@ -61,6 +61,21 @@
         CrLf,
         Cr,
     };
+    /// What is sent without end, until the other side closes the connection.
+    enum class Endless {
+        Nothing,
+        /// The fields of the answer's head.
+        Head,
+        InterimAnswers,
+        /// Whole answers to requests of other clients.
+        OtherAnswers,
+        /// The extension of the first chunk.
+        ChunkExtension,
+        /// The trailers behind the last chunk.
+        Trailers,
+        /// The body of an answer that reports an error.
+        FailedBody,
+    };
     /// What a single write holds.
     enum class Write {
         Event,
@@ -74,6 +89,7 @@
     End end { End::KeepsConnection };
     BreakOff break_off { BreakOff::Nowhere };
     Silence silence { Silence::None };
+    Endless endless { Endless::Nothing };
     LineEnd line_end { LineEnd::Lf };
     Write write { Write::Event };
     bool has_echo { true };
--- a/Programs/standin/AnswerWriter.cpp
+++ b/Programs/standin/AnswerWriter.cpp
@@ -17,6 +17,15 @@
 constexpr auto silence = std::chrono::seconds(1);
 constexpr auto pause_between_pieces = std::chrono::milliseconds(2);
 
+/// How an answer that never ends begins, and what is then sent again and again.
+struct EndlessAnswer {
+    std::string begin;
+    std::string repeated;
+};
+
+/// Far above what any box may read of such an answer.
+constexpr std::size_t max_endless_bytes = std::size_t { 1024 } * 1024 * 1024;
+
 /// Waits until the other side closes the connection or sends something.
 Task<void> wait_for_other_side(tcp::socket& socket)
 {
@@ -25,8 +34,47 @@
 
 }
 
+Task<void> AnswerWriter::write_endless()
+{
+    constexpr std::size_t piece_bytes = 16 * 1024;
+    auto const head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + this->text.attempt + "\r\n" + this->text.fields;
+    auto const chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    std::string const field = "X-Standin-Filler: " + std::string(100, 'f') + "\r\n";
+    std::string const filler(piece_bytes, 'f');
+    auto const answer = [&]() -> EndlessAnswer {
+        switch (this->style.endless) {
+        case AnswerStyle::Endless::Head:
+            return { head, field };
+        case AnswerStyle::Endless::InterimAnswers:
+            return { "", "HTTP/1.1 103 Early Hints\r\n\r\n" };
+        case AnswerStyle::Endless::OtherAnswers:
+            return { "", this->other_answer() };
+        case AnswerStyle::Endless::ChunkExtension:
+            return { chunked + "4;x=", filler };
+        case AnswerStyle::Endless::Trailers:
+            return { chunked + "2\r\nok\r\n0\r\n", field };
+        case AnswerStyle::Endless::FailedBody:
+        case AnswerStyle::Endless::Nothing:
+            break;
+        }
+        return { "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: " + this->text.attempt + "\r\n"
+                + this->text.fields + "Transfer-Encoding: chunked\r\n\r\n",
+            fmt::format("{:x}\r\n{}\r\n", filler.size(), filler) };
+    }();
+    bool is_open = co_await this->session.send(answer.begin);
+    std::string piece;
+    while (piece.size() < piece_bytes)
+        piece += answer.repeated;
+    for (std::size_t sent = 0; is_open && sent < max_endless_bytes; sent += piece.size())
+        is_open = co_await this->session.send(piece);
+}
+
 Task<bool> AnswerWriter::write_body(std::string body)
 {
+    if (this->style.endless != AnswerStyle::Endless::Nothing) {
+        co_await this->write_endless();
+        co_return false;
+    }
     if (!co_await this->begin())
         co_return false;
     bool const has_chunks = this->style.framing == Framing::NoLastChunk;
@@ -47,6 +95,10 @@
 
 Task<bool> AnswerWriter::write_events(EventRange range)
 {
+    if (this->style.endless != AnswerStyle::Endless::Nothing) {
+        co_await this->write_endless();
+        co_return false;
+    }
     if (!co_await this->begin())
         co_return false;
     auto const broken_event = this->broken_event(range);
--- a/Programs/standin/AnswerWriter.h
+++ b/Programs/standin/AnswerWriter.h
@@ -39,6 +39,8 @@
     [[nodiscard]] Task<bool> write_events(EventRange range);
 
 private:
+    /// Writes bytes without end, until the other side closes the connection.
+    [[nodiscard]] Task<void> write_endless();
     /// Writes what precedes the answer. Returns whether the answer follows.
     [[nodiscard]] Task<bool> begin();
     /// Writes what follows a whole answer. Returns whether the session goes on.
--- a/Tests/LibGateway/TestClientConnection.cpp
+++ b/Tests/LibGateway/TestClientConnection.cpp
@@ -329,3 +329,32 @@
         CHECK(connection.received.find("HTTP/1.1", 1) == std::string::npos);
     }
 }
+
+// Guards against a client without a key that fills the box's memory: a chunk's head and the trailers count neither as
+// head nor as body.
+TEST_CASE("what a client sends beside its body without end is refused, and the connection ends")
+{
+    std::string const begin = "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (auto const& [start, repeated] : { std::pair { begin + "4;x=", std::string("f") },
+             std::pair { begin + "2\r\nok\r\n0\r\n", std::string("X-Filler: f\r\n") },
+             std::pair { std::string("POST /a/ HTTP/1.1\r\n"), std::string("X-Filler: f\r\n") } }) {
+        CAPTURE(start);
+        Connection connection;
+        connection.send(start);
+        constexpr std::size_t max_bytes = 200 * 1024;
+        for (std::size_t sent = 0; sent < max_bytes; sent += 8 * 1024) {
+            std::string piece;
+            while (piece.size() < 8 * 1024)
+                piece += repeated;
+            error_code error;
+            asio::write(connection.sockets.far, asio::buffer(piece), error);
+            connection.context.restart();
+            connection.context.run_for(std::chrono::milliseconds(1));
+            if (error)
+                break;
+        }
+        CHECK(connection.receives("header-too-large"));
+        CHECK(connection.received.starts_with("HTTP/1.1 431 "));
+        CHECK(connection.ends());
+    }
+}
--- /dev/null
+++ b/Tests/LibGateway/TestUnendingAnswers.cpp
@@ -0,0 +1,127 @@
+#include <TestMain.h>
+
+#include "ScriptedExchange.h"
+
+/// Endpoints that send bytes which are no answer, or of no use, until their connection is closed.
+namespace {
+
+using namespace Gateway;
+
+/// Writes the bytes again and again for as long as the endpoint's connection is open. Returns how many were written by
+/// the time that it closed, or nothing if it did not close.
+std::optional<std::size_t> send_until_closed(Exchange& play, std::size_t where, std::string const& repeated)
+{
+    constexpr std::size_t piece_bytes = 16 * 1024;
+    constexpr std::size_t max_bytes = std::size_t { 8 } * 1024 * 1024;
+    std::string piece;
+    while (piece.size() < piece_bytes)
+        piece += repeated;
+    auto& socket = play.endpoints.at(where)->connections.at(0)->socket;
+    std::size_t sent = 0;
+    bool is_open = true;
+    static_cast<void>(play.reach([&] {
+        error_code error;
+        sent += socket.write_some(asio::buffer(piece), error);
+        is_open = !error || error == asio::error::would_block;
+        return !is_open || sent > max_bytes;
+    }));
+    return is_open ? std::nullopt : std::optional(sent);
+}
+
+/// Sockets of both sides hold some megabytes on loopback, beside what the box reads.
+constexpr std::size_t max_sent_bytes = std::size_t { 7 } * 1024 * 1024;
+
+std::string const echo = "X-Attempt-Id: 9c41\r\nX-Response-Stamp: s\r\n";
+
+struct Endless {
+    std::string name;
+    std::string begin;
+    std::string repeated;
+    std::string part;
+};
+
+std::vector<Endless> const endless_answers {
+    { "head", "HTTP/1.1 200 OK\r\n" + echo, "X-Filler: f\r\n", "head" },
+    { "interim answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n", "skipped" },
+    { "answers to others", "", "HTTP/1.1 200 OK\r\nX-Attempt-Id: o\r\nContent-Length: 5\r\n\r\nother", "skipped" },
+    { "an answer to another", "HTTP/1.1 200 OK\r\nX-Attempt-Id: o\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "5\r\nother\r\n", "skipped" },
+    { "chunk extension", stream_head + "4;x=", "f", "beside-body" },
+    { "trailers", stream_head + "2\r\nok\r\n0\r\n", "X-Filler: f\r\n", "beside-body" },
+};
+
+}
+
+// Guards against a box whose memory fills with an answer that never ends, and whose client waits for its time to run
+// out.
+TEST_CASE("an endpoint that sends without end is cut off, and its client is answered at once")
+{
+    for (auto const& [name, begin, repeated, part] : endless_answers) {
+        CAPTURE(name);
+        Exchange play(RouteKind::NonIdempotent);
+        play.start();
+        auto const where = play.wait_for_arrival();
+        play.endpoints[where]->answer(begin);
+        auto const sent = send_until_closed(play, where, repeated);
+        REQUIRE(sent);
+        CHECK(*sent <= max_sent_bytes);
+        REQUIRE(play.ends());
+        // The request may have run, so nothing else is promised.
+        bool const has_begun = play.received.starts_with("HTTP/1.1 200");
+        CHECK((has_begun || play.received.starts_with("HTTP/1.1 502")));
+        CHECK_FALSE(play.received.ends_with("0\r\n\r\n"));
+        CHECK(play.arrival_count() == 1);
+        auto const counted = "cleatbeam_answer_excesses_total{part=\"" + part + "\"} 1";
+        CHECK(play.state.metrics.to_text().find(counted) != std::string::npos);
+    }
+}
+
+TEST_CASE("the rest of a rejection that never ends is not waited for")
+{
+    Exchange play(RouteKind::NonIdempotent, 2, 2);
+    play.start();
+    auto const first = play.wait_for_arrival();
+    play.endpoints[first]->answer(
+        "HTTP/1.1 503 Busy\r\nX-Attempt-Id: 9c41\r\nX-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    SUBCASE("many bytes")
+    {
+        CHECK(send_until_closed(play, first, "5\r\nfills\r\n"));
+    }
+    SUBCASE("no more bytes") { }
+    auto const second = play.wait_for_arrival();
+    play.endpoints[second]->answer(whole_answer);
+    REQUIRE(play.ends());
+    CHECK(play.received.starts_with("HTTP/1.1 200"));
+    CHECK(play.received.ends_with("ok"));
+}
+
+// Guards against a body that reaches the client as if its transfer coding had been removed.
+TEST_CASE("an answer with a transfer coding other than chunked can't be read")
+{
+    for (std::string const coding : { "gzip", "gzip, chunked", "chunked, gzip" }) {
+        CAPTURE(coding);
+        Exchange play(RouteKind::NonIdempotent);
+        play.start();
+        auto const where = play.wait_for_arrival();
+        play.endpoints[where]->answer(
+            "HTTP/1.1 200 OK\r\n" + echo + "Transfer-Encoding: " + coding + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+        play.endpoints[where]->close();
+        REQUIRE(play.ends());
+        CHECK(play.received.starts_with("HTTP/1.1 502"));
+    }
+}
+
+TEST_CASE("a long head, and one answer to another request, are still read")
+{
+    Exchange play(RouteKind::NonIdempotent);
+    play.start();
+    auto const where = play.wait_for_arrival();
+    std::string const long_field = "X-Filler: " + std::string(30'000, 'f') + "\r\n";
+    play.endpoints[where]->answer(
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Attempt-Id: o\r\nContent-Length: "
+        "5\r\n\r\nother");
+    play.endpoints[where]->answer("HTTP/1.1 200 OK\r\n" + echo + long_field + "Content-Length: 2\r\n\r\nok");
+    REQUIRE(play.ends());
+    CHECK(play.received.starts_with("HTTP/1.1 200"));
+    CHECK(play.received.ends_with("ok"));
+}
