Tests: Let the stand-in store carry writes out late, in the soak too

The stand-in store did each call at once or never, so no test saw a heartbeat that is written after a drain. It now leaves every n-th write of boxes and endpoints without an answer and carries it out later, if its condition still holds. The stand-in endpoint gives up a heartbeat without an answer, and names when its process started, as the users' pages say that endpoints do.

A further play of the soak does so to a third of all writes, 1 to 6 s late, while one endpoint drains, ends and starts again and one box reports usage: no process of a box may take a draining state back.

--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -142,6 +142,7 @@
     this->version_in_store = 0;
     this->version_reported = 0;
     this->is_rewritten = false;
+    this->late_records.store_restored();
     // NOTE: As after any outage of the store, missing entries may belong to running endpoints.
     this->store_returned_at = now;
     this->state.router.store_returned(now);
--- a/Libraries/LibMembership/DepartedEndpoints.cpp
+++ b/Libraries/LibMembership/DepartedEndpoints.cpp
@@ -25,6 +25,14 @@
     });
 }
 
+void DepartedEndpoints::store_restored()
+{
+    for (auto& [instance, entry] : this->departures) {
+        if (entry.departure == Departure::Unlisted)
+            entry.departure = Departure::Lapsed;
+    }
+}
+
 std::optional<Departure> DepartedEndpoints::contradicted_by(Routing::EndpointRecord const& record, Instant now) const
 {
     auto const found = this->departures.find(Routing::instance_of(record));
--- a/Libraries/LibMembership/DepartedEndpoints.h
+++ b/Libraries/LibMembership/DepartedEndpoints.h
@@ -36,6 +36,8 @@
     void remove_from(std::vector<Routing::EndpointRecord>& records, Instant now) const;
     /// How the endpoint departed, if a record that lists it as ready must be an earlier one that the store wrote late.
     [[nodiscard]] std::optional<Departure> contradicted_by(Routing::EndpointRecord const& record, Instant now) const;
+    /// The store was restored from a copy: endpoints that write their entries from now on are running.
+    void store_restored();
     /// Sets how many endpoints are listed, since as many may depart within a short time.
     void set_listed(std::size_t count) { this->max_entries = std::max(min_capacity, count); }
 
--- a/Libraries/LibMembership/LateRecordFilter.h
+++ b/Libraries/LibMembership/LateRecordFilter.h
@@ -48,6 +48,8 @@
     {
         this->departed.remove_from(records, now);
     }
+    /// As DepartedEndpoints::store_restored.
+    void store_restored() { this->departed.store_restored(); }
     void set_listed(std::size_t count) { this->departed.set_listed(count); }
 
 private:
--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -209,7 +209,7 @@
             { "service", FLAGS_service }, { "address", this->address }, { "zone", FLAGS_failure_domain },
             { "version", FLAGS_software_version }, { "slots", FLAGS_server_slots },
             { "state", this->is_draining ? "draining" : "ready" }, { "cold_left_ms", 0 },
-            { "call_seq", this->heartbeats }
+            { "call_seq", this->heartbeats }, { "born", this->born_ms }
         }.dump();
     }
 
@@ -235,9 +235,18 @@
         tcp::socket socket(this->context);
         auto const place = Gateway::to_tcp_endpoint(
             { FLAGS_store.substr(0, colon), static_cast<std::uint16_t>(std::stoi(FLAGS_store.substr(colon + 1))) });
+        // NOTE: The store may never answer, and the next heartbeat has to be sent all the same.
+        asio::steady_timer timer(this->context, store_timeout);
+        auto const is_over = std::make_shared<bool>(false);
+        timer.async_wait([&socket, is_over](Gateway::error_code cancelled) {
+            if (!cancelled && !*is_over)
+                socket.close(cancelled);
+        });
         auto const [connect_error] = co_await socket.async_connect(*place, Gateway::as_value);
-        if (connect_error)
+        if (connect_error) {
+            *is_over = true;
             co_return;
+        }
         auto const call = fmt::format("POST /log-append?topic=keyed.servers&part=0 HTTP/1.1\r\nHost: store\r\n"
                                       "Connection: close\r\nContent-Length: {}\r\n\r\n{}",
             body.size(), body);
@@ -246,8 +255,11 @@
         http::response<http::string_body> answer;
         if (!write_error)
             co_await http::async_read(socket, buffer, answer, Gateway::as_value);
+        *is_over = true;
     }
 
+    static constexpr auto store_timeout = std::chrono::milliseconds(500);
+
     /// Behind it comes the limit that the server names from then on; nothing ends it.
     static constexpr std::string_view limit_path = "/limit/";
     /// Behind it come the seconds after which boxes may come back, while all requests are turned away; nothing ends it.
@@ -265,6 +277,7 @@
     AnswerStyles styles;
     std::string address;
     Core::Instant started { Core::monotonic_now() };
+    std::int64_t born_ms { Core::wall_clock_milliseconds() };
     /// When requests reached the server, run or not.
     std::vector<double> arrivals_ms;
     std::string limit;
--- a/Programs/standin/Store.cpp
+++ b/Programs/standin/Store.cpp
@@ -11,7 +11,7 @@
 DECLARE_string(port_file);
 
 /// The users' store as their pages tell it: topics with keyed records, reads that wait, appends, lost history, outages
-/// on demand, and a return from a copy that lacks what came last.
+/// on demand, writes without an answer that are carried out late, and a return from a copy that lacks what came last.
 namespace {
 
 using namespace Standin;
@@ -81,18 +81,55 @@
             co_return co_await this->read(*session, target);
         if (path == "/log-newest")
             co_return co_await this->newest(*session, target);
-        if (path == "/log-append")
-            co_return co_await this->append(*session, target, request.body());
+        if (path == "/log-append") {
+            if (this->is_next_write_late(target, request.body())) {
+                this->append_late(session, target, request.body());
+                // NOTE: The connection on which an answer was lost says nothing more.
+                co_await session->socket.async_wait(tcp::socket::wait_read, Gateway::as_value);
+                co_return false;
+            }
+            co_return co_await this->answer(*session, this->append(target, request.body()));
+        }
         if (path == "/log-trim")
             co_return co_await this->trim(*session, target);
         co_return co_await this->answer(*session, 404, "{}");
     }
 
 private:
+    struct Answer {
+        unsigned status { 200 };
+        std::string body;
+    };
+
     [[nodiscard]] Task<bool> answer(Session& session, unsigned status, std::string const& body) const
     {
         co_return co_await session.answer(status, body, fmt::format("Store-Era: {}\r\n", this->era));
     }
+    [[nodiscard]] Task<bool> answer(Session& session, Answer answer) const
+    {
+        co_return co_await this->answer(session, answer.status, answer.body);
+    }
+
+    /// Of the writes of boxes and endpoints, every `late_every`-th is late. The operator repeats its own until they are
+    /// answered, and the removal of an entry is the store's own work.
+    bool is_next_write_late(std::string const& target, std::string const& body)
+    {
+        constexpr std::size_t length_bytes = 4;
+        bool const is_removal = body.size() > length_bytes
+            && body.size() == length_bytes + 1 + static_cast<unsigned char>(body[length_bytes]);
+        if (this->late_every == 0 || is_removal || query_value(target, "topic") == "keyed.op")
+            return false;
+        return ++this->writes % this->late_every == 0;
+    }
+
+    /// Carries the write out later, if its condition still holds then.
+    void append_late(std::shared_ptr<Session> const& session, std::string target, std::string body)
+    {
+        auto const timer = std::make_shared<asio::steady_timer>(
+            session->socket.get_executor(), std::chrono::milliseconds(this->late_milliseconds));
+        timer->async_wait([this, timer, target = std::move(target), body = std::move(body)](
+                              auto) { static_cast<void>(this->append(target, body)); });
+    }
 
     /// The store is back from a copy: what was written in the last `lost_ms` milliseconds is gone, and its offsets are
     /// given out again.
@@ -128,6 +165,8 @@
         auto const faults = json::parse(body, nullptr, false);
         this->mode = faults.value("mode", "");
         this->slow_milliseconds = faults.value("slow_ms", 0);
+        this->late_every = faults.value("late_every", this->late_every);
+        this->late_milliseconds = faults.value("late_ms", this->late_milliseconds);
         co_return co_await session.answer(200, "{}");
     }
 
@@ -182,14 +221,14 @@
         co_return co_await this->answer(session, 200, body);
     }
 
-    Task<bool> append(Session& session, std::string const& target, std::string const& body)
+    [[nodiscard]] Answer append(std::string const& target, std::string const& body)
     {
         auto const name = query_value(target, "topic");
         auto& topic = this->topics[name];
         auto const offset = topic.end();
         auto const expected_end = query_value(target, "current_rev");
         if (!expected_end.empty() && std::stoull(expected_end) != offset)
-            co_return co_await this->answer(session, 412, fmt::format(R"({{"end":{}}})", offset));
+            return { 412, fmt::format(R"({{"end":{}}})", offset) };
         std::size_t position = 0;
         while (position + 4 <= body.size()) {
             std::uint64_t length = 0;
@@ -202,8 +241,7 @@
             topic.records.push_back(std::move(record));
             position += 4 + length;
         }
-        auto const text = fmt::format(R"({{"offset":{},"end":{}}})", offset, topic.end());
-        co_return co_await this->answer(session, 200, text);
+        return { 200, fmt::format(R"({{"offset":{},"end":{}}})", offset, topic.end()) };
     }
 
     Task<bool> trim(Session& session, std::string const& target)
@@ -222,6 +260,10 @@
     std::uint64_t era { 1 };
     std::string mode;
     int slow_milliseconds { 0 };
+    /// 0 for none.
+    std::uint64_t late_every { 0 };
+    int late_milliseconds { 0 };
+    std::uint64_t writes { 0 };
     std::uint64_t calls { 0 };
 };
 
--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -181,6 +181,14 @@
     this->cluster.set_faults("store", faults);
 }
 
+void PlatformCluster::set_late_writes(int every, int late_milliseconds) const
+{
+    json faults;
+    faults["late_every"] = every;
+    faults["late_ms"] = late_milliseconds;
+    this->cluster.set_faults("store", faults);
+}
+
 void PlatformCluster::restore_store(int lost_milliseconds) const
 {
     httplib::Client client("127.0.0.1", this->cluster.port("store"));
--- a/Tests/LibMembership/TestLateRecordFilter.cpp
+++ b/Tests/LibMembership/TestLateRecordFilter.cpp
@@ -63,6 +63,19 @@
     CHECK(filter.lateness_of(endpoint(start + 5000), nullptr, RecordSource::Store, at(4000)) == none);
 }
 
+TEST_CASE("after the store was restored from a copy, an endpoint that writes its entry is running, unless it drained")
+{
+    auto filter = after_heartbeats({ 0, 1200, 2400 });
+    filter.entry_removed({ "a", start }, at(3200));
+    filter.store_restored();
+    CHECK(filter.lateness_of(endpoint(start), nullptr, RecordSource::Store, at(4000)) == none);
+
+    LateRecordFilter drained;
+    drained.record_accepted(endpoint(start, true), RecordSource::Store, at(0));
+    drained.store_restored();
+    CHECK(drained.lateness_of(endpoint(start), nullptr, RecordSource::Store, at(1000)) == Lateness::AfterDraining);
+}
+
 TEST_CASE("what a relay considers current is not held back, since the relay passes it on only once")
 {
     auto filter = after_heartbeats({ 0, 1200, 2400 });
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <pcg_random.hpp>
 #include <set>
+#include <sstream>
 
 /// Real boxes with stand-ins for the platform's store and the endpoints, under faults drawn from a seed: boxes are
 /// killed, paused and stopped, the store fails in several ways, and connections from clients to boxes and from boxes to
@@ -14,7 +15,7 @@
 /// The answers of clients are compared with the journals of the endpoints, and the last configuration must come into
 /// force on all boxes. Further plays add a store that is restored from copies and a platform to which one box reports
 /// usage, endpoints with rate limits that reject requests or drain, boxes that are cut off from all endpoints, or
-/// endpoints that answer oddly.
+/// endpoints that answer oddly, or a store that carries writes out late.
 namespace {
 
 using namespace Soak;
@@ -58,10 +59,17 @@
     /// Boxes are cut off from all endpoints while everything else reaches them; endpoints are silent for a second, and
     /// announce that they can't reject many requests.
     CutOff,
-    /// Endpoints answer in all styles that the stand-in has: framed oddly, broken off, silent, with bytes too many.
+    /// Endpoints answer in all styles that the stand-in has: framed oddly, broken off, silent, with bytes too many or
+    /// without end.
     OddAnswers,
+    /// The store carries out a third of all writes of boxes and endpoints seconds late. One endpoint drains, ends and
+    /// starts again, time after time; one box reports usage.
+    LateWrites,
 };
 
+/// Drains and starts again in the play of late writes.
+constexpr auto const* leaving_server = "d3";
+
 /// How the endpoint answers in the play of odd answers: some in each style.
 std::string odd_behaviour(std::uint64_t seed)
 {
@@ -73,6 +81,10 @@
     auto text = "seed: " + std::to_string(seed) + "\nanswers:\n  silent_for_good: 0.002\n";
     for (auto const* style : styles)
         text += "  " + std::string(style) + ": 0.02\n";
+    constexpr std::array endless_styles { "head_without_end", "interim_answers_without_end",
+        "other_answers_without_end", "chunk_extension_without_end", "trailers_without_end" };
+    for (auto const* style : endless_styles)
+        text += "  " + std::string(style) + ": 0.01\n";
     return text;
 }
 
@@ -84,10 +96,12 @@
         , random_of_play(seed + 1000)
         , play(play)
     {
-        if (this->play == Play::CopiesAndLeader)
+        if (this->has_leader())
             this->cluster.start_cloud();
         for (auto const* name : server_names)
             this->start_server(name);
+        if (this->play == Play::LateWrites)
+            this->start_server(leaving_server);
         this->write_configuration(0);
         for (std::size_t index = 0; index < box_names.size(); ++index) {
             this->to_store[index].set_target(this->cluster.store_port());
@@ -95,6 +109,8 @@
         }
         for (auto const* name : box_names)
             this->cluster.wait_ready(name);
+        if (this->play == Play::LateWrites)
+            this->write_late();
     }
 
     [[nodiscard]] std::vector<int> client_ports() const
@@ -114,6 +130,8 @@
             this->strike_endpoint_reports();
         if (this->play == Play::CutOff)
             this->strike_endpoint_links();
+        if (this->play == Play::LateWrites)
+            this->strike_leaving_server();
         auto const index = this->random(static_cast<std::uint32_t>(box_names.size()));
         auto const* const name = box_names[index];
         switch (this->random(10)) {
@@ -156,7 +174,7 @@
     /// Checks the calls that the platform accepted: no two different reports of one window, and no token of two boxes.
     void check_leader_calls() const
     {
-        if (this->play != Play::CopiesAndLeader)
+        if (!this->has_leader())
             return;
         auto const is_report = [](auto const& call) { return call["call"] == "/usage"; };
         wait_until("usage is reported", [&] { return std::ranges::any_of(this->cluster.taken_calls(), is_report); });
@@ -170,10 +188,36 @@
         MESSAGE(reports.size() << " windows reported by " << boxes.size() << " terms");
     }
 
+    /// Checks that no process of a box took a draining state back, by its log: such a box sends requests to an endpoint
+    /// that is about to end.
+    void check_draining() const
+    {
+        if (this->play != Play::LateWrites)
+            return;
+        for (auto const* name : box_names) {
+            std::istringstream log(this->cluster.log_of(name));
+            std::set<std::string> draining;
+            for (std::string line; std::getline(log, line);) {
+                if (line.find("event=endpoint_changed") == std::string::npos)
+                    continue;
+                auto const begin = line.find("endpoint=");
+                auto const process = line.substr(begin, line.find(" service=") - begin);
+                CAPTURE(line);
+                if (line.find("state=draining") != std::string::npos)
+                    draining.insert(process);
+                else
+                    CHECK_FALSE(draining.contains(process));
+            }
+        }
+        MESSAGE(this->drains << " drains");
+    }
+
     void heal()
     {
         this->cluster.set_store_mode("");
-        if (this->play == Play::CopiesAndLeader)
+        if (this->play == Play::LateWrites)
+            this->cluster.set_late_writes(0, 0);
+        if (this->has_leader())
             this->cluster.set_cloud_mode("");
         if (this->play == Play::EndpointReports) {
             for (auto const* name : server_names)
@@ -225,6 +269,41 @@
     Harness::PlatformCluster cluster;
 
 private:
+    [[nodiscard]] bool has_leader() const
+    {
+        return this->play == Play::CopiesAndLeader || this->play == Play::LateWrites;
+    }
+
+    /// From now on writes are as late as the platform allows, by a time that is drawn.
+    void write_late()
+    {
+        constexpr int late_every = 3;
+        constexpr int min_late_milliseconds = 1000;
+        constexpr std::uint32_t late_range = 5000;
+        this->cluster.set_late_writes(
+            late_every, min_late_milliseconds + static_cast<int>(this->random_of_play(late_range)));
+    }
+
+    /// The endpoint drains; a while later its process ends, its entry goes, and a new process starts under its id.
+    void strike_leaving_server()
+    {
+        constexpr int strikes_until_end = 6;
+        if (this->drained_for == 0) {
+            if (this->random_of_play(3) != 0)
+                return;
+            static_cast<void>(this->cluster.get(leaving_server, "/drain"));
+            this->write_late();
+            this->drained_for = 1;
+            ++this->drains;
+        } else if (++this->drained_for > strikes_until_end) {
+            this->cluster.set_store_mode("");
+            this->cluster.process(leaving_server).kill();
+            this->cluster.drop_ended_servers();
+            this->cluster.restart_ended_servers();
+            this->drained_for = 0;
+        }
+    }
+
     void strike_leader_or_history()
     {
         switch (this->random_of_play(8)) {
@@ -305,7 +384,7 @@
     void start_box(std::size_t index)
     {
         auto settings = bounds;
-        settings.has_leader = this->play == Play::CopiesAndLeader;
+        settings.has_leader = this->has_leader();
         settings.store_port = this->to_store[index].port();
         this->cluster.start_box(box_names[index], settings);
         this->to_box[index].set_target(this->cluster.client_port(box_names[index]));
@@ -357,6 +436,9 @@
     std::array<FaultProxy, box_names.size()> to_store;
     std::array<FaultProxy, box_names.size()> to_box;
     std::array<bool, box_names.size()> is_frozen {};
+    /// Strikes since the leaving endpoint began to drain; 0 while it doesn't.
+    int drained_for { 0 };
+    int drains { 0 };
     /// The endpoint that is silent now; empty for none.
     std::string frozen_server;
 };
@@ -472,6 +554,7 @@
     CHECK(served > 0);
     check_versions(site, exchanges);
     site.check_leader_calls();
+    site.check_draining();
     site.configure_over_narrow_links();
 }
 
@@ -497,6 +580,11 @@
     play(Play::CutOff);
 }
 
+TEST_CASE("and where the store carries writes out late, while an endpoint drains and starts again")
+{
+    play(Play::LateWrites);
+}
+
 TEST_CASE("and where servers frame their answers oddly, break them off, fall silent and send too much")
 {
     play(Play::OddAnswers);
