LibRouting: Don't take the entry of a process that ended for that of its successor

Cause: a box knows an endpoint's version from its entry in the store, and kept it beyond the process that the entry is about. The box had seen that process end (broken_connection_checked endpoint_now=refuses); another version started under the id and at the address while the store was down and no new entry could come. Ruled out: versions lost between boxes (with the store at work none is mixed).

Change: where a host refused a connection, to this box or to one that reports a crash, the endpoint continues no stream until the list has been known for 4 s afterwards, and a stream that begins there is continued nowhere. The knowledge of the list, which drains told in answers used already, is a class of its own.

--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -209,9 +209,13 @@
 bool ControlPlane::handle_crash_message(std::string_view bytes)
 {
     auto const message = Membership::decode_crashes(bytes);
-    if (message)
-        this->state.crash_exchange.receive(*message);
-    return message.has_value();
+    if (!message)
+        return false;
+    auto const now = monotonic_now();
+    for (auto const& [report, age] : message->crashes)
+        this->state.router.endpoint_ended(report.endpoint, now - age);
+    this->state.crash_exchange.receive(*message);
+    return true;
 }
 
 bool ControlPlane::handle_endpoint_notices(std::string_view bytes, Routing::SocketAddress const& from)
--- a/Libraries/LibGateway/ExchangeRetries.cpp
+++ b/Libraries/LibGateway/ExchangeRetries.cpp
@@ -89,6 +89,8 @@
         && !co_await this->state.reachability.is_own_refusal(placed.choice.endpoint))
         check_result = EndpointCheckResult::Unknown;
     this->log_broken_connection(attempt, check_result);
+    if (check_result == EndpointCheckResult::Refuses)
+        this->state.router.endpoint_ended(Routing::instance_of(placed.endpoint), monotonic_now());
     if (was_in_use && check_result == EndpointCheckResult::Refuses) {
         for (auto const& report : Routing::CrashLedger::reports_of(
                  this->suspects, attempt.known_crashes, Routing::instance_of(placed.endpoint)))
--- a/Libraries/LibGateway/ExchangeStreams.cpp
+++ b/Libraries/LibGateway/ExchangeStreams.cpp
@@ -46,6 +46,9 @@
     if (!begins)
         return;
     this->admitted->stream_version = attempt.placed.endpoint.version;
+    this->is_stream_version_unknown = attempt.placed.is_entry_outdated;
+    if (this->is_stream_version_unknown)
+        return;
     bool const was_noted_by_other_box = attempt.placed.endpoint.incarnation.empty();
     if (was_noted_by_other_box || this->attempt_id.empty())
         return;
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -203,6 +203,9 @@
     else if (error)
         this->state.reachability.connect_failed(endpoint, attempt.started);
     auto const now = monotonic_now();
+    // NOTE: While this box is cut off, hosts of running endpoints refuse as well.
+    if (error == asio::error::connection_refused && !this->state.reachability.is_cut_off())
+        this->state.router.endpoint_ended(Routing::instance_of(attempt.placed.endpoint), now);
     bool const has_endpoint_left = !error && !this->state.router.may_receive(endpoint, now);
     bool const is_at_limit = !error && !has_endpoint_left && !this->state.router.may_send(attempt.placed, now);
     if (error || has_endpoint_left || is_at_limit || this->is_cancelled()) {
@@ -399,7 +402,8 @@
         return AttemptEnd::Unknown;
     // NOTE: Without an id the next endpoint could not tell where to continue, and would send all events again.
     bool const is_position_known = !this->events.has_events() || this->events.last_id();
-    bool const can_continue = this->splits_events && is_position_known && !this->is_cancelled();
+    bool const can_continue
+        = this->splits_events && is_position_known && !this->is_cancelled() && !this->is_stream_version_unknown;
     return can_continue ? AttemptEnd::Interrupted : AttemptEnd::BrokenAfterDelivery;
 }
 
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -283,6 +283,8 @@
     std::vector<std::string> asked_boxes;
     /// What another box told of the request when it forwarded it here.
     std::optional<Membership::ForwardedRequest> forwarded;
+    /// The stream began at an endpoint whose version is not known, so no other endpoint may continue it.
+    bool is_stream_version_unknown { false };
     unsigned sent_attempts { 0 };
     unsigned unsent_attempts { 0 };
     AttemptEnd last_end { AttemptEnd::NotSent };
--- a/Libraries/LibRouting/EndpointNotices.cpp
+++ b/Libraries/LibRouting/EndpointNotices.cpp
@@ -60,18 +60,9 @@
     return true;
 }
 
-void EndpointNotices::confirm_list(Instant confirmed_at)
-{
-    if (!this->list_confirmed_at || confirmed_at - *this->list_confirmed_at > max_list_gap)
-        this->list_known_since = confirmed_at;
-    this->list_confirmed_at = std::max(confirmed_at, this->list_confirmed_at.value_or(confirmed_at));
-}
-
 bool EndpointNotices::may_still_drain(EndpointNotice const& notice) const
 {
-    if (!this->list_confirmed_at)
-        return true;
-    return *this->list_confirmed_at - std::max(notice.reported_at, this->list_known_since) < max_unlisted_drain;
+    return !this->list.is_known_for(max_unlisted_drain, notice.reported_at);
 }
 
 bool EndpointNotices::is_draining(EndpointId id) const
--- a/Libraries/LibRouting/EndpointNotices.h
+++ b/Libraries/LibRouting/EndpointNotices.h
@@ -2,6 +2,7 @@
 
 #include <LibRouting/EndpointDirectory.h>
 #include <LibRouting/LimitShare.h>
+#include <LibRouting/ListConfirmations.h>
 #include <LibRouting/RateLimit.h>
 
 #include <unordered_map>
@@ -61,9 +62,10 @@
     bool apply(EndpointId id, EndpointNotice const& reported, Instant now);
     void forget(EndpointId id) { this->entries.erase(id); }
     /// The endpoint list was up to date at this time.
-    void confirm_list(Instant confirmed_at);
+    void confirm_list(Instant confirmed_at) { this->list.confirm(confirmed_at); }
     /// The endpoint list may be outdated, as after the store was restored from a copy.
-    void mark_list_uncertain() { this->list_confirmed_at.reset(); }
+    void mark_list_uncertain() { this->list.mark_uncertain(); }
+    [[nodiscard]] ListConfirmations const& list_confirmations() const { return this->list; }
 
     [[nodiscard]] bool is_draining(EndpointId id) const;
     /// Whether the endpoint's limit allows this box to send a request of this priority now, as LimitShare::may_send.
@@ -90,8 +92,6 @@
     /// An endpoint that is listed as not draining for this long after it reported that it drains is another process.
     /// Longer than an entry takes to lapse and a delayed write to the store to complete.
     static constexpr Duration max_unlisted_drain { std::chrono::seconds(15) };
-    /// If two confirmations of the list are further apart, the list was unknown in between.
-    static constexpr Duration max_list_gap { std::chrono::seconds(2) };
 
     /// The limit of an entry that has one.
     [[nodiscard]] SharedLimit shared_limit(Entry const& entry, SharedMicroseconds now) const;
@@ -100,9 +100,7 @@
 
     BoxGroup boxes;
     std::unordered_map<EndpointId, Entry> entries;
-    std::optional<Instant> list_confirmed_at;
-    /// Since when the list has been confirmed without a gap.
-    Instant list_known_since;
+    ListConfirmations list;
 };
 
 /// Time after which a client should retry if all endpoints of a service are at their limit. `slot` is the longest slot
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -141,6 +141,7 @@
     this->backoffs.forget(id);
     this->cold.forget(id);
     this->brittle.forget(id);
+    this->ended.forget(id);
 }
 
 void RequestRouter::forget_notices_of_moved()
@@ -350,6 +351,16 @@
     this->directory.mark_replaced(endpoint);
 }
 
+bool RequestRouter::endpoint_ended(EndpointInstance const& endpoint, Instant now)
+{
+    std::scoped_lock const guard(this->endpoints_lock);
+    auto const* const known = this->directory.find(endpoint.incarnation);
+    if (known == nullptr || instance_of(known->record) != endpoint)
+        return false;
+    this->ended.note(known->id, now);
+    return true;
+}
+
 void RequestRouter::update_reported_load(EndpointId endpoint, ReportedLoad const& reported, Instant now)
 {
     std::scoped_lock const guard(this->endpoints_lock);
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -4,6 +4,7 @@
 #include <LibRouting/BrittleEndpoints.h>
 #include <LibRouting/ColdEndpoints.h>
 #include <LibRouting/ConfigurationLease.h>
+#include <LibRouting/EndedProcesses.h>
 #include <LibRouting/EndpointBackoffs.h>
 #include <LibRouting/EndpointNotices.h>
 #include <LibRouting/LoadReport.h>
@@ -97,6 +98,8 @@
     std::size_t at_limit { 0 };
     /// Number of endpoints that were skipped since they are backed off.
     std::size_t backed_off { 0 };
+    /// Whether the endpoint's entry may be that of an earlier process. `endpoint` then names no version.
+    bool is_entry_outdated { false };
 
     bool operator==(Placed const&) const = default;
 };
@@ -196,6 +199,9 @@
     void answer_progressed(Admitted const& request, EndpointId endpoint, double tokens, Duration taken, Instant now);
     void attempt_ended(RequestId request, EndpointId endpoint, AttemptResult result, Instant now);
     void endpoint_replaced(EndpointId endpoint);
+    /// The endpoint's process ended: its host refused a connection, to this box or to another one. Returns whether this
+    /// is the process that is listed.
+    bool endpoint_ended(EndpointInstance const& endpoint, Instant now);
     void update_reported_load(EndpointId endpoint, ReportedLoad const& reported, Instant now);
 
     /// An endpoint that began or ceased to be considered slow.
@@ -323,6 +329,8 @@
         [[nodiscard]] PlacementCandidates const& best() const;
     };
     [[nodiscard]] Choices choices(Admitted const& request, std::vector<EndpointId> const& tried, Instant now);
+    /// Whether the endpoint's process is known to have the version of the software that began a stream.
+    [[nodiscard]] bool may_continue(std::string const& version, KnownEndpoint const& endpoint) const;
     /// Refuses a request for which no endpoint is left.
     [[nodiscard]] Rejected refuse_unplaced(
         Admitted const& request, Choices const& choices, bool was_tried, Instant now);
@@ -369,6 +377,7 @@
     EndpointBackoffs backoffs;
     ColdEndpoints cold;
     BrittleEndpoints brittle;
+    EndedProcesses ended;
     std::set<std::string> evacuated_domains;
     Duration shared_clock_ahead { 0 };
     std::unordered_map<std::string, RetryBudget> budgets;
--- a/Libraries/LibRouting/RouterPlacement.cpp
+++ b/Libraries/LibRouting/RouterPlacement.cpp
@@ -90,6 +90,9 @@
                 account_key(request.account), engine_work(workload), now);
     }
     Placed placed { *choice, this->directory.find(choice->endpoint)->record };
+    placed.is_entry_outdated = this->ended.is_entry_outdated(choice->endpoint, this->notices.list_confirmations());
+    if (placed.is_entry_outdated)
+        placed.endpoint.version.clear();
     placed.limit = this->notices.limit_of(choice->endpoint);
     placed.cold_limit = this->cold_limit_of(request);
     placed.is_counted_by_limit = this->count_send(choice->endpoint, placed.cold_limit, now);
@@ -120,7 +123,7 @@
             choices.has_other_regions = true;
             continue;
         }
-        if (request.stream_version && endpoint->record.version != *request.stream_version) {
+        if (request.stream_version && !this->may_continue(*request.stream_version, *endpoint)) {
             choices.has_other_versions = true;
             continue;
         }
@@ -142,6 +145,12 @@
     return choices;
 }
 
+bool RequestRouter::may_continue(std::string const& version, KnownEndpoint const& endpoint) const
+{
+    return endpoint.record.version == version
+        && !this->ended.is_entry_outdated(endpoint.id, this->notices.list_confirmations());
+}
+
 Rejected RequestRouter::refuse_unplaced(Admitted const& request, Choices const& choices, bool was_tried, Instant now)
 {
     auto const jitter = std::ldexp(static_cast<double>(this->random()), -32);
--- a/Tests/LibRouting/TestStreamVersion.cpp
+++ b/Tests/LibRouting/TestStreamVersion.cpp
@@ -95,3 +95,32 @@
         box.router.remove_endpoint(name, at(seconds(1)));
     CHECK(box.router.only_version("desk") == "v1.2");
 }
+
+// Guards against streams that go on at two software versions: an endpoint starts again with another version while the
+// store is away, and the box still has the entry of the process before it.
+TEST_CASE("a stream is not continued at an endpoint whose listed process has ended, nor is one begun there")
+{
+    Box box;
+    auto request = box.admit();
+    REQUIRE(RequestRouter::restrict_to_origin(request, { "desk", "v1" }));
+    REQUIRE(box.router.endpoint_ended({ "old-1", 0 }, at(seconds(1))));
+    CHECK(box.versions_tried(request).first == std::multiset<std::string> { "v1" });
+    CHECK(box.versions_tried(box.admit()).first == std::multiset<std::string> { "", "v1", "v1.2", "v1.2" });
+    SUBCASE("until its entry has been listed for some seconds")
+    {
+        for (int second = 1; second <= 5; ++second)
+            box.router.confirm_endpoints(at(seconds(second)));
+        CHECK(box.versions_tried(request).first == std::multiset<std::string> { "v1", "v1" });
+    }
+    SUBCASE("until it is listed with another version")
+    {
+        box.put("old-1", "v1.2");
+        CHECK(box.versions_tried(request).first == std::multiset<std::string> { "v1" });
+        CHECK(box.versions_tried(box.admit()).first == std::multiset<std::string> { "v1", "v1.2", "v1.2", "v1.2" });
+    }
+    SUBCASE("which does not concern another process under its id")
+    {
+        CHECK_FALSE(box.router.endpoint_ended({ "old-2", 1234 }, at(seconds(1))));
+        CHECK(box.versions_tried(request).first == std::multiset<std::string> { "v1" });
+    }
+}
