Tests: Wait for the end of an exchange before its outcome is checked

TestSlowReaders failed once in a sanitized build at CHECK(client.keeps): the check followed on the arrival of the last bytes at the client, which the kernel may deliver before the box has run the completion of its write. The event loop runs in slices of 1 ms, and the client is polled between two of them. All other cases wait for has_ended. The check is as strict as before, and now made after the exchange has ended.

--- a/Tests/LibGateway/TestSlowReaders.cpp
+++ b/Tests/LibGateway/TestSlowReaders.cpp
@@ -535,6 +535,8 @@
         client.start_reading();
         REQUIRE(box.reach([&client = client] { return client.received.ends_with(last_chunk); }));
         CHECK(whole_body_of(client.received) == body);
+        // The client may have the last bytes before the box has seen the end of its write.
+        REQUIRE(box.reach([&client = client] { return client.has_ended; }));
         CHECK(client.keeps);
     }
     SUBCASE("not to one that never reads")
