--- a/Tests/Integration/TestUnendingBytes.cpp
+++ b/Tests/Integration/TestUnendingBytes.cpp
@@ -170,16 +170,16 @@
 {
     EndlessSite site;
     std::string const begin = "POST /once/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n";
-    for (auto const& [start, repeated] : { std::pair { begin + "4;x=", std::string("f") },
+    for (auto const& endless : { std::pair { begin + "4;x=", std::string("f") },
              std::pair { begin + "2\r\nok\r\n0\r\n", std::string("X-Filler: f\r\n") } }) {
-        CAPTURE(start);
+        CAPTURE(endless.first);
         std::atomic<bool> is_running { true };
         std::atomic<int> open { calls_at_once };
         std::vector<std::thread> clients;
         std::array<std::string, calls_at_once> received;
         for (std::size_t number = 0; number < calls_at_once; ++number) {
             clients.emplace_back([&, number] {
-                received[number] = answer_to_endless(site.client_port("b1"), start, repeated);
+                received[number] = answer_to_endless(site.client_port("b1"), endless.first, endless.second);
                 is_running = --open > 0;
             });
         }
--- a/Tests/LibGateway/TestClientConnection.cpp
+++ b/Tests/LibGateway/TestClientConnection.cpp
@@ -335,17 +335,17 @@
 TEST_CASE("what a client sends beside its body without end is refused, and the connection ends")
 {
     std::string const begin = "POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
-    for (auto const& [start, repeated] : { std::pair { begin + "4;x=", std::string("f") },
+    for (auto const& endless : { std::pair { begin + "4;x=", std::string("f") },
              std::pair { begin + "2\r\nok\r\n0\r\n", std::string("X-Filler: f\r\n") },
              std::pair { std::string("POST /a/ HTTP/1.1\r\n"), std::string("X-Filler: f\r\n") } }) {
-        CAPTURE(start);
+        CAPTURE(endless.first);
         Connection connection;
-        connection.send(start);
+        connection.send(endless.first);
         constexpr std::size_t max_bytes = 200 * 1024;
         for (std::size_t sent = 0; sent < max_bytes; sent += 8 * 1024) {
             std::string piece;
             while (piece.size() < 8 * 1024)
-                piece += repeated;
+                piece += endless.second;
             error_code error;
             asio::write(connection.sockets.far, asio::buffer(piece), error);
             connection.context.restart();
--- a/Tests/LibGateway/TestUnendingAnswers.cpp
+++ b/Tests/LibGateway/TestUnendingAnswers.cpp
@@ -56,13 +56,13 @@
 // out.
 TEST_CASE("an endpoint that sends without end is cut off, and its client is answered at once")
 {
-    for (auto const& [name, begin, repeated, part] : endless_answers) {
-        CAPTURE(name);
+    for (auto const& endless : endless_answers) {
+        CAPTURE(endless.name);
         Exchange play(RouteKind::NonIdempotent);
         play.start();
         auto const where = play.wait_for_arrival();
-        play.endpoints[where]->answer(begin);
-        auto const sent = send_until_closed(play, where, repeated);
+        play.endpoints[where]->answer(endless.begin);
+        auto const sent = send_until_closed(play, where, endless.repeated);
         REQUIRE(sent);
         CHECK(*sent <= max_sent_bytes);
         REQUIRE(play.ends());
@@ -71,7 +71,7 @@
         CHECK((has_begun || play.received.starts_with("HTTP/1.1 502")));
         CHECK_FALSE(play.received.ends_with("0\r\n\r\n"));
         CHECK(play.arrival_count() == 1);
-        auto const counted = "cleatbeam_answer_excesses_total{part=\"" + part + "\"} 1";
+        auto const counted = "cleatbeam_answer_excesses_total{part=\"" + endless.part + "\"} 1";
         CHECK(play.state.metrics.to_text().find(counted) != std::string::npos);
     }
 }
