LibMembership: Keep an endpoint cold until two records say otherwise

An endpoint may become cold at any moment, so nothing in a single record tells which of two is older; an earlier end of the cold time now counts from the second record in a row that says so. A record that says more than that is taken at once, and so is a list.

Test: TestLateRecordFilter, a case that the filter of before can't pass, since it took each such record.

--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -309,6 +309,7 @@
         lateness = Membership::Lateness::EarlierInstance;
     if (!lateness)
         return {};
+    this->late_records.record_ignored(record, *lateness);
     this->state.metrics.count_late_record();
     Log::EventLine("endpoint_outdated")
         .with("endpoint", record.incarnation)
@@ -370,7 +371,9 @@
     std::vector<Routing::EndpointRecord>& records, Membership::RecordSource source, Instant now)
 {
     std::erase_if(records, [&](Routing::EndpointRecord& record) {
-        if (!this->check_lateness(record, source, now)) {
+        auto const lateness = this->check_lateness(record, source, now);
+        // NOTE: The known cold time counts from when its record was read, so it can't stand in for that of a list.
+        if (!lateness || *lateness == Membership::Lateness::StillCold) {
             this->late_records.record_accepted(record, source, now);
             return false;
         }
--- a/Libraries/LibMembership/LateRecordFilter.cpp
+++ b/Libraries/LibMembership/LateRecordFilter.cpp
@@ -20,9 +20,11 @@
     case Lateness::AfterRemoval:
         return "after-removal";
     case Lateness::EarlierInstance:
+        return "earlier-instance";
+    case Lateness::StillCold:
         break;
     }
-    return "earlier-instance";
+    return "still-cold";
 }
 
 std::optional<Lateness> LateRecordFilter::lateness_of(Routing::EndpointRecord const& record,
@@ -39,7 +41,11 @@
     if (departure)
         return Lateness::AfterRemoval;
     auto const known = this->heartbeats.find(record.incarnation);
-    if (known == this->heartbeats.end() || record.started_at == 0 || record.started_at >= known->second.started_at)
+    if (known == this->heartbeats.end())
+        return {};
+    if (is_warm_too_early(record, listed, known->second, now))
+        return Lateness::StillCold;
+    if (record.started_at == 0 || record.started_at >= known->second.started_at)
         return {};
     // NOTE: An endpoint's clock may have been set back before it started again. But a record of an earlier start that
     // arrives just after the later process was first seen is a late one of its predecessor.
@@ -47,6 +53,23 @@
     return is_late ? std::optional(Lateness::EarlierInstance) : std::nullopt;
 }
 
+bool LateRecordFilter::is_warm_too_early(
+    Routing::EndpointRecord const& record, Routing::EndpointRecord const* listed, Heartbeats const& known, Instant now)
+{
+    if (listed == nullptr || known.has_shorter_cold || now + record.cold_left + max_read_delay >= known.cold_until)
+        return false;
+    auto as_listed = record;
+    as_listed.cold_left = listed->cold_left;
+    return as_listed == *listed;
+}
+
+void LateRecordFilter::record_ignored(Routing::EndpointRecord const& record, Lateness lateness)
+{
+    auto const known = this->heartbeats.find(record.incarnation);
+    if (known != this->heartbeats.end() && lateness == Lateness::StillCold)
+        known->second.has_shorter_cold = true;
+}
+
 void LateRecordFilter::record_accepted(Routing::EndpointRecord const& record, RecordSource source, Instant now)
 {
     if (record.draining)
@@ -56,11 +79,13 @@
     if (source == RecordSource::Relay)
         return;
     auto const [position, is_new]
-        = this->heartbeats.try_emplace(record.incarnation, Heartbeats { record.started_at, now, now });
+        = this->heartbeats.try_emplace(record.incarnation, Heartbeats { record.started_at, now, now, now });
     auto& known = position->second;
     if (!is_new && record.started_at != 0 && record.started_at != known.started_at)
-        known = { record.started_at, now, now };
+        known = { record.started_at, now, now, now };
     known.last = now;
+    known.cold_until = now + record.cold_left;
+    known.has_shorter_cold = false;
 }
 
 void LateRecordFilter::entry_removed(Routing::EndpointInstance const& instance, Instant now)
--- a/Libraries/LibMembership/LateRecordFilter.h
+++ b/Libraries/LibMembership/LateRecordFilter.h
@@ -22,6 +22,8 @@
     AfterRemoval,
     /// The record is of a process that the listed one has followed.
     EarlierInstance,
+    /// The record only says that the endpoint stays cold for a shorter time than it said before.
+    StillCold,
 };
 
 [[nodiscard]] std::string_view to_string(Lateness lateness);
@@ -31,7 +33,8 @@
 /// A write whose answer was lost may be carried out seconds later, after newer records of the same endpoint. The log
 /// then ends with an older state, and its offsets only tell in which order the writes arrived. What does tell is what
 /// the records say: a process that drains never becomes ready again, one that left doesn't return, and a process
-/// starts after the one that it replaces.
+/// starts after the one that it replaces. How long an endpoint stays cold is told anew by each heartbeat, so an earlier
+/// end of that time counts from the second record that says so.
 class LateRecordFilter {
 public:
     /// Why the record is out of date; empty if it is current. `listed` is the endpoint's known record, null for none.
@@ -39,6 +42,8 @@
         Routing::EndpointRecord const* listed, RecordSource source, Instant now) const;
     /// The record is current.
     void record_accepted(Routing::EndpointRecord const& record, RecordSource source, Instant now);
+    /// The record was not applied.
+    void record_ignored(Routing::EndpointRecord const& record, Lateness lateness);
     /// The endpoint's entry is no longer in the store.
     void entry_removed(Routing::EndpointInstance const& instance, Instant now);
     /// Forgets when the endpoint last sent a heartbeat, without recording that it left.
@@ -58,11 +63,22 @@
         std::uint64_t started_at { 0 };
         Instant first;
         Instant last;
+        /// By the last record that was accepted.
+        Instant cold_until;
+        /// Whether the last record said that the endpoint stays cold for a shorter time.
+        bool has_shorter_cold { false };
     };
 
+    /// Whether the record says that the endpoint is warm earlier than it said before. It may become cold at any moment,
+    /// so this may be a record from before it did.
+    [[nodiscard]] static bool is_warm_too_early(Routing::EndpointRecord const& record,
+        Routing::EndpointRecord const* listed, Heartbeats const& known, Instant now);
+
     /// An entry lapses after three missed heartbeats, which are at least a second apart. An entry that is removed
     /// earlier than that after a heartbeat was removed by the endpoint.
     static constexpr Duration min_lapse { std::chrono::seconds(3) };
+    /// Reads of the store delay records by up to about a second, each by another time.
+    static constexpr Duration max_read_delay { std::chrono::milliseconds(1500) };
 
     DepartedEndpoints departed;
     /// By incarnation. Only of endpoints whose records this box reads in the store itself.
--- a/Tests/LibMembership/TestLateRecordFilter.cpp
+++ b/Tests/LibMembership/TestLateRecordFilter.cpp
@@ -96,6 +96,59 @@
     CHECK(relayed.lateness_of(endpoint(start), nullptr, RecordSource::Store, at(500)) == none);
 }
 
+namespace {
+
+Routing::EndpointRecord cold_endpoint(int cold_milliseconds)
+{
+    auto record = endpoint(start);
+    record.cold_left = std::chrono::milliseconds(cold_milliseconds);
+    return record;
+}
+
+/// Whether the filter takes the record, which was read at that time.
+bool takes(LateRecordFilter& filter, Routing::EndpointRecord const& record, int time)
+{
+    auto const listed = cold_endpoint(10'000);
+    auto const lateness = filter.lateness_of(record, &listed, RecordSource::Store, at(time));
+    if (lateness)
+        filter.record_ignored(record, *lateness);
+    else
+        filter.record_accepted(record, RecordSource::Store, at(time));
+    return !lateness;
+}
+
+}
+
+// Guards against more requests to a cold endpoint than it can run: a late heartbeat from before it became cold says
+// that it is warm.
+TEST_CASE("an endpoint stays cold for as long as it said, until two records in a row say otherwise")
+{
+    LateRecordFilter filter;
+    REQUIRE(takes(filter, cold_endpoint(10'000), 0));
+    CHECK(takes(filter, cold_endpoint(8'000), 1200));
+    CHECK_FALSE(takes(filter, cold_endpoint(0), 2000));
+    SUBCASE("the next one says the same as before")
+    {
+        CHECK(takes(filter, cold_endpoint(7'600), 2400));
+        CHECK_FALSE(takes(filter, cold_endpoint(0), 3000));
+    }
+    SUBCASE("the next one says that it is warm too")
+    {
+        CHECK(takes(filter, cold_endpoint(0), 3200));
+        CHECK(takes(filter, cold_endpoint(0), 4400));
+    }
+    SUBCASE("the time has passed")
+    {
+        CHECK(takes(filter, cold_endpoint(0), 9000));
+    }
+    SUBCASE("the record says more than that")
+    {
+        auto draining = cold_endpoint(0);
+        draining.draining = true;
+        CHECK(takes(filter, draining, 2400));
+    }
+}
+
 // Guards against a box that never applies the records of a process again, since it took a late record of the process
 // before it for the newest one.
 TEST_CASE("a record of an earlier start is late just after the later process was first seen")
