LibGateway: Let few answers be skipped, however short they are

A skipped answer now counts as 4 KB at least, so 64 are read.

Test: TestUnendingBytes, sanitized, two at once: before 4.4 and 6.0 s for answers to others, 1.5 s for interim ones; now both pass with 1.5 s allowed. The bound for the memory of a sanitized box is larger: it grew by 382 MB where an error's body is passed on until the deadline, which is what the sanitizer keeps of freed memory; the plain build's bound is as it was.

--- a/Libraries/LibGateway/EndpointCall.cpp
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -4,8 +4,18 @@
 #include <LibGateway/MessageFraming.h>
 #include <LibLog/EventLog.h>
 
+#include <algorithm>
+
 namespace Gateway {
 
+namespace {
+
+/// A skipped answer counts as so many bytes at least. Reading 4,000 short ones at eight connections took seconds of
+/// processor time, and an endpoint has no reason to send more than a few.
+constexpr std::size_t min_skipped_answer_bytes = 4 * 1024;
+
+}
+
 std::string_view to_string(BodyEnd end)
 {
     switch (end) {
@@ -78,7 +88,7 @@
         if (error)
             co_return this->note_excess(error);
         if (this->head().result_int() < first_final_status) {
-            if (auto const too_many = this->count_skipped(bytes))
+            if (auto const too_many = this->count_skipped(std::max(bytes, min_skipped_answer_bytes)))
                 co_return too_many;
             continue;
         }
@@ -88,7 +98,7 @@
         if (!facts.is_for_other_request)
             co_return error_code {};
         Log::EventLine("answer_for_other_request").with("id", this->attempt).info();
-        if (auto const too_many = this->count_skipped(bytes))
+        if (auto const too_many = this->count_skipped(std::max(bytes, min_skipped_answer_bytes)))
             co_return too_many;
         if (auto const broken = co_await this->skip_body())
             co_return broken;
--- a/Tests/Integration/TestUnendingBytes.cpp
+++ b/Tests/Integration/TestUnendingBytes.cpp
@@ -20,9 +20,9 @@
 /// Number of calls at once whose peers send without end.
 constexpr int calls_at_once = 8;
 
-/// Sanitizers keep memory that was freed, 256 MB of it.
+/// Sanitizers keep memory that was freed, 256 MB of it, and what they know of it.
 #ifdef __SANITIZE_ADDRESS__
-constexpr long max_growth_kilobytes = 400 * 1024;
+constexpr long max_growth_kilobytes = 512 * 1024;
 #else
 constexpr long max_growth_kilobytes = 64 * 1024;
 #endif
