--- a/Tests/Integration/TestUnendingBytes.cpp
+++ b/Tests/Integration/TestUnendingBytes.cpp
@@ -165,6 +165,41 @@
     }
 }
 
+// Guards against a box that passes such bytes on to another one, or whose memory fills with them.
+TEST_CASE("an endpoint that sends without end is cut off by the box that serves the request for another one")
+{
+    Harness::PlatformCluster site;
+    auto const behaviour = site.write_file("d1.yaml", "seed: 7\nanswers:\n  chunk_extension_without_end: 1.0\n");
+    site.start_proxied_server("m1", "model");
+    site.start_proxied_server("d1", "desk", { "--behaviour=" + behaviour });
+    site.configure(1, { "key" });
+    for (auto const* box : { "b1", "b2" })
+        site.start_box(box, { 8000, 8000, 20000, true });
+    for (auto const* box : { "b1", "b2" }) {
+        site.wait_ready(box);
+        Harness::wait_until(
+            std::string(box) + " knows the other", [&] { return site.metric(box, "cleatbeam_boxes ") == 2; });
+    }
+    auto const stream = [&](std::string const& attempt) {
+        return site.send("b1", "/stream/x", attempt, { { "X-Standin-Events", "3" } }).status;
+    };
+    site.cut_off("b1", Harness::Fault::Reset);
+    Harness::wait_until("the box forwards requests",
+        [&] { return stream("probe") == 200 && site.metric("b1", "cleatbeam_endpoints_unreachable ") == 1; });
+    auto const before = peak_memory(site.process("b1").process_id()) + peak_memory(site.process("b2").process_id());
+    for (int number = 0; number < calls_at_once; ++number) {
+        auto const began = Clock::now();
+        auto const status
+            = site.send("b1", "/once/x", "endless-" + std::to_string(number), { { "X-Deadline-Ms", "6000" } }).status;
+        CHECK((status == 502 || status == 0));
+        CHECK(Clock::now() - began < max_answer_time);
+    }
+    CHECK(site.metric("b2", "cleatbeam_answer_excesses_total{part=\"beside-body\"}") > 0);
+    CHECK(stream("after") == 200);
+    auto const after = peak_memory(site.process("b1").process_id()) + peak_memory(site.process("b2").process_id());
+    CHECK(after - before < 2 * max_growth_kilobytes);
+}
+
 // Guards against a client without a key that fills the box's memory.
 TEST_CASE("clients that send without end beside a body are refused, and the box serves its other requests as before")
 {
--- a/Tests/LibGateway/TestUnendingAnswers.cpp
+++ b/Tests/LibGateway/TestUnendingAnswers.cpp
@@ -127,3 +127,19 @@
     CHECK(play.received.starts_with("HTTP/1.1 200"));
     CHECK(play.received.ends_with("ok"));
 }
+
+TEST_CASE("a stream whose endpoint sends without end between two events goes on at another endpoint")
+{
+    Exchange play(RouteKind::Streaming, 2, 2, true);
+    play.start();
+    auto const first = play.wait_for_arrival();
+    play.endpoints[first]->answer(stream_head + "f\r\nid: 1\ndata: a\n\n\r\n");
+    REQUIRE(play.reach([&] { return play.received.find("data: a") != std::string::npos; }));
+    play.endpoints[first]->answer("4;x=");
+    CHECK(send_until_closed(play, first, "f"));
+    auto const second = play.wait_for_arrival();
+    play.endpoints[second]->answer(stream_head + "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+    REQUIRE(play.ends());
+    CHECK(play.received.find("data: b") != std::string::npos);
+    CHECK(play.received.ends_with("0\r\n\r\n"));
+}
