LibGateway: Log what a box knows of the room at a brittle endpoint

What the logs lacked: the limit that a box believed in force when it sent a request to a brittle endpoint, its own requests there, and each rejection, since one within 100 ms of another is not logged. `request_placed` now has `own_running` and `brittle_limit_per_s`, and `attempt_ended` has `told_max_rejections_per_s`, so that every rejection at such an endpoint can be counted over the boxes' logs.

--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -104,6 +104,8 @@
         line.with("inside_event", yes_or_no(this->events.is_inside_event()));
     if (attempt.reported_rate_limit)
         line.with("told_limit_per_s", *attempt.reported_rate_limit);
+    if (attempt.reported_max_rejections)
+        line.with("told_max_rejections_per_s", *attempt.reported_max_rejections);
     if (attempt.reported_draining)
         line.with("told_draining", "yes");
     if (attempt.reported_backoff)
@@ -177,6 +179,11 @@
         .with("backed_off", attempt.placed.backed_off);
     if (attempt.placed.limit.per_second)
         line.with("limit_per_s", *attempt.placed.limit.per_second);
+    if (auto const& brittle = attempt.placed.brittle) {
+        line.with("own_running", brittle->own_running);
+        if (brittle->limit_per_second)
+            line.with("brittle_limit_per_s", *brittle->limit_per_second);
+    }
     if (this->client.is_box)
         line.with("from_box", "yes");
     if (this->takes_up_stream)
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -275,6 +275,7 @@
     attempt.reported_backoff = facts.backoff;
     attempt.reported_load = facts.load;
     attempt.unreadable_load = facts.unreadable_load;
+    attempt.reported_max_rejections = facts.max_rejections;
     if (facts.rate_limit)
         attempt.reported_rate_limit = facts.rate_limit->per_second;
     if (!facts.is_other_endpoint)
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -65,6 +65,8 @@
     bool is_beyond_beginning { false };
     /// The endpoint's rate limit, in requests per second. Nothing if it reported none or an unreadable one.
     std::optional<double> reported_rate_limit;
+    /// How many requests the endpoint can reject within a second without failing, if it reported that.
+    std::optional<double> reported_max_rejections;
     /// Whether the endpoint reported that it is draining.
     bool reported_draining { false };
     /// How long the endpoint asked this box to send no requests.
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -84,6 +84,16 @@
     bool operator==(Rejected const&) const = default;
 };
 
+/// What a box knew of the room at a brittle endpoint when it chose it, for the log.
+struct BrittlePlacement {
+    /// Requests of this box there, without the new one.
+    std::size_t own_running { 0 };
+    /// The limit for all boxes together, in requests per second; unset if none was in force.
+    std::optional<double> limit_per_second;
+
+    bool operator==(BrittlePlacement const&) const = default;
+};
+
 /// The endpoint that a request is to be sent to.
 struct Placed {
     PlacementChoice choice;
@@ -98,6 +108,8 @@
     std::size_t at_limit { 0 };
     /// Number of endpoints that were skipped since they are backed off.
     std::size_t backed_off { 0 };
+    /// Set if the endpoint is brittle.
+    std::optional<BrittlePlacement> brittle {};
     /// Whether the endpoint's entry may be that of an earlier process. `endpoint` then names no version.
     bool is_entry_outdated { false };
 
@@ -349,6 +361,7 @@
     bool count_send(EndpointId id, std::optional<double> cold_limit, Instant now);
     /// Whether the endpoint would fail if it had to reject requests, and is not known to have room for one more.
     [[nodiscard]] bool may_be_overrun(Admitted const& request, KnownEndpoint const& endpoint, Instant now) const;
+    [[nodiscard]] std::optional<BrittlePlacement> brittle_placement(KnownEndpoint const& endpoint, Instant now) const;
     /// The limit of a brittle endpoint that has rejected requests.
     [[nodiscard]] std::optional<SharedLimit> brittle_limit(EndpointId id, Instant now) const;
     /// Whether this box's share of the endpoint's limits allows a request.
--- a/Libraries/LibRouting/RouterLimits.cpp
+++ b/Libraries/LibRouting/RouterLimits.cpp
@@ -27,6 +27,15 @@
     return this->shared_limit(*per_second, this->directory.find(id)->record.incarnation, this->shared_time(now));
 }
 
+std::optional<BrittlePlacement> RequestRouter::brittle_placement(KnownEndpoint const& endpoint, Instant now) const
+{
+    if (!this->brittle.is_brittle(endpoint.id, endpoint.record.service))
+        return {};
+    auto const load = this->loads.find(endpoint.id);
+    return BrittlePlacement { load == this->loads.end() ? 0 : load->second.own_running(),
+        this->brittle.limit_of(endpoint.id, now) };
+}
+
 bool RequestRouter::may_be_overrun(Admitted const& request, KnownEndpoint const& endpoint, Instant now) const
 {
     if (!this->brittle.is_brittle(endpoint.id, endpoint.record.service))
--- a/Libraries/LibRouting/RouterPlacement.cpp
+++ b/Libraries/LibRouting/RouterPlacement.cpp
@@ -95,6 +95,7 @@
         placed.endpoint.version.clear();
     placed.limit = this->notices.limit_of(choice->endpoint);
     placed.cold_limit = this->cold_limit_of(request);
+    placed.brittle = this->brittle_placement(*this->directory.find(choice->endpoint), now);
     placed.is_counted_by_limit = this->count_send(choice->endpoint, placed.cold_limit, now);
     placed.at_limit = choices.at_limit.size();
     placed.backed_off = choices.backed_off.size();
