--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <cstdlib>
+#include <deque>
 #include <fmt/format.h>
 #include <fstream>
 #include <gflags/gflags.h>
@@ -20,6 +21,7 @@
 DEFINE_string(incarnation, "i-1", "the server's own id");
 DEFINE_string(failure_domain, "hall-1", "where the server stands");
 DEFINE_int32(server_slots, 64, "requests at once");
+DEFINE_int32(server_queue, 0, "requests that may wait for a slot; further ones are rejected");
 DEFINE_int32(work_ms, 5, "time for a plain call, and between two events of a stream");
 DEFINE_int32(heartbeat_ms, 200, "time between two records in the store");
 DEFINE_int32(listed_port, 0, "port in the server's record, such as that of a proxy; 0 for its own");
@@ -71,11 +73,10 @@
         if (!this->retry_after.empty())
             co_return co_await session->answer(
                 503, "", "X-Not-Executed: 1\r\nRetry-After: " + this->retry_after + "\r\n");
-        if (this->running >= FLAGS_server_slots) {
+        if (!co_await this->acquire_slot()) {
             this->count_rejection();
             co_return co_await session->answer(503, "", "X-Not-Executed: 1\r\n" + this->brittle_header());
         }
-        ++this->running;
         this->report_run(request, attempt);
         if (!FLAGS_crash_on.empty() && request.body().find(FLAGS_crash_on) != std::string::npos) {
             co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_crash_after_ms));
@@ -89,7 +90,7 @@
         bool const is_open = co_await this->run(*session, request, attempt, is_harmful ? FLAGS_crash_at_event : 0);
         if (is_harmful)
             crash(*session);
-        --this->running;
+        this->release_slot();
         co_return is_open && !this->is_draining;
     }
 
@@ -101,12 +102,16 @@
             return json(this->runs).dump();
         if (target == "/arrivals")
             return json(this->arrivals_ms).dump();
+        if (target == "/rejected")
+            return json(this->rejected).dump();
         if (target.starts_with(limit_path))
             this->limit = target.substr(limit_path.size());
         else if (target.starts_with(retry_after_path))
             this->retry_after = target.substr(retry_after_path.size());
         else if (target.starts_with(brittle_path))
             this->max_rejections = target.substr(brittle_path.size());
+        else if (target.starts_with(queue_path))
+            this->queue_length = std::stoul(target.substr(queue_path.size()));
         else if (target.starts_with(break_off_path))
             this->broken_event = std::stoi("0" + target.substr(break_off_path.size()));
         else if (target == "/leave" || target == "/stay")
@@ -121,6 +126,32 @@
         return this->max_rejections.empty() ? "" : "Server-Brittle: " + this->max_rejections + "\r\n";
     }
 
+    /// Waits for a free slot and occupies it. False if too many requests wait already.
+    Task<bool> acquire_slot()
+    {
+        if (this->running < FLAGS_server_slots) {
+            ++this->running;
+            co_return true;
+        }
+        if (this->waiting.size() >= this->queue_length)
+            co_return false;
+        auto const turn = std::make_shared<asio::steady_timer>(this->context, asio::steady_timer::time_point::max());
+        this->waiting.push_back(turn);
+        co_await turn->async_wait(Gateway::as_value);
+        co_return true;
+    }
+
+    /// Passes the slot on to the request that has waited longest, if there is one.
+    void release_slot()
+    {
+        if (this->waiting.empty()) {
+            --this->running;
+            return;
+        }
+        this->waiting.front()->cancel();
+        this->waiting.pop_front();
+    }
+
     /// Whether a list of prompt parts, "ID:TOKENS" each, has the harmful one before its last entry.
     [[nodiscard]] static bool has_harmful_part(std::string_view list)
     {
@@ -147,13 +178,16 @@
     /// Ends the process if it has rejected too many requests within a second.
     void count_rejection()
     {
+        ++this->rejected;
         if (this->max_rejections.empty())
             return;
         auto const now = Core::monotonic_now();
         this->rejections.push_back(now);
         std::erase_if(this->rejections, [now](auto at) { return now - at > std::chrono::seconds(1); });
-        if (static_cast<double>(this->rejections.size()) > std::stod(this->max_rejections))
+        if (static_cast<double>(this->rejections.size()) > std::stod(this->max_rejections)) {
+            std::cerr << "ended after " << this->rejected << " rejections\n";
             std::_Exit(EXIT_FAILURE);
+        }
     }
 
     void report_run(Request const& request, std::string const& attempt)
@@ -196,8 +230,8 @@
     /// What the head of an answer says of the server.
     [[nodiscard]] std::string fields(std::string const& attempt) const
     {
-        return fmt::format("X-Response-Stamp: {}.{}\r\nX-Server-Load: {},0,{}\r\nKeep-Alive: timeout=5\r\n{}{}{}{}",
-            FLAGS_incarnation, attempt, this->running, FLAGS_server_slots,
+        return fmt::format("X-Response-Stamp: {}.{}\r\nX-Server-Load: {},{},{}\r\nKeep-Alive: timeout=5\r\n{}{}{}{}",
+            FLAGS_incarnation, attempt, this->running, this->waiting.size(), FLAGS_server_slots,
             this->is_draining ? "Connection: close\r\n" : "",
             this->limit.empty() ? "" : "Server-Limit: " + this->limit + "\r\n",
             this->tells_draining ? "Server-Leaving: 1\r\n" : "", this->brittle_header());
@@ -269,6 +303,9 @@
     /// it.
     static constexpr std::string_view brittle_path = "/brittle/";
 
+    /// Behind it comes the number of requests that may wait for a slot from then on.
+    static constexpr std::string_view queue_path = "/queue/";
+
     /// Behind it comes the number of the event inside which each new stream that reaches it is broken off from then on,
     /// by an orderly close of the connection; nothing ends it.
     static constexpr std::string_view break_off_path = "/break-off/";
@@ -290,6 +327,11 @@
     bool tells_draining { false };
     std::map<std::string, json> runs;
     int running { 0 };
+    /// Requests that wait for a slot, in order of arrival; cancelling the timer grants it.
+    std::deque<std::shared_ptr<asio::steady_timer>> waiting;
+    std::size_t queue_length { static_cast<std::size_t>(FLAGS_server_queue) };
+    /// Requests that were rejected since no slot was free.
+    int rejected { 0 };
     int heartbeats { 0 };
     bool is_draining { false };
 };
--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -122,13 +122,18 @@
         proxy->set_fault_for(process, fault);
 }
 
+void PlatformCluster::restart_server(std::string const& name)
+{
+    this->cluster.start_standin(name, "server", this->server_flags.at(name));
+}
+
 std::vector<std::string> PlatformCluster::restart_ended_servers()
 {
     std::vector<std::string> restarted;
     for (auto const& server : this->servers) {
         if (!this->has_ended(server))
             continue;
-        this->cluster.start_standin(server, "server", this->server_flags.at(server));
+        this->restart_server(server);
         restarted.push_back(server);
     }
     return restarted;
@@ -161,6 +166,12 @@
     service["autoscale"] = { { "min", 1 }, { "max", 4 }, { "boot_time_s", 1 }, { "spot_price", 0.2 },
         { "zone_prices", { { "hall-1", 1.0 } } } };
     configuration["services"] = { service };
+    if (this->engine_slots > 0) {
+        json engines;
+        engines["name"] = "model";
+        engines["engine"] = { { "slots", this->engine_slots }, { "kv_cache_tokens", 400000 } };
+        configuration["services"].push_back(engines);
+    }
     configuration["tenants"] = { account };
     httplib::Client client("127.0.0.1", this->cluster.port("store"));
     auto const result = client.Post(
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -39,6 +39,8 @@
         std::string const& name, std::string const& service, std::vector<std::string> const& flags = {});
     /// Sets the fault of the box's connections to all proxied endpoints, as FaultProxy::set_fault_for.
     void cut_off(std::string const& box, Fault fault);
+    /// Starts an endpoint that has ended again, under the same id.
+    void restart_server(std::string const& name);
     /// Restarts the endpoints that have ended, under the same ids, and returns their names.
     std::vector<std::string> restart_ended_servers();
     /// Writes a file that lasts as long as the test. Returns its path.
@@ -53,6 +55,8 @@
     /// can be resumed: /talk/ with one attempt, /resume/ with three), idempotent (/repeat/) and not (/once/). Further
     /// routes, about 170 bytes each, make the record larger.
     void configure(int version, std::vector<std::string> const& keys, int further_routes = 0);
+    /// From now on configure() says that the endpoints of "model" are engines with this many slots; 0 for no engines.
+    void set_engine_slots(int slots) { this->engine_slots = slots; }
     /// Waits until the box is ready.
     void wait_ready(std::string const& box) const;
     void set_store_mode(std::string const& mode) const;
@@ -98,6 +102,7 @@
     std::vector<std::string> servers;
     std::map<std::string, std::vector<std::string>> server_flags;
     std::map<std::string, std::array<int, 3>> box_ports;
+    int engine_slots { 0 };
 };
 
 }
--- a/Tests/Harness/Process.cpp
+++ b/Tests/Harness/Process.cpp
@@ -49,6 +49,14 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+bool Process::has_ended() const
+{
+    siginfo_t ended {};
+    // NOTE: The process stays waitable, so that its id is not given to another one before kill() or terminate().
+    auto const failure = waitid(P_PID, static_cast<id_t>(this->id), &ended, WEXITED | WNOHANG | WNOWAIT);
+    return failure != 0 || ended.si_pid != 0;
+}
+
 void Process::freeze() const
 {
     ::kill(this->id, SIGSTOP);
--- a/Tests/Harness/Process.h
+++ b/Tests/Harness/Process.h
@@ -18,6 +18,8 @@
     void kill();
     /// Sends SIGTERM, waits, and returns the exit code.
     int terminate();
+    /// Whether the process has ended by itself.
+    [[nodiscard]] bool has_ended() const;
     [[nodiscard]] pid_t process_id() const { return this->id; }
     void freeze() const;
     void thaw() const;
