LibRouting: Divide the slots of brittle endpoints among the boxes

What callers saw: endpoints that fail when they have to reject many requests failed in waves some 4 to 5 s apart, and between the waves boxes refused up to nine in ten requests while most slots were free.

Cause: after a rejection all boxes shared a rate that began far below what the endpoint runs, doubled each second whether or not there was room, and ended after 6 s at all boxes and endpoints at once. Nobody knew the room there. Ruled out: late news (0.03 ms old in the median).

Now three quarters of an endpoint's slots are divided among the boxes by hash. Beyond its own slots a box needs a slot that it believes free and a share of a limit that is released evenly over the second, follows the rejections that all boxes tell and the slots known to be free, and stays while the endpoint is full.

TestBrittleFleet counts requests to boxes that were killed apart, since their ports are gone.

--- a/Libraries/LibGateway/ExchangeLog.cpp
+++ b/Libraries/LibGateway/ExchangeLog.cpp
@@ -179,11 +179,10 @@
         .with("backed_off", attempt.placed.backed_off);
     if (attempt.placed.limit.per_second)
         line.with("limit_per_s", *attempt.placed.limit.per_second);
-    if (auto const& brittle = attempt.placed.brittle) {
-        line.with("own_running", brittle->own_running);
-        if (brittle->limit_per_second)
-            line.with("brittle_limit_per_s", *brittle->limit_per_second);
-    }
+    if (auto const& brittle = attempt.placed.brittle)
+        line.with("own_running", brittle->own_running)
+            .with("own_slot", yes_or_no(brittle->has_own_slot))
+            .with("brittle_limit_per_s", brittle->limit_per_second);
     if (this->client.is_box)
         line.with("from_box", "yes");
     if (this->takes_up_stream)
--- a/Libraries/LibRouting/RateSchedule.cpp
+++ b/Libraries/LibRouting/RateSchedule.cpp
@@ -36,6 +36,11 @@
         std::ranges::count_if(this->others, [&](auto other) { return mix(other, number) < own_key; }));
 }
 
+std::uint64_t endpoint_turn(std::string_view endpoint, std::uint64_t turn)
+{
+    return hash_of(endpoint, turn);
+}
+
 RateSchedule::RateSchedule(double per_second)
     : per_second(std::max(per_second * allotted_share, min_per_second))
     , length(std::max(min_slot_length, Core::from_seconds(1 / this->per_second)))
@@ -65,7 +70,7 @@
     auto const carried = std::floor((number + 1) * fraction) - std::floor(number * fraction);
     auto const requests = static_cast<std::uint64_t>(whole + carried);
     auto const per_box = requests / boxes.size();
-    auto const rank = boxes.rank(hash_of(endpoint, slot));
+    auto const rank = boxes.rank(endpoint_turn(endpoint, slot));
     return static_cast<unsigned>(per_box + (rank < requests % boxes.size() ? 1 : 0));
 }
 
--- a/Libraries/LibRouting/RateSchedule.h
+++ b/Libraries/LibRouting/RateSchedule.h
@@ -35,6 +35,9 @@
     std::vector<std::uint64_t> others;
 };
 
+/// A number for BoxGroup::rank() that differs between endpoints and between their turns.
+[[nodiscard]] std::uint64_t endpoint_turn(std::string_view endpoint, std::uint64_t turn);
+
 /// Divides an endpoint's rate limit among all boxes without communication.
 ///
 /// Time is divided into slots. The requests of a slot are allotted to boxes in a pseudorandom order that depends on
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -88,8 +88,10 @@
 struct BrittlePlacement {
     /// Requests of this box there, without the new one.
     std::size_t own_running { 0 };
-    /// The limit for all boxes together, in requests per second; unset if none was in force.
-    std::optional<double> limit_per_second;
+    /// Whether it takes one of this box's own slots.
+    bool has_own_slot { false };
+    /// The limit on further requests of all boxes together, per second.
+    double limit_per_second { 0 };
 
     bool operator==(BrittlePlacement const&) const = default;
 };
@@ -357,15 +359,36 @@
     [[nodiscard]] std::optional<double> cold_limit_of(Admitted const& request) const;
     [[nodiscard]] SharedLimit shared_limit(
         double per_second, std::string_view endpoint, SharedMicroseconds shared_now) const;
-    /// Counts the request against this box's shares of the endpoint's limits. Returns false if it has no limit.
-    bool count_send(EndpointId id, std::optional<double> cold_limit, Instant now);
-    /// Whether the endpoint would fail if it had to reject requests, and is not known to have room for one more.
-    [[nodiscard]] bool may_be_overrun(Admitted const& request, KnownEndpoint const& endpoint, Instant now) const;
-    [[nodiscard]] std::optional<BrittlePlacement> brittle_placement(KnownEndpoint const& endpoint, Instant now) const;
-    /// The limit of a brittle endpoint that has rejected requests.
-    [[nodiscard]] std::optional<SharedLimit> brittle_limit(EndpointId id, Instant now) const;
+    /// Counts the request against this box's shares of the endpoint's limits. Returns false if it has no limit, so that
+    /// it is checked again just before it is sent.
+    bool count_send(KnownEndpoint const& endpoint, std::optional<double> cold_limit, Instant now);
     /// Whether this box's share of the endpoint's limits allows a request.
-    [[nodiscard]] bool may_send_now(EndpointId id, std::optional<double> cold_limit, SendPriority rank, Instant now);
+    [[nodiscard]] bool may_send_now(KnownEndpoint const& endpoint, EndpointRoom const& room,
+        std::optional<double> cold_limit, SendPriority rank, Instant now);
+
+    /// Nothing limits the request.
+    struct UnboundSend { };
+    /// The request takes one of this box's own slots of a brittle endpoint.
+    struct OwnSlotSend { };
+    /// The request takes a slot of another box, within the limit for all of these.
+    struct LimitedSend {
+        SharedLimit limit;
+    };
+    /// The endpoint is brittle, and all its slots are in use.
+    struct NoSend { };
+    /// How a request may be sent to an endpoint, as far as the endpoint is brittle.
+    using BrittleSend = std::variant<UnboundSend, OwnSlotSend, LimitedSend, NoSend>;
+    [[nodiscard]] EndpointRoom room_at(KnownEndpoint const& endpoint, Instant now) const;
+    /// The room without a request of this box that was counted when its attempt started.
+    [[nodiscard]] EndpointRoom room_without_one(KnownEndpoint const& endpoint, Instant now) const;
+    [[nodiscard]] BrittleSend brittle_send(KnownEndpoint const& endpoint, EndpointRoom const& room, Instant now);
+    [[nodiscard]] bool may_send_to_brittle(
+        KnownEndpoint const& endpoint, EndpointRoom const& room, SendPriority rank, Instant now);
+    /// Returns whether the request is counted against an own slot or a limit.
+    bool count_send_to_brittle(KnownEndpoint const& endpoint, Instant now);
+    [[nodiscard]] std::optional<BrittlePlacement> brittle_placement(KnownEndpoint const& endpoint, Instant now);
+    /// The limit of a known endpoint, if it is brittle and one is in force.
+    [[nodiscard]] std::optional<double> brittle_limit_of(EndpointId id, Instant now) const;
     /// Whether route and account both allow the region of the failure domain.
     [[nodiscard]] bool is_region_allowed(Admitted const& request, std::string const& failure_domain) const;
     /// Whether the endpoint may get new requests, by its entry, by its own reports and by evacuations.
--- a/Libraries/LibRouting/RouterLimits.cpp
+++ b/Libraries/LibRouting/RouterLimits.cpp
@@ -3,8 +3,20 @@
 
 #include <LibRouting/RequestRouter.h>
 
+#include <algorithm>
+
 namespace Routing {
 
+namespace {
+
+/// A visitor made of one function for each alternative.
+template <typename... Functions> struct Visitor : Functions... {
+    using Functions::operator()...;
+};
+template <typename... Functions> Visitor(Functions...) -> Visitor<Functions...>;
+
+}
+
 std::optional<double> RequestRouter::cold_limit_of(Admitted const& request) const
 {
     auto const* const service = request.configuration->find_service(request.service);
@@ -19,63 +31,112 @@
     return { per_second, endpoint, this->notices.box_group(), shared_now };
 }
 
-std::optional<SharedLimit> RequestRouter::brittle_limit(EndpointId id, Instant now) const
+EndpointRoom RequestRouter::room_at(KnownEndpoint const& endpoint, Instant now) const
 {
-    auto const per_second = this->brittle.limit_of(id, now);
-    if (!per_second)
-        return {};
-    return this->shared_limit(*per_second, this->directory.find(id)->record.incarnation, this->shared_time(now));
+    EndpointRoom room { endpoint.record.incarnation, endpoint.record.slots };
+    if (auto const load = this->loads.find(endpoint.id); load != this->loads.end()) {
+        room.running = load->second.running(now);
+        room.own_running = load->second.own_running();
+    }
+    if (auto const known = this->slot_times.find(endpoint.record.service); known != this->slot_times.end())
+        room.slot_time = known->second.learnt().value_or(room.slot_time);
+    return room;
+}
+
+EndpointRoom RequestRouter::room_without_one(KnownEndpoint const& endpoint, Instant now) const
+{
+    auto room = this->room_at(endpoint, now);
+    room.own_running -= std::min<std::size_t>(room.own_running, 1);
+    room.running = std::max(0.0, room.running - 1);
+    return room;
+}
+
+RequestRouter::BrittleSend RequestRouter::brittle_send(
+    KnownEndpoint const& endpoint, EndpointRoom const& room, Instant now)
+{
+    auto const& boxes = this->notices.box_group();
+    if (!this->brittle.is_brittle(endpoint.record.service))
+        return UnboundSend {};
+    if (this->brittle.is_paused(endpoint.id, now))
+        return NoSend {};
+    if (this->brittle.has_own_slot(endpoint.id, room, boxes, now))
+        return OwnSlotSend {};
+    if (this->brittle.has_room_for_all(endpoint.id, endpoint.record.service, room, now))
+        return UnboundSend {};
+    if (room.running >= room.slots)
+        return NoSend {};
+    auto const per_second = this->brittle.limit_of(endpoint.id, endpoint.record.service, room, now);
+    return LimitedSend { { per_second, endpoint.record.incarnation, boxes, this->shared_time(now) } };
 }
 
-std::optional<BrittlePlacement> RequestRouter::brittle_placement(KnownEndpoint const& endpoint, Instant now) const
+bool RequestRouter::may_send_to_brittle(
+    KnownEndpoint const& endpoint, EndpointRoom const& room, SendPriority rank, Instant now)
 {
-    if (!this->brittle.is_brittle(endpoint.id, endpoint.record.service))
+    return std::visit(
+        Visitor {
+            [](UnboundSend) { return true; },
+            [](OwnSlotSend) { return true; },
+            [&](LimitedSend const& send) { return this->brittle.may_send(endpoint.id, send.limit, rank); },
+            [](NoSend) { return false; },
+        },
+        this->brittle_send(endpoint, room, now));
+}
+
+bool RequestRouter::count_send_to_brittle(KnownEndpoint const& endpoint, Instant now)
+{
+    return std::visit(Visitor {
+                          [](UnboundSend) { return false; },
+                          [](OwnSlotSend) { return true; },
+                          [&](LimitedSend const& send) {
+                              this->brittle.count_send(endpoint.id, send.limit);
+                              return true;
+                          },
+                          [](NoSend) { return false; },
+                      },
+        this->brittle_send(endpoint, this->room_at(endpoint, now), now));
+}
+
+std::optional<BrittlePlacement> RequestRouter::brittle_placement(KnownEndpoint const& endpoint, Instant now)
+{
+    if (!this->brittle.is_brittle(endpoint.record.service))
         return {};
-    auto const load = this->loads.find(endpoint.id);
-    return BrittlePlacement { load == this->loads.end() ? 0 : load->second.own_running(),
-        this->brittle.limit_of(endpoint.id, now) };
+    auto const room = this->room_at(endpoint, now);
+    return BrittlePlacement { room.own_running,
+        this->brittle.has_own_slot(endpoint.id, room, this->notices.box_group(), now),
+        this->brittle.limit_of(endpoint.id, endpoint.record.service, room, now) };
 }
 
-bool RequestRouter::may_be_overrun(Admitted const& request, KnownEndpoint const& endpoint, Instant now) const
+std::optional<double> RequestRouter::brittle_limit_of(EndpointId id, Instant now) const
 {
-    if (!this->brittle.is_brittle(endpoint.id, endpoint.record.service))
-        return false;
-    auto const load = this->loads.find(endpoint.id);
-    if (load == this->loads.end())
-        return false;
-    // NOTE: A plain service ends requests faster than boxes report them to each other.
-    auto const running
-        = request.is_engine ? load->second.running(now) : static_cast<double>(load->second.own_running());
-    return running >= endpoint.record.slots;
+    auto const* const endpoint = this->directory.find(id);
+    if (endpoint == nullptr || !this->brittle.is_brittle(endpoint->record.service))
+        return {};
+    return this->brittle.limit_of(id, endpoint->record.service, this->room_at(*endpoint, now), now);
 }
 
-bool RequestRouter::may_send_now(EndpointId id, std::optional<double> limit_if_cold, SendPriority rank, Instant now)
+bool RequestRouter::may_send_now(KnownEndpoint const& endpoint, EndpointRoom const& room,
+    std::optional<double> limit_if_cold, SendPriority rank, Instant now)
 {
     auto const shared_now = this->shared_time(now);
-    if (!this->notices.may_send(id, rank, shared_now))
-        return false;
-    if (this->brittle.is_paused(id, this->notices.box_group().size(), now))
+    if (!this->notices.may_send(endpoint.id, rank, shared_now))
         return false;
-    if (auto const limit = this->brittle_limit(id, now); limit && !this->brittle.may_send(id, *limit, rank))
+    if (!this->may_send_to_brittle(endpoint, room, rank, now))
         return false;
     if (!limit_if_cold)
         return true;
-    auto const limit = this->shared_limit(*limit_if_cold, this->directory.find(id)->record.incarnation, shared_now);
-    return this->cold.may_send(id, limit, rank, now);
+    auto const limit = this->shared_limit(*limit_if_cold, endpoint.record.incarnation, shared_now);
+    return this->cold.may_send(endpoint.id, limit, rank, now);
 }
 
-bool RequestRouter::count_send(EndpointId id, std::optional<double> limit_if_cold, Instant now)
+bool RequestRouter::count_send(KnownEndpoint const& endpoint, std::optional<double> limit_if_cold, Instant now)
 {
     auto const shared_now = this->shared_time(now);
-    bool is_counted = this->notices.count_send(id, shared_now);
-    if (auto const limit = this->brittle_limit(id, now)) {
-        this->brittle.count_send(id, *limit);
-        is_counted = true;
-    }
+    bool is_counted = this->notices.count_send(endpoint.id, shared_now);
+    is_counted |= this->count_send_to_brittle(endpoint, now);
     if (!limit_if_cold)
         return is_counted;
-    auto const limit = this->shared_limit(*limit_if_cold, this->directory.find(id)->record.incarnation, shared_now);
-    is_counted |= this->cold.count_send(id, limit, now);
+    auto const limit = this->shared_limit(*limit_if_cold, endpoint.record.incarnation, shared_now);
+    is_counted |= this->cold.count_send(endpoint.id, limit, now);
     return is_counted;
 }
 
@@ -92,9 +153,11 @@
         return false;
     if (placed.is_counted_by_limit)
         return true;
-    if (!this->may_send_now(id, placed.cold_limit, SendPriority::High, now))
+    auto const& endpoint = *this->directory.find(id);
+    if (!this->may_send_now(
+            endpoint, this->room_without_one(endpoint, now), placed.cold_limit, SendPriority::High, now))
         return false;
-    static_cast<void>(this->count_send(id, placed.cold_limit, now));
+    static_cast<void>(this->count_send(endpoint, placed.cold_limit, now));
     return true;
 }
 
@@ -102,6 +165,7 @@
 {
     std::scoped_lock const guard(this->endpoints_lock);
     this->notices.set_boxes(std::move(boxes));
+    this->brittle.forget_own_slots();
 }
 
 void RequestRouter::set_shared_clock(Duration ahead)
@@ -120,12 +184,12 @@
         return {};
     if (report.took_request)
         this->backoffs.request_accepted(id, sent_at);
-    this->brittle.apply_answer(id, placed.endpoint.service, report.max_rejections);
+    this->brittle.apply_answer(placed.endpoint.service, report.max_rejections, now);
     std::optional<EndpointRejection> rejection;
     if (report.max_rejections && !report.took_request) {
         this->brittle.count_own_rejection(id, now);
-        if (this->brittle.rejected(id, *report.max_rejections, now))
-            rejection = { instance_of(placed.endpoint), *report.max_rejections, now };
+        static_cast<void>(this->brittle.rejected(id, *report.max_rejections, now));
+        rejection = { instance_of(placed.endpoint), *report.max_rejections, now };
     }
     bool const backoff_began = report.backoff && this->backoffs.start(id, *report.backoff, now);
     EndpointCondition const reported { report.limit.value_or(this->notices.limit_of(id)), report.is_draining };
@@ -137,7 +201,10 @@
 {
     std::scoped_lock const guard(this->endpoints_lock);
     auto const* const known = this->directory.find(rejection.endpoint.incarnation);
-    return known != nullptr && this->brittle.rejected(known->id, rejection.max_rejections, rejection.at);
+    if (known == nullptr)
+        return false;
+    this->brittle.note_service(known->record.service, rejection.max_rejections, rejection.at);
+    return this->brittle.rejected(known->id, rejection.max_rejections, rejection.at);
 }
 
 bool RequestRouter::apply_notice(EndpointNotice const& notice, Instant now)
--- a/Libraries/LibRouting/RouterPlacement.cpp
+++ b/Libraries/LibRouting/RouterPlacement.cpp
@@ -95,8 +95,9 @@
         placed.endpoint.version.clear();
     placed.limit = this->notices.limit_of(choice->endpoint);
     placed.cold_limit = this->cold_limit_of(request);
-    placed.brittle = this->brittle_placement(*this->directory.find(choice->endpoint), now);
-    placed.is_counted_by_limit = this->count_send(choice->endpoint, placed.cold_limit, now);
+    auto const& endpoint = *this->directory.find(choice->endpoint);
+    placed.brittle = this->brittle_placement(endpoint, now);
+    placed.is_counted_by_limit = this->count_send(endpoint, placed.cold_limit, now);
     placed.at_limit = choices.at_limit.size();
     placed.backed_off = choices.backed_off.size();
     this->backoffs.endpoint_chosen(choice->endpoint, now);
@@ -132,14 +133,15 @@
             choices.backed_off.push_back(id);
             continue;
         }
-        if (this->may_be_overrun(request, *endpoint, now) || !this->may_send_now(id, limit_if_cold, rank, now)) {
+        auto const room = this->room_at(*endpoint, now);
+        if (!this->may_send_now(*endpoint, room, limit_if_cold, rank, now)) {
             choices.at_limit.push_back(id);
             continue;
         }
         auto const found = this->loads.find(id);
         bool const is_healthy = found == this->loads.end() || found->second.takes_work(now);
-        bool const is_limited = this->notices.limit_of(id).per_second.has_value()
-            || (limit_if_cold && this->cold.is_cold(id, now)) || this->brittle.limit_of(id, now).has_value();
+        bool const is_limited
+            = this->notices.limit_of(id).per_second.has_value() || (limit_if_cold && this->cold.is_cold(id, now));
         auto& candidates = is_healthy ? choices.healthy : choices.unhealthy;
         (is_limited ? candidates.limited : candidates.usual).push_back(endpoint);
     }
@@ -161,7 +163,7 @@
         for (auto const id : choices.at_limit) {
             auto const limit = this->notices.limit_of(id).per_second;
             for (auto const& per_second :
-                { limit, limit ? std::nullopt : limit_if_cold, this->brittle.limit_of(id, now) }) {
+                { limit, limit ? std::nullopt : limit_if_cold, this->brittle_limit_of(id, now) }) {
                 if (per_second)
                     longest_slot = std::max(longest_slot, RateSchedule(*per_second).slot_length());
             }
--- a/Libraries/LibRouting/SlotWait.cpp
+++ b/Libraries/LibRouting/SlotWait.cpp
@@ -8,6 +8,15 @@
 {
     auto const milliseconds = std::clamp(Core::to_milliseconds(occupied), 0.0, max_milliseconds);
     this->average_milliseconds += (milliseconds - this->average_milliseconds) * newest_weight;
+    this->samples = std::min(this->samples + 1, static_cast<unsigned>(1 / newest_weight));
+    this->learnt_milliseconds += (milliseconds - this->learnt_milliseconds) / this->samples;
+}
+
+std::optional<Core::Duration> SlotTimeEstimate::learnt() const
+{
+    if (this->samples == 0)
+        return {};
+    return Core::from_seconds(std::max(this->learnt_milliseconds, 1.0) / 1000);
 }
 
 SlotForecast forecast_slot(double requests, unsigned slots, SlotTimeEstimate const& slot_time, SlotRank rank)
--- a/Libraries/LibRouting/SlotWait.h
+++ b/Libraries/LibRouting/SlotWait.h
@@ -2,6 +2,8 @@
 
 #include <LibCore/Time.h>
 
+#include <optional>
+
 namespace Routing {
 
 /// Average time for which a request occupies a slot of a service's engines, learnt from completed requests.
@@ -9,6 +11,8 @@
 public:
     void add(Core::Duration occupied);
     [[nodiscard]] double milliseconds() const { return this->average_milliseconds; }
+    /// The average without the assumed time; unset before the first request has ended.
+    [[nodiscard]] std::optional<Core::Duration> learnt() const;
 
 private:
     /// Assumed before the first request has ended: a short answer at a common engine.
@@ -19,6 +23,9 @@
     static constexpr double max_milliseconds = 60'000;
 
     double average_milliseconds { initial_milliseconds };
+    double learnt_milliseconds { 0 };
+    /// Requests so far, up to where the newest one has its usual weight.
+    unsigned samples { 0 };
 };
 
 /// The rank of a request among the routes to its service.
--- a/Tests/Harness/RequestLoad.cpp
+++ b/Tests/Harness/RequestLoad.cpp
@@ -60,7 +60,9 @@
 Gateway::Task<void> RequestLoad::send_one(int port, int number)
 {
     auto const status = co_await this->exchange(port, number);
-    if (status == status_ok)
+    if (!status)
+        ++this->result.unreached;
+    else if (status == status_ok)
         ++this->result.served;
     else if (status == status_too_many || status == status_unavailable)
         ++this->result.refused;
@@ -68,7 +70,7 @@
         ++this->result.failed;
 }
 
-Gateway::Task<unsigned> RequestLoad::exchange(int port, int number)
+Gateway::Task<std::optional<unsigned>> RequestLoad::exchange(int port, int number)
 {
     auto& of_port = this->idle[port];
     std::unique_ptr<Stream> stream;
@@ -82,7 +84,7 @@
         asio::ip::tcp::endpoint const box(asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port));
         auto const [error] = co_await stream->async_connect(box, as_value);
         if (error)
-            co_return 0;
+            co_return std::nullopt;
         stream->socket().set_option(asio::ip::tcp::no_delay(true));
     }
     auto const text = fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: l{}-{}\r\nX-Deadline-Ms: {}\r\n"
@@ -90,12 +92,12 @@
         this->plan.path, this->plan.seed, number, this->plan.patience.count(), this->plan.fields);
     auto const [write_error, written] = co_await asio::async_write(*stream, asio::buffer(text), as_value);
     if (write_error)
-        co_return 0;
+        co_return 0U;
     Gateway::flat_buffer buffer;
     http::response<http::string_body> answer;
     auto const [read_error, read] = co_await http::async_read(*stream, buffer, answer, as_value);
     if (read_error)
-        co_return 0;
+        co_return 0U;
     if (answer.keep_alive())
         of_port.push_back(std::move(stream));
     co_return answer.result_int();
--- a/Tests/Harness/RequestLoad.h
+++ b/Tests/Harness/RequestLoad.h
@@ -34,6 +34,8 @@
     int served { 0 };
     /// Answered with 429 or 503.
     int refused { 0 };
+    /// No box listened at the port.
+    int unreached { 0 };
     /// Answered with another status, broken off, or left by the client.
     int failed { 0 };
 
@@ -58,8 +60,8 @@
 
     [[nodiscard]] Gateway::Task<void> send_all();
     [[nodiscard]] Gateway::Task<void> send_one(int port, int number);
-    /// The status of the answer; 0 if there is none.
-    [[nodiscard]] Gateway::Task<unsigned> exchange(int port, int number);
+    /// The status of the answer; nothing if no box listens, and 0 if there is no answer.
+    [[nodiscard]] Gateway::Task<std::optional<unsigned>> exchange(int port, int number);
 
     LoadPlan plan;
     std::atomic<double> per_second;
