Tests: Show that odd entries of the endpoints' list end no box

Reported elsewhere: an entry that is very deeply nested, has a number that is too large or a port out of range ended the machines that read the list, or they stopped following it. No product code changes.

--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -241,15 +241,19 @@
         std::ranges::count_if(this->servers, [this](auto const& server) { return this->has_ended(server); }));
 }
 
-void PlatformCluster::drop_ended_servers() const
+void PlatformCluster::write_entry(std::string const& key, std::string const& value) const
 {
     httplib::Client client("127.0.0.1", this->cluster.port("store"));
+    auto const result = client.Post(
+        "/log-append?topic=keyed.servers&part=0", keyed_record(key, value), "application/octet-stream");
+    REQUIRE(static_cast<bool>(result));
+}
+
+void PlatformCluster::drop_ended_servers() const
+{
     for (auto const& server : this->servers) {
-        if (!this->has_ended(server))
-            continue;
-        auto const result = client.Post(
-            "/log-append?topic=keyed.servers&part=0", keyed_record(server, ""), "application/octet-stream");
-        REQUIRE(static_cast<bool>(result));
+        if (this->has_ended(server))
+            this->write_entry(server, "");
     }
 }
 
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -77,6 +77,8 @@
     /// Removes the entries of endpoints that have ended, as the platform does when they expire. The stand-in store
     /// keeps them otherwise.
     void drop_ended_servers() const;
+    /// Writes an entry of the endpoints' list, as another writer may.
+    void write_entry(std::string const& key, std::string const& value) const;
     /// How often all endpoints together have run an attempt.
     [[nodiscard]] int runs(std::string const& attempt) const;
     /// The same for some endpoints.
--- /dev/null
+++ b/Tests/Integration/TestOddEntries.cpp
@@ -0,0 +1,62 @@
+#include <TestMain.h>
+
+#include "DeskSite.h"
+
+namespace {
+
+std::string entry_with(std::string const& field, std::string const& value)
+{
+    std::map<std::string, std::string> fields { { "service", "\"desk\"" }, { "address", "\"127.0.0.1:9\"" },
+        { "zone", "\"hall-1\"" }, { "version", "\"v1\"" }, { "slots", "64" }, { "state", "\"ready\"" },
+        { "cold_left_ms", "0" }, { "call_seq", "3" } };
+    fields[field] = value;
+    std::string text = "{";
+    for (auto const& [name, content] : fields)
+        text += (text.size() > 1 ? ",\"" : "\"") + name + "\":" + content;
+    return text + "}";
+}
+
+std::string nested(std::string const& opening, std::size_t depth)
+{
+    std::string text;
+    for (std::size_t level = 0; level < depth; ++level)
+        text += opening;
+    return text;
+}
+
+std::vector<std::string> odd_entries()
+{
+    constexpr std::size_t deep = 60'000;
+    return { nested("[", deep), nested("[", deep) + nested("]", deep), nested("{\"a\":", deep / 2),
+        entry_with("later", nested("[", deep) + nested("]", deep)), entry_with("slots", "1e400"),
+        entry_with("born", "18446744073709551616"), entry_with("call_seq", "-1e400"),
+        entry_with("address", "\"127.0.0.1:65536\""), entry_with("address", "\"127.0.0.1:-1\""),
+        entry_with("address", "\"127.0.0.1:eighty\""), entry_with("state", "7"), "\xff\xfe\x00\x80", "null",
+        std::string(200'000, 'x') };
+}
+
+}
+
+// Guards against boxes that end, or stop following the list, at an entry that another writer left there.
+TEST_CASE("boxes follow the list of endpoints past odd entries, also boxes that start with them there")
+{
+    DeskSite site;
+    int number = 0;
+    for (auto const& entry : odd_entries())
+        site.write_entry("odd-" + std::to_string(number++), entry);
+    site.start_server("d3", "desk");
+    site.start_one_box("b4");
+    site.wait_ready("b4");
+    for (auto const* box : { "b1", "b2", "b3", "b4" })
+        Harness::wait_until(std::string(box) + " lists the endpoint that came after the odd entries",
+            [&] { return site.metric(box, "cleatbeam_endpoints ") == 3; });
+    for (auto const* server : { "d1", "d2" })
+        site.process(server).kill();
+    for (auto const* box : { "b1", "b2", "b3", "b4" }) {
+        Harness::wait_until(std::string(box) + " sends to that endpoint", [&] {
+            auto const attempt = "n" + std::to_string(site.sent++);
+            return site.send(box, "/once/x", attempt).status == 200 && site.runs(attempt, { "d3" }) == 1;
+        });
+        CHECK_FALSE(site.process(box).has_ended());
+    }
+}
--- a/Tests/PlatformAdapter/TestEndpointEntries.cpp
+++ b/Tests/PlatformAdapter/TestEndpointEntries.cpp
@@ -134,3 +134,24 @@
     CHECK_FALSE(names_endpoint(std::string(megabyte, ' ')));
     CHECK_FALSE(names_endpoint(std::string(megabyte, 'x')));
 }
+
+// Guards against an entry that ends the boxes which read the list.
+TEST_CASE("a very deep entry, a number that is too large and a port out of range name no endpoint")
+{
+    constexpr std::size_t deep = 200'000;
+    std::string objects;
+    for (std::size_t level = 0; level < deep; ++level)
+        objects += "{\"a\":";
+    CHECK_FALSE(names_endpoint(std::string(deep, '[') + std::string(deep, ']')));
+    CHECK_FALSE(names_endpoint(objects));
+    CHECK_FALSE(names_endpoint_with("later", std::string(deep, '[')));
+    for (auto const* field : { "slots", "cold_left_ms", "call_seq", "born" }) {
+        CAPTURE(field);
+        for (auto const* number : { "1e400", "-1e400", "18446744073709551616", "1e18446744073709551616" })
+            CHECK_FALSE(names_endpoint_with(field, number));
+    }
+    for (auto const* port : { "65536", "-1", "0", "99999999999999999999", "eighty", "" }) {
+        CAPTURE(port);
+        CHECK_FALSE(names_endpoint_with("address", "\"10.0.0.9:" + std::string(port) + "\""));
+    }
+}
