--- a/Tests/LibGateway/TestForwardedRequest.cpp
+++ b/Tests/LibGateway/TestForwardedRequest.cpp
@@ -75,6 +75,14 @@
             auto [error, accepted] = co_await this->boxes_acceptor.async_accept(as_value);
             if (error)
                 co_return;
+            if (this->cut_answer) {
+                // NOTE: The other box's answer to a request that it has read, or to a probe.
+                std::array<char, 16384> piece {};
+                co_await accepted.async_read_some(asio::buffer(piece), as_value);
+                co_await asio::async_write(accepted, asio::buffer(*this->cut_answer), as_value);
+                ++this->cut_answers;
+                continue;
+            }
             this->connection
                 = std::make_shared<ClientConnection>(this->other, std::move(accepted), ClientConnection::Peer::Box);
             asio::co_spawn(
@@ -87,6 +95,9 @@
     }
 
     static constexpr int endpoint_count = 4;
+    /// What the other box answers before it closes the connection; unset for what it really does.
+    std::optional<std::string> cut_answer;
+    int cut_answers { 0 };
 
     GatewayState other;
     tcp::acceptor boxes_acceptor;
@@ -123,6 +134,30 @@
     CHECK(site.keeps_client);
 }
 
+// Guards against a client that takes an answer for whole whose head the endpoint or the other box did not finish.
+TEST_CASE("a client gets no success by way of another box if the head of an answer is not finished")
+{
+    std::string const head = stream_head;
+    constexpr std::size_t step = 25;
+    for (std::size_t length = 0; length < head.size(); length += step) {
+        auto const cut = head.substr(0, length);
+        CAPTURE(cut);
+        TwoBoxes by_endpoint(RouteKind::NonIdempotent, 1);
+        by_endpoint.start();
+        auto& endpoint = *by_endpoint.endpoints[by_endpoint.wait_for_arrival()];
+        endpoint.answer(cut);
+        endpoint.close();
+        REQUIRE(by_endpoint.ends());
+        CHECK_FALSE(by_endpoint.received.starts_with("HTTP/1.1 200"));
+        TwoBoxes by_box(RouteKind::NonIdempotent, 1);
+        by_box.cut_answer = cut;
+        by_box.start();
+        REQUIRE(by_box.ends());
+        CHECK(by_box.cut_answers > 0);
+        CHECK_FALSE(by_box.received.starts_with("HTTP/1.1 200"));
+    }
+}
+
 TEST_CASE("of the two boxes that log a forwarded request's end, one says that it came from a box, so it counts once")
 {
     CapturedLog const log;
