Tests: Show that no stream is joined from two versions after all boxes were killed

Reported elsewhere: two software versions in service, all front machines killed at once and back, and clients' take-ups joined text of both versions. It can't happen here: a box that knows no origin refuses (503, not run). Three subcases with real boxes: all killed at once, one after another, and the old version just gone.

The price stays: after the loss of all boxes no broken stream goes on.

--- a/Tests/Integration/TestStreamVersions.cpp
+++ b/Tests/Integration/TestStreamVersions.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <string>
+#include <thread>
 
 namespace {
 
@@ -99,6 +100,49 @@
     CHECK(2 * taken_up >= ReleaseSite::stream_count);
 }
 
+// Guards against boxes that all start anew, know no stream, and continue each at any version.
+TEST_CASE("after all boxes were killed no stream is joined from two software versions")
+{
+    ReleaseSite site;
+    for (int number = 0; number < ReleaseSite::stream_count; ++number)
+        site.begin(ReleaseSite::boxes[number % 4], "s" + std::to_string(number));
+    SUBCASE("both versions in service")
+    {
+        for (auto const* box : ReleaseSite::boxes)
+            site.process(box).kill();
+    }
+    SUBCASE("killed one after another")
+    {
+        for (auto const* box : ReleaseSite::boxes) {
+            site.process(box).kill();
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+    }
+    SUBCASE("the old version has just left")
+    {
+        for (auto const* name : { "m1", "m2" })
+            static_cast<void>(site.get(name, "/drain"));
+        for (auto const* box : ReleaseSite::boxes)
+            site.process(box).kill();
+        for (auto const* name : { "m1", "m2" })
+            site.process(name).kill();
+        site.drop_ended_servers();
+    }
+    for (auto const* box : ReleaseSite::boxes)
+        site.start_box(box, { 8000, 8000, 20000, true });
+    for (auto const* box : ReleaseSite::boxes)
+        site.wait_ready(box);
+    for (int number = 0; number < ReleaseSite::stream_count; ++number) {
+        auto const first = "s" + std::to_string(number);
+        auto const second = "t" + std::to_string(number);
+        auto const reply = site.take_up(ReleaseSite::boxes[1 + number % 3], second, first);
+        if (reply.status == 200)
+            CHECK(site.version_of(first) == site.version_of(second));
+        else
+            CHECK(site.runs(second) == 0);
+    }
+}
+
 TEST_CASE("a stream whose origin nobody knows, or whose software version has ended, is refused as not run")
 {
     ReleaseSite site;
