--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -244,8 +244,8 @@
 void PlatformCluster::write_entry(std::string const& key, std::string const& value) const
 {
     httplib::Client client("127.0.0.1", this->cluster.port("store"));
-    auto const result = client.Post(
-        "/log-append?topic=keyed.servers&part=0", keyed_record(key, value), "application/octet-stream");
+    auto const result
+        = client.Post("/log-append?topic=keyed.servers&part=0", keyed_record(key, value), "application/octet-stream");
     REQUIRE(static_cast<bool>(result));
 }
 
