--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -24,7 +24,7 @@
 [ ! -s KNOWN-RED.txt ] || known_red=$(sed -n 's/^\([A-Za-z.]*\):.*/\1/p' KNOWN-RED.txt | paste -sd '|')
 cd "$folder"
 if [ -n "$known_red" ]; then
-    ctest --timeout 300 -R "^($known_red)\$" || true
+    ctest --timeout 300 -j 4 -R "^($known_red)\$" || true
     ctest --output-on-failure --timeout 300 -j 4 -E "^($known_red)\$"
 else
     ctest --output-on-failure --timeout 300 -j 4
