Tests: Keep one check of streams that are taken up

The loop that takes a stream up and compares the versions stood twice in TestStreamVersions. It is take_up_and_check now, with the same checks.

--- a/Tests/Integration/TestStreamVersions.cpp
+++ b/Tests/Integration/TestStreamVersions.cpp
@@ -57,6 +57,19 @@
     std::map<std::string, std::string> servers { { "m1", "v1" }, { "m2", "v1" }, { "m3", "v1.2" }, { "m4", "v1.2" } };
 };
 
+/// Takes stream "s<number>" up at one of the other boxes. It goes on at the version that began it, or has not run.
+Harness::Reply take_up_and_check(ReleaseSite const& site, int number)
+{
+    auto const first = "s" + std::to_string(number);
+    auto const second = "t" + std::to_string(number);
+    auto reply = site.take_up(ReleaseSite::boxes[1 + number % 3], second, first);
+    if (reply.status == 200)
+        CHECK(site.version_of(first) == site.version_of(second));
+    else
+        CHECK(site.runs(second) == 0);
+    return reply;
+}
+
 }
 
 TEST_CASE("a stream goes on within one answer only at the software version that began it")
@@ -88,13 +101,7 @@
         site.process("b1").kill();
     int taken_up = 0;
     for (int number = 0; number < ReleaseSite::stream_count; ++number) {
-        auto const first = "s" + std::to_string(number);
-        auto const second = "t" + std::to_string(number);
-        auto const reply = site.take_up(ReleaseSite::boxes[1 + number % 3], second, first);
-        if (reply.status == 200)
-            CHECK(site.version_of(first) == site.version_of(second));
-        else
-            CHECK(site.runs(second) == 0);
+        auto const reply = take_up_and_check(site, number);
         taken_up += reply.status == 200 && reply.body.starts_with("id: 3\n") ? 1 : 0;
     }
     CHECK(2 * taken_up >= ReleaseSite::stream_count);
@@ -132,15 +139,8 @@
         site.start_box(box, { 8000, 8000, 20000, true });
     for (auto const* box : ReleaseSite::boxes)
         site.wait_ready(box);
-    for (int number = 0; number < ReleaseSite::stream_count; ++number) {
-        auto const first = "s" + std::to_string(number);
-        auto const second = "t" + std::to_string(number);
-        auto const reply = site.take_up(ReleaseSite::boxes[1 + number % 3], second, first);
-        if (reply.status == 200)
-            CHECK(site.version_of(first) == site.version_of(second));
-        else
-            CHECK(site.runs(second) == 0);
-    }
+    for (int number = 0; number < ReleaseSite::stream_count; ++number)
+        static_cast<void>(take_up_and_check(site, number));
 }
 
 TEST_CASE("a stream whose origin nobody knows, or whose software version has ended, is refused as not run")
