LibServer: Read the memory of a box from its file

`cleatbeam serve` knows no limit on its memory, so nothing can be held to one, and a test can't give a box little of it. The box file takes `memory_mb` (64 to 16,777,216; without it, all that the machine has).

No behaviour changes for files without the field.

--- a/Libraries/LibServer/BoxSettings.cpp
+++ b/Libraries/LibServer/BoxSettings.cpp
@@ -62,6 +62,7 @@
         { "threads", { false, number_field(&BoxSettings::threads, 8, 4096) } },
         { "largest_body_bytes",
             { false, number_field<std::size_t>(&BoxSettings::largest_body_bytes, 1024, 64U << 20U) } },
+        { "memory_mb", { false, number_field<std::uint64_t>(&BoxSettings::memory_megabytes, 64, 16U << 20U) } },
         { "ports_file", { false, text_field(&BoxSettings::ports_file) } },
     };
     return all;
--- a/Libraries/LibServer/BoxSettings.h
+++ b/Libraries/LibServer/BoxSettings.h
@@ -23,6 +23,8 @@
     /// Number of threads for callers' connections, and of threads for calls to endpoints.
     int threads { 256 };
     std::size_t largest_body_bytes { 4U << 20U };
+    /// Memory that this box may use, in MB of 1,000,000 bytes; 0 for all that the machine has.
+    std::uint64_t memory_megabytes { 0 };
     /// File for the ports that the kernel chose; empty for none.
     std::string ports_file;
 
