Tests: Play crowds of clients that don't behave

What callers see: large bodies of legal size, whole or short of their end, end a process for want of memory; silence holds all connections; probes get no answer. Five tests play this with real processes, each at the ports of one program: `route`'s clients; readiness, metrics, and the boxes' two ports; `serve`'s callers and operators. They check that the process lives, that memory (resident, and unread in the kernel) and descriptors stay within what the test's own settings say (48 MB and 400 for `route`, 192 MB for `serve`), and that ordinary requests are answered at their first attempt beside the crowd. No times, no shares. Two cases check that a single request at each limit is served in calm.

The harness gets a crowd, a watch on a process, and a box's memory and descriptors; the stand-in endpoint takes bodies over 1 MB and pads answers on request. The harness ignores SIGPIPE: a client may still write when its request was refused.

--- a/Programs/standin/HttpSession.cpp
+++ b/Programs/standin/HttpSession.cpp
@@ -23,11 +23,13 @@
     Gateway::flat_buffer buffer;
     bool is_open = true;
     while (is_open) {
-        Request request;
-        auto const [error, bytes] = co_await http::async_read(session->socket, buffer, request, Gateway::as_value);
+        http::request_parser<http::string_body> parser;
+        // Boxes pass on bodies of any size that the operator allows.
+        parser.body_limit(boost::none);
+        auto const [error, bytes] = co_await http::async_read(session->socket, buffer, parser, Gateway::as_value);
         if (error)
             co_return;
-        is_open = co_await handler(session, std::move(request));
+        is_open = co_await handler(session, parser.release());
     }
 }
 
--- a/Programs/standin/Server.cpp
+++ b/Programs/standin/Server.cpp
@@ -207,7 +207,8 @@
         auto const events = std::string(request["X-Standin-Events"]);
         if (events.empty()) {
             co_await Gateway::sleep_for(std::chrono::milliseconds(FLAGS_work_ms));
-            co_return co_await writer.write_body("ran " + attempt);
+            auto const padding = std::stoul("0" + std::string(request["X-Standin-Padding-Bytes"]));
+            co_return co_await writer.write_body("ran " + attempt + std::string(padding, '.'));
         }
         std::string const last_event(request["Last-Event-Id"]);
         EventRange range { std::stoi("0" + last_event) + 1, std::stoi(events) };
--- a/Tests/Harness/Cluster.cpp
+++ b/Tests/Harness/Cluster.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Verify.h>
 #include <chrono>
+#include <csignal>
 #include <doctest/doctest.h>
 #include <fstream>
 #include <httplib.h>
@@ -36,6 +37,8 @@
 
 Cluster::Cluster()
 {
+    // Clients of a test may still write when a box has refused their request and closed the connection.
+    std::signal(SIGPIPE, SIG_IGN);
     auto pattern = (std::filesystem::temp_directory_path() / "cleatbeam-test-XXXXXX").string();
     VERIFY(mkdtemp(pattern.data()) != nullptr);
     this->folder = pattern;
@@ -62,14 +65,15 @@
     this->ports[name] = std::stoi(text_of(port_file));
 }
 
-void Cluster::start_box(std::string const& name, int threads)
+void Cluster::start_box(std::string const& name, int threads, std::string const& further_settings)
 {
     auto const ports_file = this->folder / (name + ".ports");
     std::filesystem::remove(ports_file);
     std::ofstream(this->folder / (name + ".yaml"))
         << "name: " << name
         << "\nfailure_domain: hall-1\nlisten: 127.0.0.1:0\noperator_listen: 127.0.0.1:0\nplatform: 127.0.0.1:"
-        << this->ports.at("platform") << "\nthreads: " << threads << "\nports_file: " << ports_file.string() << "\n";
+        << this->ports.at("platform") << "\nthreads: " << threads << "\nports_file: " << ports_file.string() << "\n"
+        << further_settings;
     this->processes[name] = std::make_unique<Process>((this->build / "cleatbeam").string(),
         std::vector<std::string> { "serve", "--box=" + this->path_of(name + ".yaml"), "--balancer_lag_ms=100" },
         this->path_of(name + ".log"));
--- a/Tests/Harness/Cluster.h
+++ b/Tests/Harness/Cluster.h
@@ -38,7 +38,8 @@
 
     /// Starts a stand-in (`Programs/standin`) with this role. `name` identifies it in the other functions.
     void start_standin(std::string const& name, std::string const& role, std::vector<std::string> const& flags = {});
-    void start_box(std::string const& name, int threads = 64);
+    /// Starts `cleatbeam serve`. `further_settings` are lines of its box file.
+    void start_box(std::string const& name, int threads = 64, std::string const& further_settings = {});
     /// Starts `cleatbeam route` with this settings file. Returns its ports for clients, readiness and metrics.
     std::array<int, 3> start_route(std::string const& name, std::string const& settings_file);
     /// Publishes a settings document and waits until all boxes are ready.
--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -41,6 +41,8 @@
     settings["bounds"]["drain_ms"] = bounds.drain_milliseconds;
     settings["bounds"]["revoke_ms"] = bounds.revoke_milliseconds;
     settings["limits"]["link_mbps"] = bounds.link_megabits;
+    settings["limits"]["memory_mb"] = bounds.memory_megabytes;
+    settings["limits"]["max_fds"] = bounds.max_descriptors;
     if (bounds.has_peers)
         settings["port_range"] = { 0, 0 };
     return settings;
@@ -297,6 +299,11 @@
     return static_cast<int>(this->metric(box, "cleatbeam_configuration_version "));
 }
 
+std::string PlatformCluster::readiness(std::string const& box) const
+{
+    return this->cluster.get(this->readiness_port(box), "/readiness");
+}
+
 std::string PlatformCluster::metrics(std::string const& box) const
 {
     return this->cluster.get(this->box_ports.at(box)[2], "/metrics");
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -25,6 +25,9 @@
     /// Whether one box reports usage and orders servers. Needs start_cloud().
     bool has_leader { false };
     int lease_milliseconds { 1000 };
+    /// Memory and descriptors of the box according to its settings.
+    int memory_megabytes { 110 };
+    int max_descriptors { 4100 };
 };
 
 /// Real boxes (`cleatbeam route`) with stand-ins for the platform's store and the endpoints, for one test.
@@ -86,9 +89,13 @@
     [[nodiscard]] nlohmann::json journal(std::string const& server) const { return this->cluster.journal(server); }
     [[nodiscard]] int store_port() const { return this->cluster.port("store"); }
     [[nodiscard]] int client_port(std::string const& box) const { return this->box_ports.at(box)[0]; }
+    [[nodiscard]] int readiness_port(std::string const& box) const { return this->box_ports.at(box)[1]; }
+    [[nodiscard]] int metrics_port(std::string const& box) const { return this->box_ports.at(box)[2]; }
     [[nodiscard]] Process& process(std::string const& name) { return this->cluster.process(name); }
     [[nodiscard]] std::string get(std::string const& name, std::string const& path) const;
     [[nodiscard]] std::string metrics(std::string const& box) const;
+    /// What the box answers when it is asked whether it takes clients.
+    [[nodiscard]] std::string readiness(std::string const& box) const;
     /// Sum of all samples of the metric whose line starts with `begin`; 0 if there are none.
     [[nodiscard]] double metric(std::string const& box, std::string const& begin) const;
     /// Version of the configuration in force; 0 for none.
