LibHttp: Hold what the HTTP servers of all programs share

`route` and `serve` read requests in two ways, and what bounds them stands in one only.

No behaviour changes. Ruled out: LibServer linking LibGateway, which would bring the platform's names and the routing of the other program with it.

--- a/Libraries/LibGateway/ClientConnection.cpp
+++ b/Libraries/LibGateway/ClientConnection.cpp
@@ -1,7 +1,7 @@
 #include <LibGateway/ClientConnection.h>
 
 #include <LibGateway/HttpStatus.h>
-#include <LibGateway/MessageFraming.h>
+#include <LibHttp/MessageFraming.h>
 #include <LibLog/EventLog.h>
 
 namespace Gateway {
--- a/Libraries/LibGateway/HttpConnection.cpp
+++ b/Libraries/LibGateway/HttpConnection.cpp
@@ -1,6 +1,6 @@
 #include <LibGateway/HttpConnection.h>
 
-#include <LibGateway/MessageFraming.h>
+#include <LibHttp/MessageFraming.h>
 
 #include <fmt/format.h>
 #include <platform/RequestCodec.h>
--- a/Libraries/LibGateway/InternalHttpServer.cpp
+++ b/Libraries/LibGateway/InternalHttpServer.cpp
@@ -1,6 +1,6 @@
 #include <LibGateway/InternalHttpServer.h>
 
-#include <LibGateway/MessageFraming.h>
+#include <LibHttp/MessageFraming.h>
 
 #include <array>
 
--- a/Libraries/LibGateway/MessageFraming.cpp
+++ b/Libraries/LibHttp/MessageFraming.cpp
@@ -1,8 +1,8 @@
-#include <LibGateway/MessageFraming.h>
+#include <LibHttp/MessageFraming.h>
 
 #include <vector>
 
-namespace Gateway {
+namespace Http {
 
 namespace {
 
--- a/Libraries/LibGateway/MessageFraming.h
+++ b/Libraries/LibHttp/MessageFraming.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <LibGateway/Asio.h>
+#include <LibHttp/Asio.h>
 
 #include <string_view>
 
 /// How much of a message may wait in a connection's buffer, and whether the end of its body can be told from its head.
-namespace Gateway {
+namespace Http {
 
 /// Why the end of a message's body can't be told from its head (RFC 9112, 6.1 and 6.3).
 enum class FramingFault {
--- a/Tests/LibGateway/TestMessageFraming.cpp
+++ b/Tests/LibHttp/TestMessageFraming.cpp
@@ -1,10 +1,10 @@
 #include <TestMain.h>
 
-#include <LibGateway/MessageFraming.h>
+#include <LibHttp/MessageFraming.h>
 
 namespace {
 
-using namespace Gateway;
+using namespace Http;
 
 /// The fault that is found in a request with these fields. The parser itself refuses some, with a length that is wrong.
 std::optional<FramingFault> fault_of(std::string const& fields, std::string const& version = "1.1")
