LibGateway: Receive clients' requests under the budget of the process

What callers saw: a box that large bodies ended for want of memory, or that refused all while eight of them fit; and beside silent connections, unfinished heads or unread answers a reset for everybody.

Cause: room for a body was taken when a client announced it (Beast reserves the length), so refused bodies had their memory all the same, the allocator kept it, and the process grew with each return; bodies were counted by their size, heads, parsed fields and unread bytes not at all; over the limit whoever read a byte was refused; and a box with all its connections in use turned away the next one, not one that held its place without a request.

ClientConnection receives requests by RequestReceiver; all of a box's connections, those of boxes that forward too, are one group of the budget (0.475 of the memory, held answers included, an eighth of it for requests of at most 128 KB; before 0.3 for bodies alone). A refused body is released before its answer is sent. The receive buffer of a client's socket is 64 KB, 16 KB where all of them together would exceed a tenth of the memory (some 80 connections in the test's 48 MB); from there on unread bytes are asked from the kernel four times a second and count. Exchanges tell when their client is slower than its answer, so that such a connection gives way. New: metrics cleatbeam_connection_bytes, _connections_evicted, _requests_without_memory, log event connections_gave_way.

In TestClientConnection two checks count by the budget in place of the counter that is gone: that the announced length counts, and that what doesn't fit is refused at the head; as strict as before.

--- a/Libraries/LibGateway/ClientConnection.cpp
+++ b/Libraries/LibGateway/ClientConnection.cpp
@@ -1,169 +1,88 @@
 #include <LibGateway/ClientConnection.h>
 
 #include <LibGateway/HttpStatus.h>
-#include <LibHttp/MessageFraming.h>
 #include <LibLog/EventLog.h>
 
 namespace Gateway {
 
 using Core::Reason;
 
-namespace {
-
-struct BadRequest {
-    unsigned status;
-    Reason reason;
-};
-
-BadRequest bad_request_for(error_code error)
-{
-    if (error == http::error::header_limit || is_buffer_full(error))
-        return { status_header_too_large, Reason::HeaderTooLarge };
-    if (error == http::error::body_limit)
-        return { status_payload_too_large, Reason::BodyTooLarge };
-    return { status_bad_request, Reason::MalformedRequest };
-}
-
-bool is_parse_error(error_code error)
-{
-    return error.category() == http::make_error_code(http::error::bad_method).category()
-        && error != http::error::end_of_stream && error != http::error::partial_message;
-}
-
-/// Fits a request line and a few short headers. The buffer grows for longer heads.
-constexpr std::size_t typical_head_bytes = 1024;
-
-}
-
-ClientConnection::ClientConnection(GatewayState& state, tcp::socket socket, Peer peer)
+ClientConnection::ClientConnection(
+    GatewayState& state, tcp::socket socket, Peer peer, std::shared_ptr<Http::BudgetedConnection> budgeted)
     : state(state)
     , socket(std::move(socket))
     , peer(peer)
-    , guard(state.context)
+    , budgeted(std::move(budgeted))
+    , receiver(this->socket, *this->budgeted)
     , starting(std::make_shared<StartingClient>(state.starting_clients))
 {
-    ++this->state.clients;
-}
-
-ClientConnection::~ClientConnection()
-{
-    --this->state.clients;
 }
 
 Task<void> ClientConnection::run()
 {
     auto const self = this->shared_from_this();
+    this->budgeted->set_on_evicted([weak = this->weak_from_this()](Http::Eviction how) {
+        if (auto const evicted = weak.lock())
+            evicted->give_way(how);
+    });
     bool is_open = true;
     while (is_open) {
-        if (!co_await this->wait_for_request())
+        if (!co_await this->receiver.wait(this->limits().idle_timeout))
             break;
         this->is_busy = true;
-        Parser parser;
-        auto const current_limits = this->limits();
-        parser.header_limit(current_limits.max_header_bytes);
-        parser.body_limit(current_limits.max_body_bytes);
-        // NOTE: Without a bound the buffer would take in a chunk's head or trailers that never end.
-        this->buffer.max_size(
-            std::max<std::size_t>(current_limits.max_header_bytes + buffered_beyond_head, this->buffer.size()));
-        if (!co_await this->read_request(parser))
+        auto const current = this->limits();
+        // NOTE: The client limits have no timeout for pauses within a body, so the idle timeout applies to them.
+        Http::RequestLimits const allowed { current.max_header_bytes, current.max_body_bytes, current.header_timeout,
+            current.idle_timeout };
+        auto const end = co_await this->receiver.read(allowed);
+        if (end != Http::ReadEnd::Complete) {
+            co_await this->refuse_unread(end);
             break;
-        is_open = co_await this->serve_request(parser);
-        this->release_body();
+        }
+        is_open = co_await this->serve_request();
+        this->receiver.finish();
         this->is_busy = false;
         if (this->state.is_stopping)
             this->close_if_idle();
     }
-    this->release_body();
-    this->disarm_guard();
     error_code ignored;
     this->socket.close(ignored);
 }
 
-Task<bool> ClientConnection::wait_for_request()
+Task<void> ClientConnection::refuse_unread(Http::ReadEnd end)
 {
-    if (this->buffer.size() > 0)
-        co_return true;
-    // NOTE: Idle connections hold no read buffer.
-    this->buffer.shrink_to_fit();
-    this->arm_guard(this->limits().idle_timeout);
-    auto const [error] = co_await this->socket.async_wait(tcp::socket::wait_read, as_value);
-    co_return !error && !this->guard_fired;
-}
-
-Task<bool> ClientConnection::read_request(Parser& parser)
-{
-    auto const error = co_await this->read_head_and_body(parser);
-    this->disarm_guard();
-    if (!error)
-        co_return true;
-    if (this->guard_fired) {
+    switch (end) {
+    case Http::ReadEnd::Complete:
+    case Http::ReadEnd::Closed:
+        co_return;
+    case Http::ReadEnd::TimedOut:
         co_await this->answer_bad_request(status_request_timeout, Reason::DeadlinePassed, "the request took too long");
-        co_return false;
+        co_return;
+    case Http::ReadEnd::HeadTooLarge:
+        co_await this->answer_bad_request(status_header_too_large, Reason::HeaderTooLarge, "the head is too large");
+        co_return;
+    case Http::ReadEnd::BodyTooLarge:
+        co_await this->answer_bad_request(status_payload_too_large, Reason::BodyTooLarge, "the body is too large");
+        co_return;
+    case Http::ReadEnd::Malformed:
+        co_await this->answer_bad_request(status_bad_request, Reason::MalformedRequest, this->receiver.fault());
+        co_return;
+    case Http::ReadEnd::NoMemory:
+        co_await this->answer_bad_request(
+            status_unavailable, Reason::MemoryLimit, "no memory for requests that are being received");
+        co_return;
     }
-    if (error == asio::error::no_buffer_space) {
-        co_await this->answer_bad_request(status_unavailable, Reason::MemoryLimit, "too many request bodies in memory");
-    } else if (is_parse_error(error)) {
-        auto const [status, reason] = bad_request_for(error);
-        // NOTE: Named because the compiler destroys a temporary in an awaited expression twice.
-        auto const detail = this->unframed_because.empty() ? error.message() : this->unframed_because;
-        co_await this->answer_bad_request(status, reason, detail);
-    }
-    co_return false;
 }
 
-Task<error_code> ClientConnection::read_head_and_body(Parser& parser)
+Task<bool> ClientConnection::serve_request()
 {
-    this->arm_guard(this->limits().header_timeout);
-    this->buffer.reserve(typical_head_bytes);
-    auto const [head_error, head_bytes]
-        = co_await http::async_read_header(this->socket, this->buffer, parser, as_value);
-    if (head_error)
-        co_return head_error;
-    auto const& head = parser.get();
-    if (auto const fault = framing_fault(head, head.version(), parser.chunked())) {
-        this->unframed_because = to_string(*fault);
-        co_return http::error::bad_transfer_encoding;
-    }
-    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
-        auto const [error, bytes] = co_await asio::async_write(this->socket, asio::buffer(go_on), as_value);
-        if (error)
-            co_return error;
-    }
-    parser.eager(true);
-    while (!parser.is_done()) {
-        // NOTE: The client limits have no timeout for pauses within a body, so the idle timeout applies to them.
-        this->arm_guard(this->limits().idle_timeout);
-        auto const [error, bytes] = co_await http::async_read_some(this->socket, this->buffer, parser, as_value);
-        if (error)
-            co_return error;
-        // NOTE: Counted while it arrives, since bodies that many clients send slowly fill the memory as well.
-        if (!this->count_body(parser.get().body().size() + this->buffer.size()))
-            co_return asio::error::no_buffer_space;
-    }
-    co_return error_code {};
-}
-
-bool ClientConnection::count_body(std::size_t bytes)
-{
-    this->state.body_bytes += bytes - this->counted_body_bytes;
-    this->counted_body_bytes = bytes;
-    return this->state.body_bytes <= this->state.max_held_body_bytes;
-}
-
-void ClientConnection::release_body()
-{
-    this->state.body_bytes -= std::exchange(this->counted_body_bytes, 0);
-}
-
-Task<bool> ClientConnection::serve_request(Parser& parser)
-{
-    auto request = parser.release();
+    auto request = this->receiver.take();
     bool const keeps_connection = request.keep_alive();
     ++this->state.requests;
     ++this->request_number;
     auto const served = std::make_shared<RequestExchange>(this->state, std::move(request),
-        ClientSide { this->shared_socket(), keeps_connection, this->peer == Peer::Box, std::move(this->starting) });
+        ClientSide { this->shared_socket(), keeps_connection, this->peer == Peer::Box, std::move(this->starting),
+            this->budgeted });
     this->exchange = served;
     this->watch_for_close();
     bool const is_open = co_await served->run();
@@ -173,6 +92,24 @@
     co_return is_open;
 }
 
+void ClientConnection::give_way(Http::Eviction how)
+{
+    this->receiver.evict();
+    if (how == Http::Eviction::RefuseRequest)
+        return;
+    error_code ignored;
+    this->socket.close(ignored);
+    if (auto const served = this->exchange.lock())
+        served->client_left();
+}
+
+void ClientConnection::update_unread()
+{
+    error_code error;
+    auto const unread = this->socket.available(error);
+    this->budgeted->set_unread(error ? 0 : unread);
+}
+
 Task<void> ClientConnection::answer_bad_request(unsigned status, Reason reason, std::string_view detail)
 {
     this->state.metrics.count_refusal(reason);
@@ -204,26 +141,6 @@
         });
 }
 
-void ClientConnection::arm_guard(Core::Duration timeout)
-{
-    this->guard_fired = false;
-    this->guard.expires_after(timeout);
-    this->guard.async_wait([weak = this->weak_from_this(), armed_for = ++this->guard_generation](error_code cancelled) {
-        auto const self = weak.lock();
-        if (cancelled || !self || self->guard_generation != armed_for)
-            return;
-        self->guard_fired = true;
-        error_code ignored;
-        self->socket.cancel(ignored);
-    });
-}
-
-void ClientConnection::disarm_guard()
-{
-    ++this->guard_generation;
-    this->guard.cancel();
-}
-
 bool ClientConnection::after_suspension()
 {
     auto const served = this->exchange.lock();
@@ -232,7 +149,7 @@
 
 void ClientConnection::close_if_idle()
 {
-    if (this->is_busy || this->buffer.size() > 0)
+    if (this->is_busy || this->receiver.has_buffered_bytes())
         return;
     error_code error;
     // NOTE: Unread bytes belong to a new request, which is still served.
--- a/Libraries/LibGateway/ClientConnection.h
+++ b/Libraries/LibGateway/ClientConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/RequestExchange.h>
+#include <LibHttp/RequestReceiver.h>
 
 namespace Gateway {
 
@@ -13,8 +14,9 @@
         Box,
     };
 
-    ClientConnection(GatewayState& state, tcp::socket socket, Peer peer);
-    ~ClientConnection();
+    /// `budgeted` is the connection's part of the budget.
+    ClientConnection(
+        GatewayState& state, tcp::socket socket, Peer peer, std::shared_ptr<Http::BudgetedConnection> budgeted);
     ClientConnection(ClientConnection const&) = delete;
     ClientConnection& operator=(ClientConnection const&) = delete;
 
@@ -24,23 +26,17 @@
     [[nodiscard]] bool after_suspension();
     /// Closes the connection unless a request is being read or served.
     void close_if_idle();
+    /// Accounts for the bytes that the kernel holds unread for this connection.
+    void update_unread();
 
 private:
-    using Parser = http::request_parser<http::string_body>;
-
-    [[nodiscard]] Task<bool> wait_for_request();
-    /// Reads one request. Returns false if the connection must be closed.
-    [[nodiscard]] Task<bool> read_request(Parser& parser);
-    /// Reads the head and the body. The error is `no_buffer_space` if all bodies together would exceed their limit.
-    [[nodiscard]] Task<error_code> read_head_and_body(Parser& parser);
-    /// Counts what was read of the body so far. Returns false if all bodies together exceed their limit.
-    [[nodiscard]] bool count_body(std::size_t bytes);
-    void release_body();
-    [[nodiscard]] Task<bool> serve_request(Parser& parser);
+    /// Answers a request that could not be read, unless the client is gone.
+    [[nodiscard]] Task<void> refuse_unread(Http::ReadEnd end);
+    [[nodiscard]] Task<bool> serve_request();
     [[nodiscard]] Task<void> answer_bad_request(unsigned status, Core::Reason reason, std::string_view detail);
     void watch_for_close();
-    void arm_guard(Core::Duration timeout);
-    void disarm_guard();
+    /// Gives way to other connections.
+    void give_way(Http::Eviction how);
     [[nodiscard]] std::shared_ptr<tcp::socket> shared_socket();
     [[nodiscard]] Routing::ClientLimits limits() const;
 
@@ -52,16 +48,8 @@
     GatewayState& state;
     tcp::socket socket;
     Peer peer;
-    flat_buffer buffer;
-    asio::steady_timer guard;
-    /// Incremented when the guard is armed or disarmed. Cancelling doesn't stop a handler that is already queued, so
-    /// handlers compare this with the value they were armed with.
-    std::uint64_t guard_generation { 0 };
-    bool guard_fired { false };
-    /// What is wrong with the framing of the request; empty if nothing is.
-    std::string unframed_because;
-    /// The part of GatewayState::body_bytes that belongs to this connection.
-    std::size_t counted_body_bytes { 0 };
+    std::shared_ptr<Http::BudgetedConnection> budgeted;
+    Http::RequestReceiver receiver;
     /// Until the first request is served.
     std::shared_ptr<StartingClient> starting;
     /// True from the first byte of a request until its answer is sent.
--- a/Libraries/LibGateway/ExchangeDelivery.cpp
+++ b/Libraries/LibGateway/ExchangeDelivery.cpp
@@ -49,6 +49,7 @@
     if (this->is_writing || this->held.is_empty())
         return;
     this->is_writing = true;
+    this->set_delivering(true);
     asio::co_spawn(
         this->state.context, [self = this->shared_from_this()] { return self->write_held(); }, asio::detached);
 }
@@ -61,12 +62,16 @@
         auto block = this->held.take();
         if (!block)
             break;
-        std::tie(error, std::ignore) = co_await asio::async_write(*this->client.socket, asio::buffer(*block), as_value);
+        std::size_t written = 0;
+        std::tie(error, written) = co_await asio::async_write(*this->client.socket, asio::buffer(*block), as_value);
+        if (this->client.budgeted)
+            this->client.budgeted->note_progress(written, monotonic_now());
         block.reset();
         this->held.written();
         this->held_progress.interrupt();
     }
     this->is_writing = false;
+    this->set_delivering(false);
     if (!error)
         co_return;
     // NOTE: deliver_held() and client_left() note the loss before they end a write.
@@ -76,6 +81,13 @@
     this->client_left();
 }
 
+void RequestExchange::set_delivering(bool is_delivering)
+{
+    auto const state = is_delivering ? Http::ConnectionState::Delivering : Http::ConnectionState::Serving;
+    if (this->client.budgeted)
+        this->client.budgeted->set_state(state, monotonic_now());
+}
+
 Task<void> RequestExchange::wait_for_room()
 {
     auto const began = monotonic_now();
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -63,15 +63,17 @@
     , signals(this->context, SIGTERM, SIGINT, SIGHUP)
     , settings_changed_at(change_time(this->options.settings_path))
 {
-    this->state.max_held_body_bytes
-        = static_cast<std::size_t>(static_cast<double>(this->environment.memory_bytes) * share_of_memory_for_bodies);
+    auto const memory = static_cast<double>(this->environment.memory_bytes);
+    auto const for_connections = static_cast<std::size_t>(memory * share_of_memory_for_connections);
+    this->state.budget->set_limits({ for_connections, for_connections / memory_per_reserve, small_request_bytes });
+    this->state.budget->set_other_memory([pool = this->state.answer_buffers] { return pool->held_bytes(); });
     this->state.answer_buffers->set_max_bytes(
         static_cast<std::size_t>(this->environment.memory_bytes / memory_per_held_answers));
     constexpr std::int64_t microseconds_per_millisecond = 1000;
     this->state.clock.start(
         static_cast<std::uint64_t>(Core::wall_clock_milliseconds() * microseconds_per_millisecond), monotonic_now());
-    this->state.max_clients
-        = static_cast<std::size_t>(static_cast<double>(this->environment.max_sockets) * share_of_sockets_for_clients);
+    this->state.clients.set_max_connections(
+        static_cast<std::size_t>(static_cast<double>(this->environment.max_sockets) * share_of_sockets_for_clients));
 }
 
 std::unique_ptr<Gateway> Gateway::try_create(
@@ -160,7 +162,10 @@
 void Gateway::handle_accepted(tcp::socket socket, ClientConnection::Peer peer)
 {
     error_code ignored;
-    if (!this->may_take(peer)) {
+    std::shared_ptr<Http::BudgetedConnection> budgeted;
+    if (this->may_take(peer))
+        budgeted = this->state.budget->try_open(this->state.clients, monotonic_now());
+    if (!budgeted) {
         ++this->turned_away;
         this->state.metrics.count_client_turned_away();
         // NOTE: A reset tells the client at once that its request was not read, and it goes to another box.
@@ -168,17 +173,35 @@
         return;
     }
     socket.set_option(tcp::no_delay(true), ignored);
-    auto const client = std::make_shared<ClientConnection>(this->state, std::move(socket), peer);
+    socket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(this->buffer_for_connection())), ignored);
+    auto const client = std::make_shared<ClientConnection>(this->state, std::move(socket), peer, std::move(budgeted));
     this->clients.push_back(client);
     // NOTE: run() keeps the connection alive only once it has started. The lambda does so until then.
     asio::co_spawn(
         this->context, [client] { return client->run(); }, asio::detached);
 }
 
+std::size_t Gateway::buffer_for_connection() const
+{
+    auto const share = static_cast<double>(this->environment.memory_bytes) * share_of_memory_for_unread;
+    auto const filled = static_cast<double>(this->state.clients.connections() * receive_buffer_bytes);
+    return filled <= share ? receive_buffer_bytes : small_receive_buffer_bytes;
+}
+
+void Gateway::account_for_unread()
+{
+    // NOTE: Few clients can't fill their share, and a question to the kernel for each connection costs processor time.
+    if (this->buffer_for_connection() == receive_buffer_bytes)
+        return;
+    for (auto const& weak : this->clients) {
+        if (auto const client = weak.lock())
+            client->update_unread();
+    }
+    this->state.budget->enforce_limit(monotonic_now());
+}
+
 bool Gateway::may_take(ClientConnection::Peer peer)
 {
-    if (this->state.clients >= this->state.max_clients)
-        return false;
     // NOTE: Another box has read the request already, and has its own limit.
     if (peer == ClientConnection::Peer::Box)
         return true;
@@ -192,12 +215,27 @@
         return;
     Log::EventLine("clients_turned_away")
         .with("count", count)
-        .with("clients", this->state.clients)
+        .with("clients", this->state.clients.connections())
         .with("starting", this->state.starting_clients)
         .with("loop_lag_ms", Core::to_milliseconds(this->lag.measure()))
         .warning();
 }
 
+void Gateway::log_memory_pressure()
+{
+    auto const counts = this->state.budget->counts();
+    if (counts == this->logged_counts)
+        return;
+    Log::EventLine("connections_gave_way")
+        .with("evicted", counts.evicted - this->logged_counts.evicted)
+        .with("refused", counts.refused - this->logged_counts.refused)
+        .with("clients", this->state.clients.connections())
+        .with("used_bytes", this->state.budget->used_bytes())
+        .with("max_bytes", this->state.budget->memory_limits().all_bytes)
+        .warning();
+    this->logged_counts = counts;
+}
+
 Task<void> Gateway::run_housekeeping()
 {
     for (;;) {
@@ -210,8 +248,10 @@
         this->state.forwarder.connections().close_expired(now);
         this->state.stream_origin_exchange.expire(now);
         this->remove_closed_clients();
+        this->account_for_unread();
         this->log_readiness_change();
         this->log_turned_away();
+        this->log_memory_pressure();
         if (auto const changed_at = change_time(this->options.settings_path); changed_at != this->settings_changed_at)
             this->reload_settings();
         spdlog::default_logger()->flush();
@@ -315,6 +355,7 @@
         configuration ? configuration->version() : 0, this->state.router.configuration_age(monotonic_now()));
     this->state.metrics.set_refused_requests(this->state.crash_exchange.refused_count());
     this->state.metrics.set_held_answer_bytes(this->state.answer_buffers->held_bytes());
+    this->state.metrics.set_connection_memory(this->state.budget->used_bytes(), this->state.budget->counts());
     this->state.metrics.set_limited_endpoints(this->state.router.limited_endpoints());
     this->state.metrics.set_slow_endpoints(this->state.router.slow_endpoints(monotonic_now()));
     return { status_ok, this->state.metrics.to_text() };
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -42,10 +42,14 @@
     Gateway(Adapter::BoxEnvironment environment, GatewayOptions options);
 
     [[nodiscard]] bool open_listeners(Core::LastReason& last_reason);
-    /// Whether the box takes a further connection, by their number and by the work that waits.
+    /// Whether the box takes a further connection, by the work that waits.
     [[nodiscard]] bool may_take(ClientConnection::Peer peer);
     /// Accepts connections until the acceptor is closed.
     [[nodiscard]] Task<void> accept(tcp::acceptor& acceptor, ClientConnection::Peer peer);
+    /// The size of the kernel's receive buffer for a new connection.
+    [[nodiscard]] std::size_t buffer_for_connection() const;
+    /// Updates the account of bytes that the kernel holds unread, if there may be many.
+    void account_for_unread();
     /// Serves the connection, or resets it unread.
     void handle_accepted(tcp::socket socket, ClientConnection::Peer peer);
     [[nodiscard]] Task<void> run_housekeeping();
@@ -61,6 +65,8 @@
     void remove_closed_clients();
     void log_readiness_change();
     void log_turned_away();
+    /// Logs connections that gave way to others since the last line on them.
+    void log_memory_pressure();
 
     /// Interval for closing idle connections, removing expired endpoints and flushing the log. Well below the 2 s
     /// within which a draining endpoint must receive no new requests.
@@ -72,8 +78,20 @@
     static constexpr Core::Duration balancer_lag { std::chrono::milliseconds(2300) };
     /// Subtracted from the grace period, so that the process exits before it is killed.
     static constexpr Core::Duration stop_margin { std::chrono::milliseconds(500) };
-    /// Share of the memory limit for request bodies. The rest is for connections and answers.
-    static constexpr double share_of_memory_for_bodies = 0.3;
+    /// Share of the memory limit for all connections together: heads, bodies, answers, and what the kernel holds
+    /// unread. The rest is for the process itself and for what the allocator can't give back.
+    static constexpr double share_of_memory_for_connections = 0.475;
+    /// Divides the memory for connections into the part that only small requests may use.
+    static constexpr std::size_t memory_per_reserve = 8;
+    /// The head of an ordinary request and a body of some ten thousand tokens.
+    static constexpr std::size_t small_request_bytes = 128 * 1024;
+    /// Share of the memory limit for receive buffers in the kernel, if all clients fill theirs.
+    static constexpr double share_of_memory_for_unread = 0.1;
+    /// A client sends as much without waiting for the box as it does in a round trip of 6 ms at 80 Mbit/s. Without a
+    /// limit the kernel lets the buffer of one connection grow to megabytes.
+    static constexpr std::size_t receive_buffer_bytes = 64 * 1024;
+    /// Where there are so many clients that their buffers would exceed their share.
+    static constexpr std::size_t small_receive_buffer_bytes = 16 * 1024;
     /// Divides the memory limit into the part for answers that are held for slow clients.
     static constexpr std::uint64_t memory_per_held_answers = 8;
     /// Share of the sockets for client connections. The rest is for endpoints and the store.
@@ -94,6 +112,7 @@
     Routing::ConnectionAdmission admission;
     /// Connections that were turned away since the last log line on them.
     std::size_t turned_away { 0 };
+    Http::BudgetCounts logged_counts;
     asio::signal_set signals;
     std::optional<std::int64_t> settings_changed_at;
     bool was_ready { false };
--- a/Libraries/LibGateway/GatewayMetrics.cpp
+++ b/Libraries/LibGateway/GatewayMetrics.cpp
@@ -93,6 +93,12 @@
     , answer_excesses(counters(*this->registry, "cleatbeam_answer_excesses_total",
           "Answers of endpoints and boxes with more bytes than allowed, by the part that exceeded its limit"))
     , held_answer_bytes(gauge(*this->registry, "cleatbeam_held_answer_bytes", "Bytes of answers held for slow clients"))
+    , connection_bytes(gauge(*this->registry, "cleatbeam_connection_bytes",
+          "Bytes of heads, bodies, answers and unread input of all connections from outside"))
+    , evicted_connections(gauge(
+          *this->registry, "cleatbeam_connections_evicted", "Connections that gave way to others since the start"))
+    , requests_without_memory(gauge(*this->registry, "cleatbeam_requests_without_memory",
+          "Requests refused since the start because there was no memory to receive them"))
     , answers_at_limit(counters(*this->registry, "cleatbeam_answers_at_limit_total",
           "Answers not read on for a while because their clients are slow, by limit"))
 {
@@ -240,6 +246,13 @@
     this->held_answer_bytes.Set(static_cast<double>(bytes));
 }
 
+void GatewayMetrics::set_connection_memory(std::size_t bytes, Http::BudgetCounts const& counts)
+{
+    this->connection_bytes.Set(static_cast<double>(bytes));
+    this->evicted_connections.Set(static_cast<double>(counts.evicted));
+    this->requests_without_memory.Set(static_cast<double>(counts.refused));
+}
+
 void GatewayMetrics::count_answer_at_limit(std::string_view limit)
 {
     this->answers_at_limit.Add({ { "limit", std::string(limit) } }).Increment();
--- a/Libraries/LibGateway/GatewayMetrics.h
+++ b/Libraries/LibGateway/GatewayMetrics.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Reason.h>
 #include <LibCore/Time.h>
+#include <LibHttp/ConnectionBudget.h>
 
 #include <memory>
 #include <prometheus/counter.h>
@@ -73,6 +74,8 @@
     void count_answer_excess(std::string_view part);
     /// Sets the memory of answers that are held for slow clients, in bytes.
     void set_held_answer_bytes(std::size_t bytes);
+    /// Sets the memory of all connections from outside, in bytes, and how often any of them gave way since the start.
+    void set_connection_memory(std::size_t bytes, Http::BudgetCounts const& counts);
     /// Counts an answer that was not read on for a while: "answer" at its own limit, "box" at the limit of the box.
     void count_answer_at_limit(std::string_view limit);
     /// Sets whether this box is cut off from all endpoints.
@@ -120,6 +123,9 @@
     prometheus::Counter& clients_turned_away;
     prometheus::Family<prometheus::Counter>& answer_excesses;
     prometheus::Gauge& held_answer_bytes;
+    prometheus::Gauge& connection_bytes;
+    prometheus::Gauge& evicted_connections;
+    prometheus::Gauge& requests_without_memory;
     prometheus::Family<prometheus::Counter>& answers_at_limit;
 };
 
--- a/Libraries/LibGateway/GatewayState.h
+++ b/Libraries/LibGateway/GatewayState.h
@@ -9,6 +9,7 @@
 #include <LibGateway/ReachabilityMonitor.h>
 #include <LibGateway/RequestForwarder.h>
 #include <LibGateway/StreamOriginExchange.h>
+#include <LibHttp/ConnectionBudget.h>
 #include <LibLeader/SharedClock.h>
 #include <LibLeader/UsageCounts.h>
 #include <LibRouting/RequestRouter.h>
@@ -93,16 +94,15 @@
     std::function<void(Core::Duration length)> on_suspension;
     /// Number of requests being served.
     std::size_t requests { 0 };
-    /// Bytes of request bodies in memory, and their limit.
-    std::size_t body_bytes { 0 };
-    std::size_t max_held_body_bytes { 0 };
     /// Answers that are held for slow clients. Shared, since exchanges may be destroyed after this state.
     std::shared_ptr<AnswerBufferPool> answer_buffers { std::make_shared<AnswerBufferPool>(0) };
     /// New client connections whose first request has not been sent to an endpoint yet.
     std::size_t starting_clients { 0 };
-    /// Number of open client connections, and its limit.
-    std::size_t clients { 0 };
-    std::size_t max_clients { 0 };
+    /// Memory of all connections from outside, and who has to give way. Shared, since connections may be destroyed
+    /// after this state.
+    std::shared_ptr<Http::ConnectionBudget> budget { std::make_shared<Http::ConnectionBudget>(Http::MemoryLimits {}) };
+    /// Connections of clients, and of boxes that forward requests.
+    Http::ConnectionGroup& clients { budget->add_group(0) };
 };
 
 }
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -5,13 +5,14 @@
 #include <LibGateway/EndpointCheck.h>
 #include <LibGateway/EventRateMeter.h>
 #include <LibGateway/EventSplitter.h>
+#include <LibHttp/RequestReceiver.h>
 #include <LibLog/EventLog.h>
 #include <LibMembership/ForwardedRequest.h>
 #include <LibRouting/CrashLedger.h>
 
 namespace Gateway {
 
-using Request = http::request<http::string_body>;
+using Http::Request;
 
 /// The client's connection, as far as an exchange needs it.
 struct ClientSide {
@@ -22,6 +23,8 @@
     bool is_box { false };
     /// Counts the connection until its first request was sent to an endpoint or another box; null for later requests.
     std::shared_ptr<StartingClient> starting {};
+    /// The connection's part of the budget; null where there is none.
+    std::shared_ptr<Http::BudgetedConnection> budgeted {};
 };
 
 /// How an attempt at an endpoint ended. Decides whether the request may be retried.
@@ -149,6 +152,8 @@
     void pass_to_client(std::string bytes);
     /// Writes held blocks until none is left or the client has left. Runs beside the reader of the answer.
     [[nodiscard]] Task<void> write_held();
+    /// Tells the budget whether the client is slower than its answer.
+    void set_delivering(bool is_delivering);
     /// Waits until a further piece may be read from the endpoint while others are held for the client.
     [[nodiscard]] Task<void> wait_for_room();
     void note_limit(AnswerBuffer::Room room);
--- a/Tests/LibGateway/TestClientConnection.cpp
+++ b/Tests/LibGateway/TestClientConnection.cpp
@@ -8,15 +8,23 @@
 
 using namespace Gateway;
 
+constexpr Http::MemoryLimits ample_memory { 1024UL * 1024, 0, 0 };
+
+std::shared_ptr<Http::BudgetedConnection> open_connection(GatewayState& state)
+{
+    state.clients.set_max_connections(1);
+    return state.budget->try_open(state.clients, Core::monotonic_now());
+}
+
 /// A client connection of a box that knows no configuration yet, so that every request is refused at once.
 struct Connection {
     Connection()
         : state(this->context, Routing::RouterSettings {}, 1)
         , sockets(this->context)
         , caller(std::make_shared<ClientConnection>(
-              this->state, std::move(this->sockets.near), ClientConnection::Peer::Client))
+              this->state, std::move(this->sockets.near), ClientConnection::Peer::Client, open_connection(this->state)))
     {
-        this->state.max_held_body_bytes = 1024 * 1024;
+        this->state.budget->set_limits(ample_memory);
         asio::co_spawn(
             this->context, [caller = this->caller] { return caller->run(); }, asio::detached);
     }
@@ -60,7 +68,7 @@
         , at_endpoint(this->context)
         , sockets(this->context)
     {
-        this->state.max_held_body_bytes = 1024 * 1024;
+        this->state.budget->set_limits(ample_memory);
         Routing::Configuration configuration;
         configuration.version = 1;
         configuration.limits.header_timeout = idle;
@@ -81,7 +89,7 @@
             Core::monotonic_now());
         this->endpoint.non_blocking(true);
         this->caller = std::make_shared<ClientConnection>(
-            this->state, std::move(this->sockets.near), ClientConnection::Peer::Client);
+            this->state, std::move(this->sockets.near), ClientConnection::Peer::Client, open_connection(this->state));
         asio::co_spawn(
             this->context, [caller = this->caller] { return caller->run(); }, asio::detached);
     }
@@ -252,25 +260,29 @@
 // Guards against memory that many clients fill with bodies that they never send to the end.
 TEST_CASE("a body counts toward the box's memory while it arrives, and no longer once its client is gone")
 {
+    constexpr std::size_t length = 100000;
     ServedConnection connection;
-    connection.send(head);
-    connection.send("12345");
-    REQUIRE(run_until(connection.context, [&] { return connection.state.body_bytes == 5; }));
+    connection.send("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 7\r\nContent-Length: 100000\r\n\r\n12345");
+    auto const empty = Http::ConnectionBudget::connection_bytes;
+    REQUIRE(run_until(connection.context, [&] { return connection.state.budget->used_bytes() > empty + length; }));
     connection.sockets.far.close();
     CHECK(run_until(connection.context, [&] { return connection.caller.use_count() == 1; }));
-    CHECK(connection.state.body_bytes == 0);
+    CHECK(connection.state.budget->used_bytes() == empty);
+    connection.caller.reset();
+    CHECK(connection.state.budget->used_bytes() == 0);
 }
 
 TEST_CASE("a request whose body doesn't fit into the memory is refused before the rest of the body has arrived")
 {
     Connection connection;
-    connection.state.max_held_body_bytes = 4;
-    connection.send(head);
+    // Enough for the head, but not for what it announces.
+    connection.state.budget->set_limits({ 64UL * 1024, 0, 0 });
+    connection.send("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 7\r\nContent-Length: 100000\r\n\r\n");
     connection.send("12345");
     CHECK(connection.receives("memory-limit"));
     CHECK(connection.received.starts_with("HTTP/1.1 503 "));
     CHECK(run_until(connection.context, [&] { return connection.caller.use_count() == 1; }));
-    CHECK(connection.state.body_bytes == 0);
+    CHECK(connection.state.budget->used_bytes() == Http::ConnectionBudget::connection_bytes);
 }
 
 // Guards against a box that reads on from an endpoint for a client that reads nothing.
--- a/Tests/LibGateway/TestForwardedRequest.cpp
+++ b/Tests/LibGateway/TestForwardedRequest.cpp
@@ -44,8 +44,8 @@
         , unreachable(this->context)
     {
         this->other.router.offer_configuration(this->state.router.configuration(), Core::monotonic_now());
-        this->other.max_clients = 10;
-        this->other.max_held_body_bytes = 1 << 20;
+        this->other.clients.set_max_connections(10);
+        this->other.budget->set_limits({ 1 << 20, 0, 0 });
         for (int index = 0; index < endpoint_count; ++index)
             this->put(this->other, index, this->endpoints[index]->acceptor.local_endpoint().port());
         this->cut_off(this->state, this->unreachable.port());
@@ -83,8 +83,8 @@
                 ++this->cut_answers;
                 continue;
             }
-            this->connection
-                = std::make_shared<ClientConnection>(this->other, std::move(accepted), ClientConnection::Peer::Box);
+            this->connection = std::make_shared<ClientConnection>(this->other, std::move(accepted),
+                ClientConnection::Peer::Box, this->other.budget->try_open(this->other.clients, Core::monotonic_now()));
             asio::co_spawn(
                 this->context, [served = this->connection] { return served->run(); }, asio::detached);
         }
@@ -199,7 +199,7 @@
     CHECK(site.received.starts_with("HTTP/1.1 503 "));
     CHECK(site.received.find("Retry-After: ") != std::string::npos);
     CHECK(site.arrival_count() == 0);
-    CHECK(site.state.clients == 0);
+    CHECK(site.state.clients.connections() == 0);
 }
 
 TEST_CASE("a box with an earlier version of the configuration doesn't serve a forwarded request")
@@ -254,7 +254,7 @@
 TEST_CASE("a request that the other box has no memory for is told as not run")
 {
     TwoBoxes site(RouteKind::NonIdempotent);
-    site.other.max_held_body_bytes = 0;
+    site.other.budget->set_limits({});
     site.start("body");
     REQUIRE(site.ends());
     CHECK(site.received.starts_with("HTTP/1.1 503 "));
@@ -268,8 +268,8 @@
     tcp::socket client(site.context);
     tcp::acceptor acceptor(site.context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     client.connect(acceptor.local_endpoint());
-    auto const connection
-        = std::make_shared<ClientConnection>(site.other, acceptor.accept(), ClientConnection::Peer::Client);
+    auto const connection = std::make_shared<ClientConnection>(site.other, acceptor.accept(),
+        ClientConnection::Peer::Client, site.other.budget->try_open(site.other.clients, Core::monotonic_now()));
     asio::co_spawn(
         site.context, [connection] { return connection->run(); }, asio::detached);
     asio::write(client,
