LibGateway: Let probes and other boxes through beside silent peers

What callers saw: 16 connections that say nothing at the port for readiness or metrics, and nobody gets an answer for ten seconds, so the platform takes the box for gone; bodies of a megabyte at the port for other boxes take 78 MB of a box that has 64.

Cause: a further connection was closed when all 16 (780 at the boxes' port of a box with 3,900 sockets) were in use, whatever they did; the parser's own limit on bodies, 1 MB, was the only one, and nothing counted them.

InternalHttpServer receives its requests by RequestReceiver, its connections are a group of the process's budget, and answers count while they are sent: if all connections are in use, one without a request gives way. Bodies are limited to 4 KB at readiness and metrics, whose questions have none, and to 256 KB at the port for other boxes, whose questions tell a box's demand in some tens of bytes for each service. Ten seconds for silence, as before.

TestRoutePeerCrowd, plain: before, no answer at readiness and metrics under each of the five crowds, a client reset beside two of them, 78 MB of 64; after, all five cases pass, at most 36 MB of 48. TestProbeListener and TestPeerBytes pass, their checks are unchanged.

--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -92,7 +92,8 @@
     this->listener.emplace(
         std::move(*acceptor),
         [this](std::string_view path, std::string const& body) { return this->answer_request(path, body); },
-        this->max_connections);
+        *this->state.budget,
+        InternalHttpServer::Limits { this->max_connections, std::chrono::seconds(10), max_question_bytes });
     Membership::BoxRecord own { this->box_name, { this->ports->host, this->listener->port() }, this->failure_domain,
         this->link_bytes_per_second,
         this->forwarding_acceptor ? this->forwarding_acceptor->local_endpoint().port() : std::uint16_t { 0 } };
--- a/Libraries/LibGateway/ControlPlane.h
+++ b/Libraries/LibGateway/ControlPlane.h
@@ -81,6 +81,8 @@
     /// Share of the sockets for connections from other boxes: all others of a failure domain may use this one as their
     /// relay.
     static constexpr double share_of_sockets_for_boxes = 0.2;
+    /// A question tells a box's demand, some tens of bytes for each service.
+    static constexpr std::size_t max_question_bytes = 256 * 1024;
 
     GatewayState& state;
     Membership::ControlSource source;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -91,8 +91,10 @@
     auto readiness_acceptor = listen_on(this->context, this->environment.readiness, last_reason);
     if (!this->clients_acceptor || !readiness_acceptor)
         return false;
-    this->readiness.emplace(std::move(*readiness_acceptor),
-        [this](std::string_view path, std::string const&) { return this->answer_readiness(path); });
+    this->readiness.emplace(
+        std::move(*readiness_acceptor),
+        [this](std::string_view path, std::string const&) { return this->answer_readiness(path); },
+        *this->state.budget);
     if (!this->control.open_listener(last_reason))
         return false;
     this->boxes_acceptor = this->control.take_forwarding_acceptor();
@@ -101,8 +103,9 @@
     auto metrics_acceptor = listen_on(this->context, { "0.0.0.0", *this->options.metrics_port }, last_reason);
     if (!metrics_acceptor)
         return false;
-    this->metrics_listener.emplace(std::move(*metrics_acceptor),
-        [this](std::string_view path, std::string const&) { return this->answer_metrics(path); });
+    this->metrics_listener.emplace(
+        std::move(*metrics_acceptor),
+        [this](std::string_view path, std::string const&) { return this->answer_metrics(path); }, *this->state.budget);
     return true;
 }
 
--- a/Libraries/LibGateway/InternalHttpServer.cpp
+++ b/Libraries/LibGateway/InternalHttpServer.cpp
@@ -1,13 +1,14 @@
 #include <LibGateway/InternalHttpServer.h>
 
-#include <LibHttp/MessageFraming.h>
-
 #include <array>
 
 namespace Gateway {
 
 namespace {
 
+/// More than any head with a short body takes.
+constexpr int receive_buffer_bytes = 16 * 1024;
+
 /// A Beast body type that sends both parts of an answer without copying them.
 struct TwoPartBody {
     using value_type = InternalHttpResponse;
@@ -56,6 +57,33 @@
 
 }
 
+/// One connection of a peer.
+struct InternalHttpServer::Session {
+    Session(tcp::socket accepted, std::unique_ptr<Http::BudgetedConnection> opened)
+        : socket(std::make_shared<tcp::socket>(std::move(accepted)))
+        , budgeted(std::move(opened))
+        , receiver(*this->socket, *this->budgeted)
+        , timer(this->socket->get_executor())
+    {
+    }
+
+    std::shared_ptr<tcp::socket> socket;
+    std::unique_ptr<Http::BudgetedConnection> budgeted;
+    Http::RequestReceiver receiver;
+    asio::steady_timer timer;
+    std::shared_ptr<std::uint64_t> timer_generation { std::make_shared<std::uint64_t>(0) };
+};
+
+InternalHttpServer::InternalHttpServer(
+    tcp::acceptor acceptor, Handler handler, Http::ConnectionBudget& budget, Limits limits)
+    : acceptor(std::move(acceptor))
+    , handler(std::move(handler))
+    , limits(limits)
+    , budget(budget.shared_from_this())
+    , connections(budget.add_group(limits.max_connections))
+{
+}
+
 Task<void> InternalHttpServer::run()
 {
     while (this->acceptor.is_open()) {
@@ -65,10 +93,11 @@
             co_await sleep_for(std::chrono::milliseconds(10));
             continue;
         }
-        if (*this->connections >= this->max_connections)
+        auto opened = this->budget->try_open(this->connections, Core::monotonic_now());
+        if (!opened)
             continue;
-        auto socket = std::make_shared<tcp::socket>(std::move(accepted));
-        asio::co_spawn(this->acceptor.get_executor(), this->serve(std::move(socket)), asio::detached);
+        auto const session = std::make_shared<Session>(std::move(accepted), std::move(opened));
+        asio::co_spawn(this->acceptor.get_executor(), this->serve(session), asio::detached);
     }
 }
 
@@ -78,44 +107,56 @@
     this->acceptor.close(ignored);
 }
 
-Task<void> InternalHttpServer::serve(std::shared_ptr<tcp::socket> socket) const
+Task<void> InternalHttpServer::serve(std::shared_ptr<Session> session) const
 {
-    auto const counted = this->connections;
-    ++*counted;
-    auto const answer_question = this->handler;
-    auto const timeout = this->idle_timeout;
     error_code ignored;
-    socket->set_option(tcp::no_delay(true), ignored);
-    flat_buffer buffer(max_head_bytes + buffered_beyond_head);
-    asio::steady_timer timer(socket->get_executor());
-    auto const generation = std::make_shared<std::uint64_t>(0);
+    session->socket->set_option(tcp::no_delay(true), ignored);
+    session->socket->set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
+    session->budgeted->set_on_evicted([weak = std::weak_ptr(session)](Http::Eviction) {
+        auto const evicted = weak.lock();
+        if (!evicted)
+            return;
+        evicted->receiver.evict();
+        error_code ignored_too;
+        evicted->socket->close(ignored_too);
+    });
+    auto const timeout = this->limits.idle_timeout;
+    Http::RequestLimits const allowed { max_head_bytes, this->limits.max_body_bytes, timeout, timeout };
     bool is_open = true;
-    while (is_open) {
-        close_after(timer, timeout, socket, generation);
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(max_head_bytes);
-        auto const [read_error, read] = co_await http::async_read(*socket, buffer, parser, as_value);
-        auto const& request = parser.get();
-        if (read_error || framing_fault(request, request.version(), parser.chunked()))
+    while (is_open && co_await session->receiver.wait(timeout)) {
+        if (co_await session->receiver.read(allowed) != Http::ReadEnd::Complete)
             break;
-        auto const target = std::string_view(request.target().data(), request.target().size());
-        auto answer = answer_question(target.substr(0, target.find('?')), request.body());
-        http::response<TwoPartBody> response(static_cast<http::status>(answer.status), request.version());
-        response.set(http::field::content_type, "text/plain; version=0.0.4");
-        response.keep_alive(request.keep_alive());
-        response.body() = std::move(answer);
-        response.prepare_payload();
-        http::response_serializer<TwoPartBody> unsent(response);
-        bool is_read = true;
-        while (is_read && !unsent.is_done()) {
-            close_after(timer, timeout, socket, generation);
-            auto const [write_error, written] = co_await http::async_write_some(*socket, unsent, as_value);
-            is_read = !write_error;
-        }
-        is_open = is_read && request.keep_alive();
+        is_open = co_await this->answer(*session);
+        session->receiver.finish();
+    }
+    session->timer.cancel();
+    session->socket->close(ignored);
+}
+
+Task<bool> InternalHttpServer::answer(Session& session) const
+{
+    auto const request = session.receiver.take();
+    auto const target = std::string_view(request.target().data(), request.target().size());
+    auto answer = this->handler(target.substr(0, target.find('?')), request.body());
+    // NOTE: The answer exists already, so it is counted even if there is no room for it.
+    static_cast<void>(session.budgeted->try_resize(answer.body.size(), Core::monotonic_now()));
+    http::response<TwoPartBody> response(static_cast<http::status>(answer.status), request.version());
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    response.keep_alive(request.keep_alive());
+    response.body() = std::move(answer);
+    response.prepare_payload();
+    http::response_serializer<TwoPartBody> unsent(response);
+    session.budgeted->set_state(Http::ConnectionState::Delivering, Core::monotonic_now());
+    bool is_read = true;
+    while (is_read && !unsent.is_done()) {
+        close_after(session.timer, this->limits.idle_timeout, session.socket, session.timer_generation);
+        auto const [write_error, written] = co_await http::async_write_some(*session.socket, unsent, as_value);
+        session.budgeted->note_progress(written, Core::monotonic_now());
+        is_read = !write_error;
     }
-    timer.cancel();
-    --*counted;
+    ++*session.timer_generation;
+    session.timer.cancel();
+    co_return is_read&& request.keep_alive();
 }
 
 }
--- a/Tests/Integration/TestRoutePeerCrowd.cpp
+++ b/Tests/Integration/TestRoutePeerCrowd.cpp
@@ -19,7 +19,8 @@
     std::vector<InternalPort> ports { { "readiness", site.readiness_port(CrowdSite::box) },
         { "metrics", site.metrics_port(CrowdSite::box) } };
     for (auto const port : Harness::listening_ports(site.process(CrowdSite::box).process_id())) {
-        bool const is_known = port == site.client_port(CrowdSite::box) || port == ports[0].port || port == ports[1].port;
+        bool const is_known
+            = port == site.client_port(CrowdSite::box) || port == ports[0].port || port == ports[1].port;
         if (!is_known)
             ports.push_back({ "boxes", port });
     }
--- a/Tests/LibGateway/TestPeerBytes.cpp
+++ b/Tests/LibGateway/TestPeerBytes.cpp
@@ -91,11 +91,14 @@
     }
     asio::io_context context;
     int answered = 0;
-    InternalHttpServer server(tcp::acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+    auto const budget = std::make_shared<Http::ConnectionBudget>(Http::MemoryLimits { 1 << 20, 0, 0 });
+    InternalHttpServer server(
+        tcp::acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
         [&](std::string_view, std::string const&) {
             ++answered;
             return InternalHttpResponse {};
-        });
+        },
+        *budget);
     asio::co_spawn(context, server.run(), asio::detached);
     tcp::socket client(context);
     client.connect({ asio::ip::address_v4::loopback(), server.port() });
--- a/Tests/LibGateway/TestProbeListener.cpp
+++ b/Tests/LibGateway/TestProbeListener.cpp
@@ -13,16 +13,17 @@
 /// More than two sockets of loopback hold.
 constexpr std::size_t long_answer = 32UL * 1024 * 1024;
 
+constexpr Http::MemoryLimits ample_memory { 1UL << 30U, 0, 0 };
+
 /// A listener whose answers end with bytes that they share.
 struct Listener {
     explicit Listener(std::size_t shared_size, Core::Duration patience = std::chrono::seconds(10))
         : shared(std::make_shared<std::string const>(shared_size, 's'))
-        , listener(
-              tcp::acceptor(this->context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        , listener(tcp::acceptor(this->context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
               [this](std::string_view path, std::string const& body) {
                   return InternalHttpResponse { 200, std::string(path) + " " + body + " ", this->shared };
               },
-              16, patience)
+              *this->budget, { 16, patience })
     {
         asio::co_spawn(
             this->context, [this] { return this->listener.run(); }, asio::detached);
@@ -39,6 +40,7 @@
 
     asio::io_context context;
     std::shared_ptr<std::string const> shared;
+    std::shared_ptr<Http::ConnectionBudget> budget { std::make_shared<Http::ConnectionBudget>(ample_memory) };
     InternalHttpServer listener;
 };
 
@@ -90,14 +92,14 @@
     auto const place = acceptor.local_endpoint();
     std::size_t const bytes = 16 * 1024 * 1024;
     constexpr Core::Duration patience = std::chrono::milliseconds(600);
-    InternalHttpServer listener(
-        std::move(acceptor),
+    auto const budget = std::make_shared<Http::ConnectionBudget>(ample_memory);
+    InternalHttpServer listener(std::move(acceptor),
         [&](std::string_view, std::string const&) {
             InternalHttpResponse answer;
             answer.body = std::string(bytes, 'x');
             return answer;
         },
-        16, patience);
+        *budget, { 16, patience });
     asio::co_spawn(
         context, [&] { return listener.run(); }, asio::detached);
     tcp::socket client(context);
