Programs: Give freed request bodies back to the system

The C library raises the size from which it maps blocks apart with each freed one, up to 32 MB: after a few bodies of megabytes the next ones come from its heap, which is not given back while anything lies behind them. Both programs fix the size at 64 KB.

Sanitized builds have an allocator of their own, where this does nothing.

--- a/Programs/cleatbeam/Route.cpp
+++ b/Programs/cleatbeam/Route.cpp
@@ -1,6 +1,7 @@
 #include "CommandLine.h"
 #include "FileText.h"
 
+#include <LibCore/Allocator.h>
 #include <LibGateway/Gateway.h>
 #include <LibLog/EventLog.h>
 #include <csignal>
@@ -58,6 +59,7 @@
         std::cerr << "cleatbeam: file=" << *path << " reason=\"" << last_reason.text << "\"\n";
         return exit_failure;
     }
+    Core::return_freed_blocks();
     // NOTE: A peer that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
     Log::set_up_bounded_logging(environment->box_name);
--- a/Programs/cleatbeam/Serve.cpp
+++ b/Programs/cleatbeam/Serve.cpp
@@ -1,6 +1,7 @@
 #include "CommandLine.h"
 #include "FileText.h"
 
+#include <LibCore/Allocator.h>
 #include <LibLog/EventLog.h>
 #include <LibServer/Box.h>
 #include <csignal>
@@ -48,6 +49,7 @@
         std::cerr << "file=" << FLAGS_box << " " << fault.to_string() << "\n";
     if (!settings)
         return exit_failure;
+    Core::return_freed_blocks();
     auto const signals = block_end_signals();
     // NOTE: A peer that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
