LibServer: Read a model call without its parsed form

What callers saw: `cleatbeam serve` ended for want of memory, or took 806 MB of 192, under 100 legal bodies of one megabyte. Cause: a body was parsed into a tree that may take 25 times its bytes, deep ones by recursion when the tree was written out again to be hashed (that ended the process), and copied for the reader and again for the endpoint's call.

A body is read in one pass that keeps the few fields which decide and the first 512 bytes of the messages; the request takes over the body it came with. The hash is of the messages as they stand, fields in the caller's order; it only says which calls begin alike, inside one process. A number out of range is a fault of the body now (it was an exception before). A body with a Content-Encoding is refused with 415: it was decoded without a limit on what comes out of it.

--- a/Libraries/LibServer/RequestReader.cpp
+++ b/Libraries/LibServer/RequestReader.cpp
@@ -2,10 +2,9 @@
 
 #include <LibFate/FateTypes.h>
 #include <LibServer/Credentials.h>
+#include <LibServer/ModelCall.h>
 #include <algorithm>
 #include <array>
-#include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 namespace Server {
 
@@ -17,8 +16,8 @@
 constexpr int status_unauthorized = 401;
 constexpr int status_forbidden = 403;
 constexpr int status_not_found = 404;
+constexpr int status_unsupported = 415;
 constexpr std::size_t longest_key = 255;
-constexpr std::size_t hashed_prefix_bytes = 512;
 constexpr std::array<std::string_view, 5> single_headers { "authorization", "idempotency-key", "content-type",
     "content-length", "x-cleatbeam-class" };
 constexpr std::array<std::string_view, 2> model_paths { "/v1/chat/completions", "/v1/completions" };
@@ -39,61 +38,52 @@
     return {};
 }
 
-std::variant<nlohmann::json, InputError> parse_body(std::string const& body)
+InputError error_of(JsonFault const& fault)
 {
-    try {
-        return nlohmann::json::parse(body);
-    } catch (nlohmann::json::parse_error const& error) {
-        auto const is_not_utf8 = std::string_view(error.what()).find("UTF-8") != std::string_view::npos;
-        if (is_not_utf8)
-            return InputError { status_bad_request, Reason::NotUtf8, "body", "body holds bytes that are not UTF-8" };
-        return InputError { status_bad_request, Reason::MalformedBody, "body",
-            "body is not JSON, at byte " + std::to_string(error.byte) };
-    }
-}
-
-std::uint64_t hash_of_prefix(nlohmann::json const& body)
-{
-    std::string text;
-    if (body.contains("messages"))
-        text = body["messages"].dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    else if (body.contains("prompt") && body["prompt"].is_string())
-        text = body["prompt"].get<std::string>();
-    if (text.empty())
-        return 0;
-    return XXH3_64bits(text.data(), std::min(text.size(), hashed_prefix_bytes));
+    if (fault.is_not_utf8)
+        return { status_bad_request, Reason::NotUtf8, "body", "body holds bytes that are not UTF-8" };
+    return { status_bad_request, Reason::MalformedBody, "body",
+        "body is not JSON, at byte " + std::to_string(fault.byte) };
 }
 
-std::optional<InputError> check_prompt(nlohmann::json const& body, bool is_chat)
+std::optional<InputError> check_prompt(ModelCall const& call, bool is_chat)
 {
-    if (is_chat && (!body.contains("messages") || !body["messages"].is_array() || body["messages"].empty()))
+    using Field = ModelCall::Field;
+    if (is_chat && call.messages != Field::List)
         return InputError { status_bad_request, Reason::MalformedBody, "messages",
             "must be a list with at least one message" };
-    if (!is_chat && (!body.contains("prompt") || !(body["prompt"].is_string() || body["prompt"].is_array())))
+    bool const is_prompt = call.prompt == Field::Text || call.prompt == Field::List || call.prompt == Field::EmptyList;
+    if (!is_chat && !is_prompt)
         return InputError { status_bad_request, Reason::MalformedBody, "prompt", "must be a text or a list" };
     return {};
 }
 
+bool is_flag(ModelCall::Field field)
+{
+    using Field = ModelCall::Field;
+    return field == Field::Absent || field == Field::Null || field == Field::True || field == Field::False;
+}
+
 std::optional<InputError> read_model_call(RawRequest const& request, RoutingTable const& table, RoutedRequest& routed)
 {
-    auto parsed = parse_body(request.body);
-    if (auto const* error = std::get_if<InputError>(&parsed))
-        return *error;
-    auto const& body = std::get<nlohmann::json>(parsed);
-    if (!body.is_object())
+    auto const parsed = parse_model_call(request.body);
+    if (auto const* const fault = std::get_if<JsonFault>(&parsed))
+        return error_of(*fault);
+    auto const& call = std::get<ModelCall>(parsed);
+    if (!call.is_object)
         return InputError { status_bad_request, Reason::MalformedBody, "body", "must be a JSON object" };
-    if (!body.contains("model") || !body["model"].is_string())
+    if (call.model != ModelCall::Field::Text)
         return InputError { status_bad_request, Reason::MalformedBody, "model", "must be a text" };
-    if (body.contains("stream") && !body["stream"].is_boolean() && !body["stream"].is_null())
+    if (!is_flag(call.stream))
         return InputError { status_bad_request, Reason::MalformedBody, "stream", "must be true or false" };
-    if (auto error = check_prompt(body, request.path == model_paths[0]))
+    if (auto error = check_prompt(call, request.path == model_paths[0]))
         return error;
-    auto const* pool = table.pool_of_model(body["model"].get<std::string>());
+    auto const* pool = table.pool_of_model(call.model_name);
     if (pool == nullptr)
         return InputError { status_not_found, Reason::UnknownModel, "model", "no endpoint serves this model" };
     routed.pool = *pool;
-    routed.streaming = body.contains("stream") && body["stream"].is_boolean() && body["stream"].get<bool>();
-    routed.prefix_hash = hash_of_prefix(body);
+    routed.streaming = call.stream == ModelCall::Field::True;
+    routed.prefix_hash = call.prefix_hash;
     return {};
 }
 
@@ -156,15 +146,26 @@
     return {};
 }
 
+/// Bodies are passed on as they are, and without the field that would tell their encoding.
+std::optional<InputError> check_encoding(RawRequest const& request)
+{
+    auto const encoding = header(request, "content-encoding");
+    if (encoding.empty() || encoding == "identity")
+        return {};
+    return InputError { status_unsupported, Reason::MalformedBody, "content-encoding", "bodies must not be encoded" };
+}
+
 }
 
-std::variant<RoutedRequest, InputError> read_request(RawRequest const& request, RoutingTable const& table)
+std::variant<RoutedRequest, InputError> read_request(RawRequest request, RoutingTable const& table)
 {
     RoutedRequest routed;
     if (auto error = find_duplicate_header(request))
         return *error;
     if (auto error = find_account(request, table, routed))
         return *error;
+    if (auto error = check_encoding(request))
+        return *error;
     if (auto error = find_pool(request, table, routed))
         return *error;
     if (auto error = find_class(request, table, routed))
@@ -174,7 +175,7 @@
     auto const content_type = header(request, "content-type");
     routed.upstream.path = request.path;
     routed.upstream.content_type = content_type.empty() ? "application/json" : content_type;
-    routed.upstream.body = request.body;
+    routed.upstream.body = std::move(request.body);
     return routed;
 }
 
--- a/Libraries/LibServer/RequestReader.h
+++ b/Libraries/LibServer/RequestReader.h
@@ -10,12 +10,13 @@
 
 namespace Server {
 
-/// A caller's request as the HTTP library delivered it.
+/// A caller's request.
 struct RawRequest {
     std::string path;
     /// Names in lower case.
     std::multimap<std::string, std::string> headers;
     std::string body;
+    std::string method { "POST" };
 };
 
 /// Why a request was rejected before it was submitted.
@@ -39,8 +40,8 @@
     bool streaming { false };
 };
 
-/// Checks a request and finds its account, class and pool. Pure; the result points into `table`.
-[[nodiscard]] std::variant<RoutedRequest, InputError> read_request(
-    RawRequest const& request, RoutingTable const& table);
+/// Checks a request and finds its account, class and pool, and takes its body over. Pure; the result points into
+/// `table`.
+[[nodiscard]] std::variant<RoutedRequest, InputError> read_request(RawRequest request, RoutingTable const& table);
 
 }
