Tests: Have crowds of clients in the soak

The soak drew no clients that don't behave (docs/OUTSIDE.md). A seventh play has up to three crowds of 40 at a time, of six kinds (silent, heads without end, bodies short of a byte, bodies that come back and drip, chunks, unread answers), at any port of any box, beside the faults of all plays; what clients are told must be true as in the others, and the connections of each box must stay within half of its memory by its own account.

--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -1,6 +1,7 @@
 #include <TestMain.h>
 
 #include "Clients.h"
+#include "Crowds.h"
 #include <Harness/FaultProxy.h>
 #include <Harness/PlatformCluster.h>
 #include <algorithm>
@@ -15,7 +16,7 @@
 /// The answers of clients are compared with the journals of the endpoints, and the last configuration must come into
 /// force on all boxes. Further plays add a store that is restored from copies and a platform to which one box reports
 /// usage, endpoints with rate limits that reject requests or drain, boxes that are cut off from all endpoints, or
-/// endpoints that answer oddly, or a store that carries writes out late.
+/// endpoints that answer oddly, or a store that carries writes out late, or crowds of clients that don't behave.
 namespace {
 
 using namespace Soak;
@@ -36,6 +37,8 @@
 constexpr auto revoke_within = std::chrono::milliseconds(3000);
 /// The links that boxes announce: so narrow that no box relays a large configuration and each reads it from the store.
 constexpr Harness::BoxBounds bounds { 1000, 1000, 3000, true, 0, 1 };
+/// What the connections of a box may take, of the 110 MB that its settings name.
+constexpr double max_connection_bytes = 110e6 / 2;
 /// A record of about 120 KB, whose transfer over a narrow link takes 1.2 s.
 constexpr int many_routes = 700;
 /// A record whose transfer over a narrow link takes 2.4 s: longer than any long poll of the store.
@@ -65,6 +68,9 @@
     /// The store carries out a third of all writes of boxes and endpoints seconds late. One endpoint drains, ends and
     /// starts again, time after time; one box reports usage.
     LateWrites,
+    /// Crowds hold connections of boxes, send large bodies that they never end, or don't read, at the ports for
+    /// clients, for other boxes, and for probes.
+    Crowds,
 };
 
 /// Drains and starts again in the play of late writes.
@@ -132,6 +138,8 @@
             this->strike_endpoint_links();
         if (this->play == Play::LateWrites)
             this->strike_leaving_server();
+        if (this->play == Play::Crowds)
+            this->strike_crowds();
         auto const index = this->random(static_cast<std::uint32_t>(box_names.size()));
         auto const* const name = box_names[index];
         switch (this->random(10)) {
@@ -212,8 +220,21 @@
         MESSAGE(this->drains << " drains");
     }
 
+    /// Checks that no box has used more memory than it has, by its own account.
+    void check_memory() const
+    {
+        if (this->play != Play::Crowds)
+            return;
+        for (auto const* name : box_names) {
+            CAPTURE(name);
+            CHECK(this->cluster.metric(name, "cleatbeam_connection_bytes ") <= max_connection_bytes);
+        }
+        MESSAGE(this->crowds.opened() << " crowds");
+    }
+
     void heal()
     {
+        this->crowds.end();
         this->cluster.set_store_mode("");
         if (this->play == Play::LateWrites)
             this->cluster.set_late_writes(0, 0);
@@ -304,6 +325,16 @@
         }
     }
 
+    /// A crowd comes to a box, and the one that has been there for longest leaves if there are several.
+    void strike_crowds()
+    {
+        auto const* const name = box_names[this->random_of_play(static_cast<std::uint32_t>(box_names.size()))];
+        auto const ports = Harness::listening_ports(this->cluster.process(name).process_id());
+        if (!ports.empty())
+            this->crowds.add(ports[this->random_of_play(static_cast<std::uint32_t>(ports.size()))],
+                this->random_of_play(Crowds::kinds));
+    }
+
     void strike_leader_or_history()
     {
         switch (this->random_of_play(8)) {
@@ -441,6 +472,7 @@
     int drains { 0 };
     /// The endpoint that is silent now; empty for none.
     std::string frozen_server;
+    Crowds crowds;
 };
 
 std::string whole_stream(std::string const& attempt, int first = 1)
@@ -555,6 +587,7 @@
     check_versions(site, exchanges);
     site.check_leader_calls();
     site.check_draining();
+    site.check_memory();
     site.configure_over_narrow_links();
 }
 
@@ -589,3 +622,8 @@
 {
     play(Play::OddAnswers);
 }
+
+TEST_CASE("and where crowds of clients hold connections, send without end or don't read")
+{
+    play(Play::Crowds);
+}
