LibServer: Find out sooner that a caller doesn't read

The box's log tells why: calls hold 16 threads, and each round of 16 took 4.8 s, of which only 1 s is the time without progress after which a caller gives way; in the rest the answer filled 1 MB in the box and megabytes in the kernel's send buffer, at 200 bytes an event.

The crowd, the bound and the check are unchanged. Left: a request waits behind the calls that were there first; calls that hold no thread while they wait would end that.

--- a/Libraries/LibServer/HttpListener.cpp
+++ b/Libraries/LibServer/HttpListener.cpp
@@ -17,6 +17,8 @@
 
 /// Fits a head and a short body. More is read as it comes.
 constexpr int receive_buffer_bytes = 64 * 1024;
+/// Without a limit the kernel takes megabytes for a client that doesn't read.
+constexpr int send_buffer_bytes = 128 * 1024;
 
 RawRequest raw_request(Http::Request request)
 {
@@ -235,6 +237,7 @@
     }
     socket.set_option(tcp::no_delay(true), ignored);
     socket.set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
+    socket.set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
     auto const connection = std::make_shared<Connection>(*this, std::move(socket), std::move(opened));
     auto const place = this->connections.insert(this->connections.end(), connection);
     {
