Tests: Bound the memory of a sanitized process by what it had before the crowd

The crowds' bound for sanitized builds was the memory of the settings and 224 MB for the sanitizer, a guess that no run stood behind: a sanitized box takes 316 to 322 MB beside silent connections alone, so every case failed, the single requests in calm as well (321 MB). What the process has before the crowd now stands in place of the guess; what a crowd may add stays the whole memory of the settings, 48 and 192 MB. The bound of plain builds is unchanged, and there the failures on the old code were shown. The new form is as strict: a crowd that adds more than the settings allow fails either, and no fixed allowance can hide a part of it.

--- a/Tests/Harness/ProcessWatch.cpp
+++ b/Tests/Harness/ProcessWatch.cpp
@@ -90,6 +90,7 @@
 ProcessWatch::ProcessWatch(pid_t process)
     : process(process)
     , ports(listening_ports(process))
+    , first_memory(resident_bytes(process))
     , thread([this] {
         while (!this->is_stopped) {
             this->sample();
@@ -105,6 +106,15 @@
     this->thread.join();
 }
 
+std::size_t ProcessWatch::max_memory_bytes(std::size_t limit) const
+{
+#ifdef __SANITIZE_ADDRESS__
+    return this->first_memory + limit;
+#else
+    return limit;
+#endif
+}
+
 void ProcessWatch::sample()
 {
     auto bytes = resident_bytes(this->process);
--- a/Tests/Harness/ProcessWatch.h
+++ b/Tests/Harness/ProcessWatch.h
@@ -20,6 +20,9 @@
 
     /// The highest value so far, in bytes.
     [[nodiscard]] std::size_t peak_memory_bytes() const { return this->peak_memory; }
+    /// The bound for a process that may use `limit` bytes. A sanitized one takes hundreds of MB for itself, so what it
+    /// had at the beginning comes on top.
+    [[nodiscard]] std::size_t max_memory_bytes(std::size_t limit) const;
     /// The highest number so far.
     [[nodiscard]] std::size_t peak_descriptors() const { return this->most_descriptors; }
 
@@ -28,6 +31,7 @@
 
     pid_t process;
     std::vector<int> ports;
+    std::size_t first_memory { 0 };
     std::atomic<std::size_t> peak_memory { 0 };
     std::atomic<std::size_t> most_descriptors { 0 };
     std::atomic<bool> is_stopped { false };
@@ -37,14 +41,6 @@
 /// The ports on which a process listens, in rising order.
 [[nodiscard]] std::vector<int> listening_ports(pid_t process);
 
-/// What sanitizers need beside the memory of a process: shadow memory, and blocks that were freed but not yet reused.
-/// Checks of memory add it to their bounds.
-#ifdef __SANITIZE_ADDRESS__
-constexpr std::size_t sanitizer_memory_bytes = 224U * 1000 * 1000;
-#else
-constexpr std::size_t sanitizer_memory_bytes = 0;
-#endif
-
 /// Has sanitized processes that the test starts from now on give freed memory back, so that their memory can be
 /// bounded.
 void limit_sanitizer_memory();
--- a/Tests/Integration/CrowdSite.h
+++ b/Tests/Integration/CrowdSite.h
@@ -31,7 +31,7 @@
     /// Checks that the box lives within its memory and descriptors.
     void check_limits()
     {
-        constexpr std::size_t max_memory = memory_megabytes * 1000UL * 1000UL + Harness::sanitizer_memory_bytes;
+        auto const max_memory = this->watch->max_memory_bytes(memory_megabytes * 1000UL * 1000UL);
         MESSAGE("at most " << this->watch->peak_memory_bytes() / 1000000 << " MB, " << this->watch->peak_descriptors()
                            << " descriptors");
         CHECK_FALSE(this->process(box).has_ended());
