LibGateway: Close a peer's connection that asks again before it has its answer

What callers saw: 100 peers that each send 2,000 questions at once and don't read got all connections of the ports for readiness and metrics of a sanitized box, and a probe beside them got no answer (TestRoutePeerCrowd, 1 of 1 runs; plain it had passed, since the box was through with the questions before the probe came). Cause: with further questions buffered such a connection is never without a request, so nothing says that it may give way.

No probe, scraper or box asks again before it has its answer. A peer that does has its first question answered, and its connection is closed. Ruled out: closing the connection that is open for longest (another box's, as a rule).

--- a/Libraries/LibGateway/InternalHttpServer.cpp
+++ b/Libraries/LibGateway/InternalHttpServer.cpp
@@ -128,6 +128,9 @@
             break;
         is_open = co_await this->answer(*session);
         session->receiver.finish();
+        // NOTE: No probe, scraper or box asks again before it has its answer. A peer that does would never be without a
+        // request, and so never give way to others.
+        is_open = is_open && !session->receiver.has_buffered_bytes();
     }
     session->timer.cancel();
     session->socket->close(ignored);
