--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -7,7 +7,7 @@
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 libraries=(Libraries/LibCore/*.cpp Libraries/LibSettings/*.cpp Libraries/LibPlatform/{Digest,HttpAddress}.cpp Libraries/LibFate/FateTypes.cpp
-    Generated/LibFate/Fate.pb.cc Libraries/LibServer/{BoxSettings,RequestReader,RoutingTable,Credentials}.cpp
+    Generated/LibFate/Fate.pb.cc Libraries/LibServer/{BoxSettings,ModelCall,RequestReader,RoutingTable,Credentials}.cpp
     Libraries/LibRouting/*.cpp Libraries/LibMembership/*.cpp Generated/LibMembership/Relay.pb.cc platform/{ConfigurationRecord,JsonParser,JsonReader,StoreRecords,BoxEnvironment}.cpp)
 mkdir "$folder/libraries" "$folder/targets"
 compile() {
