Tests: Include what the crowds' tasks are written with

Meta/lint.sh leaves that analyzer out for files with tasks, which it finds by their own includes; Crowd.cpp had the header of the event loop only by way of its own. It includes now what it uses, and the linter, run over the file as the script does, has nothing to say of it. All other checks hold for the file.

--- a/Tests/Harness/Crowd.cpp
+++ b/Tests/Harness/Crowd.cpp
@@ -2,6 +2,8 @@
 
 #include "Cluster.h"
 
+#include <LibGateway/Asio.h>
+
 namespace Harness {
 
 namespace asio = Gateway::asio;
