LibServer: Don't wait for slow clients when a box stops

A box that was told to stop waited for every open connection. A client that sends a byte of its body, or takes a little of its answer, now and then resets each timeout, so the process ran for as long as the client liked: at the callers' port, at the operators' port, and with an answer of 40 MB that is read 4 KB at a time.

After the listener is closed a request has 5 s to arrive, as long as a pause within a body may be, and is refused with 408 then; after 10 s clients that take their answers slowly are closed as the budget does when connections are short. Complete requests and callers that keep up are waited for as before. A whole answer counts as being delivered while it is written, so that its slow reader is seen as well.

The crowd of the harness can read slowly now; its receive buffer is small then, or the kernel would take the answer for it.

--- a/Libraries/LibServer/HttpListener.cpp
+++ b/Libraries/LibServer/HttpListener.cpp
@@ -3,6 +3,7 @@
 #include <LibServer/AnswerWriter.h>
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <httplib.h>
 
 namespace Server {
 
@@ -66,7 +67,7 @@
                 break;
             auto const end = co_await this->receiver.read(this->listener.limits.requests);
             if (end != Http::ReadEnd::Complete) {
-                co_await this->refuse(end);
+                co_await this->refuse(this->is_receiving_over ? Http::ReadEnd::TimedOut : end);
                 break;
             }
             is_open = co_await this->serve(requests < this->listener.limits.requests_per_connection);
@@ -85,6 +86,16 @@
         this->socket.close(error);
     }
 
+    /// Refuses the request that is being received, if any.
+    void stop_receiving()
+    {
+        auto const state = this->budgeted->state();
+        bool const is_receiving = state == ConnectionState::ReadingHead || state == ConnectionState::ReadingBody;
+        if (!is_receiving || std::exchange(this->is_receiving_over, true))
+            return;
+        this->receiver.evict();
+    }
+
 private:
     [[nodiscard]] Task<void> refuse(Http::ReadEnd end)
     {
@@ -104,8 +115,10 @@
             request.method() == Http::http::verb::head };
         auto answer = co_await this->handle(raw_request(std::move(request)));
         this->receiver.finish_parsing();
-        if (auto* const whole = std::get_if<WholeAnswer>(&answer))
+        if (auto* const whole = std::get_if<WholeAnswer>(&answer)) {
+            this->budgeted->set_state(ConnectionState::Delivering, Core::monotonic_now());
             co_return co_await this->writer.write(*whole, framing) && framing.keeps_connection;
+        }
         co_return co_await this->pass_on(std::get<PendingAnswer>(answer), framing);
     }
 
@@ -159,6 +172,7 @@
     Http::RequestReceiver receiver;
     AnswerWriter writer;
     bool is_idle { false };
+    bool is_receiving_over { false };
 };
 
 HttpListener::HttpListener(EventLoop& loop, int threads, ListenerLimits const& limits, ListenerHandlers handlers)
@@ -167,7 +181,7 @@
     , handlers(std::move(handlers))
     , group(loop.budget().add_group(limits.max_connections))
     , acceptor(loop.io_context())
-    , workers(threads)
+    , workers(static_cast<std::size_t>(threads))
 {
 }
 
@@ -221,9 +235,7 @@
             // NOTE: Most likely out of file descriptors, which are freed as connections end.
             co_await Http::sleep_for(std::chrono::milliseconds(10));
     }
-    std::scoped_lock const lock(this->mutex);
     this->is_accepting = false;
-    this->ended.notify_all();
 }
 
 void HttpListener::handle_accepted(tcp::socket socket)
@@ -240,10 +252,6 @@
     socket.set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
     auto const connection = std::make_shared<Connection>(*this, std::move(socket), std::move(opened));
     auto const place = this->connections.insert(this->connections.end(), connection);
-    {
-        std::scoped_lock const lock(this->mutex);
-        ++this->open_connections;
-    }
     asio::co_spawn(
         this->loop.io_context(), [connection] { return connection->run(); },
         [this, place](std::exception_ptr const&) { this->connection_ended(place); });
@@ -252,17 +260,28 @@
 void HttpListener::connection_ended(std::list<std::weak_ptr<Connection>>::iterator place)
 {
     this->connections.erase(place);
-    std::scoped_lock const lock(this->mutex);
-    --this->open_connections;
-    this->ended.notify_all();
 }
 
-void HttpListener::close_idle_connections()
+Task<void> HttpListener::end_connections()
 {
-    for (auto const& weak : this->connections) {
-        if (auto const connection = weak.lock())
-            connection->close_if_idle();
+    constexpr auto check_interval = std::chrono::milliseconds(20);
+    auto const begin = Core::monotonic_now();
+    while (this->is_accepting || !this->connections.empty()) {
+        auto const now = Core::monotonic_now();
+        for (auto const& weak : this->connections) {
+            auto const connection = weak.lock();
+            if (connection)
+                connection->close_if_idle();
+            if (connection && now - begin >= max_receiving_after_stop)
+                connection->stop_receiving();
+        }
+        if (now - begin >= max_slow_delivery_after_stop)
+            while (this->loop.budget().close_slowest_reader(now)) { }
+        co_await Http::sleep_for(check_interval);
     }
+    std::scoped_lock const lock(this->mutex);
+    this->has_ended = true;
+    this->ended.notify_all();
 }
 
 void HttpListener::stop()
@@ -273,10 +292,10 @@
         this->is_stopping = true;
         error_code ignored;
         this->acceptor.close(ignored);
-        this->close_idle_connections();
+        asio::co_spawn(this->loop.io_context(), this->end_connections(), asio::detached);
     });
     std::unique_lock lock(this->mutex);
-    this->ended.wait(lock, [this] { return !this->is_accepting && this->open_connections == 0; });
+    this->ended.wait(lock, [this] { return this->has_ended; });
 }
 
 }
--- a/Libraries/LibServer/HttpListener.h
+++ b/Libraries/LibServer/HttpListener.h
@@ -45,7 +45,8 @@
     HttpListener& operator=(HttpListener const&) = delete;
 
     [[nodiscard]] int port() const { return this->bound_port; }
-    /// Closes the listener and waits for the requests in flight.
+    /// Closes the listener and waits for the requests in flight, but not for clients that are slow to send theirs or
+    /// to take their answers.
     void stop();
 
 private:
@@ -58,7 +59,13 @@
     [[nodiscard]] Http::Task<void> accept();
     void handle_accepted(Http::tcp::socket socket);
     void connection_ended(std::list<std::weak_ptr<Connection>>::iterator place);
-    void close_idle_connections();
+    /// Ends all connections after the listener was closed.
+    [[nodiscard]] Http::Task<void> end_connections();
+
+    /// How long a client may still send a request, and take an answer slowly, after the listener was closed. Without a
+    /// limit a client that sends or takes a byte now and then would keep the process from ending.
+    static constexpr Core::Duration max_receiving_after_stop { std::chrono::seconds(5) };
+    static constexpr Core::Duration max_slow_delivery_after_stop { std::chrono::seconds(10) };
 
     EventLoop& loop;
     ListenerLimits limits;
@@ -68,12 +75,12 @@
     WorkerThreads workers;
     int bound_port { 0 };
     std::list<std::weak_ptr<Connection>> connections;
+    bool is_accepting { true };
     bool is_stopping { false };
     std::mutex mutex;
     std::condition_variable ended;
-    /// Number of connections, for stop(). Guarded by the mutex.
-    std::size_t open_connections { 0 };
-    bool is_accepting { true };
+    /// Guarded by the mutex.
+    bool has_ended { false };
     bool is_stopped { false };
 };
 
--- a/Tests/Harness/Crowd.cpp
+++ b/Tests/Harness/Crowd.cpp
@@ -56,6 +56,7 @@
 Task<void> Crowd::run_connection()
 {
     auto const socket = std::make_shared<tcp::socket>(this->context);
+    this->limit_receive_buffer(*socket);
     tcp::endpoint const peer { asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(this->port) };
     auto const [error] = co_await socket->async_connect(peer, as_value);
     ++this->steps;
@@ -74,6 +75,17 @@
     socket->close(ignored);
 }
 
+void Crowd::limit_receive_buffer(tcp::socket& socket) const
+{
+    if (this->plan.read_interval.count() == 0)
+        return;
+    // Without a limit the kernel takes most of an answer at once, and the peer doesn't see a slow reader.
+    constexpr int receive_buffer_bytes = 4096;
+    Gateway::error_code ignored;
+    socket.open(tcp::v4(), ignored);
+    socket.set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
+}
+
 Task<void> Crowd::send(std::shared_ptr<tcp::socket> socket)
 {
     asio::const_buffer rest = asio::buffer(this->plan.bytes);
@@ -98,6 +110,8 @@
     std::string received;
     std::array<char, 4096> piece {};
     for (bool is_counted = false;;) {
+        if (this->plan.read_interval.count() > 0)
+            co_await Gateway::sleep_for(this->plan.read_interval);
         auto const [error, size] = co_await socket->async_read_some(asio::buffer(piece), as_value);
         if (error)
             co_return;
--- a/Tests/Harness/Crowd.h
+++ b/Tests/Harness/Crowd.h
@@ -21,6 +21,8 @@
     int connections { 1 };
     /// Whether members read what the peer sends.
     bool reads { true };
+    /// How long a member waits before it reads each further piece.
+    std::chrono::milliseconds read_interval { 0 };
 };
 
 /// Clients that send what their plan says, all at once, and keep their connections open until the crowd is destroyed or
@@ -42,6 +44,7 @@
 private:
     Gateway::Task<void> run_member();
     Gateway::Task<void> run_connection();
+    void limit_receive_buffer(Gateway::tcp::socket& socket) const;
     Gateway::Task<void> send(std::shared_ptr<Gateway::tcp::socket> socket);
     /// Reads until the peer closes the connection or has answered.
     Gateway::Task<void> receive(std::shared_ptr<Gateway::tcp::socket> socket);
