LibServer: Have calls that wait for their callers leave their threads

What callers saw: beside 100 callers that don't read their answers an ordinary request got 503 in one of three runs (TestServeConnectionCrowd, listed in KNOWN-RED). A call to an endpoint holds one of the box's threads, also while it waits for a caller to make room. So calls were served in waves: 16 callers filled their room, were found to be slow a second later and closed, and the next 16 began, until the patience of the request behind them was over.

A call that waits leaves its place to other calls now (WorkerThreads::Wait); waiting calls may take an eighth of the memory at 256 KB each. Slow readers are closed only when as many wait as may, and one for each call without a thread instead of all of them. Streams leave a quarter of the memory for answers to those that are collected whole, which can't wait. Ruled out: closing readers sooner, since a pause on a bad line is no fault of its caller.

--- a/Libraries/LibServer/AnswerMemory.h
+++ b/Libraries/LibServer/AnswerMemory.h
@@ -17,6 +17,8 @@
     void remove(std::size_t bytes) { this->held -= bytes; }
     [[nodiscard]] std::size_t held_bytes() const { return this->held; }
     [[nodiscard]] bool is_full() const { return this->held >= this->limit; }
+    /// Streams can wait for their clients, so they leave a quarter to answers that are collected whole, which can't.
+    [[nodiscard]] bool is_full_for_streams() const { return this->held >= this->limit - this->limit / 4; }
 
 private:
     std::size_t limit;
--- a/Libraries/LibServer/Box.cpp
+++ b/Libraries/LibServer/Box.cpp
@@ -2,6 +2,7 @@
 
 #include <LibLog/EventLog.h>
 #include <LibServer/FateService.h>
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <unistd.h>
@@ -24,6 +25,15 @@
     return static_cast<std::size_t>(sysconf(_SC_PHYS_PAGES)) * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+/// Calls that may wait for slow callers, each with a thread and what the kernel holds of its answer.
+std::size_t max_waiting_calls(BoxSettings const& settings)
+{
+    constexpr std::size_t bytes_per_call = 256 * 1024;
+    constexpr std::size_t memory_per_waiting_calls = 8;
+    constexpr std::size_t max_calls = 4096;
+    return std::min(max_calls, memory_of(settings) / memory_per_waiting_calls / bytes_per_call);
+}
+
 /// Drawn anew by each process, so that no process takes another's claims for its own.
 Fate::Incarnation new_incarnation(std::uint64_t seed)
 {
@@ -34,7 +44,7 @@
 
 Box::Box(BoxSettings const& settings, std::uint64_t seed)
     : records(kept_records)
-    , threads(settings.threads)
+    , threads(static_cast<std::size_t>(settings.threads), max_waiting_calls(settings))
     , loop(memory_of(settings))
     , keyed_attempts(std::make_unique<FateService>(
           FateServiceSettings { settings.platform, {}, appends_for_fates, 1 }, new_incarnation(seed), this->metrics))
@@ -52,7 +62,7 @@
     if (!box->operators || !box->write_ports_file(last_reason))
         return {};
     // NOTE: Calls to endpoints wait for callers that are slower than their answers, and hold a thread meanwhile.
-    box->loop.close_slow_readers_while([self = box.get()] { return self->threads.is_short(); });
+    box->loop.close_slow_readers([self = box.get()] { return self->threads.queued(); });
     box->settings_follower = std::make_unique<SettingsFollower>(box->box_state);
     box->load_poller = std::make_unique<LoadPoller>(box->box_state);
     box->ticker = std::thread([self = box.get()] {
--- a/Libraries/LibServer/BoxSettings.h
+++ b/Libraries/LibServer/BoxSettings.h
@@ -20,7 +20,8 @@
     Platform::HttpAddress platform;
     /// SHA-256 digest of the operators' key in hexadecimal digits. If empty, operators need no key.
     std::string operator_key_hash;
-    /// Number of threads for callers' connections, and of threads for calls to endpoints.
+    /// Number of requests that are read or decided at a time, and of calls to endpoints that run at a time. Calls that
+    /// wait for slow callers have threads of their own.
     int threads { 256 };
     std::size_t largest_body_bytes { 4U << 20U };
     /// Memory that this box may use, in MB of 1,000,000 bytes; 0 for all that the machine has.
--- a/Libraries/LibServer/EventLoop.cpp
+++ b/Libraries/LibServer/EventLoop.cpp
@@ -30,18 +30,18 @@
     this->thread.join();
 }
 
-void EventLoop::close_slow_readers_while(std::function<bool()> is_short)
+void EventLoop::close_slow_readers(std::function<std::size_t()> needed)
 {
-    Http::asio::co_spawn(this->context, this->close_slow_readers(std::move(is_short)), Http::asio::detached);
+    Http::asio::co_spawn(this->context, this->watch_slow_readers(std::move(needed)), Http::asio::detached);
 }
 
-Http::Task<void> EventLoop::close_slow_readers(std::function<bool()> is_short)
+Http::Task<void> EventLoop::watch_slow_readers(std::function<std::size_t()> needed)
 {
     Http::BudgetCounts logged;
     for (;;) {
         co_await Http::sleep_for(check_interval);
         auto const now = Core::monotonic_now();
-        while (is_short() && this->shared_budget->close_slowest_reader(now)) { }
+        for (auto count = needed(); count > 0 && this->shared_budget->close_slowest_reader(now); --count) { }
         auto const counts = this->shared_budget->counts();
         if (counts == logged)
             continue;
--- a/Libraries/LibServer/EventLoop.h
+++ b/Libraries/LibServer/EventLoop.h
@@ -22,9 +22,9 @@
     /// Only for the loop's thread once connections are open.
     [[nodiscard]] Http::ConnectionBudget& budget() { return *this->shared_budget; }
     [[nodiscard]] AnswerMemory& answers() { return *this->answer_memory; }
-    /// From now on the client that takes its answer most slowly loses its connection for as long as this returns true,
-    /// which is asked on the loop's thread.
-    void close_slow_readers_while(std::function<bool()> is_short);
+    /// From now on the clients that take their answers most slowly lose their connections, as many at a time as
+    /// `needed` returns. It is called on the loop's thread.
+    void close_slow_readers(std::function<std::size_t()> needed);
 
     /// Share of the memory for connections: heads, bodies with what parsing them takes, and answers. The rest is for
     /// the process itself, and for what the kernel holds unread.
@@ -37,7 +37,7 @@
     static constexpr std::size_t memory_per_held_answers = 8;
 
 private:
-    [[nodiscard]] Http::Task<void> close_slow_readers(std::function<bool()> is_short);
+    [[nodiscard]] Http::Task<void> watch_slow_readers(std::function<std::size_t()> needed);
 
     static constexpr Core::Duration check_interval { std::chrono::milliseconds(200) };
 
--- a/Libraries/LibServer/RequestFlow.cpp
+++ b/Libraries/LibServer/RequestFlow.cpp
@@ -1,5 +1,6 @@
 #include <LibServer/RequestFlow.h>
 
+#include <LibServer/WorkerThreads.h>
 #include <httplib.h>
 
 namespace Server {
@@ -21,7 +22,10 @@
     {
         std::unique_lock lock(this->mutex);
         auto const may_go_on = [&] { return this->caller_gone || this->preempted || this->has_room_for(bytes.size()); };
-        while (!this->room.wait_for(lock, check_interval, may_go_on)) { }
+        if (!may_go_on()) {
+            WorkerThreads::Wait const wait;
+            while (!this->room.wait_for(lock, check_interval, may_go_on)) { }
+        }
     }
     if (this->must_stop())
         return false;
@@ -33,7 +37,7 @@
 
 bool RequestFlow::has_room_for(std::size_t bytes) const
 {
-    bool const is_full = this->answers != nullptr && this->answers->is_full();
+    bool const is_full = this->answers != nullptr && this->answers->is_full_for_streams();
     return this->held == 0 || (this->held + bytes <= max_held_bytes && !is_full);
 }
 
--- a/Libraries/LibServer/RequestFlow.h
+++ b/Libraries/LibServer/RequestFlow.h
@@ -111,8 +111,7 @@
     void hold(std::size_t bytes);
     void release(std::size_t bytes);
 
-    /// What one answer may hold for its caller: some thousand events. A caller that doesn't read holds a thread from
-    /// then on, so it has to be found out soon.
+    /// What one answer may hold for its caller: some thousand events. From then on its thread waits for the caller.
     static constexpr std::size_t max_held_bytes = 256 * 1024;
 
     oneapi::tbb::concurrent_bounded_queue<FlowEvent> events;
