LibServer: Bound what the kernel holds of an endpoint's answer

A call that waits for its caller stops reading, and the kernel goes on taking in the endpoint's answer up to its own limit of some megabytes for each connection, which no account of the box sees. More calls may wait now than there are threads, so the receive buffers of these connections are 64 KB, as those of callers are. On a link with a round trip of 6 ms that is 80 Mbit/s for one answer, far more than a model streams.

Shown only by the tests on calls (TestUpstreamCaller, TestCallerSide, TestOneKey and the crowds of serve pass, plain); the bytes in the kernel themselves were not measured.

--- a/Libraries/LibServer/UpstreamCaller.cpp
+++ b/Libraries/LibServer/UpstreamCaller.cpp
@@ -9,6 +9,8 @@
 
 constexpr auto connect_timeout = std::chrono::milliseconds(1000);
 constexpr auto patience_grace = std::chrono::seconds(1);
+/// Without a limit the kernel takes megabytes of an answer whose caller doesn't read.
+constexpr int receive_buffer_bytes = 64 * 1024;
 constexpr std::size_t most_idle_clients = 64;
 constexpr int first_failure_status = 500;
 constexpr int status_too_many = 429;
@@ -184,6 +186,9 @@
     client->set_tcp_nodelay(true);
     client->set_keep_alive(may_reuse);
     client->set_connection_timeout(connect_timeout);
+    client->set_socket_options([](socket_t socket) {
+        setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes);
+    });
     return client;
 }
 
