--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+exec python3 "$(dirname "$0")/play.py"
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -138,6 +138,9 @@
         # Of each listed server: its entry without call_seq, and when it last reported.
         self.listed = {}
         self.lapsing = None
+        # While the store is down, it resets its channels, and time stands still for the servers' entries.
+        self.is_down = False
+        self.writers = set()
 
     async def start(self):
         server = await asyncio.start_server(self.serve, ADDRESS, 0)
@@ -158,6 +161,8 @@
     async def drop_silent_servers(self):
         while True:
             await asyncio.sleep(0.05)
+            if self.is_down:
+                continue
             for name, (_, at) in list(self.listed.items()):
                 if time.monotonic() - at > 3 * HEARTBEAT_S:
                     await self.drop_server(name)
@@ -172,7 +177,21 @@
             self.topics.setdefault(topic, []).extend(records)
             self.changed.notify_all()
 
+    def go_down(self):
+        self.is_down = True
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def come_back(self):
+        self.is_down = False
+        now = time.monotonic()
+        self.listed = {name: (entry, now) for name, (entry, _) in self.listed.items()}
+
     async def serve(self, reader, writer):
+        if self.is_down:
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
         try:
             while True:
                 request = await read_request(reader)
@@ -183,6 +202,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, request):
@@ -253,6 +273,9 @@
     runs: list = field(default_factory=list)
     call_seq: int = 0
     reported_at: float = 0
+    version: str = "v1"
+    # When the process started, in milliseconds; 0 where the servers of a deployment don't tell.
+    born: int = 0
     # Whether the server is cut off from the store, while clients of the service reach it.
     is_cut_off: bool = False
     has_left: bool = False
@@ -269,13 +292,14 @@
         self.call_seq += 1
         self.reported_at = time.monotonic()
         await self.store.report_server(self.name, {
-            "service": self.service, "address": f"{ADDRESS}:{self.port}", "zone": self.zone, "version": "v1",
-            "slots": self.slots, "state": "ready", "cold_left_ms": 0}, self.call_seq)
+            "service": self.service, "address": f"{ADDRESS}:{self.port}", "zone": self.zone, "version": self.version,
+            "slots": self.slots, "state": "ready", "cold_left_ms": 0, **({"born": self.born} if self.born else {})},
+            self.call_seq)
 
     async def keep_beating(self):
         while not self.has_left:
             await asyncio.sleep(HEARTBEAT_S)
-            if not self.is_cut_off and not self.has_left:
+            if not self.is_cut_off and not self.has_left and not self.store.is_down:
                 await self.beat()
 
     async def leave_without_draining(self):
@@ -283,6 +307,16 @@
         self.has_left = True
         await self.store.drop_server(self.name)
 
+    async def crash(self, for_s, version=None):
+        """The server's process ends, and another one starts under its id and at its address."""
+        self.end()
+        await asyncio.sleep(for_s)
+        self.version = version or self.version
+        self.born = int(time.time() * 1000)
+        self.listener = await asyncio.start_server(self.serve, ADDRESS, self.port)
+        if not self.store.is_down:
+            await self.beat()
+
     def end(self):
         """The server's process ends."""
         self.listener.close()
