--- a/review/7/play.py
+++ b/review/7/play.py
@@ -30,7 +30,7 @@
     def __init__(self, is_faulty):
         self.is_faulty = is_faulty
         self.began = time.monotonic()
-        self.answers = 0
+        self.troubled_answers = 0
 
     def is_troubled(self):
         elapsed = time.monotonic() - self.began
@@ -41,8 +41,10 @@
         head = {"X-Attempt-Id": attempt, "X-Response-Stamp": server.stamp(attempt),
                 "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         writer.write(d.encode("HTTP/1.1 200 OK", head))
-        self.answers += 1
-        if d.TROUBLE and self.is_faulty and self.is_troubled() and self.answers % ANSWERS_PER_SPOILED == 0:
+        # Only answers during the disturbance count, so that never more than 0.02 of them are spoiled.
+        self.troubled_answers += 1 if self.is_troubled() else 0
+        is_due = self.is_troubled() and self.troubled_answers % ANSWERS_PER_SPOILED == 0
+        if d.TROUBLE and self.is_faulty and is_due:
             await self.spoil(server, writer, attempt, float(request.headers["x-deadline-ms"]) / 1000)
         for event in range(1, EVENTS + 1):
             await asyncio.sleep(EVENT_PAUSE_S)
