platform: Ask the store on after keys as they are written

What callers saw: after all boxes were restarted, almost nothing was served while an entry of another writer stood in the list of endpoints, under a key with characters such as "&", "+", "#", "%" or a blank, and the list had several pages.

Cause: the key at the end of a page went into the next query as it was, so the store read another key or refused the query with 400. The stand-in store took queries apart without decoding them and agreed with the fault; it decodes them now, and its pages can be made short.

All but unreserved characters are escaped. A page that others follow is used up to its last plain key, and the rest is read again with the next page, so a key that doesn't survive the way through text and query costs nothing. Beside it: a page before others without a readable key was taken for the whole list; a key that is no UTF-8 cost its whole page; a page that leads back was asked for without end; what is held of a topic had no bound.

--- a/Programs/standin/HttpSession.cpp
+++ b/Programs/standin/HttpSession.cpp
@@ -1,6 +1,8 @@
 #include "HttpSession.h"
 
+#include <charconv>
 #include <fmt/format.h>
+#include <optional>
 
 namespace Standin {
 
@@ -54,6 +56,34 @@
     return acceptor->local_endpoint().port();
 }
 
+namespace {
+
+/// Undoes the escapes of a query's name or value, as forms write them: a plus stands for a blank.
+std::optional<std::string> unescape(std::string_view text)
+{
+    constexpr std::size_t escape_size = 3;
+    constexpr int hexadecimal = 16;
+    std::string plain;
+    while (!text.empty()) {
+        if (text.front() != '%') {
+            plain += text.front() == '+' ? ' ' : text.front();
+            text.remove_prefix(1);
+            continue;
+        }
+        if (text.size() < escape_size)
+            return {};
+        unsigned char byte = 0;
+        auto const [position, error] = std::from_chars(text.data() + 1, text.data() + escape_size, byte, hexadecimal);
+        if (error != std::errc {} || position != text.data() + escape_size)
+            return {};
+        plain += static_cast<char>(byte);
+        text.remove_prefix(escape_size);
+    }
+    return plain;
+}
+
+}
+
 std::string query_value(std::string_view target, std::string_view name)
 {
     auto const query = target.find('?');
@@ -64,7 +94,7 @@
         auto const pair = rest.substr(0, rest.find('&'));
         auto const equals = pair.find('=');
         if (equals != std::string_view::npos && pair.substr(0, equals) == name)
-            return std::string(pair.substr(equals + 1));
+            return unescape(pair.substr(equals + 1)).value_or("");
         rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
     }
     return {};
--- a/Programs/standin/HttpSession.h
+++ b/Programs/standin/HttpSession.h
@@ -34,7 +34,7 @@
 /// Listens on an ephemeral loopback port and serves as long as the context runs.
 std::uint16_t serve(asio::io_context& context, Handler handler);
 
-/// The value of a parameter in a target's query; empty if it is absent.
+/// The value of a parameter in a target's query, without its escapes; empty if it is absent or badly escaped.
 [[nodiscard]] std::string query_value(std::string_view target, std::string_view name);
 
 }
--- a/Programs/standin/Store.cpp
+++ b/Programs/standin/Store.cpp
@@ -51,7 +51,7 @@
 /// What an answer holds at most, as the users' pages tell it: kilobytes of a read that names no other size, and items
 /// and bytes of a page of newest records.
 constexpr std::size_t default_read_kilobytes = 1024;
-constexpr std::size_t most_newest_items = 500;
+constexpr std::size_t default_newest_items = 500;
 constexpr std::size_t most_newest_bytes = 1024 * 1024;
 
 class Store {
@@ -165,6 +165,7 @@
         auto const faults = json::parse(body, nullptr, false);
         this->mode = faults.value("mode", "");
         this->slow_milliseconds = faults.value("slow_ms", 0);
+        this->most_newest_items = faults.value("page_items", this->most_newest_items);
         this->late_every = faults.value("late_every", this->late_every);
         this->late_milliseconds = faults.value("late_ms", this->late_milliseconds);
         co_return co_await session.answer(200, "{}");
@@ -205,7 +206,7 @@
         auto items = json::array();
         std::size_t bytes = 0;
         auto position = after.empty() ? newest.begin() : newest.upper_bound(after);
-        for (; position != newest.end() && items.size() < most_newest_items; ++position) {
+        for (; position != newest.end() && items.size() < this->most_newest_items; ++position) {
             auto const& [key, kept] = *position;
             if (!items.empty() && bytes + kept.first.size() > most_newest_bytes)
                 break;
@@ -216,8 +217,9 @@
             item["offset"] = kept.second;
             items.push_back(std::move(item));
         }
+        auto const items_text = items.dump(-1, ' ', false, json::error_handler_t::replace);
         auto const body = fmt::format(
-            R"({{"items":{},"truncated":{},"end":{}}})", items.dump(), position != newest.end(), topic.end());
+            R"({{"items":{},"truncated":{},"end":{}}})", items_text, position != newest.end(), topic.end());
         co_return co_await this->answer(session, 200, body);
     }
 
@@ -260,6 +262,7 @@
     std::uint64_t era { 1 };
     std::string mode;
     int slow_milliseconds { 0 };
+    std::size_t most_newest_items { default_newest_items };
     /// 0 for none.
     std::uint64_t late_every { 0 };
     int late_milliseconds { 0 };
--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -194,6 +194,13 @@
     this->cluster.set_faults("store", faults);
 }
 
+void PlatformCluster::set_page_items(int items) const
+{
+    json faults;
+    faults["page_items"] = items;
+    this->cluster.set_faults("store", faults);
+}
+
 void PlatformCluster::set_late_writes(int every, int late_milliseconds) const
 {
     json faults;
--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -63,6 +63,8 @@
     /// Waits until the box is ready.
     void wait_ready(std::string const& box) const;
     void set_store_mode(std::string const& mode) const;
+    /// From now on the store's pages of newest records hold so many at most.
+    void set_page_items(int items) const;
     /// From now on the store leaves every `every`-th write of boxes and endpoints without an answer, and carries it out
     /// that much later; 0 for none.
     void set_late_writes(int every, int late_milliseconds) const;
--- a/Tests/Integration/TestOddEntries.cpp
+++ b/Tests/Integration/TestOddEntries.cpp
@@ -60,3 +60,29 @@
         CHECK_FALSE(site.process(box).has_ended());
     }
 }
+
+// Guards against boxes that serve nothing after a restart because a key of another writer stands where a page of the
+// list ends: the store refuses a query with that key in it, or goes on somewhere else.
+TEST_CASE("boxes that all start anew read a list of several pages past odd keys")
+{
+    DeskSite site;
+    site.start_server("d3", "desk");
+    constexpr int page_items = 3;
+    site.set_page_items(page_items);
+    // Keys that sort before those of the servers, in numbers that shift which key stands at the end of a page.
+    for (auto const* key : { "a b", "a&after_rev=zz", "a#c", "a%64", "a%zz", "a+b", "a/b?c=d", "b\x01", "c&d" })
+        site.write_entry(key, entry_with("state", "7"));
+    site.write_entry(std::string("d1\xff"), "{}");
+    site.write_entry("d2 x", "{}");
+    for (auto const* box : DeskSite::boxes)
+        site.process(box).kill();
+    for (auto const* box : DeskSite::boxes)
+        site.start_one_box(box);
+    for (auto const* box : DeskSite::boxes) {
+        site.wait_ready(box);
+        Harness::wait_until(
+            std::string(box) + " lists all endpoints", [&] { return site.metric(box, "cleatbeam_endpoints ") == 3; });
+        auto const attempt = "n" + std::to_string(site.sent++);
+        CHECK(site.send(box, "/once/x", attempt).status == 200);
+    }
+}
--- a/Tests/LibGateway/TestStoreFollower.cpp
+++ b/Tests/LibGateway/TestStoreFollower.cpp
@@ -260,3 +260,50 @@
     box.follower.stop();
     endpoints.stop();
 }
+
+namespace {
+
+/// The first page of endpoints, with one entry and this key at its end.
+std::string first_page(std::string const& last_key)
+{
+    return R"({"items":[{"tls_key":")" + last_key + R"(","value":"e30="}],"truncated":true,"end":7})";
+}
+
+}
+
+// Guards against a store that is asked without end, by a box that never has a list.
+TEST_CASE("pages that don't move on end the reading of a list, and the store is asked again after a pause")
+{
+    constexpr StoreFollower::Pace rare { std::chrono::milliseconds(0), std::chrono::milliseconds(200) };
+    Follower box(
+        Adapter::Topic::Endpoints,
+        [&](std::string const&) {
+            return Answer { 200, first_page("a") };
+        },
+        true, rare);
+    REQUIRE(run_until(box.context, [&] { return box.store.targets.size() >= 2; }));
+    int rounds = 0;
+    REQUIRE(run_until(box.context, [&] { return ++rounds > 300; }));
+    CHECK(box.store.targets.size() <= 20);
+    CHECK(box.state.metrics.to_text().find("cleatbeam_bad_records_total{kind=\"newest\"}") != std::string::npos);
+    box.follower.stop();
+}
+
+// Guards against a box that exceeds its memory with what other writers left in the list of endpoints.
+TEST_CASE("records of other writers don't use up the memory for a list")
+{
+    constexpr int long_records = 30;
+    std::string const megabyte((1024 * 1024 / 3) * 4, 'A');
+    int page = 0;
+    Follower box(Adapter::Topic::Endpoints, [&](std::string const& target) -> std::optional<Answer> {
+        if (!begins_with(target, "/log-newest"))
+            return Answer { 200, bytes_of(7, 8) + bytes_of(0, 8) };
+        bool const is_last = ++page == long_records;
+        return Answer { 200,
+            R"({"items":[{"tls_key":"k)" + std::to_string(page) + R"(","value":")" + megabyte + R"("}],"truncated":)"
+                + (is_last ? "false" : "true") + R"(,"end":7})" };
+    });
+    REQUIRE(run_until(box.context, [&] { return box.records.was_read(Adapter::Topic::Endpoints); }));
+    CHECK(page == long_records);
+    box.follower.stop();
+}
--- a/Tests/PlatformAdapter/TestStoreRecords.cpp
+++ b/Tests/PlatformAdapter/TestStoreRecords.cpp
@@ -191,6 +191,58 @@
     CHECK_FALSE(decode_newest(R"({"items":[]})", reason));
 }
 
+// Guards against a key of another writer that ends the query, or names another key, when the store is asked on after
+// it.
+TEST_CASE("the store is asked on after a key as it is written, whatever the key holds")
+{
+    CHECK(newest_target(Topic::Endpoints, "i-7f_3.a~").ends_with("&after_rev=i-7f_3.a~"));
+    CHECK(newest_target(Topic::Endpoints, "a&b+c#d%e f").ends_with("&after_rev=a%26b%2Bc%23d%25e%20f"));
+    CHECK(newest_target(Topic::Endpoints, std::string("\0\r\n\x80=", 5)).ends_with("&after_rev=%00%0D%0A%80%3D"));
+}
+
+TEST_CASE("a page ends at its last plain key if more follow, since other keys may not come back as they were written")
+{
+    auto const page_of = [](std::vector<std::string> const& keys, Core::LastReason& reason) {
+        std::string items;
+        for (auto const& key : keys)
+            items += (items.empty() ? "" : ",") + (R"({"tls_key":")" + key) + R"(","value":"YWJj","offset":3})";
+        return decode_newest(R"({"items":[)" + items + R"(],"truncated":true,"end":6})", reason);
+    };
+    auto const keys_of = [](std::optional<NewestPage> const& page) {
+        REQUIRE(page);
+        REQUIRE(page->offsets.size() == page->records.size());
+        CHECK(page->continue_after == page->records.back().key);
+        std::vector<std::string> keys;
+        for (auto const& record : page->records)
+            keys.push_back(record.key);
+        return keys;
+    };
+    using Keys = std::vector<std::string>;
+    Core::LastReason reason;
+    CHECK(keys_of(page_of({ "a", "a b", "c" }, reason)) == Keys { "a", "a b", "c" });
+    CHECK(keys_of(page_of({ "a", "b", "b&after_rev=zz", "b c" }, reason)) == Keys { "a", "b" });
+    CHECK(keys_of(page_of({ "a b", "a\xff" }, reason)) == Keys { "a b", "a\xff" });
+}
+
+// Guards against endpoints that are taken for gone because no key of a page could be read.
+TEST_CASE("a page before others is no whole list if none of its keys can be read")
+{
+    Core::LastReason reason;
+    CHECK_FALSE(decode_newest(R"({"items":[{"tls_key":7,"value":"YWJj"}],"truncated":true,"end":6})", reason));
+    CHECK(reason.text == "/items: name no key to go on after");
+    CHECK_FALSE(decode_newest(R"({"items":[],"truncated":true,"end":6})", reason));
+}
+
+TEST_CASE("a key that is no text costs no other record of its page")
+{
+    Core::LastReason reason;
+    auto const page = decode_newest(
+        "{\"items\":[{\"tls_key\":\"a\xff\",\"value\":\"YWJj\"},{\"tls_key\":\"b\",\"value\":\"YWJj\"}],\"end\":6}",
+        reason);
+    REQUIRE(page);
+    CHECK(page->records == std::vector<KeyedRecord> { { "a\xff", "abc" }, { "b", "abc" } });
+}
+
 TEST_CASE("one record that can't be read costs no other of its page")
 {
     Core::LastReason reason;
