LibGateway: Bound an event that is held back until it is whole

Cause: EventSplitter kept what follows the last whole event without a bound and outside any account of memory.

Such a part counts for the memory of answers now and may take 1 MB, as an answer may; beyond that, or where there is no room, the stream goes on at another endpoint. Found beside it: short answers that are read whole before they are forwarded were in no account either (they are forwarded as they arrive where there is no room), and the id of the last event was as long as its line. The stand-in endpoint has the style, and the soak draws it.

--- a/Libraries/LibGateway/AnswerBuffer.cpp
+++ b/Libraries/LibGateway/AnswerBuffer.cpp
@@ -16,6 +16,7 @@
 {
     this->release_reservation();
     this->discount(this->held);
+    this->pool->remove(this->held_back);
 }
 
 AnswerBuffer::Room AnswerBuffer::reserve(std::size_t bytes)
@@ -49,6 +50,20 @@
     this->pool->remove(std::exchange(this->reserved, 0));
 }
 
+bool AnswerBuffer::try_hold_back(std::size_t bytes)
+{
+    if (bytes > this->held_back) {
+        auto const more = bytes - this->held_back;
+        if (bytes > always_held_back_bytes && !this->pool->has_room_for(more))
+            return false;
+        this->pool->add(more);
+    } else {
+        this->pool->remove(this->held_back - bytes);
+    }
+    this->held_back = bytes;
+    return true;
+}
+
 void AnswerBuffer::append(std::string bytes)
 {
     if (bytes.empty())
--- a/Libraries/LibGateway/AnswerBuffer.h
+++ b/Libraries/LibGateway/AnswerBuffer.h
@@ -38,6 +38,9 @@
     /// Reserves room for reading a piece of at most that many bytes, and keeps it until release_reservation().
     [[nodiscard]] Room reserve(std::size_t bytes);
     void release_reservation();
+    /// Accounts for this much memory of bytes that were received and can't be forwarded yet, in place of what was
+    /// accounted for so far. Returns false, and changes nothing, if the box has no room for it; a little always fits.
+    [[nodiscard]] bool try_hold_back(std::size_t bytes);
     /// Appends to what the client has to take. Never refused: the caller has read the bytes already.
     void append(std::string bytes);
     /// Removes the first block for writing; nothing if there is none. It is counted until written().
@@ -56,6 +59,8 @@
 
     /// Short pieces are joined up to this size, since each block has an allocation and a write of its own.
     static constexpr std::size_t max_joined_bytes = 16 * 1024;
+    /// So much of an answer is held back even if the box has no room, as usual events are whole within two pieces.
+    static constexpr std::size_t always_held_back_bytes = 16 * 1024;
 
     void grant();
     void count(std::size_t bytes);
@@ -67,6 +72,7 @@
     std::size_t held { 0 };
     std::size_t block_in_write_bytes { 0 };
     std::size_t reserved { 0 };
+    std::size_t held_back { 0 };
     /// What the buffer waits for in the pool; 0 if it does not wait.
     std::size_t wanted { 0 };
 };
--- a/Libraries/LibGateway/EndpointCall.cpp
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -41,9 +41,11 @@
     case AnswerExcess::BesideBody:
         return "beside-body";
     case AnswerExcess::Skipped:
+        return "skipped";
+    case AnswerExcess::Event:
         break;
     }
-    return "skipped";
+    return "event";
 }
 
 Task<error_code> EndpointCall::open(EndpointId endpoint, Routing::SocketAddress address)
--- a/Libraries/LibGateway/EndpointCall.h
+++ b/Libraries/LibGateway/EndpointCall.h
@@ -26,6 +26,8 @@
     BesideBody,
     /// Interim answers, answers to other requests, and a body that is of no use.
     Skipped,
+    /// One event of a stream whose events are forwarded whole.
+    Event,
 };
 
 [[nodiscard]] std::string_view to_string(AnswerExcess excess);
--- a/Libraries/LibGateway/EventSplitter.cpp
+++ b/Libraries/LibGateway/EventSplitter.cpp
@@ -34,7 +34,7 @@
         line.remove_prefix(field.size());
         if (line.starts_with(' '))
             line.remove_prefix(1);
-        this->last_event_id = std::string(line);
+        this->last_event_id = line.size() <= max_id_bytes ? std::optional(std::string(line)) : std::nullopt;
     }
 }
 
--- a/Libraries/LibGateway/EventSplitter.h
+++ b/Libraries/LibGateway/EventSplitter.h
@@ -22,19 +22,24 @@
     [[nodiscard]] bool has_new_events() const { return this->position.has_events(); }
     /// The bytes received after the last whole event.
     [[nodiscard]] std::string const& partial_event() const { return this->partial; }
+    /// Memory that is held for these bytes.
+    [[nodiscard]] std::size_t held_bytes() const { return this->partial.capacity(); }
     /// Discards an incomplete event, before another endpoint continues the stream.
     void discard_partial_event()
     {
         this->had_events = this->has_events();
-        this->partial.clear();
+        std::string().swap(this->partial);
         this->position = {};
     }
-    /// The id of the last whole event that has one.
+    /// The id of the last whole event that has one; nothing if it is too long to be sent to an endpoint.
     [[nodiscard]] std::optional<std::string> const& last_id() const { return this->last_event_id; }
 
 private:
     void record_ids(std::string_view events);
 
+    /// Endpoints refuse requests with long fields, and the id is held for as long as the stream runs.
+    static constexpr std::size_t max_id_bytes = 1024;
+
     EventStreamPosition position;
     /// Whether a whole event was received before the stream was continued.
     bool had_events { false };
--- a/Libraries/LibGateway/ExchangeForwarding.cpp
+++ b/Libraries/LibGateway/ExchangeForwarding.cpp
@@ -68,7 +68,8 @@
     }
     this->send_to_box();
     auto const end = co_await this->receive_from_box(attempt);
-    attempt.excess = this->call->excess();
+    if (attempt.excess == AnswerExcess::None)
+        attempt.excess = this->call->excess();
     this->call->release(monotonic_now());
     if (end == AttemptEnd::Delivered)
         forwarder.mark_able(box.name);
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -160,6 +160,7 @@
         }
         this->state.metrics.count_retry(this->retry_reason(this->last_end));
         this->events.discard_partial_event();
+        static_cast<void>(this->held.try_hold_back(0));
         this->event_rate.reset();
     }
 }
@@ -221,7 +222,8 @@
         co_return AttemptEnd::NotSent;
     }
     auto const end = co_await this->send_and_receive(attempt);
-    attempt.excess = this->call->excess();
+    if (attempt.excess == AnswerExcess::None)
+        attempt.excess = this->call->excess();
     this->call->release(monotonic_now());
     this->may_have_run |= end != AttemptEnd::NotRun;
     co_return end;
@@ -348,6 +350,15 @@
             piece += this->forwardable(received);
             if (!is_buffered && !piece.empty())
                 break;
+            auto const held_back = piece.capacity() + this->events.held_bytes();
+            if (this->held.try_hold_back(held_back) && held_back <= AnswerBuffer::max_answer_bytes)
+                continue;
+            if (is_buffered)
+                break;
+            attempt.excess = AnswerExcess::Event;
+            attempt.detail = "an event is too long";
+            this->call->abort();
+            co_return this->end_of_broken_answer();
         }
         bool const is_broken_off = this->is_stream_broken_off();
         if (is_broken_off) {
@@ -366,6 +377,7 @@
             out += last_chunk;
         this->answer_begun = true;
         this->pass_to_client(std::exchange(out, {}));
+        static_cast<void>(this->held.try_hold_back(this->events.held_bytes()));
         if (is_broken_off)
             co_return this->end_of_broken_answer();
     } while (!this->call->is_done());
--- a/Programs/standin/AnswerStyle.cpp
+++ b/Programs/standin/AnswerStyle.cpp
@@ -43,6 +43,7 @@
     NamedStyle { "other_answers_without_end", { .endless = AnswerStyle::Endless::OtherAnswers } },
     NamedStyle { "chunk_extension_without_end", { .endless = AnswerStyle::Endless::ChunkExtension } },
     NamedStyle { "trailers_without_end", { .endless = AnswerStyle::Endless::Trailers } },
+    NamedStyle { "event_without_end", { .endless = AnswerStyle::Endless::Event } },
     NamedStyle { "failed_body_without_end", { .endless = AnswerStyle::Endless::FailedBody } },
 };
 
--- a/Programs/standin/AnswerStyle.h
+++ b/Programs/standin/AnswerStyle.h
@@ -75,6 +75,8 @@
         Trailers,
         /// The body of an answer that reports an error.
         FailedBody,
+        /// The second event of a stream.
+        Event,
     };
     /// What a single write holds.
     enum class Write {
--- a/Programs/standin/AnswerWriter.cpp
+++ b/Programs/standin/AnswerWriter.cpp
@@ -53,6 +53,12 @@
             return { chunked + "4;x=", filler };
         case AnswerStyle::Endless::Trailers:
             return { chunked + "2\r\nok\r\n0\r\n", field };
+        case AnswerStyle::Endless::Event: {
+            auto const first_event = this->event(1) + "data: ";
+            return { head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + fmt::format("{:x}\r\n{}\r\n", first_event.size(), first_event),
+                fmt::format("{:x}\r\n{}\r\n", filler.size(), filler) };
+        }
         case AnswerStyle::Endless::FailedBody:
         case AnswerStyle::Endless::Nothing:
             break;
--- a/Tests/Integration/TestUnendingBytes.cpp
+++ b/Tests/Integration/TestUnendingBytes.cpp
@@ -165,6 +165,39 @@
     }
 }
 
+// Guards against a box that exceeds its memory with events that are held back until they are whole.
+TEST_CASE("streams whose endpoints send events without end don't fill the box")
+{
+    Harness::PlatformCluster site;
+    auto const behaviour = site.write_file("m1.yaml", "seed: 7\nanswers:\n  event_without_end: 1.0\n");
+    site.start_server("m1", "model", { "--behaviour=" + behaviour });
+    site.start_server("d1", "desk");
+    site.configure(1, { "key" });
+    site.start_box("b1", { 8000, 8000, 20000 });
+    site.wait_ready("b1");
+    auto const call_desk = [&](std::string const& attempt) { return site.send("b1", "/once/x", attempt).status; };
+    for (int number = 0; number < calls_at_once; ++number)
+        REQUIRE(call_desk("warm-" + std::to_string(number)) == 200);
+    auto const before = peak_memory(site.process("b1").process_id());
+    std::vector<std::thread> callers;
+    std::array<Harness::Reply, calls_at_once> replies;
+    for (std::size_t number = 0; number < calls_at_once; ++number) {
+        callers.emplace_back([&, number] {
+            replies[number] = site.send("b1", "/resume/x", "endless-" + std::to_string(number),
+                { { "X-Standin-Events", "3" }, { "X-Deadline-Ms", "3000" } });
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    for (auto const& reply : replies)
+        CHECK(reply.status != 200);
+    CHECK(call_desk("after") == 200);
+    auto const growth = peak_memory(site.process("b1").process_id()) - before;
+    MESSAGE("memory grew by " << growth << " KB");
+    CHECK(growth < max_growth_kilobytes);
+    CHECK(site.metric("b1", "cleatbeam_answer_excesses_total{part=\"event\"}") > 0);
+}
+
 // Guards against a box that passes such bytes on to another one, or whose memory fills with them.
 TEST_CASE("an endpoint that sends without end is cut off by the box that serves the request for another one")
 {
--- a/Tests/LibGateway/TestEventSplitter.cpp
+++ b/Tests/LibGateway/TestEventSplitter.cpp
@@ -43,3 +43,12 @@
     static_cast<void>(splitter.append("id:9\n\n"));
     CHECK(splitter.last_id() == "9");
 }
+
+TEST_CASE("an id that is too long to be sent back leaves the position unknown")
+{
+    Gateway::EventSplitter splitter;
+    static_cast<void>(splitter.append("id: 1\n\nid: " + std::string(2000, '7') + "\n\n"));
+    CHECK_FALSE(splitter.last_id());
+    static_cast<void>(splitter.append("id: 3\n\n"));
+    CHECK(splitter.last_id() == "3");
+}
--- a/Tests/LibGateway/TestUnendingAnswers.cpp
+++ b/Tests/LibGateway/TestUnendingAnswers.cpp
@@ -143,3 +143,61 @@
     CHECK(play.received.find("data: b") != std::string::npos);
     CHECK(play.received.ends_with("0\r\n\r\n"));
 }
+
+// Guards against a box whose memory fills with an event that is held back until it is whole and never is.
+TEST_CASE("a stream whose endpoint sends an event without end goes on at another endpoint")
+{
+    Exchange play(RouteKind::Streaming, 2, 2, true);
+    play.start();
+    auto const first = play.wait_for_arrival();
+    play.endpoints[first]->answer(stream_head + "f\r\nid: 1\ndata: a\n\n\r\n");
+    REQUIRE(play.reach([&] { return play.received.find("data: a") != std::string::npos; }));
+    play.endpoints[first]->answer("6\r\ndata: \r\n");
+    std::string const filler(4096, 'f');
+    auto const sent = send_until_closed(play, first, "1000\r\n" + filler + "\r\n");
+    REQUIRE(sent);
+    CHECK(*sent <= max_sent_bytes);
+    auto const second = play.wait_for_arrival();
+    CHECK(play.state.answer_buffers->held_bytes() == 0);
+    play.endpoints[second]->answer(stream_head + "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+    REQUIRE(play.ends());
+    CHECK(play.received.find("data: b") != std::string::npos);
+    CHECK(play.received.find("fff") == std::string::npos);
+    CHECK(play.received.ends_with("0\r\n\r\n"));
+    CHECK(play.state.metrics.to_text().find("cleatbeam_answer_excesses_total{part=\"event\"} 1") != std::string::npos);
+}
+
+// Guards against answers that are held back beside the account of memory, where many of them fill the box.
+TEST_CASE("what is held back of an answer counts for the box, and is given up first where there is no room")
+{
+    Exchange play(RouteKind::Streaming, 2, 2, true);
+    constexpr std::size_t small_box = 64 * 1024;
+    play.state.answer_buffers->set_max_bytes(small_box);
+    play.start();
+    auto const first = play.wait_for_arrival();
+    play.endpoints[first]->answer(stream_head + "6\r\ndata: \r\n");
+    std::string const chunk = "1000\r\n" + std::string(4096, 'f') + "\r\n";
+    play.endpoints[first]->answer(chunk + chunk);
+    REQUIRE(play.reach([&] { return play.state.answer_buffers->held_bytes() > 8192; }));
+    REQUIRE(send_until_closed(play, first, chunk));
+    CHECK(play.state.answer_buffers->held_bytes() == 0);
+    auto const second = play.wait_for_arrival();
+    play.endpoints[second]->answer(stream_head + "f\r\nid: 1\ndata: b\n\n\r\n0\r\n\r\n");
+    REQUIRE(play.ends());
+    CHECK(play.received.find("data: b") != std::string::npos);
+}
+
+TEST_CASE("a short answer is passed on as it arrives where there is no room to hold it back")
+{
+    Exchange play(RouteKind::NonIdempotent);
+    play.state.answer_buffers->set_max_bytes(0);
+    play.start();
+    auto const where = play.wait_for_arrival();
+    std::string const half(24 * 1024, 'a');
+    play.endpoints[where]->answer(
+        "HTTP/1.1 200 OK\r\n" + echo + "Content-Length: " + std::to_string(2 * half.size()) + "\r\n\r\n" + half);
+    REQUIRE(play.reach([&] { return play.received.size() > half.size() / 2; }));
+    play.endpoints[where]->answer(half);
+    REQUIRE(play.ends());
+    CHECK(play.received.ends_with("\r\n\r\n" + half + half));
+}
--- a/Tests/Soak/Site.cpp
+++ b/Tests/Soak/Site.cpp
@@ -36,7 +36,7 @@
     for (auto const* style : styles)
         text += "  " + std::string(style) + ": 0.02\n";
     constexpr std::array endless_styles { "head_without_end", "interim_answers_without_end",
-        "other_answers_without_end", "chunk_extension_without_end", "trailers_without_end" };
+        "other_answers_without_end", "chunk_extension_without_end", "trailers_without_end", "event_without_end" };
     for (auto const* style : endless_styles)
         text += "  " + std::string(style) + ": 0.01\n";
     return text;
