LibGateway: Take no answer for whole that ends before its request was written

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. The write that runs beside the read took it, and the read then saw an end of file, which ends a body that has neither a length nor chunks.

An answer that ends with its connection is whole only if the whole request had been written by then. An endpoint that closes before it has read the request resets the connection, so nothing sound is lost; answers with a length or chunks have an end of their own and are read as before. EndpointCall is what reads the answers of endpoints and of other boxes that serve requests for this one, so both have the fix.

--- a/Libraries/LibGateway/EndpointCall.cpp
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -121,9 +121,17 @@
     // NOTE: The parser reports need_buffer when the buffer is full, which is not an error here.
     if (error == http::error::need_buffer)
         error = {};
+    if (!error && this->parser->is_done() && this->is_end_uncertain())
+        error = http::error::partial_message;
     co_return this->note_excess(error);
 }
 
+bool EndpointCall::is_end_uncertain() const
+{
+    // NOTE: The kernel reports a reset only once. If the write takes it, the read sees an orderly end.
+    return this->body_end() == BodyEnd::Connection && !this->is_written;
+}
+
 Task<error_code> EndpointCall::skip_body()
 {
     // NOTE: Such a body may stay open for as long as the endpoint likes, and the connection can't be used again.
--- a/Libraries/LibGateway/EndpointCall.h
+++ b/Libraries/LibGateway/EndpointCall.h
@@ -79,6 +79,9 @@
 private:
     using AnswerParser = http::response_parser<http::buffer_body>;
 
+    /// Whether the connection ended the answer, but may have done so by a reset: an endpoint that closes before it has
+    /// read the whole request resets the connection, and the end of the answer may be lost.
+    [[nodiscard]] bool is_end_uncertain() const;
     /// Reads the rest of a body that is skipped.
     [[nodiscard]] Task<error_code> skip_body();
     /// Counts bytes that are skipped. Returns an error if there are too many of them.
