LibHttp: Read bytes with a status that no answer has as no answer

Cause: all statuses under 200 were skipped as interim. Only 100, 102 and 103 are interim now; 101, which nobody asks for, any other under 200 and any over 599 are no answer (RFC 9110, 15), and the connection is closed. The same for answers of the store, relays and the platform. Names of fields with a blank or a control byte were refused before; a test shows it.

The stand-in endpoint has both styles, and the soak draws them.

--- a/Libraries/LibGateway/Asio.h
+++ b/Libraries/LibGateway/Asio.h
@@ -21,6 +21,8 @@
 using Http::flat_buffer;
 using Http::framing_fault;
 using Http::is_buffer_full;
+using Http::is_final_status;
+using Http::is_interim_status;
 using Http::sleep_for;
 using Http::Task;
 using Http::tcp;
--- a/Libraries/LibGateway/EndpointCall.cpp
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -89,11 +89,13 @@
             this->connection->socket, this->connection->buffer, *this->parser, as_value);
         if (error)
             co_return this->note_excess(error);
-        if (this->head().result_int() < first_final_status) {
+        if (is_interim_status(this->head().result_int())) {
             if (auto const too_many = this->count_skipped(std::max(bytes, min_skipped_answer_bytes)))
                 co_return too_many;
             continue;
         }
+        if (!is_final_status(this->head().result_int()))
+            co_return http::error::bad_status;
         if (framing_fault(this->head(), this->head().version(), this->parser->chunked()))
             co_return http::error::bad_transfer_encoding;
         facts = Adapter::decode_answer(this->head(), this->attempt);
--- a/Libraries/LibGateway/HttpConnection.cpp
+++ b/Libraries/LibGateway/HttpConnection.cpp
@@ -108,6 +108,8 @@
         if (auto const length = parser.content_length())
             this->progress.body_bytes = *length;
     }
+    if (!is_final_status(parser.get().result_int()))
+        co_return http::error::bad_status;
     if (framing_fault(parser.get(), parser.get().version(), parser.chunked()))
         co_return http::error::bad_transfer_encoding;
     answer.status = parser.get().result_int();
--- a/Libraries/LibGateway/HttpStatus.h
+++ b/Libraries/LibGateway/HttpStatus.h
@@ -4,8 +4,6 @@
 namespace Gateway {
 
 inline constexpr unsigned status_ok = 200;
-/// Lower codes are interim (1xx) and are followed by the final answer.
-inline constexpr unsigned first_final_status = 200;
 inline constexpr unsigned status_bad_request = 400;
 inline constexpr unsigned status_unauthorized = 401;
 inline constexpr unsigned status_not_found = 404;
--- a/Libraries/LibHttp/MessageFraming.cpp
+++ b/Libraries/LibHttp/MessageFraming.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr unsigned http_1_1 = 11;
+/// RFC 8297. The library has no name for it.
+constexpr unsigned early_hints = 103;
+constexpr unsigned first_final_status = 200;
+constexpr unsigned last_final_status = 599;
 
 std::string_view trim(std::string_view text)
 {
@@ -71,6 +75,17 @@
     return codings.size() > 1 || !is_chunked ? std::optional(FramingFault::UnsupportedCoding) : std::nullopt;
 }
 
+bool is_interim_status(unsigned status)
+{
+    return status == static_cast<unsigned>(http::status::continue_)
+        || status == static_cast<unsigned>(http::status::processing) || status == early_hints;
+}
+
+bool is_final_status(unsigned status)
+{
+    return status >= first_final_status && status <= last_final_status;
+}
+
 bool is_buffer_full(error_code error)
 {
     return error == http::error::buffer_overflow;
--- a/Libraries/LibHttp/MessageFraming.h
+++ b/Libraries/LibHttp/MessageFraming.h
@@ -24,6 +24,11 @@
 /// whether its parser expects chunks.
 [[nodiscard]] std::optional<FramingFault> framing_fault(http::fields const& fields, unsigned version, bool is_chunked);
 
+/// Whether an answer with this status precedes the final one. 101 does not: what follows it is no HTTP.
+[[nodiscard]] bool is_interim_status(unsigned status);
+/// Whether the status is one of a final answer (RFC 9110, 15). Bytes with any other are no answer.
+[[nodiscard]] bool is_final_status(unsigned status);
+
 /// A buffer may hold this much more than the largest head that it takes: the parser reports a head that is too large
 /// only if it has some bytes behind the limit. The head of a chunk and the trailers have to fit in as a head does.
 constexpr std::size_t buffered_beyond_head = 4 * 1024;
--- a/Programs/standin/AnswerStyle.cpp
+++ b/Programs/standin/AnswerStyle.cpp
@@ -37,6 +37,8 @@
     NamedStyle { "long_head", { .has_long_head = true } },
     NamedStyle { "head_in_pieces", { .has_head_in_pieces = true } },
     NamedStyle { "encoding_named", { .names_encoding = true } },
+    NamedStyle { "status_zero", { .has_no_status = true } },
+    NamedStyle { "field_name_with_blank", { .has_odd_field = true } },
     NamedStyle { "failed", { .has_failed = true } },
     NamedStyle { "head_without_end", { .endless = AnswerStyle::Endless::Head } },
     NamedStyle { "interim_answers_without_end", { .endless = AnswerStyle::Endless::InterimAnswers } },
--- a/Programs/standin/AnswerStyle.h
+++ b/Programs/standin/AnswerStyle.h
@@ -98,6 +98,10 @@
     bool has_long_head { false };
     bool has_head_in_pieces { false };
     bool names_encoding { false };
+    /// Whether the first line has the status 000.
+    bool has_no_status { false };
+    /// Whether the head names a field with a blank in it.
+    bool has_odd_field { false };
     /// Whether the answer reports an error after the request ran.
     bool has_failed { false };
     /// Where a stream breaks off: a fraction of its events.
--- a/Programs/standin/AnswerWriter.cpp
+++ b/Programs/standin/AnswerWriter.cpp
@@ -185,6 +185,10 @@
 Task<bool> AnswerWriter::write_head(std::string framing)
 {
     std::string head = this->style.has_failed ? "HTTP/1.1 500 Internal Server Error\r\n" : "HTTP/1.1 200 OK\r\n";
+    if (this->style.has_no_status)
+        head = "HTTP/1.1 000 OK\r\n";
+    if (this->style.has_odd_field)
+        head += "X Standin: 1\r\n";
     if (this->style.has_echo)
         head += "X-Attempt-Id: " + this->text.attempt + "\r\n";
     head += this->text.fields + framing;
--- a/Tests/LibGateway/TestAnswerEnds.cpp
+++ b/Tests/LibGateway/TestAnswerEnds.cpp
@@ -53,3 +53,46 @@
     REQUIRE(play.ends());
     CHECK(play.received.ends_with("5\r\nwhole\r\n0\r\n\r\n"));
 }
+
+// What follows such bytes would reach the client as its answer.
+TEST_CASE("bytes with a status that no answer has are no answer, and what follows them is not read")
+{
+    for (std::string const status :
+        { "000", "001", "099", "101", "104", "150", "199", "600", "999", "20", "2000", "-20" }) {
+        CAPTURE(status);
+        Exchange play(RouteKind::NonIdempotent);
+        play.start("body");
+        auto const where = play.wait_for_arrival();
+        play.endpoints[where]->answer("HTTP/1.1 " + status + " Odd\r\n" + common
+            + "Content-Length: " + std::to_string(whole_answer.size()) + "\r\n\r\n" + whole_answer);
+        REQUIRE(play.ends());
+        CHECK(play.received.starts_with("HTTP/1.1 502 "));
+        CHECK(play.received.find("\r\n\r\nok") == std::string::npos);
+        CHECK(play.reach([&] { return play.endpoints[where]->connections[0]->is_closed; }));
+    }
+}
+
+TEST_CASE("interim answers that HTTP knows precede the answer")
+{
+    for (std::string const status : { "100", "102", "103" }) {
+        CAPTURE(status);
+        Exchange play(RouteKind::NonIdempotent);
+        play.start("body");
+        play.endpoints[play.wait_for_arrival()]->answer("HTTP/1.1 " + status + " Interim\r\n\r\n" + whole_answer);
+        REQUIRE(play.ends());
+        CHECK(play.received.starts_with("HTTP/1.1 200 OK\r\n"));
+    }
+}
+
+TEST_CASE("an answer whose head names a field with a blank or a control byte is no answer")
+{
+    for (std::string const field : { "X Bad: 1", "X\tBad: 1", "X\x01: 1", "Content-Length : 9", " X: 1", "X\x7f: 1" }) {
+        CAPTURE(field);
+        Exchange play(RouteKind::NonIdempotent);
+        play.start("body");
+        play.endpoints[play.wait_for_arrival()]->answer(
+            "HTTP/1.1 200 OK\r\n" + field + "\r\n" + common + "Content-Length: 2\r\n\r\nok");
+        REQUIRE(play.ends());
+        CHECK(play.received.starts_with("HTTP/1.1 502 "));
+    }
+}
--- a/Tests/Soak/Site.cpp
+++ b/Tests/Soak/Site.cpp
@@ -31,7 +31,8 @@
         "interim_answer_first", "other_answer_first", "no_http", "bytes_behind", "other_answer_behind",
         "close_announced", "close_unannounced", "reset_behind", "broken_off", "broken_off_by_reset",
         "silent_before_head", "silent_in_stream", "events_with_crlf", "events_with_cr", "events_in_one_write",
-        "event_in_many_writes", "echo_missing", "long_head", "head_in_pieces", "encoding_named", "failed" };
+        "event_in_many_writes", "echo_missing", "long_head", "head_in_pieces", "encoding_named", "failed",
+        "status_zero", "field_name_with_blank" };
     auto text = "seed: " + std::to_string(seed) + "\nanswers:\n  silent_for_good: 0.002\n";
     for (auto const* style : styles)
         text += "  " + std::string(style) + ": 0.02\n";
