LibHttp: Read answers in `serve` as strictly, and as bounded, as in `route`

What callers saw: at `serve` a status 000, 099 or 150 and an answer whose head names a field with a blank or a control byte came through as the answer; an endpoint that sends a status line, a field, fields, a chunk's size or trailers without end filled the box (over 3 GB in 12 s) and all its requests ended.

Cause: a second way to read answers. `serve` called endpoints, polled their load and read the platform's log with an HTTP library that takes what comes and has no bound on lines. BlockingClient takes its place in all three: a client for threads that wait, on the parser, the framing rules, the statuses and the bounds that `route` uses. A page of the log that exceeds 32 MB is read record by record. Ruled out: guards around the other library, which would have to read the head again.

--- a/Libraries/LibPlatform/LogClient.cpp
+++ b/Libraries/LibPlatform/LogClient.cpp
@@ -1,7 +1,7 @@
+#include <LibHttp/BlockingClient.h>
 #include <LibPlatform/Base64.h>
 #include <LibPlatform/LogClient.h>
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 namespace Platform {
@@ -12,8 +12,10 @@
 /// Added to the wait of a read, for the answer's way and its transfer.
 constexpr auto read_timeout_margin = std::chrono::seconds(2);
 constexpr int max_records_per_read = 1000;
-constexpr int status_ok = 200;
-constexpr int status_created = 201;
+/// A page that exceeds this is read record by record.
+constexpr std::size_t max_answer_bytes = 32UL * 1024 * 1024;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_created = 201;
 
 std::string path_of(std::string const& stream)
 {
@@ -44,16 +46,15 @@
 
 AppendResult LogClient::append(std::string const& stream, std::string const& payload, Core::Duration timeout) const
 {
-    httplib::Client client(this->address.host, this->address.port);
-    client.set_tcp_nodelay(true);
-    client.set_connection_timeout(connect_timeout);
-    client.set_read_timeout(timeout);
-    auto const result = client.Post(path_of(stream), payload, "application/octet-stream");
+    Http::BlockingClient client(this->address.host, this->address.port);
+    Http::CallFailure failure;
+    Http::CallLimits const limits { connect_timeout, timeout, std::nullopt, max_answer_bytes };
+    auto const result = client.fetch(
+        { "POST", path_of(stream), { { "Content-Type", "application/octet-stream" } }, payload }, limits, failure);
     if (!result) {
-        auto const reason = httplib::to_string(result.error());
-        if (result.error() == httplib::Error::Connection)
-            return AppendRefused { reason };
-        return AppendUnknown { reason };
+        if (failure.fault == Http::CallFault::NotConnected)
+            return AppendRefused { failure.reason };
+        return AppendUnknown { failure.reason };
     }
     if (result->status != status_created)
         return AppendRefused { "status " + std::to_string(result->status) };
@@ -66,16 +67,20 @@
 std::optional<LogPage> LogClient::read(
     std::string const& stream, Core::Offset from, Core::Duration wait, Core::LastReason& last_reason) const
 {
-    httplib::Client client(this->address.host, this->address.port);
-    client.set_tcp_nodelay(true);
-    client.set_connection_timeout(connect_timeout);
-    client.set_read_timeout(wait + read_timeout_margin);
+    Http::BlockingClient client(this->address.host, this->address.port);
+    Http::CallFailure failure;
+    Http::CallLimits const limits { connect_timeout, wait + read_timeout_margin, std::nullopt, max_answer_bytes };
     auto const wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
-    auto const path = path_of(stream) + "?from=" + std::to_string(from.value())
-        + "&max=" + std::to_string(max_records_per_read) + "&wait_ms=" + std::to_string(wait_ms);
-    auto const result = client.Get(path);
+    auto const fetch = [&](int max_records) {
+        auto const path = path_of(stream) + "?from=" + std::to_string(from.value())
+            + "&max=" + std::to_string(max_records) + "&wait_ms=" + std::to_string(wait_ms);
+        return client.fetch({ "GET", path }, limits, failure);
+    };
+    auto result = fetch(max_records_per_read);
+    if (!result && failure.fault == Http::CallFault::TooLong)
+        result = fetch(1);
     if (!result) {
-        last_reason.text = httplib::to_string(result.error());
+        last_reason.text = failure.reason;
         return {};
     }
     if (result->status != status_ok) {
--- a/Libraries/LibServer/LoadPoller.cpp
+++ b/Libraries/LibServer/LoadPoller.cpp
@@ -1,13 +1,16 @@
 #include <LibServer/LoadPoller.h>
 
-#include <httplib.h>
+#include <LibHttp/BlockingClient.h>
 #include <nlohmann/json.hpp>
 
 namespace Server {
 
 namespace {
 
-constexpr auto poll_timeout = std::chrono::milliseconds(500);
+/// A report is some hundred bytes. An endpoint that is slow with it is asked again in the next round.
+constexpr Http::CallLimits poll_limits { std::chrono::milliseconds(500), std::chrono::milliseconds(500),
+    std::chrono::seconds(1), 64UL * 1024 };
+constexpr unsigned status_ok = 200;
 constexpr Core::Duration default_interval { std::chrono::milliseconds(250) };
 
 std::optional<Traffic::LoadReport> parse_report(std::string const& body, Core::Instant now)
@@ -54,7 +57,7 @@
 
 void LoadPoller::run(std::size_t worker)
 {
-    std::map<std::pair<std::string, int>, std::unique_ptr<httplib::Client>> clients;
+    std::map<std::pair<std::string, int>, std::unique_ptr<Http::BlockingClient>> clients;
     auto interval = default_interval;
     while (this->wait_for(interval)) {
         auto const table = this->state.table();
@@ -65,17 +68,13 @@
                 if (id.value() % worker_count != worker)
                     continue;
                 auto& client = clients[{ endpoint.host, endpoint.port }];
-                if (!client) {
-                    client = std::make_unique<httplib::Client>(endpoint.host, endpoint.port);
-                    client->set_tcp_nodelay(true);
-                    client->set_keep_alive(true);
-                    client->set_connection_timeout(poll_timeout);
-                    client->set_read_timeout(poll_timeout);
-                }
-                auto const result = client->Get("/load");
-                if (!result)
+                if (!client)
+                    client = std::make_unique<Http::BlockingClient>(endpoint.host, endpoint.port);
+                Http::CallFailure failure;
+                auto const answer = client->fetch({ "GET", "/load" }, poll_limits, failure);
+                if (!answer || answer->status != status_ok)
                     continue;
-                if (auto const report = parse_report(result->body, Core::monotonic_now()))
+                if (auto const report = parse_report(answer->body, Core::monotonic_now()))
                     shard->take_report(id, *report);
             }
         }
--- a/Libraries/LibServer/RequestFlow.cpp
+++ b/Libraries/LibServer/RequestFlow.cpp
@@ -1,7 +1,6 @@
 #include <LibServer/RequestFlow.h>
 
 #include <LibServer/WorkerThreads.h>
-#include <httplib.h>
 
 namespace Server {
 
@@ -97,7 +96,7 @@
         this->active_client->stop();
 }
 
-bool RequestFlow::begin_attempt(httplib::Client& client)
+bool RequestFlow::begin_attempt(Http::BlockingClient& client)
 {
     std::scoped_lock const lock(this->mutex);
     if (this->must_stop())
--- a/Libraries/LibServer/RequestFlow.h
+++ b/Libraries/LibServer/RequestFlow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHttp/BlockingClient.h>
 #include <LibServer/AnswerMemory.h>
 #include <LibTraffic/TrafficTypes.h>
 
@@ -13,10 +14,6 @@
 #include <string>
 #include <variant>
 
-namespace httplib {
-class Client;
-}
-
 namespace Server {
 
 /// The answer has begun.
@@ -94,7 +91,7 @@
     }
 
     /// Makes `client` the one that a stop closes; returns false when the attempt must stop already.
-    [[nodiscard]] bool begin_attempt(httplib::Client& client);
+    [[nodiscard]] bool begin_attempt(Http::BlockingClient& client);
     void end_attempt();
 
     /// Set once any attempt may have run at an endpoint without its whole answer having come back.
@@ -124,7 +121,7 @@
     /// Notified when the caller has taken a part of the answer, and when it has gone.
     std::condition_variable room;
     std::function<void()> on_event;
-    httplib::Client* active_client { nullptr };
+    Http::BlockingClient* active_client { nullptr };
     std::optional<End> end_by_fate;
 };
 
--- a/Libraries/LibServer/UpstreamCaller.cpp
+++ b/Libraries/LibServer/UpstreamCaller.cpp
@@ -1,8 +1,5 @@
 #include <LibServer/UpstreamCaller.h>
 
-#include <algorithm>
-#include <httplib.h>
-
 namespace Server {
 
 namespace {
@@ -33,14 +30,14 @@
     std::string tail;
 };
 
-Traffic::AttemptResult result_of_error(httplib::Error error, RequestFlow const& flow, bool any_delivered)
+Traffic::AttemptResult result_of_failure(Http::CallFault fault, RequestFlow const& flow, bool any_delivered)
 {
     using Traffic::AttemptResult;
     if (flow.is_preempted())
         return AttemptResult::Preempted;
     if (flow.must_stop())
         return AttemptResult::CallerGone;
-    if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout)
+    if (fault == Http::CallFault::NotConnected)
         return AttemptResult::ConnectionRefused;
     return any_delivered ? AttemptResult::BrokenAfterDelivery : AttemptResult::Failed;
 }
@@ -52,25 +49,16 @@
     return status >= first_failure_status ? Traffic::AttemptResult::Failed : Traffic::AttemptResult::Completed;
 }
 
-httplib::Headers headers_for(RequestFlow const& flow, Core::TierId tier)
+/// The body stays where it is, in the flow.
+Http::OutgoingRequest request_for(RequestFlow const& flow, Core::TierId tier)
 {
-    httplib::Headers headers {
-        { "Content-Type", flow.upstream.content_type },
-        { "X-Request-Id", std::to_string(flow.facts.id.value()) },
-        { "X-Request-Priority", std::to_string(tier.value()) },
-    };
+    Http::OutgoingRequest request { "POST", flow.upstream.path,
+        { { "Content-Type", flow.upstream.content_type }, { "X-Request-Id", std::to_string(flow.facts.id.value()) },
+            { "X-Request-Priority", std::to_string(tier.value()) } },
+        flow.upstream.body };
     if (!flow.upstream.idempotency_key.empty())
-        headers.emplace("Idempotency-Key", flow.upstream.idempotency_key);
-    return headers;
-}
-
-/// Has the library send the body from where it is. It copies a body of its own several times.
-void set_body(httplib::Request& request, std::string const& body)
-{
-    request.content_length_ = body.size();
-    request.content_provider_ = [&body](std::size_t offset, std::size_t length, httplib::DataSink& sink) {
-        return sink.write(body.data() + offset, std::min(length, body.size() - offset));
-    };
+        request.fields.emplace_back("Idempotency-Key", flow.upstream.idempotency_key);
+    return request;
 }
 
 /// Counts what is collected of an answer until the attempt is over.
@@ -109,28 +97,22 @@
 {
     AttemptReport report;
     auto client = this->take_client(endpoint, flow.class_settings.repeatable);
-    client->set_read_timeout(flow.class_settings.patience + patience_grace);
     if (!flow.begin_attempt(*client)) {
         report.result = flow.is_preempted() ? Traffic::AttemptResult::Preempted : Traffic::AttemptResult::CallerGone;
         flow.end_attempt();
         return report;
     }
-    httplib::Request request;
-    request.method = "POST";
-    request.path = flow.upstream.path;
-    request.headers = headers_for(flow, tier);
-    set_body(request, flow.upstream.body);
     CollectedBytes collected(flow.answer_memory());
     StreamEndWatcher stream_end;
     bool is_streamed = false;
     bool any_piece = false;
-    request.response_handler = [&](httplib::Response const& head) {
-        report.status = head.status;
-        report.content_type = head.get_header_value("Content-Type");
+    auto const on_head = [&](Http::AnswerHead const& head) {
+        report.status = static_cast<int>(head.status);
+        report.content_type = head.content_type;
         is_streamed = flow.facts.streaming && report.content_type.starts_with("text/event-stream");
         return true;
     };
-    request.content_receiver = [&](char const* data, std::size_t length, std::uint64_t, std::uint64_t) {
+    auto const on_piece = [&](std::string_view piece) {
         if (flow.must_stop())
             return false;
         if (!any_piece)
@@ -140,30 +122,32 @@
                 report.error = "no memory for the answer";
                 return false;
             }
-            collected.add(length);
-            report.body.append(data, length);
+            collected.add(piece.size());
+            report.body.append(piece);
         } else {
             report.was_passed_on = true;
             if (!any_piece)
                 flow.push(Head { report.status, report.content_type });
-            stream_end.take({ data, length });
-            if (!flow.push_piece(std::string(data, length)))
+            stream_end.take(piece);
+            if (!flow.push_piece(std::string(piece)))
                 return false;
         }
         any_piece = true;
         return true;
     };
-    httplib::Response response;
-    auto error = httplib::Error::Success;
-    auto const is_answered = client->send(request, response, error);
+    Http::CallLimits limits;
+    limits.connect = connect_timeout;
+    limits.silence = flow.class_settings.patience + patience_grace;
+    auto const failure = client->call(request_for(flow, tier), limits, { on_head, on_piece });
+    bool const is_answered = !failure;
     if (is_answered) {
         report.result = result_of_status(report.status);
         if (is_streamed && any_piece && !stream_end.is_whole())
             report.result = Traffic::AttemptResult::BrokenAfterDelivery;
     } else {
-        report.result = result_of_error(error, flow, is_streamed && any_piece);
+        report.result = result_of_failure(failure->fault, flow, is_streamed && any_piece);
         if (report.error.empty())
-            report.error = httplib::to_string(error);
+            report.error = failure->reason;
     }
     flow.end_attempt();
     if (is_answered && flow.class_settings.repeatable)
@@ -182,18 +166,13 @@
             return client;
         }
     }
-    auto client = std::make_unique<httplib::Client>(endpoint.host, endpoint.port);
-    client->set_tcp_nodelay(true);
-    client->set_keep_alive(may_reuse);
-    client->set_connection_timeout(connect_timeout);
-    client->set_socket_options([](socket_t socket) {
-        setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes);
-    });
-    return client;
+    return std::make_unique<Http::BlockingClient>(endpoint.host, endpoint.port, receive_buffer_bytes);
 }
 
 void UpstreamCaller::give_back(Settings::EndpointSettings const& endpoint, ClientPointer client)
 {
+    if (client->is_stopped())
+        return;
     std::scoped_lock const lock(this->mutex);
     auto& idle = this->idle_clients[{ endpoint.host, endpoint.port }];
     if (idle.size() < most_idle_clients)
--- a/Libraries/LibServer/UpstreamCaller.h
+++ b/Libraries/LibServer/UpstreamCaller.h
@@ -39,7 +39,7 @@
         OnFirstPiece const& on_first_piece);
 
 private:
-    using ClientPointer = std::unique_ptr<httplib::Client>;
+    using ClientPointer = std::unique_ptr<Http::BlockingClient>;
 
     [[nodiscard]] ClientPointer take_client(Settings::EndpointSettings const& endpoint, bool may_reuse);
     void give_back(Settings::EndpointSettings const& endpoint, ClientPointer client);
--- a/Tests/LibServer/TestUpstreamCaller.cpp
+++ b/Tests/LibServer/TestUpstreamCaller.cpp
@@ -111,3 +111,35 @@
         }
     }
 }
+
+// Guards against a caller that gets bytes of an endpoint in trouble as its answer.
+TEST_CASE("bytes that are no answer are not completed")
+{
+    std::string const length = "Content-Type: text/event-stream\r\nContent-Length: 2\r\n\r\nok";
+    for (bool const is_streaming : { false, true }) {
+        for (std::string const& text : { "HTTP/1.1 000 OK\r\n" + length, "HTTP/1.1 099 OK\r\n" + length,
+                 "HTTP/1.1 150 OK\r\n" + length, "HTTP/1.1 200 OK\r\nX Bad: 1\r\n" + length,
+                 "HTTP/1.1 200 OK\r\nX\x01: 1\r\n" + length, "HTTP/1.1 200 OK\r\nContent-Length : 9\r\n" + length }) {
+            CAPTURE(text);
+            auto const report = call(text, false, is_streaming);
+            CHECK(report.result == Traffic::AttemptResult::Failed);
+            CHECK_FALSE(report.was_passed_on);
+            CHECK(report.body.empty());
+        }
+    }
+}
+
+// Guards against a box whose memory one endpoint fills with a head, or with what stands beside a body.
+TEST_CASE("an answer whose head or trailers exceed the limit is not read on")
+{
+    std::string const filler(std::size_t { 1024 } * 1024, 'f');
+    std::string fields;
+    while (fields.size() < filler.size())
+        fields += "X-Filler: f\r\n";
+    auto const chunked = common + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n";
+    for (auto const& text : { "HTTP/1.1 200 " + filler, common + "X: " + filler, common + fields,
+             chunked + "4;x=" + filler, chunked + "0\r\n" + fields }) {
+        auto const report = call(text + "\r\n\r\n", false, false);
+        CHECK(report.result == Traffic::AttemptResult::Failed);
+    }
+}
