LibMembership: Pass on the removal of an entry that was ignored, and end the error

Their relay had just started when the endpoint's entry lapsed, took the lapse for a departure and the endpoint's new entry for a late write, for good. When the endpoint left the relay had nothing to remove, so its answers held no removal, while the others had the entry from another relay.

A removal is journaled whether or not the endpoint was listed. An ignored record of the store is kept and applied once a late write can't account for it any more, twelve seconds after the removal, and is sent to all boxes that ask for ten seconds, since they are beyond its offset. Ruled out: taking such a lapse for one of a running endpoint, since a box that has just started can't tell it from a departure, and a late write would then bring back an endpoint that has left; whole lists for all followers, which a release at 10,000 endpoints can't pay.

--- a/Libraries/LibGateway/ControlRecords.cpp
+++ b/Libraries/LibGateway/ControlRecords.cpp
@@ -209,6 +209,8 @@
     if (is_whole_list)
         this->replace_endpoints(std::move(listed), Membership::RecordSource::Store);
     this->journal.advance(this->endpoints_position.offset.value_or(0));
+    if (coverage != Coverage::Part)
+        this->accept_ignored_records(monotonic_now());
     if (is_whole_list || (coverage == Coverage::UpToEnd && this->endpoints_confirmed_at))
         this->confirm_endpoints(std::max(this->endpoints_confirmed_at.value_or(asked_at), asked_at));
     this->state.metrics.set_endpoints(this->state.router.endpoint_count());
@@ -255,7 +257,7 @@
         lateness = Membership::Lateness::EarlierInstance;
     if (!lateness)
         return {};
-    this->late_records.record_ignored(record, *lateness);
+    this->late_records.record_ignored(record, *lateness, source);
     this->state.metrics.count_late_record();
     Log::EventLine("endpoint_outdated")
         .with("endpoint", record.incarnation)
@@ -291,6 +293,22 @@
         .info();
 }
 
+void ControlRecords::accept_ignored_records(Instant now)
+{
+    if (now - this->last_accepted_late > resend_time)
+        this->journal.forget_out_of_sequence();
+    for (auto const& record : this->late_records.take_current(now)) {
+        if (this->state.router.is_earlier_instance(record))
+            continue;
+        Log::EventLine("endpoint_not_outdated").with("endpoint", record.incarnation).info();
+        this->put_endpoint(record, Membership::RecordSource::Store);
+        if (this->journal.find(record.incarnation) == nullptr)
+            continue;
+        this->journal.put_out_of_sequence(record);
+        this->last_accepted_late = now;
+    }
+}
+
 void ControlRecords::note_departure(Routing::EndpointRecord const& record, Instant now)
 {
     // NOTE: Just after an outage of the store, a missing endpoint may be running and be listed again.
@@ -304,6 +322,7 @@
 void ControlRecords::remove_endpoint(std::string const& incarnation, Removal removal)
 {
     auto const now = monotonic_now();
+    this->late_records.entry_ended(incarnation);
     auto const* const known = this->journal.find(incarnation);
     if (known != nullptr && removal == Removal::EntryDropped)
         this->note_departure(*known, now);
@@ -336,6 +355,7 @@
     auto const now = monotonic_now();
     if (this->history.era_began_at() && now - *this->history.era_began_at() <= stale_list_time)
         this->late_records.remove_departed_from(records, now);
+    auto const ignored = this->late_records.take_ignored();
     this->correct_late_records(records, source, now);
     for (auto const& missing : this->journal.missing_from(records))
         this->note_departure(missing, now);
@@ -345,6 +365,10 @@
         this->journal.restart(records, revision);
     else
         this->journal.replace_all(records, revision);
+    for (auto const& incarnation : ignored) {
+        if (this->journal.find(incarnation) == nullptr)
+            static_cast<void>(this->journal.remove(incarnation, revision));
+    }
     this->journal_era = this->endpoints_position.era;
     this->state.router.replace_endpoints(records, now);
     this->late_records.set_listed(records.size());
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -157,6 +157,8 @@
     /// Replaces records that are out of date by the known ones, and leaves out those of endpoints that are not listed.
     void correct_late_records(
         std::vector<Routing::EndpointRecord>& records, Membership::RecordSource source, Core::Instant now);
+    /// Lists the endpoints whose records were ignored as late and that have turned out to be running.
+    void accept_ignored_records(Core::Instant now);
     /// Records that an endpoint's entry is no longer listed.
     void note_departure(Routing::EndpointRecord const& record, Core::Instant now);
     /// Identifies the store's history to which this box's list of endpoints belongs; 0 before there is one.
@@ -179,6 +181,9 @@
     /// had left or changed. By then such entries have expired again or were rewritten.
     static constexpr Core::Duration stale_list_time { std::chrono::seconds(5) };
 
+    /// For this long after a record was accepted late it is sent to each box that asks. Boxes ask about once a second.
+    static constexpr Core::Duration resend_time { std::chrono::seconds(10) };
+
     /// An entry expires after three missed heartbeats, which are at least a second apart. The last heartbeat before the
     /// outage may be one interval old, which leaves at least two.
     static constexpr Core::Duration min_expiry_time { std::chrono::seconds(2) };
@@ -225,6 +230,7 @@
     /// then on. Empty if it can't be compressed.
     std::optional<Membership::ConfigurationRecord> configuration_record;
     std::optional<Core::Instant> store_returned_at;
+    Core::Instant last_accepted_late {};
     /// The division of the engines that requesters get, and when it was computed.
     std::map<std::string, double> answer_shares;
     std::optional<Core::Instant> answer_shares_at;
--- a/Libraries/LibMembership/EndpointJournal.cpp
+++ b/Libraries/LibMembership/EndpointJournal.cpp
@@ -44,14 +44,13 @@
 
 bool EndpointJournal::remove(std::string const& incarnation, std::uint64_t revision)
 {
-    auto const found = this->entries.find(incarnation);
-    if (found == this->entries.end() || !found->second.record)
-        return false;
-    found->second.record.reset();
-    ++this->removals;
-    this->touch(found, revision);
+    auto const [position, is_new] = this->entries.try_emplace(incarnation);
+    bool const was_listed = position->second.record.has_value();
+    position->second.record.reset();
+    this->removals += is_new || was_listed ? 1 : 0;
+    this->touch(position, revision);
     this->discard_old_removals();
-    return true;
+    return was_listed;
 }
 
 void EndpointJournal::touch(Entries::iterator entry, std::uint64_t revision)
@@ -59,9 +58,16 @@
     this->by_change.erase({ entry->second.changed_at, entry->first });
     entry->second.changed_at = revision;
     this->by_change.emplace(revision, entry->first);
+    this->out_of_sequence.erase(entry->first);
     this->advance(revision);
 }
 
+void EndpointJournal::put_out_of_sequence(Routing::EndpointRecord const& record)
+{
+    this->put(record, this->last_revision);
+    this->out_of_sequence.insert(record.incarnation);
+}
+
 void EndpointJournal::renew(std::string const& incarnation, std::uint64_t revision)
 {
     auto const found = this->entries.find(incarnation);
@@ -109,6 +115,11 @@
         EndpointChanges answer { this->last_revision, false, {} };
         for (auto change = this->by_change.lower_bound({ revision + 1, "" }); change != this->by_change.end(); ++change)
             answer.changes.push_back({ change->second, this->entries.at(change->second).record });
+        for (auto const& incarnation : this->out_of_sequence) {
+            auto const& entry = this->entries.at(incarnation);
+            if (entry.changed_at <= revision)
+                answer.changes.push_back({ incarnation, entry.record });
+        }
         return answer;
     }
     EndpointChanges answer { this->last_revision, true, {} };
--- a/Libraries/LibMembership/EndpointJournal.h
+++ b/Libraries/LibMembership/EndpointJournal.h
@@ -33,8 +33,13 @@
     /// Begins with a complete list. Nothing is known of the time before.
     void restart(std::vector<Routing::EndpointRecord> const& records, std::uint64_t revision);
     void put(Routing::EndpointRecord const& record, std::uint64_t revision);
-    /// False if the endpoint was not listed.
+    /// False if the endpoint was not listed. The removal is sent to other boxes all the same: they may have the entry
+    /// from a box that judged it otherwise.
     bool remove(std::string const& incarnation, std::uint64_t revision);
+    /// Lists the endpoint by a record that was written before the last revision. Other boxes are beyond it, so it is
+    /// sent to all of them until forget_out_of_sequence().
+    void put_out_of_sequence(Routing::EndpointRecord const& record);
+    void forget_out_of_sequence() { this->out_of_sequence.clear(); }
     /// Replaces the whole list by a later one.
     void replace_all(std::vector<Routing::EndpointRecord> const& records, std::uint64_t revision);
     /// Sends the entry again to boxes that know the list up to an earlier revision: one that read only a later record,
@@ -74,6 +79,8 @@
     Entries entries;
     /// The entries in the order of their last changes.
     std::set<std::pair<std::uint64_t, std::string>> by_change;
+    /// Listed endpoints that are sent whatever revision is known.
+    std::set<std::string> out_of_sequence;
     std::size_t removals { 0 };
     std::uint64_t last_revision { 0 };
     /// Changes before this revision are not known.
--- a/Libraries/LibMembership/LateRecordFilter.cpp
+++ b/Libraries/LibMembership/LateRecordFilter.cpp
@@ -1,5 +1,7 @@
 #include <LibMembership/LateRecordFilter.h>
 
+#include <utility>
+
 namespace Membership {
 
 namespace {
@@ -63,15 +65,39 @@
     return as_listed == *listed;
 }
 
-void LateRecordFilter::record_ignored(Routing::EndpointRecord const& record, Lateness lateness)
+void LateRecordFilter::record_ignored(Routing::EndpointRecord const& record, Lateness lateness, RecordSource source)
 {
+    bool const reason_ends = lateness == Lateness::AfterRemoval || lateness == Lateness::EarlierInstance;
+    if (reason_ends && source == RecordSource::Store)
+        this->ignored[record.incarnation] = record;
     auto const known = this->heartbeats.find(record.incarnation);
     if (known != this->heartbeats.end() && lateness == Lateness::StillCold)
         known->second.has_shorter_cold = true;
 }
 
+std::vector<Routing::EndpointRecord> LateRecordFilter::take_current(Instant now)
+{
+    std::vector<Routing::EndpointRecord> current;
+    std::erase_if(this->ignored, [&](auto const& entry) {
+        if (this->lateness_of(entry.second, nullptr, RecordSource::Store, now))
+            return false;
+        current.push_back(entry.second);
+        return true;
+    });
+    return current;
+}
+
+std::vector<std::string> LateRecordFilter::take_ignored()
+{
+    std::vector<std::string> incarnations;
+    for (auto const& [incarnation, record] : std::exchange(this->ignored, {}))
+        incarnations.push_back(incarnation);
+    return incarnations;
+}
+
 void LateRecordFilter::record_accepted(Routing::EndpointRecord const& record, RecordSource source, Instant now)
 {
+    this->ignored.erase(record.incarnation);
     if (record.draining)
         this->departed.add(Routing::instance_of(record), now, Departure::Announced);
     else
--- a/Libraries/LibMembership/LateRecordFilter.h
+++ b/Libraries/LibMembership/LateRecordFilter.h
@@ -2,6 +2,7 @@
 
 #include <LibMembership/DepartedEndpoints.h>
 
+#include <map>
 #include <string_view>
 #include <unordered_map>
 
@@ -42,10 +43,17 @@
         Routing::EndpointRecord const* listed, RecordSource source, Instant now) const;
     /// The record is current.
     void record_accepted(Routing::EndpointRecord const& record, RecordSource source, Instant now);
-    /// The record was not applied.
-    void record_ignored(Routing::EndpointRecord const& record, Lateness lateness);
+    /// The record was not applied. It may turn out to be current, see take_current().
+    void record_ignored(Routing::EndpointRecord const& record, Lateness lateness, RecordSource source);
+    /// The records of the store that were ignored, that nothing has followed, and that a late write can't account for
+    /// any more: the entry of an endpoint that has left would have lapsed by now. They are not returned again.
+    [[nodiscard]] std::vector<Routing::EndpointRecord> take_current(Instant now);
+    /// The endpoints of all ignored records, which are forgotten: a whole list follows.
+    [[nodiscard]] std::vector<std::string> take_ignored();
     /// The endpoint's entry is no longer in the store.
     void entry_removed(Routing::EndpointInstance const& instance, Instant now);
+    /// The endpoint's entry is gone or unreadable, whether or not it was listed.
+    void entry_ended(std::string const& incarnation) { this->ignored.erase(incarnation); }
     /// Forgets when the endpoint last sent a heartbeat, without recording that it left.
     void forget_heartbeats(std::string const& incarnation) { this->heartbeats.erase(incarnation); }
     /// Removes all departed endpoints from a list of an older copy of the store.
@@ -83,6 +91,8 @@
     DepartedEndpoints departed;
     /// By incarnation. Only of endpoints whose records this box reads in the store itself.
     std::unordered_map<std::string, Heartbeats> heartbeats;
+    /// By incarnation: the store's newest record, if it was ignored for a reason that ends.
+    std::map<std::string, Routing::EndpointRecord> ignored;
 };
 
 }
--- a/Tests/LibGateway/TestLateRecords.cpp
+++ b/Tests/LibGateway/TestLateRecords.cpp
@@ -173,3 +173,28 @@
     REQUIRE(ask(informed, starting, at(6500)));
     CHECK(usable(informed) == 1);
 }
+
+// Guards against boxes that go on using an endpoint that has left: their relay, which took its entry for a late write,
+// has nothing to remove when the entry goes, and they have it from another box.
+TEST_CASE("the removal of an entry that a relay ignored reaches boxes that have it from elsewhere")
+{
+    ReadingBox relay(1, entry("ready"));
+    relay.append(removed, 2000);
+    relay.append(entry("ready"), 4000);
+    REQUIRE(usable(relay) == 1);
+    Box follower(2);
+    follower.read(7, { entry("ready"), endpoint("other") }, at(4500));
+    relay.append(endpoint("other"), 5000);
+    REQUIRE(ask(follower, relay, at(5500)));
+    REQUIRE(usable(follower) == 2);
+    SUBCASE("in a read of the log")
+    {
+        relay.append(removed, 6000);
+    }
+    SUBCASE("in a read of the newest records")
+    {
+        relay.apply_endpoints({ endpoint("other") }, at(6000), Coverage::WholeList);
+    }
+    REQUIRE(ask(follower, relay, at(6500)));
+    CHECK(usable(follower) == 1);
+}
--- a/Tests/LibMembership/TestEndpointJournal.cpp
+++ b/Tests/LibMembership/TestEndpointJournal.cpp
@@ -59,6 +59,42 @@
     CHECK(changes.revision == 7);
 }
 
+TEST_CASE("the removal of an endpoint that is not listed is passed on, and doesn't count as one that is")
+{
+    EndpointJournal journal;
+    journal.put(endpoint("a"), 5);
+    CHECK_FALSE(journal.remove("b", 6));
+    CHECK_FALSE(journal.remove("b", 7));
+    CHECK(journal.size() == 1);
+    auto const answer = journal.changes_since(6);
+    REQUIRE(answer.changes.size() == 1);
+    CHECK(answer.changes[0] == EndpointChange { "b", std::nullopt });
+}
+
+TEST_CASE("a record that is listed late reaches followers that are beyond it, until it changes or is forgotten")
+{
+    EndpointJournal journal;
+    journal.put(endpoint("a"), 5);
+    journal.advance(9);
+    journal.put_out_of_sequence(endpoint("b"));
+    Follower ahead;
+    ahead.revision = 12;
+    ahead.poll(journal);
+    CHECK(ahead.known.contains("b"));
+    SUBCASE("it is forgotten")
+    {
+        journal.forget_out_of_sequence();
+        CHECK(journal.changes_since(12).changes.empty());
+    }
+    SUBCASE("it is removed")
+    {
+        journal.remove("b", 13);
+        ahead.poll(journal);
+        CHECK(ahead.known.empty());
+        CHECK(journal.changes_since(13).changes.empty());
+    }
+}
+
 TEST_CASE("the time for which an endpoint stays cold is a change only when it does not just pass")
 {
     auto const cold_for = [](int seconds) {
--- a/Tests/LibMembership/TestLateRecordFilter.cpp
+++ b/Tests/LibMembership/TestLateRecordFilter.cpp
@@ -111,7 +111,7 @@
     auto const listed = cold_endpoint(10'000);
     auto const lateness = filter.lateness_of(record, &listed, RecordSource::Store, at(time));
     if (lateness)
-        filter.record_ignored(record, *lateness);
+        filter.record_ignored(record, *lateness, RecordSource::Store);
     else
         filter.record_accepted(record, RecordSource::Store, at(time));
     return !lateness;
@@ -169,3 +169,43 @@
             == Lateness::EarlierInstance);
     }
 }
+
+// Guards against a running endpoint that stays out of use: the box that has just started took its entry's lapse for its
+// departure, and the entry doesn't change any more.
+TEST_CASE("an ignored record is current once a late write can't account for it any more, unless something followed it")
+{
+    auto filter = after_heartbeats({ 0, 1200, 2400 });
+    filter.entry_removed({ "a", start }, at(3200));
+    filter.record_ignored(endpoint(start), Lateness::AfterRemoval, RecordSource::Store);
+    SUBCASE("nothing followed")
+    {
+        CHECK(filter.take_current(at(15'200)).empty());
+        CHECK(filter.take_current(at(15'201)) == std::vector { endpoint(start) });
+    }
+    SUBCASE("the entry was removed")
+    {
+        filter.entry_ended("a");
+    }
+    SUBCASE("a later process wrote its entry")
+    {
+        filter.record_accepted(endpoint(start + 9000), RecordSource::Store, at(9000));
+    }
+    SUBCASE("the endpoint drains")
+    {
+        filter.record_accepted(endpoint(start, true), RecordSource::Store, at(9000));
+    }
+    SUBCASE("a whole list follows")
+    {
+        CHECK(filter.take_ignored() == std::vector<std::string> { "a" });
+    }
+    CHECK(filter.take_current(at(60'000)).empty());
+}
+
+TEST_CASE("a record that is late for good, or that a relay sent, doesn't become current")
+{
+    LateRecordFilter filter;
+    filter.record_accepted(endpoint(start, true), RecordSource::Store, at(0));
+    filter.record_ignored(endpoint(start), Lateness::AfterDraining, RecordSource::Store);
+    filter.record_ignored(endpoint(start), Lateness::EarlierInstance, RecordSource::Relay);
+    CHECK(filter.take_current(at(3'600'000)).empty());
+}
