LibGateway: Count only allocated memory for what is held back

An answer with nothing held back counted as 15 bytes, which is the capacity of an empty string, so the account of a box never came back to 0.

--- a/Libraries/LibGateway/AnswerBuffer.h
+++ b/Libraries/LibGateway/AnswerBuffer.h
@@ -10,6 +10,13 @@
 
 namespace Gateway {
 
+/// Memory beside the text itself, which holds a few bytes.
+[[nodiscard]] inline std::size_t allocated_bytes(std::string const& text)
+{
+    static std::size_t const inline_bytes = std::string().capacity();
+    return text.capacity() > inline_bytes ? text.capacity() : 0;
+}
+
 /// The part of one answer that was read from its endpoint and that the client has not taken yet, within a limit for the
 /// answer and one for all answers of the box. Counts allocated memory. Without I/O; only for one thread.
 ///
--- a/Libraries/LibGateway/EventSplitter.h
+++ b/Libraries/LibGateway/EventSplitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/AnswerBuffer.h>
 #include <LibGateway/EventStreamPosition.h>
 
 #include <string>
@@ -23,7 +24,7 @@
     /// The bytes received after the last whole event.
     [[nodiscard]] std::string const& partial_event() const { return this->partial; }
     /// Memory that is held for these bytes.
-    [[nodiscard]] std::size_t held_bytes() const { return this->partial.capacity(); }
+    [[nodiscard]] std::size_t held_bytes() const { return allocated_bytes(this->partial); }
     /// Discards an incomplete event, before another endpoint continues the stream.
     void discard_partial_event()
     {
--- a/Libraries/LibGateway/RequestExchange.cpp
+++ b/Libraries/LibGateway/RequestExchange.cpp
@@ -350,7 +350,7 @@
             piece += this->forwardable(received);
             if (!is_buffered && !piece.empty())
                 break;
-            auto const held_back = piece.capacity() + this->events.held_bytes();
+            auto const held_back = allocated_bytes(piece) + this->events.held_bytes();
             if (this->held.try_hold_back(held_back) && held_back <= AnswerBuffer::max_answer_bytes)
                 continue;
             if (is_buffered)
