LibRouting: Trust a list for the only version of a service only while it is current

Cause: for a client that names no earlier attempt the box took the only version in its list for the one that began the stream, however old the list was, and although another version may have left while the stream ran.

The list counts only if it was read within half the drain bound (readings are at most 0.4 of it apart), and if no other version came, changed or left within the time that the stream may have run; otherwise the origin is unknown and the client is refused with a Retry-After. Read and shown by a unit test, not reproduced with real boxes.

TestStreamVersions, TestStreamBrokenOff, TestLeader, TestRelay, TestRoute and six more with real boxes pass, plain.

--- a/Libraries/LibGateway/ExchangeStreams.cpp
+++ b/Libraries/LibGateway/ExchangeStreams.cpp
@@ -23,7 +23,8 @@
     } else if (!this->taken_up_attempt.empty()) {
         auto const stream = Routing::stream_id_of(this->admitted->account, this->taken_up_attempt);
         origin = co_await this->state.stream_origin_exchange.find(stream);
-    } else if (auto const version = this->state.router.only_version(this->admitted->service)) {
+    } else if (auto const version
+        = this->state.router.only_version(this->admitted->service, started - this->max_stream_duration(), started)) {
         origin = { this->admitted->service, *version };
     }
     bool const may_continue = origin && Routing::RequestRouter::restrict_to_origin(*this->admitted, *origin);
@@ -40,6 +41,13 @@
     co_return Routing::Rejected { Reason::StreamOriginUnknown, retry_after_unknown_stream };
 }
 
+Core::Duration RequestExchange::max_stream_duration() const
+{
+    // NOTE: The client may come back for as long as it waits, which may be longer than the route allows one attempt.
+    auto const patience = std::max(this->patience.value_or(Core::Duration { 0 }), this->admitted->route->timeout);
+    return std::min(patience, max_stream_age);
+}
+
 void RequestExchange::note_stream_began(Attempt const& attempt)
 {
     bool const begins = this->splits_events && this->events.has_events() && !this->admitted->stream_version;
@@ -52,10 +60,8 @@
     bool const was_noted_by_other_box = attempt.placed.endpoint.incarnation.empty();
     if (was_noted_by_other_box || this->attempt_id.empty())
         return;
-    // NOTE: The client may come back for as long as it waits, which may be longer than the route allows one attempt.
-    auto const patience = std::max(this->patience.value_or(Core::Duration { 0 }), this->admitted->route->timeout);
     this->state.stream_origin_exchange.stream_began({ Routing::stream_id_of(this->admitted->account, this->attempt_id),
-        { this->admitted->service, attempt.placed.endpoint.version }, std::min(patience, max_stream_age) });
+        { this->admitted->service, attempt.placed.endpoint.version }, this->max_stream_duration() });
 }
 
 }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -16,8 +16,12 @@
 
 Routing::RouterSettings router_settings(Adapter::BoxEnvironment const& environment)
 {
-    return { environment.failure_domain, environment.lease, environment.retry, {}, environment.domain_regions,
-        environment.cold };
+    Routing::RouterSettings settings { environment.failure_domain, environment.lease, environment.retry, {},
+        environment.domain_regions, environment.cold };
+    // NOTE: The list is read up to 0.4 of this bound apart, or an endpoint that drains would be used for too long.
+    if (environment.drain_within > Core::Duration { 0 })
+        settings.max_list_age = environment.drain_within / 2;
+    return settings;
 }
 
 void log_pace_changes(std::vector<Routing::RequestRouter::PaceChange> const& changes)
--- a/Libraries/LibGateway/RequestExchange.h
+++ b/Libraries/LibGateway/RequestExchange.h
@@ -110,6 +110,8 @@
     /// Restricts later attempts to the endpoints that may continue the stream, once it has begun, and makes its origin
     /// known to other boxes. Must be called before the first event is sent to the client.
     void note_stream_began(Attempt const& attempt);
+    /// For how long the stream may run, over all attempts of its client.
+    [[nodiscard]] Core::Duration max_stream_duration() const;
     [[nodiscard]] Task<AttemptEnd> try_endpoint(Attempt& attempt);
     [[nodiscard]] bool goes_through_other_box() const;
     /// Forwards the request to other boxes until one serves or refuses it. Returns false if none could decide.
--- a/Libraries/LibRouting/ListConfirmations.h
+++ b/Libraries/LibRouting/ListConfirmations.h
@@ -28,6 +28,12 @@
         return this->last && *this->last - std::max(event, this->known_since) >= duration;
     }
 
+    /// Whether the list was up to date at a moment that is no longer ago than this.
+    [[nodiscard]] bool is_recent(Duration max_age, Instant now) const
+    {
+        return this->last && now - *this->last <= max_age;
+    }
+
 private:
     /// If two confirmations are further apart, the list was unknown in between.
     static constexpr Duration max_gap { std::chrono::seconds(2) };
--- a/Libraries/LibRouting/RequestRouter.cpp
+++ b/Libraries/LibRouting/RequestRouter.cpp
@@ -102,12 +102,20 @@
 bool RequestRouter::put_endpoint(EndpointRecord const& record, Instant now)
 {
     std::scoped_lock const guard(this->endpoints_lock);
+    this->note_version(record.incarnation, now);
+    this->versions.note(record.service, record.version, now);
     bool const has_changed = this->directory.put(record);
     this->forget_notices_of_moved();
     this->update_cold(record, now);
     return has_changed;
 }
 
+void RequestRouter::note_version(std::string const& incarnation, Instant now)
+{
+    if (auto const* const known = this->directory.find(incarnation))
+        this->versions.note(known->record.service, known->record.version, now);
+}
+
 void RequestRouter::update_cold(EndpointRecord const& record, Instant now)
 {
     if (auto const* const known = this->directory.find(record.incarnation))
@@ -123,12 +131,15 @@
 void RequestRouter::remove_endpoint(std::string const& incarnation, Instant now)
 {
     std::scoped_lock const guard(this->endpoints_lock);
+    this->note_version(incarnation, now);
     this->directory.remove(incarnation, now);
 }
 
 void RequestRouter::replace_endpoints(std::vector<EndpointRecord> const& records, Instant now)
 {
     std::scoped_lock const guard(this->endpoints_lock);
+    for (auto const& [incarnation, endpoint] : this->directory.all())
+        this->versions.note(endpoint.record.service, endpoint.record.version, now);
     this->directory.replace_all(records, now);
     this->forget_notices_of_moved();
     for (auto const& record : records)
--- a/Libraries/LibRouting/RequestRouter.h
+++ b/Libraries/LibRouting/RequestRouter.h
@@ -7,6 +7,7 @@
 #include <LibRouting/EndedProcesses.h>
 #include <LibRouting/EndpointBackoffs.h>
 #include <LibRouting/EndpointNotices.h>
+#include <LibRouting/ListedVersions.h>
 #include <LibRouting/LoadReport.h>
 #include <LibRouting/Placement.h>
 #include <LibRouting/RetryBudget.h>
@@ -126,6 +127,8 @@
     /// The region of each failure domain.
     std::map<std::string, std::string> domain_regions {};
     ColdBounds cold {};
+    /// A list of endpoints that was read longer ago doesn't tell which versions there are.
+    Duration max_list_age { std::chrono::seconds(1) };
 
     bool operator==(RouterSettings const&) const = default;
 };
@@ -188,8 +191,9 @@
     /// From now on only endpoints that may continue the stream get the request. Returns false if the route doesn't lead
     /// to their service.
     [[nodiscard]] static bool restrict_to_origin(Admitted& request, StreamOrigin const& origin);
-    /// The version of the software of all known endpoints of a service; nothing if there are several or none.
-    [[nodiscard]] std::optional<std::string> only_version(std::string_view service) const;
+    /// The version of the software of all endpoints of a service that were listed at any time since `since`; nothing if
+    /// there were several or none, or if this box doesn't know the present list: another one may have joined.
+    [[nodiscard]] std::optional<std::string> only_version(std::string const& service, Instant since, Instant now) const;
     /// Whether a box of the failure domain may handle the request's body. With restricted regions only boxes within
     /// them may, since the client's own region is not known.
     [[nodiscard]] bool may_pass_through(Admitted const& request, std::string const& failure_domain) const;
@@ -354,6 +358,8 @@
     /// Removes what is known of the endpoint by its id only.
     void forget_endpoint(EndpointId id);
     void forget_notices_of_moved();
+    /// The endpoint is listed with its version until now.
+    void note_version(std::string const& incarnation, Instant now);
     void update_cold(EndpointRecord const& record, Instant now);
     /// The limit of a service's endpoints while they are cold; unset if they never are.
     [[nodiscard]] std::optional<double> cold_limit_of(Admitted const& request) const;
@@ -414,6 +420,7 @@
     ColdEndpoints cold;
     BrittleEndpoints brittle;
     EndedProcesses ended;
+    ListedVersions versions;
     std::set<std::string> evacuated_domains;
     Duration shared_clock_ahead { 0 };
     std::unordered_map<std::string, RetryBudget> budgets;
--- a/Libraries/LibRouting/RouterPlacement.cpp
+++ b/Libraries/LibRouting/RouterPlacement.cpp
@@ -216,9 +216,11 @@
     return true;
 }
 
-std::optional<std::string> RequestRouter::only_version(std::string_view service) const
+std::optional<std::string> RequestRouter::only_version(std::string const& service, Instant since, Instant now) const
 {
     std::scoped_lock const guard(this->endpoints_lock);
+    if (!this->notices.list_confirmations().is_recent(this->settings.max_list_age, now))
+        return {};
     std::optional<std::string> version;
     for (auto const& [incarnation, endpoint] : this->directory.all()) {
         if (endpoint.record.service != service)
@@ -227,6 +229,9 @@
             return {};
         version = endpoint.record.version;
     }
+    // NOTE: A stream may have begun at an endpoint that has left since.
+    if (version && this->versions.was_other_listed(service, *version, since))
+        return {};
     return version;
 }
 
--- a/Tests/LibGateway/ScriptedExchange.h
+++ b/Tests/LibGateway/ScriptedExchange.h
@@ -94,6 +94,7 @@
                     { "127.0.0.1", this->endpoints.back()->acceptor.local_endpoint().port() }, "hall", 6, false },
                 Core::monotonic_now());
         }
+        this->state.router.confirm_endpoints(Core::monotonic_now());
         this->client.far.non_blocking(true);
     }
 
--- a/Tests/LibRouting/TestStreamVersion.cpp
+++ b/Tests/LibRouting/TestStreamVersion.cpp
@@ -86,14 +86,44 @@
 TEST_CASE("a service has only one version while no endpoint of another is known, even a draining one")
 {
     Box box;
-    CHECK_FALSE(box.router.only_version("desk"));
-    CHECK_FALSE(box.router.only_version("other"));
+    box.router.confirm_endpoints(at(seconds(1)));
+    auto const only_version = [&](std::string const& service, Duration since) {
+        return box.router.only_version(service, at(since), at(seconds(2)));
+    };
+    CHECK_FALSE(only_version("desk", seconds(0)));
+    CHECK_FALSE(only_version("other", seconds(0)));
     for (auto const* name : { "old-1", "old-2" })
         box.put(name, "v1", true);
-    CHECK_FALSE(box.router.only_version("desk"));
+    CHECK_FALSE(only_version("desk", seconds(0)));
     for (auto const* name : { "old-1", "old-2" })
         box.router.remove_endpoint(name, at(seconds(1)));
-    CHECK(box.router.only_version("desk") == "v1.2");
+    // A stream that began before may be of a version that has left.
+    CHECK_FALSE(only_version("desk", seconds(1)));
+    CHECK(only_version("desk", std::chrono::milliseconds(1001)) == "v1.2");
+    EndpointRecord record { "new-3", "desk", { "10.0.0.1", 80 }, "hall", 6, false };
+    record.version = "v2";
+    box.router.put_endpoint(record, at(std::chrono::milliseconds(1500)));
+    CHECK_FALSE(only_version("desk", std::chrono::milliseconds(1900)));
+}
+
+// Guards against streams that go on at two software versions: a box that was cut off, or stood still, has a list
+// without the endpoints that joined meanwhile, and takes the only version that it knows for the one which began the
+// stream.
+TEST_CASE("a list that was read too long ago doesn't tell the only version")
+{
+    Box box;
+    for (auto const* name : { "old-1", "old-2" })
+        box.router.remove_endpoint(name, at(seconds(0)));
+    auto const only_version
+        = [&](Duration now) { return box.router.only_version("desk", at(std::chrono::milliseconds(1)), at(now)); };
+    CHECK_FALSE(only_version(seconds(1)));
+    box.router.confirm_endpoints(at(seconds(1)));
+    CHECK(only_version(seconds(2)) == "v1.2");
+    CHECK_FALSE(only_version(std::chrono::milliseconds(2001)));
+    box.router.confirm_endpoints(at(seconds(9)));
+    CHECK(only_version(seconds(9)) == "v1.2");
+    box.router.mark_endpoints_uncertain();
+    CHECK_FALSE(only_version(seconds(9)));
 }
 
 // Guards against streams that go on at two software versions: an endpoint starts again with another version while the
