LibGateway: Pass on no success that nothing ties to its request

Cause: an answer that named no request was taken for the one to the request that waits, and nothing looked for the endpoint's stamp. An answer that names no request on a connection that carried another one, and a success without the stamp, are no answer now: 502, or another endpoint where the request may be repeated.

--- a/Libraries/LibGateway/EndpointCall.cpp
+++ b/Libraries/LibGateway/EndpointCall.cpp
@@ -100,7 +100,7 @@
             co_return http::error::bad_transfer_encoding;
         facts = Adapter::decode_answer(this->head(), this->attempt);
         if (!facts.is_for_other_request)
-            co_return error_code {};
+            co_return this->check_owner(facts);
         Log::EventLine("answer_for_other_request").with("id", this->attempt).info();
         if (auto const too_many = this->count_skipped(std::max(bytes, min_skipped_answer_bytes)))
             co_return too_many;
@@ -109,6 +109,21 @@
     }
 }
 
+error_code EndpointCall::check_owner(Adapter::AnswerFacts const& facts) const
+{
+    bool const may_be_of_earlier_request
+        = this->reused && !this->attempt.empty() && !facts.names_request && !facts.not_run;
+    if (!may_be_of_earlier_request && !facts.lacks_proof)
+        return {};
+    Log::EventLine("answer_unproven")
+        .with("id", this->attempt)
+        .with("status", this->head().result_int())
+        .with("names_request", facts.names_request ? "yes" : "no")
+        .with("has_proof", facts.lacks_proof ? "no" : "yes")
+        .info();
+    return http::error::bad_value;
+}
+
 Task<error_code> EndpointCall::read_piece(std::string& piece)
 {
     auto const before = piece.size();
--- a/Libraries/LibGateway/EndpointCall.h
+++ b/Libraries/LibGateway/EndpointCall.h
@@ -82,6 +82,10 @@
     /// Whether the connection ended the answer, but may have done so by a reset: an endpoint that closes before it has
     /// read the whole request resets the connection, and the end of the answer may be lost.
     [[nodiscard]] bool is_end_uncertain() const;
+    /// Returns an error for an answer that nothing ties to this request: a success without the endpoint's proof, or one
+    /// that names no request on a connection that carried another one. An endpoint in trouble may send the bytes of an
+    /// earlier answer again, without their names.
+    [[nodiscard]] error_code check_owner(Adapter::AnswerFacts const& facts) const;
     /// Reads the rest of a body that is skipped.
     [[nodiscard]] Task<error_code> skip_body();
     /// Counts bytes that are skipped. Returns an error if there are too many of them.
--- a/Tests/LibGateway/TestAnswerEnds.cpp
+++ b/Tests/LibGateway/TestAnswerEnds.cpp
@@ -96,3 +96,45 @@
         CHECK(play.received.starts_with("HTTP/1.1 502 "));
     }
 }
+
+// An endpoint in trouble sends the bytes of its last answer again, without what names the request, and they arrive when
+// the next request is there.
+TEST_CASE("an answer that names no request is not the one to the next request of its connection")
+{
+    for (std::string const head : { "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\n",
+             "HTTP/1.1 500 No\r\nX-Response-Stamp: s\r\n" }) {
+        CAPTURE(head);
+        Exchange play(RouteKind::NonIdempotent);
+        play.start("first");
+        play.endpoints[play.wait_for_arrival()]->answer(whole_answer);
+        REQUIRE(play.ends());
+        play.received.clear();
+        play.has_ended = false;
+        play.endpoints[0]->connections[0]->received.clear();
+        play.answered.clear();
+        play.start("second");
+        auto const where = play.wait_for_arrival();
+        REQUIRE(play.endpoints[where]->connections.size() == 1);
+        play.endpoints[where]->answer(head + "Content-Length: 5\r\n\r\nfirst");
+        REQUIRE(play.ends());
+        CHECK(play.received.starts_with("HTTP/1.1 502 "));
+        CHECK(play.received.find("first") == std::string::npos);
+    }
+}
+
+TEST_CASE("a success without the endpoint's proof is no success, and a rejection may lack the request's name")
+{
+    Exchange unproven(RouteKind::NonIdempotent);
+    unproven.start();
+    unproven.endpoints[unproven.wait_for_arrival()]->answer(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE(unproven.ends());
+    CHECK(unproven.received.starts_with("HTTP/1.1 502 "));
+
+    Exchange rejected(RouteKind::NonIdempotent);
+    rejected.start();
+    rejected.endpoints[rejected.wait_for_arrival()]->answer(
+        "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(rejected.ends());
+    CHECK(rejected.received.starts_with("HTTP/1.1 503 "));
+}
--- a/Tests/LibGateway/TestClientConnection.cpp
+++ b/Tests/LibGateway/TestClientConnection.cpp
@@ -294,7 +294,8 @@
     connection.send("GET /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 7\r\n\r\n");
     REQUIRE(connection.arrives());
     asio::write(connection.at_endpoint,
-        asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(answer_bytes) + "\r\n\r\n"));
+        asio::buffer(
+            "HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\nContent-Length: " + std::to_string(answer_bytes) + "\r\n\r\n"));
     connection.at_endpoint.non_blocking(true);
     std::string const piece(64 * 1024, 'x');
     std::size_t sent = 0;
--- a/Tests/LibGateway/TestRequestExchange.cpp
+++ b/Tests/LibGateway/TestRequestExchange.cpp
@@ -48,7 +48,7 @@
     Exchange request(RouteKind::NonIdempotent);
     request.start();
     auto& endpoint = *request.endpoints[request.wait_for_arrival()];
-    endpoint.answer("HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\n\r\nwhole");
+    endpoint.answer("HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\nX-Response-Stamp: s\r\n\r\nwhole");
     endpoint.close();
     REQUIRE(request.ends());
     CHECK(request.received.ends_with("5\r\nwhole\r\n0\r\n\r\n"));
