Tests: Find the process behind a connection without reading the table of all connections

Cause, reproduced with 16 runs side by side beside a build: the proxies that cut a box off look up who opened each new connection, and read the kernel's table of all connections for it. The other tests leave some 25,000 closed connections in that table, and one reading took 44 ms alone. A proxy accepts one connection after another, so requests of 350 ms of work took over 1.2 s by way of another box and ended at their time limit: the check that as many are served as there are clients failed, the checks on requests without an answer held.

The proxies now ask the kernel about the one connection, or about those to one port, and leave closed ones out.

--- a/Tests/Harness/FaultProxy.cpp
+++ b/Tests/Harness/FaultProxy.cpp
@@ -70,7 +70,7 @@
 {
     if (this->faults_by_process.empty())
         return Fault::None;
-    OpenConnections const connections(this->acceptor.local_endpoint().port());
+    OpenConnections const connections(this->acceptor.local_endpoint().port(), near_port);
     for (auto const& [process, process_fault] : this->faults_by_process) {
         if (connections.is_held_by(process, near_port))
             return process_fault;
