LibGateway: Ignore a list of boxes that was read before the one in use

Cause: boxes compared lists of boxes by fingerprint only. A box with a newer list took the older one of another relay and forgot boxes for up to a minute, as TestStreamVersions showed ("b3 knows the others" didn't come true).

Relays leave out lists that are older than the requester's, and boxes ignore such lists. A box's own reading always holds. WholeTopic carries the era of its first page, which replaces a local of StoreFollower.

--- a/Libraries/LibGateway/BoxRegistry.cpp
+++ b/Libraries/LibGateway/BoxRegistry.cpp
@@ -2,7 +2,6 @@
 
 #include <LibCore/Verify.h>
 #include <LibGateway/HttpStatus.h>
-#include <LibGateway/WholeTopic.h>
 #include <LibLog/EventLog.h>
 #include <LibMembership/CrashMessages.h>
 
@@ -128,13 +127,14 @@
 
 Task<void> BoxRegistry::read_relay_record()
 {
-    auto const records = co_await this->read_topic(Adapter::Topic::Relays);
-    if (!records) {
+    auto const topic = co_await this->read_topic(Adapter::Topic::Relays);
+    if (!topic) {
         this->relay_search.read_failed(monotonic_now());
         co_return;
     }
+    this->relay_records_end = topic->end;
     std::optional<Membership::BoxRecord> found;
-    for (auto const& record : *records) {
+    for (auto const& record : topic->records) {
         if (record.key != this->own.failure_domain || !record.value)
             continue;
         found = Membership::decode_relay(*record.value);
@@ -203,15 +203,15 @@
     // NOTE: All boxes notice a restored store within a second; the jitter spreads their reads.
     if (std::exchange(this->must_read, false))
         co_await sleep_for(this->random_up_to(short_pause));
-    auto const records = co_await this->read_topic(Adapter::Topic::Boxes);
+    auto const topic = co_await this->read_topic(Adapter::Topic::Boxes);
     auto pause = short_pause;
-    if (records) {
+    if (topic) {
         Membership::BoxRecords listed;
-        for (auto const& record : *records)
+        for (auto const& record : topic->records)
             listed.emplace(record.key, record.value.value_or(""));
         this->rewrite_missing(listed);
         this->add_lost_records(listed);
-        this->apply_records(listed);
+        this->apply_records(listed, topic->era, topic->end);
         co_await this->delete_stale_records();
         bool const is_registered = !this->registers_at;
         if (is_registered)
@@ -231,6 +231,10 @@
 
 void BoxRegistry::apply_relayed(Membership::SharedBoxRecords const& relayed)
 {
+    if (relayed.version.is_older_than(this->records_version())) {
+        Log::EventLine("box_records_outdated").with("end", relayed.version.end).info();
+        return;
+    }
     Core::LastReason reason;
     auto const text = relayed.records.text(reason);
     auto const records = text ? Membership::decode_box_records(*text) : std::nullopt;
@@ -239,20 +243,21 @@
         Log::EventLine("box_records_rejected").with("reason", text ? "not box records" : reason.text).warning();
         return;
     }
-    this->apply_records(*records);
+    this->apply_records(*records, relayed.version.era, relayed.version.end);
 }
 
-void BoxRegistry::apply_records(Membership::BoxRecords const& records)
+void BoxRegistry::apply_records(Membership::BoxRecords const& records, std::uint64_t era, std::uint64_t end)
 {
     auto const text = Membership::encode(records);
-    if (!records.empty() && fingerprint_of(text) != this->fingerprint()) {
-        Core::LastReason reason;
-        if (auto compressed = Membership::CompressedText::of(text, reason))
-            this->copy = Membership::SharedBoxRecords { fingerprint_of(text), std::move(*compressed) };
-        else
-            Log::EventLine("box_records_not_compressed").with("reason", reason.text).warning();
-        Log::EventLine("boxes_listed").with("records", records.size()).with("bytes", text.size()).info();
-    }
+    Membership::BoxRecordsVersion const version { fingerprint_of(text), era, end };
+    if (!records.empty() && version.fingerprint != this->records_version().fingerprint)
+        Log::EventLine("boxes_listed")
+            .with("records", records.size())
+            .with("bytes", text.size())
+            .with("end", end)
+            .info();
+    if (!records.empty())
+        this->keep_copy(text, version);
     std::vector<Membership::BoxRecord> boxes;
     for (auto const& [key, value] : records) {
         if (Membership::is_crash_key(key)) {
@@ -272,6 +277,20 @@
     this->on_boxes_read();
 }
 
+void BoxRegistry::keep_copy(std::string const& text, Membership::BoxRecordsVersion const& version)
+{
+    if (version.fingerprint == this->records_version().fingerprint) {
+        if (version.end != 0)
+            this->copy->version = version;
+        return;
+    }
+    Core::LastReason reason;
+    if (auto compressed = Membership::CompressedText::of(text, reason))
+        this->copy = Membership::SharedBoxRecords { version, std::move(*compressed) };
+    else
+        Log::EventLine("box_records_not_compressed").with("reason", reason.text).warning();
+}
+
 void BoxRegistry::register_if_due(Instant now)
 {
     if (!this->registers_at || now < *this->registers_at)
@@ -348,7 +367,7 @@
     }
 }
 
-Task<std::optional<std::vector<Adapter::KeyedRecord>>> BoxRegistry::read_topic(Adapter::Topic topic)
+Task<std::optional<WholeTopic>> BoxRegistry::read_topic(Adapter::Topic topic)
 {
     Core::LastReason reason;
     std::string call_reason;
@@ -366,9 +385,7 @@
             .warning();
         co_return std::nullopt;
     }
-    if (topic == Adapter::Topic::Relays)
-        this->relay_records_end = whole->end;
-    co_return std::move(whole->records);
+    co_return std::move(*whole);
 }
 
 Task<bool> BoxRegistry::write(Adapter::KeyedRecord const& record)
--- a/Libraries/LibGateway/BoxRegistry.h
+++ b/Libraries/LibGateway/BoxRegistry.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/GatewayState.h>
 #include <LibGateway/HttpConnection.h>
+#include <LibGateway/WholeTopic.h>
 #include <LibMembership/ControlSource.h>
 #include <LibMembership/RelayMessages.h>
 #include <LibMembership/RelaySearch.h>
@@ -51,13 +52,16 @@
     /// Queues a record for the topic of box records. Writing is retried until the store has accepted the record.
     void queue_write(Adapter::KeyedRecord record);
 
-    /// The fingerprint of this box's copy of the topic; 0 for none.
-    [[nodiscard]] std::uint64_t fingerprint() const { return this->copy ? this->copy->fingerprint : 0; }
+    /// The version of this box's copy of the topic.
+    [[nodiscard]] Membership::BoxRecordsVersion records_version() const
+    {
+        return this->copy ? this->copy->version : Membership::BoxRecordsVersion {};
+    }
     /// This box's copy of the topic, to be passed on; empty for none.
     [[nodiscard]] std::optional<Membership::SharedBoxRecords> const& records() const { return this->copy; }
     /// A box that is not listed asked this one for the store's records: the list is read again soon.
     void note_unlisted_box();
-    /// Applies a relay's copy of the topic.
+    /// Applies a relay's copy of the topic, unless it was read before this box's copy.
     void apply_relayed(Membership::SharedBoxRecords const& relayed);
 
     /// The store was restored from an older copy: reads the list anew and rewrites the records that the copy lacks.
@@ -88,8 +92,10 @@
     /// Arranges for this box's record to be written if the list lacks it.
     void check_own_record(Core::Instant now);
     /// The newest records of the topic; empty if the store could not be read.
-    [[nodiscard]] Task<std::optional<std::vector<Adapter::KeyedRecord>>> read_topic(Adapter::Topic topic);
-    void apply_records(Membership::BoxRecords const& records);
+    [[nodiscard]] Task<std::optional<WholeTopic>> read_topic(Adapter::Topic topic);
+    /// Applies records that were read in this era of the store, up to this end of the topic's log.
+    void apply_records(Membership::BoxRecords const& records, std::uint64_t era, std::uint64_t end);
+    void keep_copy(std::string const& text, Membership::BoxRecordsVersion const& version);
     /// True if the store has accepted the record.
     [[nodiscard]] Task<bool> write(Adapter::KeyedRecord const& record);
     /// Writes queued records in order, also those that are queued meanwhile, until the time given.
--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -136,7 +136,7 @@
 void ControlPlane::connect_box_records()
 {
     this->records.set_box_records_relay({
-        [this] { return this->registry->fingerprint(); },
+        [this] { return this->registry->records_version(); },
         [this] { return this->registry->records(); },
         [this](Membership::SharedBoxRecords const& relayed) { this->registry->apply_relayed(relayed); },
     });
--- a/Libraries/LibGateway/ControlRecords.h
+++ b/Libraries/LibGateway/ControlRecords.h
@@ -53,8 +53,8 @@
 
     /// Passes the topic of box records on.
     struct BoxRecordsRelay {
-        /// The fingerprint of this box's copy; 0 for none.
-        std::function<std::uint64_t()> fingerprint;
+        /// The version of this box's copy.
+        std::function<Membership::BoxRecordsVersion()> version;
         /// This box's copy; empty for none.
         std::function<std::optional<Membership::SharedBoxRecords>()> own;
         std::function<void(Membership::SharedBoxRecords const& relayed)> apply;
@@ -165,6 +165,8 @@
     [[nodiscard]] std::uint64_t list_history() const;
     /// Adds the endpoints that the requester lacks to the answer.
     void put_endpoints(Membership::ControlRequest const& request, Membership::ControlAnswer& answer);
+    /// Adds the box records to the answer, unless the requester has the same or newer ones.
+    void put_box_records(Membership::BoxRecordsVersion const& requester, Membership::ControlAnswer& answer) const;
     /// The whole list that an answer brings; empty if it can't be read.
     [[nodiscard]] std::optional<std::vector<Routing::EndpointRecord>> whole_list(
         Membership::ControlAnswer const& answer);
--- a/Libraries/LibGateway/ControlRecordsRelay.cpp
+++ b/Libraries/LibGateway/ControlRecordsRelay.cpp
@@ -70,9 +70,10 @@
 
 Membership::ControlRequest ControlRecords::request(Instant now) const
 {
-    auto const fingerprint = this->box_records_relay.fingerprint ? this->box_records_relay.fingerprint() : 0;
+    auto const box_records
+        = this->box_records_relay.version ? this->box_records_relay.version() : Membership::BoxRecordsVersion {};
     return { this->list_history(), this->journal.revision(), this->version(), this->box_name,
-        this->state.router.work_totals(now), this->failure_domain, fingerprint, true };
+        this->state.router.work_totals(now), this->failure_domain, box_records, true };
 }
 
 std::uint64_t ControlRecords::list_history() const
@@ -137,11 +138,20 @@
         this->answer_shares = this->state.router.answer_shares(now);
     }
     answer.answer_shares = this->answer_shares;
-    if (this->box_records_relay.own && request.box_records_fingerprint != this->box_records_relay.fingerprint())
-        answer.box_records = this->box_records_relay.own();
+    this->put_box_records(request.box_records, answer);
     return answer;
 }
 
+void ControlRecords::put_box_records(
+    Membership::BoxRecordsVersion const& requester, Membership::ControlAnswer& answer) const
+{
+    if (!this->box_records_relay.own)
+        return;
+    auto const own = this->box_records_relay.version();
+    if (own.fingerprint != requester.fingerprint && !own.is_older_than(requester))
+        answer.box_records = this->box_records_relay.own();
+}
+
 bool ControlRecords::apply_relayed(
     Membership::ControlAnswer const& answer, std::string const& relay_domain, Instant asked_at)
 {
--- a/Libraries/LibGateway/StoreFollower.cpp
+++ b/Libraries/LibGateway/StoreFollower.cpp
@@ -117,16 +117,12 @@
 {
     auto const asked_at = monotonic_now();
     Core::LastReason reason;
-    std::optional<std::uint64_t> era_of_first_page;
     auto const topic = co_await read_whole_topic(
-        this->topic, reason, [&, this](std::string const& target) -> Task<std::optional<HttpAnswer>> {
-            auto answer = co_await this->call(target, Core::Duration { 0 });
-            if (answer && !era_of_first_page)
-                era_of_first_page = answer->era;
-            co_return answer;
+        this->topic, reason, [this](std::string const& target) -> Task<std::optional<HttpAnswer>> {
+            co_return co_await this->call(target, Core::Duration { 0 });
         });
     // NOTE: Pages of two eras don't form a list, so the topic is read anew at once.
-    if (topic && era_of_first_page != this->records.era() && this->records.era() != 0)
+    if (topic && topic->era != this->records.era() && this->records.era() != 0)
         co_return true;
     if (!topic) {
         if (!reason.text.empty()) {
--- a/Libraries/LibGateway/WholeTopic.h
+++ b/Libraries/LibGateway/WholeTopic.h
@@ -16,6 +16,8 @@
     std::vector<std::uint64_t> offsets;
     /// Where to continue reading. No record appended after the first page was made is missed.
     std::uint64_t end { 0 };
+    /// The store's era as of the first page.
+    std::uint64_t era { 0 };
     /// Number of records that can't be read.
     std::size_t unreadable { 0 };
 };
@@ -68,8 +70,10 @@
             co_return std::nullopt;
         }
         // NOTE: Pages are not a consistent snapshot, so reading continues at the end of the log as of the first page.
-        if (std::exchange(is_first, false))
+        if (std::exchange(is_first, false)) {
             whole.end = page->end;
+            whole.era = answer->era;
+        }
         after = page->continue_after;
         whole.unreadable += page->unreadable;
         std::ranges::move(page->records, std::back_inserter(whole.records));
--- a/Libraries/LibMembership/RelayMessages.cpp
+++ b/Libraries/LibMembership/RelayMessages.cpp
@@ -122,7 +122,9 @@
     auto records = compressed_from(std::move(*message.mutable_compressed_box_records()), message.box_records_bytes());
     if (!records)
         return false;
-    answer.box_records = SharedBoxRecords { message.box_records_fingerprint(), std::move(*records) };
+    BoxRecordsVersion const version { message.box_records_fingerprint(), message.box_records_era(),
+        message.box_records_end() };
+    answer.box_records = SharedBoxRecords { version, std::move(*records) };
     return true;
 }
 
@@ -136,7 +138,10 @@
         return;
     message.set_compressed_box_records(answer.box_records->records.bytes());
     message.set_box_records_bytes(answer.box_records->records.text_size());
-    message.set_box_records_fingerprint(answer.box_records->fingerprint);
+    auto const& version = answer.box_records->version;
+    message.set_box_records_fingerprint(version.fingerprint);
+    message.set_box_records_era(version.era);
+    message.set_box_records_end(version.end);
 }
 
 /// Stores the configuration in the message, or returns the bytes that follow the message.
@@ -227,7 +232,9 @@
     message.set_configuration_version(request.configuration_version);
     message.set_asker(request.requester);
     message.set_asker_domain(request.requester_domain);
-    message.set_box_records_fingerprint(request.box_records_fingerprint);
+    message.set_box_records_fingerprint(request.box_records.fingerprint);
+    message.set_box_records_era(request.box_records.era);
+    message.set_box_records_end(request.box_records.end);
     message.set_takes_compressed_endpoints(request.takes_compressed_endpoints);
     for (auto const& [service, totals] : request.work) {
         auto& work = *message.add_work();
@@ -250,8 +257,10 @@
     if (message.asker().size() > max_name_size || message.asker_domain().size() > max_name_size
         || message.work_size() > max_services)
         return {};
+    BoxRecordsVersion const box_records { message.box_records_fingerprint(), message.box_records_era(),
+        message.box_records_end() };
     ControlRequest request { message.source(), message.revision(), message.configuration_version(), message.asker(), {},
-        message.asker_domain(), message.box_records_fingerprint(), message.takes_compressed_endpoints() };
+        message.asker_domain(), box_records, message.takes_compressed_endpoints() };
     for (auto const& work : message.work())
         request.work.emplace(
             work.service(), Routing::WorkTotals { non_negative(work.answer_work()), non_negative(work.prompt_work()) });
--- a/Libraries/LibMembership/RelayMessages.h
+++ b/Libraries/LibMembership/RelayMessages.h
@@ -5,6 +5,7 @@
 #include <LibRouting/EngineDemand.h>
 
 #include <set>
+#include <tuple>
 #include <variant>
 
 namespace Membership {
@@ -12,10 +13,27 @@
 /// The records of a topic that boxes write, by key, as they are stored.
 using BoxRecords = std::map<std::string, std::string>;
 
+/// Which box records a box has, and when they were read from the store.
+struct BoxRecordsVersion {
+    /// Differs for other records; 0 for none.
+    std::uint64_t fingerprint { 0 };
+    /// The store's era, and the end of the topic's log when the records were read. The end is 0 if neither is known:
+    /// boxes of earlier versions don't tell.
+    std::uint64_t era { 0 };
+    std::uint64_t end { 0 };
+
+    /// False if it isn't known which are older.
+    [[nodiscard]] bool is_older_than(BoxRecordsVersion const& other) const
+    {
+        return this->end != 0 && other.end != 0 && std::tie(this->era, this->end) < std::tie(other.era, other.end);
+    }
+
+    bool operator==(BoxRecordsVersion const&) const = default;
+};
+
 /// A copy of the topic of box records that boxes pass on.
 struct SharedBoxRecords {
-    /// Differs for other records; never 0.
-    std::uint64_t fingerprint { 0 };
+    BoxRecordsVersion version;
     CompressedText records;
 
     bool operator==(SharedBoxRecords const&) const = default;
@@ -34,8 +52,8 @@
     std::map<std::string, Routing::WorkTotals> work;
     /// Failure domain of the requester; empty from boxes that use relays of their own domain only.
     std::string requester_domain;
-    /// Of the requester's copy of the topic of box records; 0 for none.
-    std::uint64_t box_records_fingerprint { 0 };
+    /// Of the requester's copy of the topic of box records.
+    BoxRecordsVersion box_records {};
     /// Whether the requester reads compressed lists of endpoints.
     bool takes_compressed_endpoints { false };
 
@@ -67,7 +85,7 @@
     /// The failure domains whose endpoints get no new requests, as of `configuration_next`; empty if the relay doesn't
     /// know.
     std::optional<std::set<std::string>> evacuated_domains;
-    /// Empty if the requester has the same records, or if the relay has none.
+    /// Empty if the requester has the same records or newer ones, or if the relay has none.
     std::optional<SharedBoxRecords> box_records;
     /// Time since the store responded to the relay again after an outage.
     std::optional<Duration> store_returned_ago;
--- a/Tests/LibGateway/TestBoxRegistry.cpp
+++ b/Tests/LibGateway/TestBoxRegistry.cpp
@@ -82,8 +82,10 @@
     int list_updates { 0 };
 };
 
-/// A copy of the topic of box records as a relay passes it on, with these boxes.
-Membership::SharedBoxRecords relayed(std::vector<std::string> const& names)
+/// A copy of the topic of box records as a relay passes it on, with these boxes. An end of 0 is that of a relay which
+/// doesn't tell when it read them.
+Membership::SharedBoxRecords relayed(
+    std::vector<std::string> const& names, std::uint64_t era = 0, std::uint64_t end = 0)
 {
     Membership::BoxRecords records;
     for (auto const& name : names) {
@@ -92,7 +94,7 @@
         records.emplace(name, Membership::encode(record));
     }
     Core::LastReason reason;
-    return { 17, *Membership::CompressedText::of(Membership::encode(records), reason) };
+    return { { 17, era, end }, *Membership::CompressedText::of(Membership::encode(records), reason) };
 }
 
 constexpr std::string_view newest = "/log-newest";
@@ -121,6 +123,34 @@
     CHECK(box.store.targets.size() == 1);
 }
 
+// Guards against a box that loses boxes which it knows to a relay that read the list before they were there.
+TEST_CASE("a box keeps its list of boxes if a relay passes on one that was read before it")
+{
+    StartingBox box(BoxRegistry::Start::OfThisBox, [](std::string const&) {
+        return Answer { 200, relay_records(other_box("relay"), 1) };
+    });
+    REQUIRE(run_until(box.context, [&] { return box.sources_found > 0; }));
+    auto const boxes_after = [&](Membership::SharedBoxRecords const& records) {
+        box.registry.apply_relayed(records);
+        return box.source.boxes().size();
+    };
+    CHECK(boxes_after(relayed({ "relay", "box", "c", "d" }, 1, 7)) == 4);
+    CHECK(box.registry.records_version().end == 7);
+    // Another relay read the list before d was there.
+    CHECK(boxes_after(relayed({ "relay", "box", "c" }, 1, 6)) == 4);
+    CHECK(box.list_updates == 1);
+    // The same records, read later: lists from before that are older as well.
+    CHECK(boxes_after(relayed({ "relay", "box", "c", "d" }, 1, 9)) == 4);
+    CHECK(boxes_after(relayed({ "relay", "box", "c" }, 1, 8)) == 4);
+    // One box has gone.
+    CHECK(boxes_after(relayed({ "relay", "box", "d" }, 1, 10)) == 3);
+    // Offsets are assigned again after the store was restored from a copy.
+    CHECK(boxes_after(relayed({ "relay", "box", "c", "d" }, 2, 4)) == 4);
+    CHECK(boxes_after(relayed({ "relay", "box" }, 1, 20)) == 4);
+    // A box of an earlier version doesn't tell when it read its list.
+    CHECK(boxes_after(relayed({ "relay", "box" })) == 2);
+}
+
 TEST_CASE("a box that its relay's list lacks writes its record")
 {
     StartingBox box(BoxRegistry::Start::OfThisBox, [](std::string const&) {
@@ -318,8 +348,8 @@
         return Answer { 200, relay_records(other_box("relay"), 1) };
     });
     Core::LastReason reason;
-    box.registry.apply_relayed({ 1, *Membership::CompressedText::of("no records", reason) });
-    box.registry.apply_relayed({ 1, *Membership::CompressedText::of("", reason) });
+    box.registry.apply_relayed({ { 1, 0, 0 }, *Membership::CompressedText::of("no records", reason) });
+    box.registry.apply_relayed({ { 1, 0, 0 }, *Membership::CompressedText::of("", reason) });
     CHECK(box.list_updates == 0);
     CHECK(box.source.is_searching());
 }
--- a/Tests/LibGateway/TestControlRecords.cpp
+++ b/Tests/LibGateway/TestControlRecords.cpp
@@ -257,7 +257,7 @@
     CHECK(box.state.router.usable_endpoints("s", at(1100)) == 999);
 
     relay.apply_endpoints(endpoints(200, "draining"), at(1200), Coverage::UpToEnd);
-    auto const third = relay.records.answer({ 0, 0, 0, "b9", {}, "a", 0, true }, any_length, at(1200));
+    auto const third = relay.records.answer({ 0, 0, 0, "b9", {}, "a", {}, true }, any_length, at(1200));
     REQUIRE(third);
     CHECK(third->endpoint_list->share_bytes() != first->endpoint_list->share_bytes());
     CHECK(third->endpoints.changes.empty());
@@ -288,6 +288,39 @@
     CHECK(!box.records.has_endpoints());
 }
 
+TEST_CASE("a relay passes its box records on to boxes that have others, unless it read its own before")
+{
+    Box relay(1);
+    relay.read(7, { endpoint("a") }, at(1000));
+    Core::LastReason reason;
+    auto const text = Membership::CompressedText::of("box records", reason);
+    REQUIRE(text);
+    relay.records.set_box_records_relay({ [] {
+                                             return Membership::BoxRecordsVersion { 17, 2, 40 };
+                                         },
+        [&] {
+            return Membership::SharedBoxRecords { { 17, 2, 40 }, *text };
+        },
+        {} });
+    auto const is_passed_on = [&](Membership::BoxRecordsVersion const& version) {
+        Membership::ControlRequest request;
+        request.requester = "b2";
+        request.box_records = version;
+        auto const answer = relay.records.answer(request, any_length, at(1000));
+        REQUIRE(answer);
+        return answer->box_records.has_value();
+    };
+    CHECK(is_passed_on({}));
+    CHECK_FALSE(is_passed_on({ 17, 2, 39 }));
+    CHECK(is_passed_on({ 18, 2, 39 }));
+    CHECK(is_passed_on({ 18, 2, 40 }));
+    CHECK_FALSE(is_passed_on({ 18, 2, 41 }));
+    CHECK(is_passed_on({ 18, 1, 41 }));
+    CHECK_FALSE(is_passed_on({ 18, 3, 4 }));
+    // A box of an earlier version doesn't tell when its records were read.
+    CHECK(is_passed_on({ 18, 0, 0 }));
+}
+
 TEST_CASE("boxes with the same relay use its division of the engines")
 {
     Box relay(1);
--- a/Tests/LibMembership/TestEndpointJournal.cpp
+++ b/Tests/LibMembership/TestEndpointJournal.cpp
@@ -195,7 +195,7 @@
 
 TEST_CASE("messages between boxes are decoded as they were encoded")
 {
-    ControlRequest const request { 77, 5, 9, "b1", { { "pool", { 12.5, 3 } } }, "a", 99, true };
+    ControlRequest const request { 77, 5, 9, "b1", { { "pool", { 12.5, 3 } } }, "a", { 99, 3, 70 }, true };
     CHECK(decode_request(encode(request)) == request);
     ControlAnswer answer;
     answer.source = 1;
@@ -211,7 +211,7 @@
     answer.answer_shares = { { "pool", 0.25 } };
     answer.evacuated_domains = { "hall", "other hall" };
     answer.endpoint_list = compressed(encode(std::vector<EndpointChange> { { "c", endpoint("c") } }));
-    answer.box_records = SharedBoxRecords { 17, compressed(encode(BoxRecords { { "b1", "x" } })) };
+    answer.box_records = SharedBoxRecords { { 17, 2, 40 }, compressed(encode(BoxRecords { { "b1", "x" } })) };
     answer.endpoints.changes[0].record->cold_left = std::chrono::milliseconds(1500);
     answer.endpoints.changes[0].record->version = "v1.2";
     CHECK(decode_answer(encode(answer).whole()) == answer);
