--- a/Libraries/LibGateway/BoxRegistry.cpp
+++ b/Libraries/LibGateway/BoxRegistry.cpp
@@ -192,13 +192,13 @@
 {
     auto const now = monotonic_now();
     bool const reads_itself = this->source.reads_store(now) || !this->copy || this->must_read;
-    if (!reads_itself && !this->has_unlisted_box)
+    if (!reads_itself && !this->reads_again)
         co_return short_pause;
-    auto const for_unlisted_box = std::max(this->settled_at, this->list_read_at + short_pause);
-    auto const due = this->has_unlisted_box ? std::min(this->lists_at, for_unlisted_box) : this->lists_at;
+    auto const soonest = std::max(this->settled_at, this->list_read_at + short_pause);
+    auto const due = this->reads_again ? std::min(this->lists_at, soonest) : this->lists_at;
     if (now < due && !this->must_read)
         co_return std::min(due - now, short_pause);
-    this->has_unlisted_box = false;
+    bool const is_requested = std::exchange(this->reads_again, false);
     this->list_read_at = now;
     // NOTE: All boxes notice a restored store within a second; the jitter spreads their reads.
     if (std::exchange(this->must_read, false))
@@ -209,6 +209,7 @@
         Membership::BoxRecords listed;
         for (auto const& record : topic->records)
             listed.emplace(record.key, record.value.value_or(""));
+        this->last_read_at = this->list_read_at;
         this->rewrite_missing(listed);
         this->add_lost_records(listed);
         this->apply_records(listed, topic->era, topic->end);
@@ -217,15 +218,16 @@
         if (is_registered)
             pause = this->source.list_interval(reads++, monotonic_now());
     } else {
+        this->reads_again = this->reads_again || is_requested;
         this->on_boxes_read();
     }
     this->lists_at = monotonic_now() + this->with_jitter(pause);
     co_return Duration { 0 };
 }
 
-void BoxRegistry::note_unlisted_box()
+void BoxRegistry::read_again()
 {
-    if (!std::exchange(this->has_unlisted_box, true))
+    if (!std::exchange(this->reads_again, true))
         this->pause.interrupt();
 }
 
--- a/Libraries/LibGateway/BoxRegistry.h
+++ b/Libraries/LibGateway/BoxRegistry.h
@@ -59,8 +59,10 @@
     }
     /// This box's copy of the topic, to be passed on; empty for none.
     [[nodiscard]] std::optional<Membership::SharedBoxRecords> const& records() const { return this->copy; }
-    /// A box that is not listed asked this one for the store's records: the list is read again soon.
-    void note_unlisted_box();
+    /// Reads the list from the store soon, at most once a second: it may lack boxes.
+    void read_again();
+    /// When the last read of the list that succeeded began; empty without any.
+    [[nodiscard]] std::optional<Core::Instant> const& read_at() const { return this->last_read_at; }
     /// Applies a relay's copy of the topic, unless it was read before this box's copy.
     void apply_relayed(Membership::SharedBoxRecords const& relayed);
 
@@ -146,9 +148,11 @@
     Core::Instant settled_at;
     /// When the list of boxes is read next, if this box has to read it.
     Core::Instant lists_at;
+    /// When the last read of the list began, successful or not.
     Core::Instant list_read_at;
-    /// Whether a box asked that the list lacked when it was last read.
-    bool has_unlisted_box { false };
+    std::optional<Core::Instant> last_read_at;
+    /// Whether the list may lack boxes and has to be read soon.
+    bool reads_again { false };
     std::optional<Membership::SharedBoxRecords> copy;
     std::deque<Adapter::KeyedRecord> queued_writes;
     /// Records of this process, beside its box record, that the store has accepted.
--- a/Libraries/LibGateway/ControlPlane.cpp
+++ b/Libraries/LibGateway/ControlPlane.cpp
@@ -158,8 +158,12 @@
     this->records.set_announcement_relay(
         { [this](Core::Instant now) { return this->leadership->announcement_to_relay(now); },
             [this](Leadership::RelayedAnnouncement const& relayed) { this->leadership->receive_relayed(relayed); } });
-    if (settings.reports_usage)
-        this->usage.emplace(this->state, *this->leadership, this->source.boxes(), process, settings, to_box);
+    if (settings.reports_usage) {
+        UsageReporter::BoxList box_list { [this] { this->registry->read_again(); },
+            [this] { return this->registry->read_at(); } };
+        this->usage.emplace(
+            this->state, *this->leadership, this->source.boxes(), std::move(box_list), process, settings, to_box);
+    }
     if (settings.orders_servers && this->fleet_policy)
         this->fleet.emplace(this->state, *this->leadership, settings, *this->fleet_policy);
 }
@@ -334,7 +338,7 @@
         this->wake_followers();
     }
     if (this->registry && !this->source.boxes().find(request->requester))
-        this->registry->note_unlisted_box();
+        this->registry->read_again();
     auto const max_configuration_bytes = static_cast<double>(this->link_bytes_per_second) * max_transfer_seconds;
     auto const answer = this->records.answer(*request, static_cast<std::size_t>(max_configuration_bytes), now);
     if (!answer)
--- a/Libraries/LibGateway/UsageReporter.cpp
+++ b/Libraries/LibGateway/UsageReporter.cpp
@@ -28,10 +28,11 @@
 }
 
 UsageReporter::UsageReporter(GatewayState& state, Leadership& leadership, Membership::BoxDirectory const& boxes,
-    std::uint64_t process, Adapter::LeaderSettings settings, Leadership::SendToBox send)
+    BoxList box_list, std::uint64_t process, Adapter::LeaderSettings settings, Leadership::SendToBox send)
     : state(state)
     , leadership(leadership)
     , boxes(boxes)
+    , box_list(std::move(box_list))
     , process(process)
     , settings(std::move(settings))
     , send_to_box(std::move(send))
@@ -105,6 +106,8 @@
     this->next_window = this->leadership.first_window();
     this->platform_unreachable_since.reset();
     this->ledger.forget_before(this->next_window);
+    this->collection.begin_term(this->leadership.leader_since());
+    this->box_list.read_again();
     // NOTE: An earlier leader's reports may not have been sent. The platform counts a repeated report once.
     std::erase_if(this->accepted_windows, [this, now](auto const window) { return this->is_over(window, now); });
 }
@@ -128,8 +131,9 @@
 {
     auto const ended_at = Leader::end_of_window(this->next_window, this->settings.usage_window);
     auto const settled_at = ended_at + static_cast<std::uint64_t>(this->settling_time().count());
+    this->collection.boxes_listed(this->box_list.read_at(), now);
     if (this->state.clock.unix_microseconds(now) < settled_at
-        || now - this->leadership.leader_since() < this->settling_time())
+        || !this->collection.is_complete(now, this->settling_time()))
         co_return;
     this->ledger.merge(this->process, this->state.usage.windows());
     auto const window = this->next_window;
--- a/Libraries/LibGateway/UsageReporter.h
+++ b/Libraries/LibGateway/UsageReporter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/Leadership.h>
+#include <LibLeader/CountCollection.h>
 #include <LibLeader/LeaderMessages.h>
 
 #include <set>
@@ -14,7 +15,15 @@
 /// differ.
 class UsageReporter {
 public:
-    UsageReporter(GatewayState& state, Leadership& leadership, Membership::BoxDirectory const& boxes,
+    /// How a new leader gets the list of boxes anew.
+    struct BoxList {
+        /// Has the list read from the store soon.
+        std::function<void()> read_again;
+        /// When the last read that succeeded began; empty without any.
+        std::function<std::optional<Core::Instant>()> read_at;
+    };
+
+    UsageReporter(GatewayState& state, Leadership& leadership, Membership::BoxDirectory const& boxes, BoxList box_list,
         std::uint64_t process, Adapter::LeaderSettings settings, Leadership::SendToBox send);
 
     /// Run until the event loop is stopped.
@@ -36,7 +45,8 @@
     void skip_missed(Core::Instant now);
     void note_platform_call(bool is_answered, Core::Instant now);
     [[nodiscard]] Core::Duration send_interval() const;
-    /// How long after a window's end, or after this box became leader, all boxes have sent their counts.
+    /// How long after a window's end, or after a new leader has read the list of boxes, all boxes have sent their
+    /// counts.
     [[nodiscard]] Core::Duration settling_time() const;
     [[nodiscard]] bool is_over(std::uint64_t window, Core::Instant now) const;
 
@@ -56,11 +66,13 @@
     GatewayState& state;
     Leadership& leadership;
     Membership::BoxDirectory const& boxes;
+    BoxList box_list;
     std::uint64_t process;
     Adapter::LeaderSettings settings;
     Leadership::SendToBox send_to_box;
     HttpConnection connection;
     Leader::UsageLedger ledger;
+    Leader::CountCollection collection;
     /// The token of the term to which the members below belong.
     std::uint64_t term { 0 };
     std::uint64_t next_window { 0 };
--- a/Tests/LibGateway/TestBoxRegistry.cpp
+++ b/Tests/LibGateway/TestBoxRegistry.cpp
@@ -285,13 +285,34 @@
     });
     REQUIRE(run_until(box.context, [&] { return box.calls(newest, boxes_topic) == 1; }));
     for (int question = 0; question < 10; ++question)
-        box.registry.note_unlisted_box();
+        box.registry.read_again();
     REQUIRE(run_until(box.context, [&] { return box.calls(newest, boxes_topic) == 2; }));
     int rounds = 0;
     REQUIRE(run_until(box.context, [&] { return ++rounds > 300; }));
     CHECK(box.calls(newest, boxes_topic) == 2);
 }
 
+// Guards against a new leader that never learns of the boxes which its list lacks, since the read that it asked for
+// failed.
+TEST_CASE("a list that has to be read again is read once the store answers")
+{
+    bool is_answering = false;
+    StartingBox box(BoxRegistry::Start::OfThisBox, [&](std::string const& target) {
+        if (concerns(target, relays_topic))
+            return Answer { 200, relay_records(other_box("relay"), 1) };
+        return Answer { is_answering ? 200U : 503U, full_list() };
+    });
+    REQUIRE(run_until(box.context, [&] { return box.sources_found > 0; }));
+    box.registry.apply_relayed(relayed({ "relay", "box" }));
+    CHECK(box.source.boxes().size() == 2);
+    box.registry.read_again();
+    REQUIRE(run_until(box.context, [&] { return box.calls(newest, boxes_topic) == 1; }));
+    CHECK_FALSE(box.registry.read_at().has_value());
+    is_answering = true;
+    REQUIRE(run_until(box.context, [&] { return box.registry.read_at().has_value(); }));
+    CHECK(box.source.boxes().size() == 4);
+}
+
 // Guards against a task that waited for the next list in a loop without a pause, and so stopped all others.
 TEST_CASE("a box whose store comes back from a copy reads the list at once and goes on with its other work")
 {
