Tests: Have other writers' entries and a list of several pages in the soak

In the play of late writes the list of endpoints now has pages of three entries, and another writer writes and drops entries whose keys hold characters of a query, quotes and bytes that are no text.

--- a/Tests/Harness/PlatformCluster.cpp
+++ b/Tests/Harness/PlatformCluster.cpp
@@ -250,12 +250,17 @@
         std::ranges::count_if(this->servers, [this](auto const& server) { return this->has_ended(server); }));
 }
 
-void PlatformCluster::write_entry(std::string const& key, std::string const& value) const
+bool PlatformCluster::try_write_entry(std::string const& key, std::string const& value) const
 {
     httplib::Client client("127.0.0.1", this->cluster.port("store"));
     auto const result
         = client.Post("/log-append?topic=keyed.servers&part=0", keyed_record(key, value), "application/octet-stream");
-    REQUIRE(static_cast<bool>(result));
+    return static_cast<bool>(result);
+}
+
+void PlatformCluster::write_entry(std::string const& key, std::string const& value) const
+{
+    REQUIRE(this->try_write_entry(key, value));
 }
 
 void PlatformCluster::drop_ended_servers() const
--- a/Tests/Soak/Site.cpp
+++ b/Tests/Soak/Site.cpp
@@ -24,6 +24,14 @@
 /// Drains and starts again in the play of late writes.
 constexpr auto const* leaving_server = "d3";
 
+/// Entries on a page of the list in the play of late writes, whose endpoints alone make two pages.
+constexpr int page_items = 3;
+
+/// Keys of other writers: characters that mean something in a query, and bytes that are no text.
+constexpr std::array other_keys { "d1&after_rev=2", "d1 x", "d+2", "d%31", "#m", "m1\"", "\xff\xfe", "zz\x01" };
+constexpr std::array other_values { "{}", "[[[[", "no JSON", "\xc3\x28",
+    "{\"service\":\"desk\",\"address\":\"127.0.0.1:-1\"}" };
+
 /// How the endpoint answers in the play of odd answers: some in each style.
 std::string odd_behaviour(std::uint64_t seed)
 {
@@ -60,8 +68,10 @@
         this->cluster.start_cloud();
     for (auto const* name : server_names)
         this->start_server(name);
-    if (this->play == Play::LateWrites)
+    if (this->play == Play::LateWrites) {
+        this->cluster.set_page_items(page_items);
         this->start_server(leaving_server);
+    }
     this->write_configuration(0);
     for (std::size_t index = 0; index < box_names.size(); ++index) {
         this->to_store[index].set_target(this->cluster.store_port());
@@ -89,8 +99,10 @@
         this->strike_endpoint_reports();
     if (this->play == Play::CutOff)
         this->strike_endpoint_links();
-    if (this->play == Play::LateWrites)
+    if (this->play == Play::LateWrites) {
         this->strike_leaving_server();
+        this->strike_other_writer();
+    }
     if (this->play == Play::Crowds)
         this->strike_crowds();
     auto const index = this->random(static_cast<std::uint32_t>(box_names.size()));
@@ -265,6 +277,15 @@
     }
 }
 
+void Site::strike_other_writer()
+{
+    auto const* const key = other_keys[this->random_of_play(static_cast<std::uint32_t>(other_keys.size()))];
+    bool const is_dropped = this->random_of_play(4) == 0;
+    // NOTE: The store may fail or carry the write out late, as with those of boxes and endpoints.
+    static_cast<void>(this->cluster.try_write_entry(
+        key, is_dropped ? "" : other_values[this->random_of_play(static_cast<std::uint32_t>(other_values.size()))]));
+}
+
 void Site::strike_crowds()
 {
     auto const* const name = box_names[this->random_of_play(static_cast<std::uint32_t>(box_names.size()))];
--- a/Tests/Soak/Site.h
+++ b/Tests/Soak/Site.h
@@ -30,8 +30,9 @@
     /// Endpoints answer in all styles that the stand-in has: framed oddly, broken off, silent, with bytes too many or
     /// without end.
     OddAnswers,
-    /// The store carries out a third of all writes of boxes and endpoints seconds late. One endpoint drains, ends and
-    /// starts again, time after time; one box reports usage.
+    /// The store carries out a third of all writes of boxes and endpoints seconds late, and its list of endpoints has
+    /// several pages with entries of other writers, which name no endpoint. One endpoint drains, ends and starts again,
+    /// time after time; one box reports usage.
     LateWrites,
     /// Crowds hold connections of boxes, send large bodies that they never end, or don't read, at the ports for
     /// clients, for other boxes, and for probes.
@@ -68,6 +69,8 @@
     void write_late();
     /// The endpoint drains; a while later its process ends, its entry goes, and a new process starts under its id.
     void strike_leaving_server();
+    /// Another writer writes an entry into the list of endpoints, or drops one.
+    void strike_other_writer();
     /// A crowd comes to a box, and the one that has been there for longest leaves if there are several.
     void strike_crowds();
     void strike_leader_or_history();
--- a/Tests/Soak/TestSoak.cpp
+++ b/Tests/Soak/TestSoak.cpp
@@ -163,7 +163,9 @@
     play(Play::CutOff);
 }
 
-TEST_CASE("and where the store carries writes out late, while an endpoint drains and starts again")
+TEST_CASE(
+    "and where the store carries writes out late and holds entries of other writers, while an endpoint drains and "
+    "starts again")
 {
     play(Play::LateWrites);
 }
