--- a/Tests/Harness/PlatformCluster.h
+++ b/Tests/Harness/PlatformCluster.h
@@ -85,7 +85,7 @@
     /// Writes an entry of the endpoints' list, as another writer may.
     void write_entry(std::string const& key, std::string const& value) const;
     /// False if the store didn't answer: it may have carried the write out, or do so later.
-    bool try_write_entry(std::string const& key, std::string const& value) const;
+    [[nodiscard]] bool try_write_entry(std::string const& key, std::string const& value) const;
     /// How often all endpoints together have run an attempt.
     [[nodiscard]] int runs(std::string const& attempt) const;
     /// The same for some endpoints.
